--- /dev/null
+++ b/galenarpc/rpc.go
@@ -0,0 +1,112 @@
+// Package galenarpc carries JSON-RPC 2.0 over TCP between the system's own
+// processes. Messages are length-prefixed JSON objects.
+package galenarpc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/galenahead/galenahead"
+)
+
+// Conn is one connection; it carries calls in both directions.
+type Conn = jsonrpc2.Conn
+
+// Handler serves one method. Its result is encoded as JSON. conn is the
+// connection on which the call came.
+type Handler func(ctx context.Context, conn *Conn, params json.RawMessage) (any, error)
+
+// Mux maps methods to handlers. Register all handlers before serving. The zero
+// value knows no method.
+type Mux struct {
+	handlers map[string]Handler
+}
+
+// HandleRaw registers h for method.
+func (m *Mux) HandleRaw(method string, h Handler) {
+	if m.handlers == nil {
+		m.handlers = make(map[string]Handler)
+	}
+	m.handlers[method] = h
+}
+
+// Handle registers a typed handler for method.
+func Handle[P, R any](m *Mux, method string, f func(ctx context.Context, params P) (R, error)) {
+	m.HandleRaw(method, func(ctx context.Context, _ *Conn, raw json.RawMessage) (any, error) {
+		var p P
+		if err := json.Unmarshal(raw, &p); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, p)
+	})
+}
+
+func (m *Mux) serve(ctx context.Context, conn *Conn, req *jsonrpc2.Request) (any, error) {
+	h, ok := m.handlers[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	params := json.RawMessage("null")
+	if req.Params != nil {
+		params = *req.Params
+	}
+	res, err := h(ctx, conn, params)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return res, nil
+}
+
+func (m *Mux) connect(ctx context.Context, c net.Conn) *Conn {
+	s := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.serve))
+	return jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+}
+
+// wireErrors maps sentinel errors to application error codes, so that the
+// calling process can test them with errors.Is. Codes are never reused.
+var wireErrors = map[int64]error{
+	1:  galenahead.ErrBadKey,
+	2:  galenahead.ErrKeyExpired,
+	3:  galenahead.ErrClaimUndecided,
+	4:  galenahead.ErrConflict,
+	5:  galenahead.ErrRequestIDReused,
+	6:  galenahead.ErrInvalid,
+	7:  galenahead.ErrNotFound,
+	8:  galenahead.ErrNotLeader,
+	9:  galenahead.ErrNoQuorum,
+	10: galenahead.ErrLeaseExpired,
+	11: galenahead.ErrNotReady,
+}
+
+func encodeError(err error) error {
+	var e *jsonrpc2.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	for code, sentinel := range wireErrors {
+		if errors.Is(err, sentinel) {
+			return &jsonrpc2.Error{Code: code, Message: err.Error()}
+		}
+	}
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+}
+
+func decodeError(err error) error {
+	var e *jsonrpc2.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	sentinel, ok := wireErrors[e.Code]
+	if !ok {
+		return err
+	}
+	return eris.Wrap(sentinel, e.Message)
+}
--- /dev/null
+++ b/galenarpc/server.go
@@ -0,0 +1,68 @@
+package galenarpc
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Server accepts connections and serves the methods of Mux.
+type Server struct {
+	// Mux holds the methods. It must not change while serving.
+	Mux *Mux
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Serve accepts connections of ln until ctx ends, then closes ln and every
+// connection. It returns nil when ctx ended.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	defer s.closeAll()
+	for {
+		c, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go s.run(ctx, c)
+	}
+}
+
+func (s *Server) run(ctx context.Context, c net.Conn) {
+	conn := s.Mux.connect(ctx, c)
+	s.track(conn)
+	defer s.forget(conn)
+	select {
+	case <-ctx.Done():
+	case <-conn.DisconnectNotify():
+	}
+	_ = conn.Close()
+}
+
+func (s *Server) track(conn *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*Conn]struct{})
+	}
+	s.conns[conn] = struct{}{}
+}
+
+func (s *Server) forget(conn *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,71 @@
+package galenahead
+
+import "time"
+
+// Outcome tells a caller whether its request ran.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// OutcomeRan means that the whole answer of an upstream follows.
+	OutcomeRan Outcome = "ran"
+	// OutcomeNotRun means that no byte of the request reached an upstream.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Request is one caller's request. It is immutable; Body must not be changed.
+type Request struct {
+	Key        RequestKey
+	Service    ServiceName
+	Caller     CallerName
+	Idempotent bool
+	// Arrived is when the entry accepted the request.
+	Arrived time.Time
+	// Deadline is when the answer stops being useful to the caller.
+	Deadline    time.Time
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+}
+
+// WithDeadline returns a copy of r with deadline t.
+func (r Request) WithDeadline(t time.Time) Request {
+	r.Deadline = t
+	return r
+}
+
+// WithKey returns a copy of r with key k.
+func (r Request) WithKey(k RequestKey) Request {
+	r.Key = k
+	return r
+}
+
+// Answer is the outcome of one request. It is immutable.
+type Answer struct {
+	Outcome Outcome `json:"outcome"`
+	// Reason names why a request did not run or is unknown.
+	Reason string `json:"reason,omitempty"`
+	// Status is the upstream's HTTP status when Outcome is OutcomeRan.
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// WithReason returns a copy of a with the reason.
+func (a Answer) WithReason(reason string) Answer {
+	a.Reason = reason
+	return a
+}
+
+// NotRun returns the answer for a request of which no byte was sent.
+func NotRun(reason string) Answer {
+	return Answer{Outcome: OutcomeNotRun, Reason: reason}
+}
+
+// Unknown returns the answer for a request that may have run.
+func Unknown(reason string) Answer {
+	return Answer{Outcome: OutcomeUnknown, Reason: reason}
+}
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,41 @@
+package galenahead
+
+import "time"
+
+// Announcement is an upstream's own report, sent every second. Field names
+// and units are those of POST /v1/announce.
+type Announcement struct {
+	Instance    InstanceID  `json:"instance"`
+	Address     string      `json:"address"`
+	Service     ServiceName `json:"service"`
+	DataCentre  DataCentre  `json:"data_centre"`
+	Rack        RackName    `json:"rack"`
+	VM          VMName      `json:"vm"`
+	Slots       int         `json:"slots"`
+	Connections int         `json:"connections"`
+	LeaseMS     int64       `json:"lease_ms"`
+	InFlight    int         `json:"in_flight"`
+	Leaving     bool        `json:"leaving"`
+}
+
+// SlotLease is the right to have one request in flight at an instance.
+type SlotLease struct {
+	ID       uint64      `json:"id"`
+	Service  ServiceName `json:"service"`
+	Instance InstanceID  `json:"instance"`
+	Address  string      `json:"address"`
+	// DataCentre is where the instance runs.
+	DataCentre DataCentre `json:"data_centre"`
+	VM         VMName     `json:"vm"`
+	// Epoch is the broker's epoch.
+	Epoch Epoch `json:"epoch"`
+	// Expires is on the holder's monotonic clock; a request may start only
+	// before it.
+	Expires time.Time `json:"-"`
+}
+
+// WithExpires returns a copy of l that expires at t.
+func (l SlotLease) WithExpires(t time.Time) SlotLease {
+	l.Expires = t
+	return l
+}
