--- /dev/null
+++ b/galenaentry/answer.go
@@ -0,0 +1,56 @@
+package galenaentry
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenahead/galenahead"
+)
+
+// Observer learns of every answered request.
+type Observer interface {
+	// Answered is called once for each exchange, after its answer was written.
+	Answered(x *Exchange, a galenahead.Answer, now time.Time)
+}
+
+// writeAnswer writes the answer of x, which is nil for a request that could not
+// be parsed, with an optional text for people.
+func writeAnswer(c *fasthttp.RequestCtx, x *Exchange, a galenahead.Answer, text string) {
+	h := &c.Response.Header
+	h.Set(HeaderOutcome, string(a.Outcome))
+	if a.Reason != "" {
+		h.Set(HeaderReason, a.Reason)
+	}
+	if x != nil {
+		h.Set(HeaderKey, string(x.Request.Key))
+	}
+	c.SetStatusCode(statusOf(a))
+	if a.Outcome != galenahead.OutcomeRan {
+		if text == "" {
+			text = a.Reason
+		}
+		c.SetContentType("text/plain; charset=utf-8")
+		c.SetBodyString(text + "\n")
+		return
+	}
+	if a.ContentType != "" {
+		c.SetContentType(a.ContentType)
+	}
+	c.SetBodyRaw(a.Body)
+}
+
+// statusOf returns the HTTP status of an answer: the upstream's own when the
+// request ran, 400 for a request that no entry will accept, 503 for one that
+// may be sent again, and 504 where its fate is not known.
+func statusOf(a galenahead.Answer) int {
+	switch {
+	case a.Outcome == galenahead.OutcomeRan:
+		return a.Status
+	case a.Outcome == galenahead.OutcomeUnknown:
+		return fasthttp.StatusGatewayTimeout
+	case a.Reason == ReasonBadRequest || a.Reason == ReasonBadKey:
+		return fasthttp.StatusBadRequest
+	}
+	return fasthttp.StatusServiceUnavailable
+}
--- /dev/null
+++ b/galenaentry/attempt.go
@@ -0,0 +1,129 @@
+package galenaentry
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaroute"
+	"github.com/galenahead/galenahead/galenaupstream"
+)
+
+// lateLimit is how long an attempt waits for an answer after its caller's
+// deadline. The slot stays in use, because the instance may still be working.
+const lateLimit = 10 * time.Second
+
+// attempts sends requests and outlives their callers where an answer is late.
+type attempts struct {
+	sender *galenaupstream.Sender
+	lanes  *lanes
+	timers galenahead.Timers
+	// open counts the attempts in flight, for a graceful stop.
+	open sync.WaitGroup
+}
+
+// handle is the last step of the pipeline: it sends the request once under the
+// slot of x and waits for the answer until the caller's deadline.
+func (s *attempts) handle(ctx context.Context, x *Exchange) galenahead.Answer {
+	x.Attempts++
+	l, _ := s.lanes.get(x.Request.Service)
+	t := &attempt{
+		owner: s, lane: l, lease: x.Lease, request: x.Request, late: x.late,
+		id: x.ID + "." + strconv.Itoa(x.Attempts), result: make(chan result, 1),
+	}
+	s.open.Add(1)
+	go t.run(context.WithoutCancel(ctx))
+	select {
+	case r := <-t.result:
+		x.Retriable = r.retriable
+		return r.answer
+	case <-s.timers.After(ctx, x.Request.Deadline.Sub(s.timers.Now())):
+	}
+	if !t.abandon() {
+		r := <-t.result
+		x.Retriable = r.retriable
+		return r.answer
+	}
+	return galenahead.Unknown(ReasonAnswerLate)
+}
+
+// attempt is one sending of a request to one instance.
+type attempt struct {
+	owner   *attempts
+	lane    *lane
+	lease   galenahead.SlotLease
+	request galenahead.Request
+	id      string
+	late    func(galenahead.Answer)
+	result  chan result
+
+	mu        sync.Mutex
+	finished  bool
+	abandoned bool
+}
+
+type result struct {
+	answer    galenahead.Answer
+	retriable bool
+}
+
+// run sends the request and returns the slot once the instance is done.
+func (t *attempt) run(ctx context.Context) {
+	defer t.owner.open.Done()
+	start := t.owner.timers.Now()
+	until := t.request.Deadline.Add(lateLimit)
+	a, err := t.owner.sender.Send(ctx, t.lease.Address, t.request, t.id, until, t.valid)
+	now := t.owner.timers.Now()
+	r := classify(t.request, a, err)
+	t.lane.router.Observe(now, t.lease.Instance, galenaroute.Result{
+		Service: t.request.Service, RunTime: now.Sub(start), Failed: err != nil || a.Status >= fasthttp.StatusInternalServerError,
+	})
+	t.lane.put(t.lease)
+	if t.finish() {
+		t.result <- r
+		return
+	}
+	if t.late != nil {
+		t.late(r.answer)
+	}
+}
+
+// valid is asked right before the first byte is sent.
+func (t *attempt) valid() bool {
+	return t.lane.slots.Valid(t.lease) && t.owner.timers.Now().Before(t.request.Deadline)
+}
+
+// finish reports whether the caller still waits.
+func (t *attempt) finish() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.finished = true
+	return !t.abandoned
+}
+
+// abandon reports whether the attempt is still open; its answer is then late.
+func (t *attempt) abandon() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.abandoned = !t.finished
+	return t.abandoned
+}
+
+// classify turns the result of sending into an answer. Only an idempotent
+// request may be repeated after its first byte was sent.
+func classify(r galenahead.Request, a galenahead.Answer, err error) result {
+	switch {
+	case err == nil:
+		return result{answer: a, retriable: r.Idempotent && a.Status >= fasthttp.StatusInternalServerError}
+	case errors.Is(err, galenaupstream.ErrUnsent):
+		return result{answer: galenahead.NotRun(ReasonUnsent), retriable: true}
+	case errors.Is(err, galenaupstream.ErrMismatch):
+		return result{answer: galenahead.Unknown(ReasonWrongAnswer), retriable: r.Idempotent}
+	}
+	return result{answer: galenahead.Unknown(ReasonAnswerLost), retriable: r.Idempotent}
+}
--- /dev/null
+++ b/galenaentry/claim.go
@@ -0,0 +1,86 @@
+package galenaentry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+const (
+	// claimTimeout bounds the wait for a quorum of claim replicas.
+	claimTimeout = 250 * time.Millisecond
+	// recordTimeout bounds recording a result or a release at the replicas.
+	recordTimeout = time.Second
+)
+
+// claimFilter lets only one exchange per key of a non-idempotent request pass.
+// It must come before any filter that refuses requests: a refusal may say
+// not_run only when no other exchange of the key can have run.
+func claimFilter(claims galenahead.Claimer) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, x *Exchange) galenahead.Answer {
+			if x.Request.Idempotent {
+				return next(ctx, x)
+			}
+			res, err := claim(ctx, claims, x)
+			if err != nil {
+				return undecided(x, err)
+			}
+			switch res.State {
+			case galenahead.ClaimDone:
+				return res.Answer
+			case galenahead.ClaimGranted:
+				x.late = func(a galenahead.Answer) { record(ctx, claims, x, a) }
+				a := next(ctx, x)
+				record(ctx, claims, x, a)
+				return a
+			case galenahead.ClaimRunning:
+			}
+			return galenahead.Unknown(ReasonClaimed)
+		}
+	}
+}
+
+func claim(ctx context.Context, claims galenahead.Claimer, x *Exchange) (galenahead.ClaimResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return claims.Claim(ctx, x.Request.Key, x.ID)
+}
+
+// undecided answers a request whose claim failed. The first delivery of a key
+// cannot have run before; any other delivery may have.
+func undecided(x *Exchange, err error) galenahead.Answer {
+	reason := ReasonNoClaim
+	switch {
+	case errors.Is(err, galenahead.ErrBadKey):
+		return galenahead.NotRun(ReasonBadKey)
+	case errors.Is(err, galenahead.ErrKeyExpired):
+		reason = ReasonKeyExpired
+	}
+	return refuse(x, reason)
+}
+
+// refuse answers a request that this entry turns away without a claim.
+func refuse(x *Exchange, reason string) galenahead.Answer {
+	if x.Request.Idempotent || x.Delivery == 1 {
+		return galenahead.NotRun(reason)
+	}
+	return galenahead.Unknown(reason)
+}
+
+// record tells the claim replicas how the exchange ended. An unknown outcome
+// stays claimed: the request may still run.
+func record(ctx context.Context, claims galenahead.Claimer, x *Exchange, a galenahead.Answer) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	// A failure leaves the key claimed, so a resend gets unknown.
+	switch a.Outcome {
+	case galenahead.OutcomeRan:
+		_ = claims.Finish(ctx, x.Request.Key, x.ID, a)
+	case galenahead.OutcomeNotRun:
+		_ = claims.Release(ctx, x.Request.Key, x.ID)
+	case galenahead.OutcomeUnknown:
+	}
+}
--- /dev/null
+++ b/galenaentry/lane.go
@@ -0,0 +1,119 @@
+package galenaentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaqueue"
+	"github.com/galenahead/galenahead/galenaroute"
+)
+
+const (
+	// sweepPeriod is how often a lane drops requests that cannot finish in time,
+	// drops those whose caller has gone, and tells the broker its demand.
+	sweepPeriod = 20 * time.Millisecond
+)
+
+// lane joins the queue of one service with the slots this entry holds for it.
+type lane struct {
+	service galenahead.ServiceName
+	queue   *galenaqueue.Queue
+	slots   galenahead.SlotPool
+	router  *galenaroute.Router
+	timers  galenahead.Timers
+
+	mu      sync.Mutex
+	waiting map[*galenaqueue.Ticket]*Exchange
+}
+
+// run dispatches waiting requests when slots are added, and on every sweep.
+func (l *lane) run(ctx context.Context) {
+	ticks := l.timers.Subscribe(ctx, "lane "+string(l.service), sweepPeriod)
+	for {
+		changed := l.slots.Changed(l.service)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-ticks:
+			l.sweep(l.timers.Now())
+		}
+		l.dispatch(l.timers.Now())
+	}
+}
+
+// enter queues the request of x and dispatches if a slot is free.
+func (l *lane) enter(x *Exchange) (*galenaqueue.Ticket, error) {
+	now := l.timers.Now()
+	t, err := l.queue.Push(now, x.Request)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	l.waiting[t] = x
+	l.mu.Unlock()
+	l.dispatch(now)
+	select {
+	case <-t.Done():
+	default:
+		l.slots.Want(l.service, l.queue.Waiting())
+	}
+	return t, nil
+}
+
+// leave forgets the exchange of t, which no longer waits.
+func (l *lane) leave(t *galenaqueue.Ticket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, t)
+}
+
+// put returns a slot and hands it to a waiting request.
+func (l *lane) put(lease galenahead.SlotLease) {
+	l.slots.Put(lease)
+	l.dispatch(l.timers.Now())
+}
+
+// dispatch gives free slots to waiting requests until either runs out.
+func (l *lane) dispatch(now time.Time) {
+	for {
+		_, ok := l.queue.Dispatch(now, func(r galenahead.Request) (galenahead.SlotLease, bool) {
+			return l.take(now, r)
+		})
+		if !ok {
+			return
+		}
+	}
+}
+
+// take chooses a free slot for r.
+func (l *lane) take(now time.Time, r galenahead.Request) (galenahead.SlotLease, bool) {
+	return l.slots.Take(l.service, func(candidates []galenahead.SlotLease) int {
+		i, _ := l.router.Choose(now, r, candidates)
+		return i
+	})
+}
+
+// sweep drops requests that are no longer worth serving and reports the demand.
+func (l *lane) sweep(now time.Time) {
+	l.queue.Expire(now)
+	for _, t := range l.gone() {
+		l.queue.Cancel(t)
+	}
+	l.slots.Want(l.service, l.queue.Waiting())
+}
+
+// gone returns the tickets whose callers closed their connections.
+func (l *lane) gone() []*galenaqueue.Ticket {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*galenaqueue.Ticket
+	for t, x := range l.waiting {
+		if x.Gone != nil && x.Gone() {
+			list = append(list, t)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/galenaentry/lanes.go
@@ -0,0 +1,51 @@
+package galenaentry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaqueue"
+	"github.com/galenahead/galenahead/galenaroute"
+)
+
+// lanes holds the lane of each configured service.
+type lanes struct {
+	slots  galenahead.SlotPool
+	router *galenaroute.Router
+	timers galenahead.Timers
+
+	mu     sync.RWMutex
+	active map[galenahead.ServiceName]*lane
+	cancel map[galenahead.ServiceName]context.CancelFunc
+}
+
+// get returns the lane of a service, or false when it is not configured.
+func (s *lanes) get(service galenahead.ServiceName) (*lane, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	l, ok := s.active[service]
+	return l, ok
+}
+
+// ensure starts the lane of a service, if it is not running.
+func (s *lanes) ensure(ctx context.Context, service galenahead.ServiceName, cfg galenaqueue.Config) *lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := s.active[service]; ok {
+		return l
+	}
+	l := &lane{
+		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers,
+		waiting: make(map[*galenaqueue.Ticket]*Exchange),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	if s.active == nil {
+		s.active = make(map[galenahead.ServiceName]*lane)
+		s.cancel = make(map[galenahead.ServiceName]context.CancelFunc)
+	}
+	s.active[service] = l
+	s.cancel[service] = cancel
+	go l.run(ctx)
+	return l
+}
--- /dev/null
+++ b/galenaentry/pipeline.go
@@ -0,0 +1,74 @@
+// Package galenaentry is the request path of an entry daemon. A request passes
+// through filters in the order of their files: accept, headers, claim, admit
+// with retries, queue, route, attempt, answer.
+package galenaentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+// Exchange is one request on its way through the filters. Only the filters of
+// its own request touch it.
+type Exchange struct {
+	Request galenahead.Request
+	// Delivery is how often the caller has sent this key, counting this time; 0
+	// when the caller does not say.
+	Delivery int
+	// ID identifies this exchange across all entries and restarts.
+	ID string
+	// Gone reports whether the caller closed its connection. It may be nil.
+	Gone func() bool
+
+	// Lease is the slot of the current attempt.
+	Lease galenahead.SlotLease
+	// Attempts counts the attempts so far.
+	Attempts int
+	// Candidates is how many slot leases the last routing decision compared.
+	Candidates int
+	// RouteReason names why the last instance was chosen.
+	RouteReason string
+	// QueueWait is the time spent waiting for slots.
+	QueueWait time.Duration
+	// Retriable is set when the last attempt may be repeated: nothing was sent,
+	// or the request is idempotent and its attempt failed.
+	Retriable bool
+	// late receives the answer of an attempt that outlives its caller.
+	late func(galenahead.Answer)
+}
+
+// Handler answers a request.
+type Handler func(ctx context.Context, x *Exchange) galenahead.Answer
+
+// Filter adds one step in front of a handler.
+type Filter func(next Handler) Handler
+
+// Chain puts the filters in front of last, the first one outermost.
+func Chain(last Handler, filters ...Filter) Handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		last = filters[i](last)
+	}
+	return last
+}
+
+// Reasons given with the outcomes not_run and unknown.
+const (
+	ReasonNotReady      = "entry_not_ready"
+	ReasonBadRequest    = "bad_request"
+	ReasonBadKey        = "bad_key"
+	ReasonKeyExpired    = "key_expired"
+	ReasonClaimed       = "claimed_by_another_attempt"
+	ReasonNoClaim       = "claim_undecided"
+	ReasonNoService     = "service_unknown"
+	ReasonQueueFull     = "queue_full"
+	ReasonDeadline      = "deadline"
+	ReasonCancelled     = "cancelled"
+	ReasonUnsent        = "upstream_unreachable"
+	ReasonAnswerLost    = "answer_lost"
+	ReasonAnswerLate    = "answer_late"
+	ReasonWrongAnswer   = "answer_mismatch"
+	ReasonShuttingDown  = "entry_stopping"
+	ReasonRetryExceeded = "retry_budget_exhausted"
+)
--- /dev/null
+++ b/galenaentry/queue.go
@@ -0,0 +1,45 @@
+package galenaentry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/galenahead/galenahead"
+)
+
+// queueFilter waits until the request has a slot, its deadline cannot be met
+// any more, or its caller is gone. The slot is returned by the attempt.
+func queueFilter(lanes *lanes) Filter {
+	return func(next Handler) Handler {
+		return func(ctx context.Context, x *Exchange) galenahead.Answer {
+			l, ok := lanes.get(x.Request.Service)
+			if !ok {
+				return galenahead.NotRun(ReasonNoService)
+			}
+			start := l.timers.Now()
+			t, err := l.enter(x)
+			if err != nil {
+				return galenahead.NotRun(queueReason(err))
+			}
+			defer l.leave(t)
+			<-t.Done()
+			x.QueueWait += l.timers.Now().Sub(start)
+			dispatched, err := t.Result()
+			if err != nil {
+				return galenahead.NotRun(queueReason(err))
+			}
+			if !dispatched {
+				return galenahead.NotRun(ReasonCancelled)
+			}
+			x.Lease = t.Lease()
+			return next(ctx, x)
+		}
+	}
+}
+
+func queueReason(err error) string {
+	if errors.Is(err, galenahead.ErrQueueFull) {
+		return ReasonQueueFull
+	}
+	return ReasonDeadline
+}
--- a/galenatimer/timer.go
+++ b/galenatimer/timer.go
@@ -21,17 +21,15 @@
 	return s.ticks
 }
 
-// After sends the time once after d, unless ctx ends first.
-func (*Service) After(ctx context.Context, d time.Duration) <-chan time.Time {
-	s := &subscription{ticks: make(chan time.Time, 1), period: d, once: true}
-	go s.run(ctx)
-	return s.ticks
+// After sends the time once after d. An unused timer is collected with its
+// channel, so ctx need not end it.
+func (*Service) After(_ context.Context, d time.Duration) <-chan time.Time {
+	return time.NewTimer(d).C
 }
 
 type subscription struct {
 	ticks  chan time.Time
 	period time.Duration
-	once   bool
 }
 
 func (s *subscription) run(ctx context.Context) {
@@ -44,9 +42,6 @@
 		case now := <-t.C:
 			s.send(now)
 		}
-		if s.once {
-			return
-		}
 	}
 }
 
