Add the control state machine: first usable version

Cause: the daemon needs the replicated state to be wired against.

Ruled out: Go maps copied for each view (16,000 VMs are copied after every change); records keyed by field name (larger log records).

Before: nothing.

Conclusion: the API is ready to be wired; figures are not measured yet.

--- /dev/null
+++ b/galenastate/apply_vm.go
@@ -0,0 +1,239 @@
+package galenastate
+
+import (
+	"github.com/galenahead/galenahead"
+)
+
+// setVM stores a VM whose phase, condition, pool or epoch changed, which
+// entries need to know.
+func (ch *change) setVM(vm VM) {
+	ch.vms.put(ch.gen, vm.Name, &vm)
+	ch.touch(kindVM, string(vm.Name))
+}
+
+// setVMWork stores a VM of which only the work or attribution changed.
+func (ch *change) setVMWork(vm VM) {
+	ch.vms.put(ch.gen, vm.Name, &vm)
+}
+
+func (ch *change) vmAdd(v *VMAdd) error {
+	if err := checkVMAdd(v); err != nil {
+		return err
+	}
+	pool, ok := ch.pools.get(v.Pool)
+	if !ok {
+		return notFound("pool", v.Pool)
+	}
+	if _, ok := ch.vms.get(v.Name); ok {
+		return invalid("name", v.Name, "a name that no VM has")
+	}
+	ch.setVM(VM{
+		Name:         v.Name,
+		Pool:         pool.Name,
+		DataCentre:   galenahead.DataCentre(ch.sharedName(string(v.DataCentre))),
+		Rack:         galenahead.RackName(ch.sharedName(string(v.Rack))),
+		Address:      v.Address,
+		Cores:        v.Cores,
+		MemoryMB:     v.MemoryMB,
+		Accelerators: v.Accelerators,
+		Epoch:        ch.epoch(),
+		Home:         pool.Name,
+		MovedMS:      ch.command.TimeMS,
+	})
+	return nil
+}
+
+// sharedName returns the copy of s that all VMs share, which saves some 30
+// bytes for each VM.
+func (s *state) sharedName(name string) string {
+	if s.names == nil {
+		s.names = make(map[string]string)
+	}
+	return intern(s.names, name)
+}
+
+func checkVMAdd(v *VMAdd) error {
+	if err := checkName("name", v.Name); err != nil {
+		return err
+	}
+	if err := checkName("data_centre", v.DataCentre); err != nil {
+		return err
+	}
+	if err := checkName("rack", v.Rack); err != nil {
+		return err
+	}
+	if err := checkText("address", v.Address); err != nil {
+		return err
+	}
+	return checkSize(v.Cores, v.MemoryMB, v.Accelerators)
+}
+
+func (ch *change) vmRemove(r *VMRemove) error {
+	vm, ok := ch.vms.get(r.VM)
+	if !ok {
+		return notFound("vm", r.VM)
+	}
+	if vm.Phase != PhaseOwned && vm.Phase != PhaseFree {
+		return invalid("phase", vm.Phase.String(), "owned or free")
+	}
+	if vm.Wave != "" {
+		return invalid("wave", vm.Wave, "a VM that no wave has out")
+	}
+	if vm.Jobs > 0 {
+		return invalid("jobs", vm.Jobs, "a VM without jobs")
+	}
+	ch.vms.del(ch.gen, r.VM)
+	ch.touch(kindVM, string(r.VM))
+	return nil
+}
+
+// fencedVM returns the VM if epoch is its current one.
+func (ch *change) fencedVM(name galenahead.VMName, epoch galenahead.Epoch) (VM, error) {
+	vm, ok := ch.vms.get(name)
+	if !ok {
+		return VM{}, notFound("vm", name)
+	}
+	if vm.Epoch != epoch && !ch.faults.ignoreEpoch {
+		return VM{}, fenced("epoch", epoch, vm.Epoch)
+	}
+	return *vm, nil
+}
+
+func (ch *change) vmMove(mv *VMMove) error {
+	old, ok := ch.vms.get(mv.VM)
+	if !ok {
+		return notFound("vm", mv.VM)
+	}
+	vm := *old
+	driver := mv.Epoch != 0
+	if driver && mv.Epoch != vm.Epoch && !ch.faults.ignoreEpoch {
+		return fenced("epoch", mv.Epoch, vm.Epoch)
+	}
+	pool, ok := ch.pools.get(mv.ToPool)
+	if !ok {
+		return notFound("to_pool", mv.ToPool)
+	}
+	if driver && vm.Phase == PhaseReleasing && vm.ToPool == mv.ToPool {
+		ch.repeated = true
+		return nil
+	}
+	if vm.Phase != PhaseOwned {
+		return invalid("phase", vm.Phase.String(), "owned")
+	}
+	if vm.Wave != "" {
+		return invalid("wave", vm.Wave, "a VM that no wave has out")
+	}
+	if vm.Pool == pool.Name {
+		return invalid("to_pool", mv.ToPool, "another pool than the VM's own")
+	}
+	vm.Phase = PhaseReleasing
+	vm.ToPool = pool.Name
+	if !driver {
+		vm.Home = pool.Name
+	}
+	ch.setVM(vm)
+	return nil
+}
+
+func (ch *change) vmReleased(r *VMReleased) error {
+	vm, err := ch.fencedVM(r.VM, r.Epoch)
+	if err != nil {
+		return err
+	}
+	if vm.Phase == PhaseFree && vm.Released == r.Epoch {
+		ch.repeated = true
+		return nil
+	}
+	if vm.Phase != PhaseReleasing {
+		return invalid("phase", vm.Phase.String(), "releasing")
+	}
+	if r.SlotsOut != 0 || r.Tasks != 0 {
+		return invalid("slots_out + tasks", r.SlotsOut+r.Tasks, "0")
+	}
+	if vm.Jobs != 0 {
+		return invalid("jobs", vm.Jobs, "0")
+	}
+	vm.Phase = PhaseFree
+	vm.Pool = ""
+	vm.Released = vm.Epoch
+	ch.setVM(vm)
+	return nil
+}
+
+func (ch *change) vmAcquire(a *VMAcquire) error {
+	vm, ok := ch.vms.get(a.VM)
+	if !ok {
+		return notFound("vm", a.VM)
+	}
+	if vm.Phase != PhaseFree && vm.Released == a.Epoch && vm.Epoch != a.Epoch {
+		ch.repeated = true
+		return nil
+	}
+	next, err := ch.fencedVM(a.VM, a.Epoch)
+	if err != nil {
+		return err
+	}
+	proved := next.Phase == PhaseFree && next.Released == next.Epoch
+	if !proved && !(ch.faults.ignoreProof && next.Phase == PhaseReleasing) {
+		return invalid("phase", next.Phase.String(), "free, with the release proof for the epoch")
+	}
+	next.Phase = PhaseAcquiring
+	next.Pool = next.ToPool
+	next.ToPool = ""
+	next.Epoch = ch.epoch()
+	ch.setVM(next)
+	return nil
+}
+
+func (ch *change) vmAcquired(a *VMAcquired) error {
+	vm, err := ch.fencedVM(a.VM, a.Epoch)
+	if err != nil {
+		return err
+	}
+	if vm.Phase == PhaseOwned {
+		ch.repeated = true
+		return nil
+	}
+	if vm.Phase != PhaseAcquiring {
+		return invalid("phase", vm.Phase.String(), "acquiring")
+	}
+	vm.Phase = PhaseOwned
+	vm.MovedMS = ch.command.TimeMS
+	ch.setVM(vm)
+	return nil
+}
+
+func (ch *change) vmCondition(c *VMCondition) error {
+	vm, err := ch.fencedVM(c.VM, c.Epoch)
+	if err != nil {
+		return err
+	}
+	if c.Condition > ConditionDown {
+		return invalid("condition", uint8(c.Condition), "up, draining, rebooting, settling or down")
+	}
+	if vm.Condition == c.Condition {
+		ch.repeated = true
+		return nil
+	}
+	if vm.Wave != "" && c.Condition != ConditionDown {
+		return invalid("condition", c.Condition.String(), "down, while wave "+vm.Wave+" has the VM out")
+	}
+	vm.Condition = c.Condition
+	ch.setVM(vm)
+	return nil
+}
+
+func (ch *change) workerParked(p *WorkerParking) error {
+	vm, err := ch.fencedVM(p.VM, p.Epoch)
+	if err != nil {
+		return err
+	}
+	if vm.Parked == p.Parked {
+		ch.repeated = true
+		return nil
+	}
+	vm.Parked = p.Parked
+	vm.Failures = nil
+	ch.setVMWork(vm)
+	return nil
+}
--- /dev/null
+++ b/galenastate/codec.go
@@ -0,0 +1,29 @@
+package galenastate
+
+import "github.com/fxamacker/cbor/v2"
+
+// maxElements bounds the arrays and maps of a snapshot.
+const maxElements = 1 << 20
+
+var (
+	encoding = mustEncMode()
+	decoding = mustDecMode()
+)
+
+// mustEncMode returns the deterministic encoding, so that equal content has
+// equal bytes on every replica.
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- /dev/null
+++ b/galenastate/record.go
@@ -0,0 +1,203 @@
+package galenastate
+
+import "github.com/galenahead/galenahead"
+
+// Records are immutable once they are in the state. The integer keys are the
+// format of log records and snapshots: a key is never given another meaning.
+
+// Pool is a set of VMs that run the same services.
+type Pool struct {
+	Name galenahead.PoolName `cbor:"1,keyasint" json:"name"`
+	// Spare marks the pool that lends VMs to the others.
+	Spare bool `cbor:"2,keyasint,omitempty" json:"spare,omitempty"`
+}
+
+// VM is one VM and its ownership.
+type VM struct {
+	Name         galenahead.VMName     `cbor:"1,keyasint" json:"name"`
+	Pool         galenahead.PoolName   `cbor:"2,keyasint,omitempty" json:"pool,omitempty"`
+	DataCentre   galenahead.DataCentre `cbor:"3,keyasint,omitempty" json:"data_centre,omitempty"`
+	Rack         galenahead.RackName   `cbor:"4,keyasint,omitempty" json:"rack,omitempty"`
+	Address      string                `cbor:"5,keyasint,omitempty" json:"address,omitempty"`
+	Cores        int32                 `cbor:"6,keyasint,omitempty" json:"cores,omitempty"`
+	MemoryMB     int32                 `cbor:"7,keyasint,omitempty" json:"memory_mb,omitempty"`
+	Accelerators int32                 `cbor:"8,keyasint,omitempty" json:"accelerators,omitempty"`
+	// Epoch is the fencing token of every command to the VM. It grows when the
+	// VM is acquired and when a wave reboots it, and is never used for another
+	// VM.
+	Epoch     galenahead.Epoch `cbor:"9,keyasint,omitempty" json:"epoch,omitempty"`
+	Phase     Phase            `cbor:"10,keyasint,omitempty" json:"phase,omitzero"`
+	Condition Condition        `cbor:"11,keyasint,omitempty" json:"condition,omitzero"`
+	// ToPool is the target of a move, until the VM is acquired.
+	ToPool galenahead.PoolName `cbor:"12,keyasint,omitempty" json:"to_pool,omitempty"`
+	// Home is the pool in which operators put the VM. Another owner has
+	// borrowed it.
+	Home galenahead.PoolName `cbor:"13,keyasint,omitempty" json:"home,omitempty"`
+	// Released is the epoch for which the release was proved.
+	Released galenahead.Epoch `cbor:"14,keyasint,omitempty" json:"released,omitempty"`
+	// Wave names the wave that has the VM out.
+	Wave string `cbor:"15,keyasint,omitempty" json:"wave,omitempty"`
+	// Parked workers get no jobs.
+	Parked bool `cbor:"16,keyasint,omitempty" json:"parked,omitempty"`
+	// Jobs is the number of jobs placed on the VM whose tasks have not ended.
+	Jobs int32 `cbor:"17,keyasint,omitempty" json:"jobs,omitempty"`
+	// Failures lists the different jobs that failed here since the last
+	// success.
+	Failures []galenahead.JobID `cbor:"18,keyasint,omitempty" json:"failures,omitempty"`
+	// MovedMS is when the VM was acquired by its pool, in Unix milliseconds.
+	MovedMS int64 `cbor:"19,keyasint,omitempty" json:"moved_ms,omitempty"`
+}
+
+// Service is a service that runs on a pool.
+type Service struct {
+	Name galenahead.ServiceName `cbor:"1,keyasint" json:"name"`
+	Pool galenahead.PoolName    `cbor:"2,keyasint" json:"pool"`
+	// BudgetPPM is the share of requests, in parts per million, that may fail.
+	BudgetPPM   int32         `cbor:"3,keyasint,omitempty" json:"budget_ppm"`
+	Slots       int32         `cbor:"4,keyasint,omitempty" json:"slots"`
+	Connections int32         `cbor:"5,keyasint,omitempty" json:"connections"`
+	DeadlineMS  int64         `cbor:"6,keyasint,omitempty" json:"deadline_ms"`
+	Callers     []CallerShare `cbor:"7,keyasint,omitempty" json:"callers,omitempty"`
+}
+
+// CallerShare is one caller's share of a service. A caller that is not listed
+// has share 1.
+type CallerShare struct {
+	Caller galenahead.CallerName `cbor:"1,keyasint" json:"caller"`
+	Share  int32                 `cbor:"2,keyasint" json:"share"`
+}
+
+// Size is an amount of processors, memory in MB and accelerators.
+type Size struct {
+	Cores        int64 `cbor:"1,keyasint,omitempty" json:"cores"`
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators"`
+}
+
+// Add returns s plus o.
+func (s Size) Add(o Size) Size {
+	return Size{s.Cores + o.Cores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+// Sub returns s minus o.
+func (s Size) Sub(o Size) Size {
+	return Size{s.Cores - o.Cores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Fits tells whether s is within limit in every dimension.
+func (s Size) Fits(limit Size) bool {
+	return s.Cores <= limit.Cores && s.MemoryMB <= limit.MemoryMB && s.Accelerators <= limit.Accelerators
+}
+
+// Team owns jobs and a quota.
+type Team struct {
+	Name  galenahead.TeamName `cbor:"1,keyasint" json:"name"`
+	Quota Size                `cbor:"2,keyasint" json:"quota"`
+	// Used is the size of the team's jobs that have a worker.
+	Used Size `cbor:"3,keyasint,omitzero" json:"used,omitzero"`
+}
+
+// Setting is one key and value.
+type Setting struct {
+	Key   string `cbor:"1,keyasint" json:"key"`
+	Value string `cbor:"2,keyasint" json:"value"`
+}
+
+// Job is one job.
+type Job struct {
+	ID           galenahead.JobID       `cbor:"1,keyasint" json:"id"`
+	Team         galenahead.TeamName    `cbor:"2,keyasint" json:"team"`
+	Pool         galenahead.PoolName    `cbor:"3,keyasint" json:"pool"`
+	Service      galenahead.ServiceName `cbor:"4,keyasint,omitempty" json:"service,omitempty"`
+	Cores        int32                  `cbor:"5,keyasint,omitempty" json:"cores"`
+	MemoryMB     int32                  `cbor:"6,keyasint,omitempty" json:"memory_mb"`
+	Accelerators int32                  `cbor:"7,keyasint,omitempty" json:"accelerators,omitempty"`
+	Urgent       bool                   `cbor:"8,keyasint,omitempty" json:"urgent,omitempty"`
+	State        JobState               `cbor:"9,keyasint,omitempty" json:"state"`
+	// Worker is the VM that may run the job's task, until the task has ended.
+	Worker galenahead.VMName `cbor:"10,keyasint,omitempty" json:"worker,omitempty"`
+	// Epoch fences the job's tasks; each placement takes the next epoch.
+	Epoch galenahead.Epoch `cbor:"11,keyasint,omitempty" json:"epoch"`
+	// Reason tells why the job is parked or went back to the queue.
+	Reason string `cbor:"12,keyasint,omitempty" json:"reason,omitempty"`
+	// FailedOn lists the different workers that the job's failures count
+	// against it.
+	FailedOn []galenahead.VMName `cbor:"13,keyasint,omitempty" json:"failed_on,omitempty"`
+	// SubmittedMS is when the job was accepted, in Unix milliseconds.
+	SubmittedMS int64 `cbor:"14,keyasint,omitempty" json:"submitted_ms"`
+}
+
+// Size returns the declared size.
+func (j Job) Size() Size {
+	return Size{int64(j.Cores), int64(j.MemoryMB), int64(j.Accelerators)}
+}
+
+// Spec returns what the job asks for.
+func (j Job) Spec() galenahead.JobSpec {
+	return galenahead.JobSpec{
+		ID:           j.ID,
+		Team:         j.Team,
+		Pool:         j.Pool,
+		Service:      j.Service,
+		Cores:        int(j.Cores),
+		MemoryMB:     int(j.MemoryMB),
+		Accelerators: int(j.Accelerators),
+		Urgent:       j.Urgent,
+	}
+}
+
+// Wave is one maintenance wave over the VMs of a pool.
+type Wave struct {
+	Name      string              `cbor:"1,keyasint" json:"name"`
+	Pool      galenahead.PoolName `cbor:"2,keyasint" json:"pool"`
+	State     WaveState           `cbor:"3,keyasint,omitempty" json:"state"`
+	Reason    string              `cbor:"4,keyasint,omitempty" json:"reason,omitempty"`
+	MaxAtOnce int32               `cbor:"5,keyasint" json:"max_at_once"`
+	SettleMS  int64               `cbor:"6,keyasint,omitempty" json:"settle_ms"`
+	// Next is the number that the next step must have.
+	Next uint64 `cbor:"7,keyasint" json:"next"`
+	// Out is the number of VMs that are draining, rebooting or settling.
+	Out int32 `cbor:"8,keyasint,omitempty" json:"out"`
+	// Failures is the number of failures since the wave was started or resumed.
+	Failures int32 `cbor:"9,keyasint,omitempty" json:"failures"`
+	// Failed lists the VMs that failed in the wave; they count as out until
+	// they are up again or removed.
+	Failed    []galenahead.VMName `cbor:"10,keyasint,omitempty" json:"failed,omitempty"`
+	StartedMS int64               `cbor:"11,keyasint,omitempty" json:"started_ms"`
+	EndedMS   int64               `cbor:"12,keyasint,omitempty" json:"ended_ms,omitempty"`
+	// Last is the newest step, with which a repeated step is compared.
+	Last WaveStep `cbor:"13,keyasint,omitzero" json:"-"`
+
+	steps table[galenahead.VMName, WaveVM]
+}
+
+// Active tells whether the wave may take out further VMs now or after it is
+// resumed.
+func (w Wave) Active() bool {
+	return w.State == WaveRunning || w.State == WavePaused || w.State == WaveStopped
+}
+
+// VM returns the state of one VM in the wave, if the wave has reached it.
+func (w Wave) VM(name galenahead.VMName) (WaveVM, bool) {
+	v, ok := w.steps.get(name)
+	if !ok {
+		return WaveVM{}, false
+	}
+	return *v, true
+}
+
+// VMs returns the VMs that the wave has reached, sorted by name.
+func (w Wave) VMs() []WaveVM { return w.steps.list() }
+
+// WaveVM is the state of one VM in a wave.
+type WaveVM struct {
+	VM galenahead.VMName `cbor:"1,keyasint" json:"vm"`
+	// Number is the number of the VM's newest step.
+	Number uint64    `cbor:"2,keyasint" json:"number"`
+	State  StepState `cbor:"3,keyasint,omitempty" json:"state"`
+	// TimeMS is when the newest step was accepted, in Unix milliseconds.
+	TimeMS int64 `cbor:"4,keyasint,omitempty" json:"time_ms"`
+}
+
+// Open tells whether the VM is draining, rebooting or settling.
+func (v WaveVM) Open() bool { return v.State <= StepSettling }
--- /dev/null
+++ b/galenastate/table.go
@@ -0,0 +1,138 @@
+package galenastate
+
+import (
+	"iter"
+	"slices"
+	"sort"
+)
+
+// chunkLimit is the number of rows at which a chunk is split. A write after a
+// view copies one chunk (3 KB at the limit) and the list of chunks.
+const chunkLimit = 128
+
+// table is an ordered map with cheap copies. A copy of the struct is a
+// read-only view, as long as the owner passes a larger generation to put and
+// del afterwards: parts of older generations are copied before a change.
+// Stored values are never changed in place. The zero value is empty.
+type table[K ~string, V any] struct {
+	chunks []*chunk[K, V]
+	n      int
+	gen    uint64
+}
+
+type chunk[K ~string, V any] struct {
+	gen  uint64
+	rows []row[K, V]
+}
+
+type row[K ~string, V any] struct {
+	key K
+	val *V
+}
+
+// locate returns the chunk and row at which key is or belongs.
+func (t *table[K, V]) locate(key K) (ci, ri int, found bool) {
+	ci = sort.Search(len(t.chunks), func(i int) bool { return t.chunks[i].rows[0].key > key })
+	if ci == 0 {
+		return 0, 0, false
+	}
+	ci--
+	rows := t.chunks[ci].rows
+	ri = sort.Search(len(rows), func(i int) bool { return rows[i].key >= key })
+	return ci, ri, ri < len(rows) && rows[ri].key == key
+}
+
+func (t *table[K, V]) get(key K) (*V, bool) {
+	ci, ri, found := t.locate(key)
+	if !found {
+		return nil, false
+	}
+	return t.chunks[ci].rows[ri].val, true
+}
+
+// ownChunk returns chunk ci after copying what older views share.
+func (t *table[K, V]) ownChunk(gen uint64, ci int) *chunk[K, V] {
+	t.ownList(gen)
+	c := t.chunks[ci]
+	if c.gen == gen {
+		return c
+	}
+	c = &chunk[K, V]{gen: gen, rows: slices.Clone(c.rows)}
+	t.chunks[ci] = c
+	return c
+}
+
+func (t *table[K, V]) ownList(gen uint64) {
+	if t.gen == gen {
+		return
+	}
+	t.chunks = slices.Clone(t.chunks)
+	t.gen = gen
+}
+
+func (t *table[K, V]) put(gen uint64, key K, val *V) {
+	if len(t.chunks) == 0 {
+		t.ownList(gen)
+		t.chunks = append(t.chunks, &chunk[K, V]{gen: gen, rows: []row[K, V]{{key, val}}})
+		t.n = 1
+		return
+	}
+	ci, ri, found := t.locate(key)
+	c := t.ownChunk(gen, ci)
+	if found {
+		c.rows[ri].val = val
+		return
+	}
+	c.rows = slices.Insert(c.rows, ri, row[K, V]{key, val})
+	t.n++
+	if len(c.rows) >= chunkLimit {
+		t.split(gen, ci)
+	}
+}
+
+func (t *table[K, V]) split(gen uint64, ci int) {
+	c := t.chunks[ci]
+	// Keys that arrive in ascending order leave full chunks behind.
+	at := len(c.rows) / 2
+	if ci == len(t.chunks)-1 {
+		at = len(c.rows) - 1
+	}
+	tail := &chunk[K, V]{gen: gen, rows: slices.Clone(c.rows[at:])}
+	c.rows = slices.Clone(c.rows[:at])
+	t.chunks = slices.Insert(t.chunks, ci+1, tail)
+}
+
+func (t *table[K, V]) del(gen uint64, key K) {
+	ci, ri, found := t.locate(key)
+	if !found {
+		return
+	}
+	c := t.ownChunk(gen, ci)
+	c.rows = slices.Delete(c.rows, ri, ri+1)
+	t.n--
+	if len(c.rows) == 0 {
+		t.chunks = slices.Delete(t.chunks, ci, ci+1)
+	}
+}
+
+// values returns the values in ascending order of their keys.
+func (t table[K, V]) values() iter.Seq[*V] {
+	return func(yield func(*V) bool) {
+		for _, c := range t.chunks {
+			for _, r := range c.rows {
+				if !yield(r.val) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// list returns copies of the values in ascending order of their keys.
+func (t table[K, V]) list() []V {
+	out := make([]V, 0, t.n)
+	for v := range t.values() {
+		out = append(out, *v)
+	}
+	return out
+}
--- /dev/null
+++ b/galenastate/view.go
@@ -0,0 +1,124 @@
+package galenastate
+
+import (
+	"iter"
+	"slices"
+
+	"github.com/galenahead/galenahead"
+)
+
+// View is a consistent read-only state. It may be kept and read concurrently;
+// it holds on to the memory of what has changed since.
+type View struct {
+	state
+}
+
+// View returns the current state. It copies one struct; the next changes copy
+// the parts they touch.
+func (m *Machine) View() *View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentView()
+}
+
+func (m *Machine) currentView() *View {
+	if m.view == nil {
+		m.view = &View{m.state}
+		m.state.gen++
+	}
+	return m.view
+}
+
+// value returns a copy of a stored value.
+func value[V any](v *V, ok bool) (V, bool) {
+	if !ok {
+		var zero V
+		return zero, false
+	}
+	return *v, true
+}
+
+// Revision returns the newest accepted revision.
+func (v *View) Revision() galenahead.Revision { return v.revision }
+
+// Index returns the log index of the newest command in the view.
+func (v *View) Index() uint64 { return v.index }
+
+// Pool returns one pool.
+func (v *View) Pool(name galenahead.PoolName) (Pool, bool) { return value(v.pools.get(name)) }
+
+// Pools returns all pools, sorted by name.
+func (v *View) Pools() []Pool { return v.pools.list() }
+
+// Spare returns the spare pool.
+func (v *View) Spare() (Pool, bool) { return value(v.spare()) }
+
+// VM returns one VM.
+func (v *View) VM(name galenahead.VMName) (VM, bool) { return value(v.vms.get(name)) }
+
+// VMCount returns the number of VMs.
+func (v *View) VMCount() int { return v.vms.n }
+
+// VMs yields all VMs, sorted by name. They must not be changed.
+func (v *View) VMs() iter.Seq[*VM] { return v.vms.values() }
+
+// Service returns one service.
+func (v *View) Service(name galenahead.ServiceName) (Service, bool) {
+	return value(v.services.get(name))
+}
+
+// Services returns all services, sorted by name.
+func (v *View) Services() []Service { return v.services.list() }
+
+// Team returns one team.
+func (v *View) Team(name galenahead.TeamName) (Team, bool) { return value(v.teams.get(name)) }
+
+// Teams returns all teams, sorted by name.
+func (v *View) Teams() []Team { return v.teams.list() }
+
+// Setting returns the value of a setting.
+func (v *View) Setting(key string) (string, bool) {
+	s, ok := v.settings.get(key)
+	if !ok {
+		return "", false
+	}
+	return s.Value, true
+}
+
+// Settings returns all settings, sorted by key.
+func (v *View) Settings() []Setting { return v.settings.list() }
+
+// Weights returns the weights of the metrics; one that is not set is 1.
+func (v *View) Weights() Weights { return v.weights() }
+
+// Wave returns one wave.
+func (v *View) Wave(name string) (Wave, bool) { return value(v.waves.get(name)) }
+
+// Waves returns all kept waves, sorted by name.
+func (v *View) Waves() []Wave { return v.waves.list() }
+
+// OutOf returns how many VMs of a wave are out, failed ones included.
+func (v *View) OutOf(w Wave) int32 { return v.outOf(&w) }
+
+// Job returns one job.
+func (v *View) Job(id galenahead.JobID) (Job, bool) { return value(v.jobs.get(id)) }
+
+// Jobs yields all kept jobs, sorted by id. They must not be changed.
+func (v *View) Jobs() iter.Seq[*Job] { return v.jobs.values() }
+
+// JobCount returns the number of kept jobs.
+func (v *View) JobCount() int { return v.jobs.n }
+
+// History returns up to limit accepted operators' changes, newest first; a
+// limit of 0 or less returns all that are kept.
+func (v *View) History(limit int) []Accepted {
+	kept := v.history
+	if limit > 0 && limit < len(kept) {
+		kept = kept[len(kept)-limit:]
+	}
+	out := make([]Accepted, 0, len(kept))
+	for _, h := range slices.Backward(kept) {
+		out = append(out, h.decode())
+	}
+	return out
+}
