--- /dev/null
+++ b/galenaqueue/admit.go
@@ -0,0 +1,77 @@
+package galenaqueue
+
+import (
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+// admit decides whether r may wait.
+func (q *Queue) admit(now time.Time, f *flow, r galenahead.Request) error {
+	est := q.estimate(r)
+	if now.Add(est.Shortest).After(r.Deadline) {
+		return galenahead.ErrDeadline
+	}
+	if !q.fits(f, len(r.Body)) {
+		return galenahead.ErrQueueFull
+	}
+	wait := q.expectedWait(f, r.Deadline, est)
+	if now.Add(wait + est.Shortest).After(r.Deadline) {
+		return galenahead.ErrDeadline
+	}
+	return nil
+}
+
+// fits tells whether one more request of f is within the limits. A caller may
+// use as much as is still free, so a caller alone gets half of the queue and a
+// burst always leaves room for the others.
+func (q *Queue) fits(f *flow, size int) bool {
+	maxRequests, maxBytes := q.cfg.MaxRequests, q.cfg.MaxBytes
+	if maxRequests == 0 {
+		maxRequests = defaultMaxRequests
+	}
+	if maxBytes == 0 {
+		maxBytes = defaultMaxBytes
+	}
+	return f.live < maxRequests-q.live && f.bytes+size <= maxBytes-q.bytes
+}
+
+// expectedWait returns how long a request of f with the deadline would wait.
+func (q *Queue) expectedWait(f *flow, deadline time.Time, est Estimate) time.Duration {
+	if q.slots == 0 || est.Mean == 0 {
+		return 0
+	}
+	perSecond := float64(q.slots) / est.Mean.Seconds()
+	if q.drainGap > 0 {
+		perSecond = max(perSecond, 1/q.drainGap)
+	}
+	seconds := q.ahead(f, deadline) / perSecond
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// ahead returns how many requests would be served before one of f with the
+// deadline: f's own earlier ones, and as many rounds of the other callers.
+func (q *Queue) ahead(f *flow, deadline time.Time) float64 {
+	own := f.earlier(deadline)
+	rounds := own / float64(f.weight)
+	n := own
+	for _, other := range q.flows {
+		if other != f {
+			n += min(float64(other.live), rounds*float64(other.weight))
+		}
+	}
+	return n
+}
+
+// observeDrain learns the time between two pops while requests wait. Call it
+// after a pop.
+func (q *Queue) observeDrain(now time.Time) {
+	if !q.lastPop.IsZero() {
+		gap := now.Sub(q.lastPop).Seconds()
+		q.drainGap += (gap - q.drainGap) * drainWeight
+	}
+	q.lastPop = now
+	if q.live == 0 {
+		q.lastPop = time.Time{}
+	}
+}
--- /dev/null
+++ b/galenaqueue/queue.go
@@ -0,0 +1,304 @@
+// Package galenaqueue holds the requests of a service that wait for a slot.
+// Callers share the slots by deficit round robin; within a caller the request
+// with the earliest deadline is served first. Time is passed in, so that a
+// sequence of calls always has the same result.
+package galenaqueue
+
+import (
+	"sync"
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+const (
+	// defaultMaxRequests bounds the waiting requests of one service.
+	defaultMaxRequests = 4096
+	// defaultMaxBytes bounds the bodies of the waiting requests of one service.
+	defaultMaxBytes = 32 << 20
+	// maxCost bounds the cost of one request in quanta, so that a wrong estimate
+	// cannot make Pop visit the callers more than maxCost times.
+	maxCost = 64
+	// drainWeight is the weight of the newest gap in the learned drain rate.
+	drainWeight = 1.0 / 32
+)
+
+// Estimate is what is known of a request's run time; zero when nothing is.
+type Estimate struct {
+	// Shortest is a low quantile: with less time left the request is refused.
+	Shortest time.Duration
+	// Mean is the expected run time, from which waits are derived.
+	Mean time.Duration
+}
+
+// Config configures a Queue. The zero value has the default limits, equal
+// weights and no estimates.
+type Config struct {
+	// MaxRequests bounds the waiting requests; 0 means 4096.
+	MaxRequests int
+	// MaxBytes bounds the bodies of the waiting requests; 0 means 32 MiB.
+	MaxBytes int
+	// Weights are the callers' shares; a caller not listed has weight 1.
+	Weights map[galenahead.CallerName]int
+	// Estimate returns the learned run time of a request.
+	Estimate func(galenahead.Request) Estimate
+	// Cost returns the share used by a request, 1 for an average request. Nil
+	// counts every request as 1.
+	Cost func(galenahead.Request) float64
+}
+
+// Queue holds the waiting requests of one service. The zero value is an empty
+// queue with the zero Config.
+type Queue struct {
+	mu    sync.Mutex
+	cfg   Config
+	flows map[galenahead.CallerName]*flow
+	// turn is the flow being served; the flows form a ring.
+	turn     *flow
+	live     int
+	bytes    int
+	slots    int
+	expired  int64
+	sequence uint64
+	lastPop  time.Time
+	drainGap float64 // seconds between two pops while requests wait
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue { return &Queue{cfg: cfg} }
+
+// SetWeights replaces the callers' weights, as a new configuration does.
+func (q *Queue) SetWeights(weights map[galenahead.CallerName]int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.cfg.Weights = weights
+	for _, f := range q.flows {
+		f.weight = q.weight(f.caller)
+	}
+}
+
+// SetSlots sets how many slots this queue can expect to use. Waits are derived
+// from it; 0 turns refusal by expected wait off.
+func (q *Queue) SetSlots(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.slots = n
+}
+
+// Push queues r. It fails with ErrDeadline when r cannot finish in time and
+// with ErrQueueFull when r's caller has used up its part of the limits.
+func (q *Queue) Push(now time.Time, r galenahead.Request) (*Ticket, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	f := q.flow(r.Caller)
+	if err := q.admit(now, f, r); err != nil {
+		q.forget(f)
+		return nil, err
+	}
+	t := newTicket(now, r, f)
+	t.latestStart = r.Deadline.Add(-q.estimate(r).Shortest)
+	q.sequence++
+	t.sequence = q.sequence
+	f.push(t)
+	q.live++
+	q.bytes += t.size
+	if !f.inRing {
+		q.enter(f)
+	}
+	return t, nil
+}
+
+// Pop removes the request to be served next. It drops requests that cannot
+// finish any more.
+func (q *Queue) Pop(now time.Time) (*Ticket, bool) {
+	return q.Dispatch(now, func(galenahead.Request) (galenahead.SlotLease, bool) {
+		return galenahead.SlotLease{}, true
+	})
+}
+
+// Dispatch offers the request to be served next to take, and removes it with
+// the slot lease that take returns. It leaves the queue as it is when take
+// returns false. take is called with the queue locked and must not call it.
+func (q *Queue) Dispatch(now time.Time, take func(galenahead.Request) (galenahead.SlotLease, bool)) (*Ticket, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	f := q.next(now)
+	if f == nil {
+		return nil, false
+	}
+	t := f.heap[0]
+	lease, ok := take(t.request)
+	if !ok {
+		return nil, false
+	}
+	f.deficit -= q.cost(t.request)
+	f.pop()
+	q.drop(t)
+	q.observeDrain(now)
+	t.lease = lease
+	t.finish(StateDispatched)
+	return t, true
+}
+
+// Cancel removes t. It returns false when t is no longer waiting. Its cost does
+// not depend on the length of the queue, averaged over calls.
+func (q *Queue) Cancel(t *Ticket) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if t.state != StateWaiting {
+		return false
+	}
+	q.drop(t)
+	// The ticket may stay in the heap; its body must not.
+	t.request.Body = nil
+	t.finish(StateCancelled)
+	t.flow.compact()
+	return true
+}
+
+// Expire drops the requests that cannot finish any more and returns how many
+// there were. The entry calls it on a tick, so that they are answered even
+// while no slot becomes free.
+func (q *Queue) Expire(now time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	before := q.expired
+	for _, f := range q.flows {
+		q.purge(now, f)
+	}
+	return int(q.expired - before)
+}
+
+// Waiting returns the number of waiting requests by caller.
+func (q *Queue) Waiting() map[galenahead.CallerName]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	m := make(map[galenahead.CallerName]int, len(q.flows))
+	for name, f := range q.flows {
+		if f.live > 0 {
+			m[name] = f.live
+		}
+	}
+	return m
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.live
+}
+
+// next returns the flow whose first request is to be served, or nil.
+func (q *Queue) next(now time.Time) *flow {
+	for q.turn != nil {
+		f := q.turn
+		q.purge(now, f)
+		if f.live == 0 {
+			q.leave(f)
+			continue
+		}
+		if !f.credited {
+			f.deficit += float64(f.weight)
+			f.credited = true
+		}
+		if f.deficit >= q.cost(f.heap[0].request) {
+			return f
+		}
+		f.credited = false
+		q.turn = f.after
+	}
+	return nil
+}
+
+// purge removes cancelled requests from the front of f, and drops those that
+// cannot finish any more.
+func (q *Queue) purge(now time.Time, f *flow) {
+	for len(f.heap) > 0 {
+		t := f.heap[0]
+		if t.state == StateWaiting {
+			if !now.After(t.latestStart) {
+				return
+			}
+			q.drop(t)
+			q.expired++
+			t.finish(StateExpired)
+		}
+		f.pop()
+	}
+}
+
+// drop takes a waiting request out of the counts.
+func (q *Queue) drop(t *Ticket) {
+	t.flow.live--
+	t.flow.bytes -= t.size
+	q.live--
+	q.bytes -= t.size
+}
+
+func (q *Queue) flow(caller galenahead.CallerName) *flow {
+	f := q.flows[caller]
+	if f != nil {
+		return f
+	}
+	if q.flows == nil {
+		q.flows = make(map[galenahead.CallerName]*flow)
+	}
+	f = &flow{caller: caller, weight: q.weight(caller)}
+	q.flows[caller] = f
+	return f
+}
+
+func (q *Queue) weight(caller galenahead.CallerName) int {
+	return max(1, q.cfg.Weights[caller])
+}
+
+// forget removes an idle flow, so that memory is bounded by the waiting
+// requests.
+func (q *Queue) forget(f *flow) {
+	if !f.inRing {
+		delete(q.flows, f.caller)
+	}
+}
+
+// enter puts f behind the flow being served, so that a caller that was idle
+// gets its share back with the next slot.
+func (q *Queue) enter(f *flow) {
+	f.inRing = true
+	if q.turn == nil {
+		f.before, f.after = f, f
+		q.turn = f
+		return
+	}
+	f.before, f.after = q.turn, q.turn.after
+	f.before.after = f
+	f.after.before = f
+}
+
+// leave removes the flow being served from the ring. A flow leaves only at its
+// turn: a caller that empties its queue and returns within one round cannot
+// move ahead of the others.
+func (q *Queue) leave(f *flow) {
+	q.turn = f.after
+	if f.after == f {
+		q.turn = nil
+	}
+	f.before.after = f.after
+	f.after.before = f.before
+	f.inRing = false
+	delete(q.flows, f.caller)
+}
+
+func (q *Queue) cost(r galenahead.Request) float64 {
+	if q.cfg.Cost == nil {
+		return 1
+	}
+	return min(max(q.cfg.Cost(r), 0), maxCost)
+}
+
+func (q *Queue) estimate(r galenahead.Request) Estimate {
+	if q.cfg.Estimate == nil {
+		return Estimate{}
+	}
+	return q.cfg.Estimate(r)
+}
--- /dev/null
+++ b/galenaqueue/queue_test.go
@@ -0,0 +1,232 @@
+package galenaqueue
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func request(caller string, deadline time.Duration) galenahead.Request {
+	return galenahead.Request{Caller: galenahead.CallerName(caller), Deadline: epoch.Add(deadline)}
+}
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := "testdata/" + name + ".golden"
+	if *update {
+		is.New(t).NoErr(os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.New(t).NoErr(err)
+	is.New(t).Equal(got, string(want))
+}
+
+// Guards against a burst of one caller taking the share of the others, weights
+// being ignored, and idle shares being wasted.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Weights: map[galenahead.CallerName]int{"b": 2}})
+	for range 300 {
+		_, err := q.Push(epoch, request("a", time.Minute))
+		is.NoErr(err)
+	}
+	for range 20 {
+		for _, c := range []string{"b", "c"} {
+			_, err := q.Push(epoch, request(c, time.Minute))
+			is.NoErr(err)
+		}
+	}
+	var order strings.Builder
+	for range 60 {
+		p, ok := q.Pop(epoch)
+		is.True(ok)
+		order.WriteString(string(p.Request().Caller))
+	}
+	order.WriteString("\n")
+	golden(t, "shares", order.String())
+	is.Equal(q.Waiting()["a"], 300-20) // b and c are served; a gets only the rest
+}
+
+// Guards against a returning caller waiting a whole round for its share.
+func TestIdleCallerReturns(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{})
+	for _, c := range []string{"a", "b", "c", "d"} {
+		for range 10 {
+			_, err := q.Push(epoch, request(c, time.Minute))
+			is.NoErr(err)
+		}
+	}
+	q.Pop(epoch)
+	_, err := q.Push(epoch, request("late", time.Minute))
+	is.NoErr(err)
+	p, _ := q.Pop(epoch)
+	is.Equal(p.Request().Caller, galenahead.CallerName("late"))
+}
+
+// Guards against serving in arrival order instead of by deadline, against
+// serving what cannot finish any more, and against leaving its waiter hanging.
+func TestDeadlines(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Estimate: func(galenahead.Request) Estimate { return Estimate{Shortest: 10 * time.Millisecond} }})
+	var tickets []*Ticket
+	for _, d := range []time.Duration{300, 100, 200} {
+		p, err := q.Push(epoch, request("a", d*time.Millisecond))
+		is.NoErr(err)
+		tickets = append(tickets, p)
+	}
+	_, err := q.Push(epoch, request("a", 9*time.Millisecond))
+	is.True(errors.Is(err, galenahead.ErrDeadline))
+	p, _ := q.Pop(epoch.Add(95 * time.Millisecond)) // 100 ms has 5 ms left
+	is.Equal(p, tickets[2])
+	<-tickets[1].Done()
+	is.Equal(tickets[1].Final(), StateExpired)
+	is.Equal(q.Expire(epoch.Add(time.Second)), 1)
+	is.Equal(tickets[0].Final(), StateExpired)
+	is.Equal(q.Len(), 0)
+}
+
+// Guards against queueing what must wait longer than its deadline allows, and
+// against refusing a caller for the backlog of another one.
+func TestEarlyRefusal(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Estimate: func(galenahead.Request) Estimate { return Estimate{Mean: 10 * time.Millisecond} }})
+	q.SetSlots(1)
+	n := 0
+	for ; n < 200; n++ {
+		if _, err := q.Push(epoch, request("burst", time.Second)); err != nil {
+			is.True(errors.Is(err, galenahead.ErrDeadline))
+			break
+		}
+	}
+	is.Equal(n, 101) // 1 s of 10 ms requests, and the one in service
+	_, err := q.Push(epoch, request("other", 50*time.Millisecond))
+	is.NoErr(err)
+}
+
+// Guards against a burst filling the queue for everybody, by count or bytes.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{MaxRequests: 100, MaxBytes: 1000})
+	push := func(caller string, size int) error {
+		r := request(caller, time.Minute)
+		r.Body = make([]byte, size)
+		_, err := q.Push(epoch, r)
+		return err
+	}
+	for range 50 {
+		is.NoErr(push("a", 0))
+	}
+	is.True(errors.Is(push("a", 0), galenahead.ErrQueueFull))
+	is.NoErr(push("b", 500))
+	is.True(errors.Is(push("b", 1), galenahead.ErrQueueFull))
+	is.NoErr(push("c", 250))
+}
+
+// Guards against cancellations that cost more in a longer queue, that keep
+// bodies, or that reach a request which already runs.
+func TestCancelBurst(t *testing.T) {
+	is := is.New(t)
+	const n = 20000
+	q := New(Config{MaxRequests: 4 * n})
+	tickets := make([]*Ticket, n)
+	for i := range tickets {
+		r := request("a", time.Minute+time.Duration(i))
+		r.Body = make([]byte, 8)
+		tickets[i], _ = q.Push(epoch, r)
+	}
+	first, _ := q.Pop(epoch)
+	is.Equal(q.Cancel(first), false)
+	f := tickets[1].flow
+	for _, p := range tickets[1:] {
+		is.True(q.Cancel(p))
+		is.Equal(q.Cancel(p), false)
+		is.Equal(p.Final(), StateCancelled)
+		is.True(len(f.heap) <= 2*f.live+compactSlack)
+	}
+	is.Equal(q.Len(), 0)
+	is.Equal(q.bytes, 0)
+	_, ok := q.Pop(epoch)
+	is.Equal(ok, false)
+	is.Equal(len(q.flows), 0)
+}
+
+// Guards against counts that drift from the content over a random history, a
+// ticket that ends twice or never, and a Dispatch that loses a request when no
+// slot is taken.
+func TestRandomHistory(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		q := New(Config{MaxRequests: 200})
+		now := epoch
+		var all []*Ticket
+		ended := 0
+		for range 3000 {
+			now = now.Add(time.Duration(rng.IntN(1000)) * time.Microsecond)
+			switch k := rng.IntN(10); {
+			case k < 5:
+				r := request(fmt.Sprint(rng.IntN(5)), now.Sub(epoch)+time.Duration(rng.IntN(100))*time.Millisecond)
+				if p, err := q.Push(now, r); err == nil {
+					all = append(all, p)
+				}
+			case k < 7:
+				q.Pop(now)
+			case k < 8:
+				before := q.Len()
+				q.Dispatch(now, func(galenahead.Request) (galenahead.SlotLease, bool) { return galenahead.SlotLease{}, false })
+				is.True(q.Len() <= before)
+			case k < 9 && len(all) > 0:
+				q.Cancel(all[rng.IntN(len(all))])
+			default:
+				q.Expire(now)
+			}
+			waiting := 0
+			for _, n := range q.Waiting() {
+				waiting += n
+			}
+			is.Equal(waiting, q.Len())
+		}
+		q.Expire(now.Add(time.Hour))
+		for _, p := range all {
+			<-p.Done()
+			ended++
+		}
+		is.Equal(ended, len(all))
+		is.Equal(q.Len(), 0)
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := New(Config{})
+	callers := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for i := range 1000 {
+		q.Push(epoch, request(callers[i%8], time.Minute+time.Duration(i)))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Push(epoch, request(callers[i%8], time.Minute+time.Duration(i)))
+		q.Pop(epoch)
+	}
+}
+
+func BenchmarkCancel(b *testing.B) {
+	q := New(Config{MaxRequests: 1 << 30})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p, _ := q.Push(epoch, request("a", time.Minute+time.Duration(i)))
+		q.Cancel(p)
+	}
+}
--- /dev/null
+++ b/galenaroute/route.go
@@ -0,0 +1,171 @@
+// Package galenaroute chooses among the slot leases that an entry holds. It
+// learns run times and failure ratios per instance from the entry's own
+// requests, and takes instances that fail more than their peers out of use.
+// Time is passed in, so that a sequence of calls always has the same result.
+package galenaroute
+
+import (
+	"sync"
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+// defaultWay is the one-way latency between data centres.
+const defaultWay = 1500 * time.Microsecond
+
+// Reasons of a choice, for the decision log.
+const (
+	// ReasonLocal is the choice of an instance in the entry's data centre.
+	ReasonLocal = "local"
+	// ReasonRemote is the choice of an instance in another data centre that is
+	// expected to answer sooner in spite of the way.
+	ReasonRemote = "remote"
+	// ReasonProbe is the choice of an ejected instance to find out whether it
+	// works again.
+	ReasonProbe = "probe"
+	// ReasonNone means that no candidate may be used.
+	ReasonNone = "none_usable"
+)
+
+// Kind is the kind of a result.
+type Kind int
+
+// Kinds of results.
+const (
+	// Succeeded is a complete answer that is no server error.
+	Succeeded Kind = iota
+	// Failed is a server error, a broken connection or a timeout.
+	Failed
+	// Unsent is an attempt that ended before a byte was sent, through no fault of
+	// the instance.
+	Unsent
+)
+
+// Result is the result of one attempt.
+type Result struct {
+	Kind Kind
+	// RunTime is the time from sending to the complete answer.
+	RunTime time.Duration
+}
+
+// Config configures a Router.
+type Config struct {
+	// DataCentre is where the entry runs.
+	DataCentre galenahead.DataCentre
+	// Way is the one-way latency between data centres; 0 means 1.5 ms.
+	Way time.Duration
+}
+
+// Router chooses instances. Every service is a shard with its own lock. The
+// zero value routes without a preferred data centre.
+type Router struct {
+	// Times are the learned run times per service.
+	Times  RunTimes
+	cfg    Config
+	mu     sync.RWMutex
+	shards map[galenahead.ServiceName]*shard
+}
+
+// New returns a Router that knows no instances yet.
+func New(cfg Config) *Router {
+	if cfg.Way == 0 {
+		cfg.Way = defaultWay
+	}
+	return &Router{cfg: cfg}
+}
+
+// Choose returns the index of the candidate that r is sent to, or -1, and the
+// reason. The choice counts as in flight until Observe is called for it.
+func (rt *Router) Choose(now time.Time, r galenahead.Request, candidates []galenahead.SlotLease) (int, string) {
+	s := rt.shard(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, probe := s.rank(now, r, candidates)
+	if probe >= 0 {
+		s.instance(now, candidates[probe]).start(now)
+		return probe, ReasonProbe
+	}
+	if best < 0 {
+		return -1, ReasonNone
+	}
+	s.instance(now, candidates[best]).start(now)
+	if candidates[best].DataCentre != rt.cfg.DataCentre {
+		return best, ReasonRemote
+	}
+	return best, ReasonLocal
+}
+
+// Observe learns from the result of an attempt that Choose started.
+func (rt *Router) Observe(now time.Time, l galenahead.SlotLease, res Result) {
+	s := rt.shard(l.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := s.instance(now, l)
+	in.end()
+	switch res.Kind {
+	case Succeeded:
+		rt.Times.Observe(l.Service, res.RunTime)
+		s.succeeded(now, in, res.RunTime)
+	case Failed:
+		s.failed(now, in)
+	case Unsent:
+	}
+}
+
+// Usable tells whether requests may be sent to the instance of l now. The
+// entry returns leases of instances that are not usable, so that the broker
+// can grant others.
+func (rt *Router) Usable(now time.Time, l galenahead.SlotLease) bool {
+	s := rt.shard(l.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.verdict(now, s.instance(now, l)) != rejected
+}
+
+// Suspect is an instance that an entry ejected. Entries send their suspects to
+// one another, so that an instance that fails everything does not cost every
+// entry a request.
+type Suspect struct {
+	Service  galenahead.ServiceName `json:"service"`
+	Instance galenahead.InstanceID  `json:"instance"`
+}
+
+// Suspects returns the instances that this entry has ejected by its own
+// measurement.
+func (rt *Router) Suspects(now time.Time) []Suspect {
+	rt.mu.RLock()
+	defer rt.mu.RUnlock()
+	var all []Suspect
+	for name, s := range rt.shards {
+		all = s.suspects(now, name, all)
+	}
+	sortSuspects(all)
+	return all
+}
+
+// Adopt ejects the instances that another entry suspects, within the same
+// bounds as the entry's own ejections.
+func (rt *Router) Adopt(now time.Time, suspects []Suspect) {
+	for _, x := range suspects {
+		rt.shard(x.Service).adopt(now, x.Instance)
+	}
+}
+
+func (rt *Router) shard(service galenahead.ServiceName) *shard {
+	rt.mu.RLock()
+	s := rt.shards[service]
+	rt.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	if rt.shards == nil {
+		rt.shards = make(map[galenahead.ServiceName]*shard)
+	}
+	if rt.shards[service] == nil {
+		rt.shards[service] = newShard(rt.cfg, &rt.Times, service)
+	}
+	return rt.shards[service]
+}
--- /dev/null
+++ b/galenaroute/route_test.go
@@ -0,0 +1,235 @@
+package galenaroute
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+var centres = []galenahead.DataCentre{"east", "west", "north"}
+
+func leases(n int) []galenahead.SlotLease {
+	all := make([]galenahead.SlotLease, n)
+	for i := range all {
+		all[i] = galenahead.SlotLease{Service: "s", Instance: galenahead.InstanceID(fmt.Sprint("i", i)), DataCentre: centres[i%3]}
+	}
+	return all
+}
+
+// world runs requests one after the other through a router.
+type world struct {
+	rt     *Router
+	now    time.Time
+	leases []galenahead.SlotLease
+	used   []int
+	result func(i int) Result
+	r      galenahead.Request
+}
+
+func newWorld(n int) *world {
+	return &world{
+		rt: New(Config{DataCentre: "east"}), now: epoch, leases: leases(n), used: make([]int, n),
+		result: func(int) Result { return Result{RunTime: 10 * time.Millisecond} },
+		r:      galenahead.Request{Service: "s", Idempotent: true},
+	}
+}
+
+func (w *world) run(n int) {
+	clear(w.used)
+	for range n {
+		w.now = w.now.Add(10 * time.Millisecond)
+		i, _ := w.rt.Choose(w.now, w.r, w.leases)
+		if i < 0 {
+			continue
+		}
+		w.used[i]++
+		w.rt.Observe(w.now, w.leases[i], w.result(i))
+	}
+}
+
+// Guards against crossing data centres without need, and against staying in a
+// slow one when the way costs less.
+func TestDataCentre(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	w.run(100)
+	is.Equal(w.used, []int{100, 0, 0})
+	w.result = func(i int) Result {
+		if i == 0 {
+			return Result{RunTime: 20 * time.Millisecond}
+		}
+		return Result{RunTime: 10 * time.Millisecond}
+	}
+	w.run(200)
+	w.run(100)
+	is.True(w.used[0] < 5) // 10 ms more than the others, against 1.5 ms
+}
+
+// Guards against an instance that fails at once attracting load because it
+// looks fast or idle.
+func TestFailingFast(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.result = func(i int) Result {
+		if i == 0 {
+			return Result{Kind: Failed, RunTime: time.Microsecond}
+		}
+		return Result{RunTime: 10 * time.Millisecond}
+	}
+	w.run(2000) // 20 s
+	is.True(w.used[0] <= 8)
+	w.result = func(int) Result { return Result{RunTime: 10 * time.Millisecond} }
+	w.now = w.now.Add(maxEjection)
+	w.run(2000)
+	is.True(w.used[0] > 200) // it is back
+}
+
+// Guards against ejecting most of a service when all instances fail.
+func TestEjectsAtMostAThird(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	rng := rand.New(rand.NewPCG(3, 3))
+	w.result = func(i int) Result {
+		if i < 6 || rng.IntN(2) == 0 {
+			return Result{Kind: Failed}
+		}
+		return Result{RunTime: 10 * time.Millisecond}
+	}
+	for range 300 {
+		w.run(10)
+		out := 0
+		for _, l := range w.leases {
+			if !w.rt.Usable(w.now, l) {
+				out++
+			}
+		}
+		is.True(out <= 3)
+	}
+}
+
+// Guards against probing with requests that must not run twice, and against a
+// return at full load.
+func TestSlowReturn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.run(10)
+	// Fails until it is ejected; the others have no failures.
+	i, _ := w.rt.Choose(w.now, w.r, w.leases[:1])
+	w.rt.Observe(w.now, w.leases[i], Result{Kind: Failed})
+	is.Equal(w.rt.Suspects(w.now), []Suspect{{Service: "s", Instance: "i0"}})
+	w.now = w.now.Add(firstEjection)
+	order := w.r
+	order.Idempotent = false
+	i, reason := w.rt.Choose(w.now, order, w.leases[:1])
+	is.Equal(i, -1)
+	is.Equal(reason, ReasonNone)
+	i, reason = w.rt.Choose(w.now, w.r, w.leases)
+	is.Equal(i, 0)
+	is.Equal(reason, ReasonProbe)
+	i, _ = w.rt.Choose(w.now, w.r, w.leases[:1])
+	is.Equal(i, -1) // one probe at a time
+	w.rt.Observe(w.now, w.leases[0], Result{RunTime: time.Millisecond})
+	for range 2 {
+		i, _ = w.rt.Choose(w.now, w.r, w.leases[:1])
+		is.Equal(i, 0)
+	}
+	i, _ = w.rt.Choose(w.now, w.r, w.leases[:1])
+	is.Equal(i, -1) // two after one success
+}
+
+// Guards against a frozen instance holding ever more requests.
+func TestFrozen(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.run(100)
+	w.rt.Choose(w.now, w.r, w.leases[:1])
+	w.now = w.now.Add(time.Second)
+	is.Equal(w.rt.Usable(w.now, w.leases[0]), false)
+	w.rt.Observe(w.now, w.leases[0], Result{RunTime: time.Second})
+	is.True(w.rt.Usable(w.now, w.leases[0]))
+}
+
+// Guards against every entry paying for an instance that another entry already
+// ejected, and against suspicions being passed on in a circle.
+func TestAdopt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.run(10)
+	for _, l := range w.leases {
+		w.rt.Usable(w.now, l) // announced
+	}
+	w.rt.Adopt(w.now, []Suspect{{Service: "s", Instance: "i0"}})
+	is.Equal(w.rt.Usable(w.now, w.leases[0]), false)
+	is.Equal(len(w.rt.Suspects(w.now)), 0)
+}
+
+// Guards against changes of the choices that nobody intended: instance 3 is
+// four times slower than it should be for its slots, 7 fails half its requests.
+func TestChoicesGolden(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.r.Service = "s"
+	rng := rand.New(rand.NewPCG(4, 4))
+	w.result = func(i int) Result {
+		d := time.Duration(float64(10*time.Millisecond) * (0.5 + rng.ExpFloat64()))
+		switch {
+		case i == 3:
+			d *= 4
+		case i == 7 && rng.IntN(2) == 0:
+			return Result{Kind: Failed}
+		}
+		return Result{RunTime: d}
+	}
+	var out strings.Builder
+	for range 10 {
+		w.run(200)
+		fmt.Fprintln(&out, w.used)
+	}
+	if *update {
+		is.NoErr(os.WriteFile("testdata/choices.golden", []byte(out.String()), 0o644))
+	}
+	want, err := os.ReadFile("testdata/choices.golden")
+	is.NoErr(err)
+	is.Equal(out.String(), string(want))
+}
+
+// Guards against quantiles off by more than a bucket, and against run times of
+// long ago hiding a change.
+func TestRunTimes(t *testing.T) {
+	is := is.New(t)
+	var l RunTimes
+	_, ok := l.Summary("s")
+	is.Equal(ok, false)
+	for i := range 1000 {
+		l.Observe("s", time.Duration(i+1)*time.Millisecond)
+	}
+	p90, ok := l.Quantile("s", 0.9)
+	is.True(ok)
+	is.True(p90 >= 900*time.Millisecond && p90 <= 1100*time.Millisecond)
+	for range 4 * halveAfter {
+		l.Observe("s", time.Millisecond)
+	}
+	sum, _ := l.Summary("s")
+	is.True(sum.P99 < 2*time.Millisecond)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	w := newWorld(10)
+	w.run(1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		i, _ := w.rt.Choose(w.now, w.r, w.leases)
+		w.rt.Observe(w.now, w.leases[i], Result{RunTime: time.Millisecond})
+	}
+}
