Add availability budgets and metrics

galenabudget counts on-time, late, refused and unknown ends per service and caller in a sliding window of 60 slices, about 1 KB a caller and at most 256 callers a service. galenametric holds expvar figures and HdrHistogram latencies, buffer cost as an integral of idle VMs, roll-out time and moves.

The window is checked against a list of all events over a random history of 2,000 events with late arrivals and pauses.

--- /dev/null
+++ b/galenabudget/budget.go
@@ -0,0 +1,192 @@
+// Package galenabudget counts, per service and caller, how requests ended
+// within a sliding window, and how much of the availability budget is left.
+package galenabudget
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+const (
+	// defaultWindow is the length of the sliding window.
+	defaultWindow = 10 * time.Minute
+	// defaultTarget is the share of requests to be answered on time.
+	defaultTarget = 0.99
+	// sliceCount is how many slices the window has; the window is exact to one
+	// slice.
+	sliceCount = 60
+	// defaultMaxCallers bounds the callers counted one by one for each service. A
+	// caller takes about 1 KB.
+	defaultMaxCallers = 256
+	// OtherCallers holds the counts of the callers beyond that bound.
+	OtherCallers galenahead.CallerName = "(other callers)"
+)
+
+// Kind is how a request ended for its caller.
+type Kind int
+
+// Kinds of ends.
+const (
+	// OnTime is a complete answer within the deadline.
+	OnTime Kind = iota
+	// Late is a complete answer after the deadline.
+	Late
+	// Refused is a request that did not run. A request that its caller cancelled
+	// is not counted.
+	Refused
+	// Unknown is a request that may have run.
+	Unknown
+	kindCount
+)
+
+// Config configures a Tracker. A zero field means its default.
+type Config struct {
+	// Window is the length of the sliding window; default 10 minutes.
+	Window time.Duration
+	// Targets are the shares of requests to be answered on time, above 0 and
+	// below 1, by service; default 0.99.
+	Targets map[galenahead.ServiceName]float64
+	// MaxCallers bounds the callers counted for each service; default 256.
+	MaxCallers int
+}
+
+// Tracker counts requests. Every service is a shard with its own lock. The zero
+// value has the default configuration.
+type Tracker struct {
+	cfg    Config
+	mu     sync.RWMutex
+	shards map[galenahead.ServiceName]*shard
+}
+
+// Report is the state of one budget.
+type Report struct {
+	Service galenahead.ServiceName `json:"service"`
+	Caller  galenahead.CallerName  `json:"caller"`
+	Target  float64                `json:"target"`
+	OnTime  int64                  `json:"on_time"`
+	Late    int64                  `json:"late"`
+	Refused int64                  `json:"refused"`
+	Unknown int64                  `json:"unknown"`
+	// Remaining is the share of the budget that is left: 1 when every request was
+	// on time, 0 when the target is just met, negative when it is missed.
+	Remaining float64 `json:"remaining"`
+}
+
+// New returns a Tracker without counts.
+func New(cfg Config) *Tracker { return &Tracker{cfg: cfg} }
+
+// Count counts one request that ended at now.
+func (t *Tracker) Count(now time.Time, service galenahead.ServiceName, caller galenahead.CallerName, k Kind) {
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window(caller, t.maxCallers()).add(t.slice(now), k)
+}
+
+// Report returns the state of one budget. A caller without requests has its
+// whole budget.
+func (t *Tracker) Report(now time.Time, service galenahead.ServiceName, caller galenahead.CallerName) Report {
+	s := t.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.callers[caller]
+	if w == nil {
+		w = &window{}
+	}
+	return t.report(service, caller, w.sum(t.slice(now)))
+}
+
+// Snapshot returns all budgets with requests in the window, by service and
+// caller.
+func (t *Tracker) Snapshot(now time.Time) []Report {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := []Report{}
+	for service, s := range t.shards {
+		all = t.collect(now, service, s, all)
+	}
+	slices.SortFunc(all, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Caller, b.Caller))
+	})
+	return all
+}
+
+// Lowest returns the smallest remaining share of a service's callers, 1 when
+// there are none. Waves stop by it.
+func (t *Tracker) Lowest(now time.Time, service galenahead.ServiceName) float64 {
+	lowest := 1.0
+	for _, r := range t.collect(now, service, t.shard(service), nil) {
+		lowest = min(lowest, r.Remaining)
+	}
+	return lowest
+}
+
+// JSON returns the snapshot for operators.
+func (t *Tracker) JSON(now time.Time) ([]byte, error) {
+	return json.Marshal(struct {
+		WindowSeconds float64  `json:"window_seconds"`
+		Budgets       []Report `json:"budgets"`
+	}{t.windowLength().Seconds(), t.Snapshot(now)})
+}
+
+func (t *Tracker) collect(now time.Time, service galenahead.ServiceName, s *shard, all []Report) []Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for caller, w := range s.callers {
+		r := t.report(service, caller, w.sum(t.slice(now)))
+		if r.OnTime+r.Late+r.Refused+r.Unknown > 0 {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func (t *Tracker) report(service galenahead.ServiceName, caller galenahead.CallerName, n counts) Report {
+	target := t.cfg.Targets[service]
+	if target <= 0 || target >= 1 {
+		target = defaultTarget
+	}
+	r := Report{Service: service, Caller: caller, Target: target, Remaining: 1}
+	r.OnTime, r.Late, r.Refused, r.Unknown = n[OnTime], n[Late], n[Refused], n[Unknown]
+	missed := r.Late + r.Refused + r.Unknown
+	if total := r.OnTime + missed; total > 0 {
+		r.Remaining = 1 - float64(missed)/(float64(total)*(1-target))
+	}
+	return r
+}
+
+func (t *Tracker) windowLength() time.Duration {
+	return cmp.Or(t.cfg.Window, defaultWindow)
+}
+
+func (t *Tracker) maxCallers() int {
+	return cmp.Or(t.cfg.MaxCallers, defaultMaxCallers)
+}
+
+// slice returns the number of the slice that now is in.
+func (t *Tracker) slice(now time.Time) int64 {
+	return now.UnixNano() / int64(t.windowLength()/sliceCount)
+}
+
+func (t *Tracker) shard(service galenahead.ServiceName) *shard {
+	t.mu.RLock()
+	s := t.shards[service]
+	t.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.shards == nil {
+		t.shards = make(map[galenahead.ServiceName]*shard)
+	}
+	if t.shards[service] == nil {
+		t.shards[service] = &shard{callers: make(map[galenahead.CallerName]*window)}
+	}
+	return t.shards[service]
+}
--- /dev/null
+++ b/galenabudget/budget_test.go
@@ -0,0 +1,92 @@
+package galenabudget
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Guards against a changed form of the operators' snapshot and a wrong
+// remaining share.
+func TestSnapshotGolden(t *testing.T) {
+	is := is.New(t)
+	b := New(Config{Targets: map[galenahead.ServiceName]float64{"courier": 0.9}})
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 1000 {
+		k := OnTime
+		if rng.IntN(20) == 0 {
+			k = Kind(rng.IntN(int(kindCount)))
+		}
+		b.Count(epoch, "courier", galenahead.CallerName(fmt.Sprint("shop-", rng.IntN(3))), k)
+	}
+	b.Count(epoch, "counter", "shop-0", Unknown)
+	got, err := b.JSON(epoch)
+	is.NoErr(err)
+	if *update {
+		is.NoErr(os.WriteFile("testdata/snapshot.golden", append(got, '\n'), 0o644))
+	}
+	want, err := os.ReadFile("testdata/snapshot.golden")
+	is.NoErr(err)
+	is.Equal(string(got)+"\n", string(want))
+	is.True(b.Lowest(epoch, "counter") < -98)
+	is.Equal(b.Lowest(epoch, "intake"), 1.0)
+}
+
+// Guards against counts that stay in the window too long, leave it too early,
+// or are lost when results arrive out of order or after a long pause.
+func TestWindow(t *testing.T) {
+	is := is.New(t)
+	b := New(Config{Window: time.Minute})
+	type event struct {
+		at   time.Time
+		late bool
+	}
+	var all []event
+	rng := rand.New(rand.NewPCG(2, 2))
+	now := epoch
+	for range 2000 {
+		now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
+		if rng.IntN(200) == 0 {
+			now = now.Add(time.Duration(rng.IntN(120)) * time.Second)
+		}
+		e := event{at: now.Add(-time.Duration(rng.IntN(3)) * time.Second), late: rng.IntN(2) == 0}
+		k := OnTime
+		if e.late {
+			k = Late
+		}
+		b.Count(now, "s", "advance", OnTime)
+		b.Count(e.at, "s", "c", k)
+		all = append(all, e)
+		var want [2]int64
+		for _, x := range all {
+			if x.at.Unix() > now.Unix()-60 {
+				want[map[bool]int{false: 0, true: 1}[x.late]]++
+			}
+		}
+		r := b.Report(now, "s", "c")
+		is.Equal([2]int64{r.OnTime, r.Late}, want)
+	}
+}
+
+// Guards against memory that grows with the number of callers, and against
+// losing the counts of those beyond the bound.
+func TestBoundedCallers(t *testing.T) {
+	is := is.New(t)
+	b := New(Config{MaxCallers: 4})
+	for i := range 1000 {
+		b.Count(epoch, "s", galenahead.CallerName(fmt.Sprint(i)), OnTime)
+	}
+	all := b.Snapshot(epoch)
+	is.Equal(len(all), 5)
+	is.Equal(b.Report(epoch, "s", OtherCallers).OnTime, int64(996))
+}
--- /dev/null
+++ b/galenametric/metric_test.go
@@ -0,0 +1,61 @@
+package galenametric
+
+import (
+	"expvar"
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+// Guards against a changed form of /debug/vars, wrong quantiles, values out of
+// range being lost, and a buffer cost that is not the integral of the idle VMs.
+func TestSnapshotGolden(t *testing.T) {
+	is := is.New(t)
+	var m Metrics
+	for i := range 1000 {
+		m.Answered("courier", time.Duration(i)*time.Millisecond, time.Duration(2*i)*time.Millisecond, 1+i/990)
+	}
+	m.Latency.Record("courier", 100*time.Hour)
+	m.Rollout.Record("config", 1500*time.Millisecond)
+	start := time.Unix(1_700_000_000, 0)
+	m.BufferCost.Set(start, 2)
+	m.BufferCost.Set(start.Add(10*time.Second), 5)
+	m.BufferCost.Set(start.Add(9*time.Second), 5) // late report
+	m.BufferCost.Set(start.Add(12*time.Second), 0)
+	is.Equal(m.BufferCost.Value(), 30.0)
+	m.Moves.Add(3)
+	m.Counters.Add("ejections", 1)
+	m.Publish("galena_test")
+	got := expvar.Get("galena_test").String() + "\n"
+	if *update {
+		is.NoErr(os.WriteFile("testdata/snapshot.golden", []byte(got), 0o644))
+	}
+	want, err := os.ReadFile("testdata/snapshot.golden")
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
+
+// Guards against counts lost between concurrent writers and readers; run it
+// with the race detector.
+func TestConcurrent(t *testing.T) {
+	var m Metrics
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for i := range 1000 {
+				m.Answered("s", time.Duration(i), time.Duration(i), 1)
+				if i%100 == 0 {
+					_ = m.String()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.New(t).Equal(m.Snapshot().Latency["s"].Count, int64(4000))
+}
