--- /dev/null
+++ b/galenasettings/settings.go
@@ -0,0 +1,187 @@
+// Package galenasettings reads the INI settings files of the entry and control
+// daemons into immutable values. All errors of a file are reported at once,
+// each with file, line, key, what was found and what is allowed.
+package galenasettings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenahead/galenahead"
+)
+
+// Process is the section [process].
+type Process struct {
+	// Name is an EntryName or a ReplicaName.
+	Name       string
+	DataCentre galenahead.DataCentre
+	Region     string
+	// StopDelay is the time between unreadiness and the end of serving on
+	// SIGTERM. The default is 2 s.
+	StopDelay time.Duration
+	// LogLevel is info by default.
+	LogLevel logrus.Level
+	// LogFile is a path, or "-" (the default) for standard error.
+	LogFile string
+	// MaxProcs limits GOMAXPROCS; 0 (the default) sets no limit.
+	MaxProcs int
+}
+
+// EntryListen is the section [listen] of an entry.
+type EntryListen struct {
+	Caller   netip.AddrPort
+	Upstream netip.AddrPort
+	Status   netip.AddrPort
+	Peer     netip.AddrPort
+}
+
+// ControlListen is the section [listen] of a control daemon.
+type ControlListen struct {
+	Operator netip.AddrPort
+	Peer     netip.AddrPort
+	Status   netip.AddrPort
+}
+
+// EntryPeer is one key of the section [entries].
+type EntryPeer struct {
+	Name       galenahead.EntryName
+	DataCentre galenahead.DataCentre
+	Peer       netip.AddrPort
+}
+
+// ControlPeer is one key of the section [control].
+type ControlPeer struct {
+	Name       galenahead.ReplicaName
+	DataCentre galenahead.DataCentre
+	Peer       netip.AddrPort
+	Operator   netip.AddrPort
+}
+
+// Limits is the section [limits].
+type Limits struct {
+	MaxBodyKB int
+	// QueuePerService bounds the requests that wait for one service.
+	QueuePerService int
+	// QueueMB bounds the bodies of all waiting requests.
+	QueueMB int
+	// DefaultDeadline applies to requests without a deadline of their own.
+	DefaultDeadline time.Duration
+	ClaimWindow     time.Duration
+	ClaimMemoryMB   int
+}
+
+// Weights is the section [weights]: the relative importance of the metrics.
+type Weights struct {
+	BufferCost  float64
+	RolloutTime float64
+}
+
+// Platform is the section [platform] of a control daemon.
+type Platform struct {
+	// Worker is the gRPC address of the worker platform.
+	Worker netip.AddrPort
+	// RenewInterval is the time between two renewals of a task lease.
+	RenewInterval time.Duration
+}
+
+// Entry holds the settings of an entry daemon. It is immutable; the slices
+// must not be changed.
+type Entry struct {
+	Process Process
+	Listen  EntryListen
+	Entries []EntryPeer
+	Control []ControlPeer
+	Limits  Limits
+	Weights Weights
+}
+
+// Control holds the settings of a control daemon. It is immutable; the slices
+// must not be changed.
+type Control struct {
+	Process Process
+	Listen  ControlListen
+	// DataDirectory holds the replica's durable state.
+	DataDirectory string
+	Platform      Platform
+	Entries       []EntryPeer
+	Control       []ControlPeer
+	Weights       Weights
+}
+
+// LoadEntry reads the settings of an entry daemon. It fails with Faults, which
+// match ErrSettings, or with the error of reading the file.
+func LoadEntry(path string) (Entry, error) {
+	return load(path, ParseEntry)
+}
+
+// LoadControl reads the settings of a control daemon. It fails with Faults,
+// which match ErrSettings, or with the error of reading the file.
+func LoadControl(path string) (Control, error) {
+	return load(path, ParseControl)
+}
+
+func load[T any](path string, parse func(string, []byte) (T, error)) (T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return *new(T), eris.Wrap(err, "read settings")
+	}
+	return parse(path, data)
+}
+
+// ParseEntry reads an entry's settings from the content of file.
+func ParseEntry(file string, data []byte) (Entry, error) {
+	r := newReader(file, data)
+	e := Entry{Process: readProcess(r)}
+	e.Listen.Caller = readListen(r, "caller_address")
+	e.Listen.Upstream = readListen(r, "upstream_address")
+	e.Listen.Status = readListen(r, "status_address")
+	e.Listen.Peer = readListen(r, "peer_address")
+	e.Entries = readEntries(r)
+	e.Control = readControl(r)
+	e.Limits = readLimits(r)
+	e.Weights = readWeights(r)
+	claimListen(r, "caller_address", e.Listen.Caller)
+	claimListen(r, "upstream_address", e.Listen.Upstream)
+	claimListen(r, "status_address", e.Listen.Status)
+	for _, p := range e.Entries {
+		if string(p.Name) == e.Process.Name {
+			checkOwn(r, "entries", e.Process, p.DataCentre, "peer_address", e.Listen.Peer, p.Peer)
+		}
+	}
+	checkListed(r, "entries", e.Process.Name)
+	return finish(r, e)
+}
+
+// ParseControl reads a control daemon's settings from the content of file.
+func ParseControl(file string, data []byte) (Control, error) {
+	r := newReader(file, data)
+	c := Control{Process: readProcess(r)}
+	c.Listen.Operator = readListen(r, "operator_address")
+	c.Listen.Peer = readListen(r, "peer_address")
+	c.Listen.Status = readListen(r, "status_address")
+	c.DataDirectory = required(r, "data", "directory", text("the path of a directory"))
+	c.Platform = readPlatform(r)
+	c.Entries = readEntries(r)
+	c.Control = readControl(r)
+	c.Weights = readWeights(r)
+	claimListen(r, "status_address", c.Listen.Status)
+	for _, p := range c.Control {
+		if string(p.Name) == c.Process.Name {
+			checkOwn(r, "control", c.Process, p.DataCentre, "peer_address", c.Listen.Peer, p.Peer)
+			checkOwn(r, "control", c.Process, p.DataCentre, "operator_address", c.Listen.Operator, p.Operator)
+		}
+	}
+	checkListed(r, "control", c.Process.Name)
+	return finish(r, c)
+}
+
+func finish[T any](r *reader, v T) (T, error) {
+	if err := r.finish(); err != nil {
+		return *new(T), err
+	}
+	return v, nil
+}
