--- /dev/null
+++ b/galenaraft/members.go
@@ -0,0 +1,125 @@
+package galenaraft
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenawal"
+)
+
+// memberSet is the list of replicas at one position of the log. It is
+// immutable.
+type memberSet struct {
+	index   uint64
+	members []galenahead.Member
+}
+
+func idOf(m galenahead.Member) galenawal.ID {
+	return galenawal.ID{Name: m.Name, Incarnation: m.Incarnation}
+}
+
+func (s memberSet) find(id galenawal.ID) (galenahead.Member, bool) {
+	for _, m := range s.members {
+		if idOf(m) == id {
+			return m, true
+		}
+	}
+	return galenahead.Member{}, false
+}
+
+func (s memberSet) voter(id galenawal.ID) bool {
+	m, ok := s.find(id)
+	return ok && m.Voter
+}
+
+func (s memberSet) voters() int {
+	n := 0
+	for _, m := range s.members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// quorum tells whether the voters for which has holds are a majority.
+func (s memberSet) quorum(has func(galenawal.ID) bool) bool {
+	n := 0
+	for _, m := range s.members {
+		if m.Voter && has(idOf(m)) {
+			n++
+		}
+	}
+	return n > s.voters()/2
+}
+
+// named returns the member that change is about. An incarnation of zero
+// stands for the one that is a member.
+func (s memberSet) named(m galenahead.Member) (int, error) {
+	i := slices.IndexFunc(s.members, func(o galenahead.Member) bool { return o.Name == m.Name })
+	if i < 0 || (m.Incarnation != 0 && m.Incarnation != s.members[i].Incarnation) {
+		return 0, eris.Wrapf(galenahead.ErrNotFound, "replica %s with incarnation %d", m.Name, m.Incarnation)
+	}
+	return i, nil
+}
+
+// with returns the members after change.
+func (s memberSet) with(change galenahead.MemberChange) ([]galenahead.Member, error) {
+	switch change.Action {
+	case galenahead.MemberAddLearner:
+		return s.add(change.Member)
+	case galenahead.MemberPromote:
+		i, err := s.named(change.Member)
+		if err != nil {
+			return nil, err
+		}
+		ms := slices.Clone(s.members)
+		ms[i].Voter = true
+		return ms, nil
+	case galenahead.MemberRemove:
+		i, err := s.named(change.Member)
+		if err != nil {
+			return nil, err
+		}
+		if s.members[i].Voter && s.voters() == 1 {
+			return nil, eris.Wrap(galenahead.ErrInvalid, "the last voter cannot be removed")
+		}
+		return slices.Delete(slices.Clone(s.members), i, i+1), nil
+	}
+	return nil, eris.Wrapf(galenahead.ErrInvalid, "unknown member action %q", change.Action)
+}
+
+func (s memberSet) add(m galenahead.Member) ([]galenahead.Member, error) {
+	if err := checkMember(m); err != nil {
+		return nil, err
+	}
+	m.Voter = false
+	for _, o := range s.members {
+		if o.Name == m.Name {
+			return nil, eris.Wrapf(galenahead.ErrConflict,
+				"replica %s is a member with incarnation %d; remove it first", o.Name, o.Incarnation)
+		}
+	}
+	return append(slices.Clone(s.members), m), nil
+}
+
+func checkMember(m galenahead.Member) error {
+	if m.Name == "" || len(m.Name) > galenahead.MaxIDLength || m.Address == "" || m.Incarnation == 0 {
+		return eris.Wrapf(galenahead.ErrInvalid, "member %q needs a name, an address and an incarnation", m.Name)
+	}
+	return nil
+}
+
+func encodeMembers(ms []galenahead.Member) ([]byte, error) {
+	b, err := cbor.Marshal(ms)
+	return b, eris.Wrap(err, "encode members")
+}
+
+func decodeMembers(b []byte) ([]galenahead.Member, error) {
+	var ms []galenahead.Member
+	err := cbor.Unmarshal(b, &ms)
+	return ms, eris.Wrap(err, "decode members")
+}
