Rename election timeout settings and read the clock again after syncs

Cause: revive rejects the suffix Min on a duration; a lease check with a time read before a sync could use a lease that ended during the sync. Conclusion: flush takes a clock and reads it after the files are durable.

--- a/galenaraft/config.go
+++ b/galenaraft/config.go
@@ -18,8 +18,8 @@
 const (
 	DefaultTick            = 50 * time.Millisecond
 	DefaultHeartbeat       = 300 * time.Millisecond
-	DefaultElectionMin     = 1500 * time.Millisecond
-	DefaultElectionMax     = 3 * time.Second
+	DefaultMinElectionTimeout     = 1500 * time.Millisecond
+	DefaultMaxElectionTimeout     = 3 * time.Second
 	DefaultLease           = time.Second
 	DefaultCallTimeout     = time.Second
 	DefaultSnapshotEntries = 4096
@@ -54,9 +54,9 @@
 	// Tick is how often time-outs are checked.
 	Tick        time.Duration
 	Heartbeat   time.Duration
-	ElectionMin time.Duration
-	ElectionMax time.Duration
-	// Lease must be shorter than ElectionMin by more than the drift of two
+	MinElectionTimeout time.Duration
+	MaxElectionTimeout time.Duration
+	// Lease must be shorter than MinElectionTimeout by more than the drift of two
 	// clocks over that time.
 	Lease       time.Duration
 	CallTimeout time.Duration
@@ -80,14 +80,14 @@
 	}
 	orDefault(&c.Tick, DefaultTick)
 	orDefault(&c.Heartbeat, DefaultHeartbeat)
-	orDefault(&c.ElectionMin, DefaultElectionMin)
-	orDefault(&c.ElectionMax, DefaultElectionMax)
+	orDefault(&c.MinElectionTimeout, DefaultMinElectionTimeout)
+	orDefault(&c.MaxElectionTimeout, DefaultMaxElectionTimeout)
 	orDefault(&c.Lease, DefaultLease)
 	orDefault(&c.CallTimeout, DefaultCallTimeout)
 	orDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
 	orDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
 	orDefault(&c.RetainedEntries, DefaultRetainedEntries)
-	if c.Lease >= c.ElectionMin || c.Heartbeat >= c.Lease || c.ElectionMin >= c.ElectionMax {
+	if c.Lease >= c.MinElectionTimeout || c.Heartbeat >= c.Lease || c.MinElectionTimeout >= c.MaxElectionTimeout {
 		return c, eris.Wrap(galenahead.ErrInvalid,
 			"heartbeat, lease, shortest and longest election timeout must increase in this order")
 	}
@@ -109,7 +109,7 @@
 }
 
 func (c Config) timing() timing {
-	return timing{heartbeat: c.Heartbeat, electionMin: c.ElectionMin, electionMax: c.ElectionMax, lease: c.Lease}
+	return timing{heartbeat: c.Heartbeat, minElection: c.MinElectionTimeout, maxElection: c.MaxElectionTimeout, lease: c.Lease}
 }
 
 func (c Config) limits() limits {
--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -27,8 +27,8 @@
 // timing holds the durations that the core needs.
 type timing struct {
 	heartbeat   time.Duration
-	electionMin time.Duration
-	electionMax time.Duration
+	minElection time.Duration
+	maxElection time.Duration
 	lease       time.Duration
 }
 
@@ -65,6 +65,8 @@
 	timing timing
 	rand   *rand.Rand
 	mut    mutations
+	// chunk bounds the part of a snapshot in one message, in bytes.
+	chunk int
 	// load returns the stored snapshot for a replica that lags behind the log.
 	load func() (galenawal.Snapshot, error)
 
@@ -102,6 +104,7 @@
 		id:      galenawal.ID{Name: name, Incarnation: s.Incarnation},
 		timing:  t,
 		rand:    r,
+		chunk:   chunkBytes,
 		hard:    s.HardState,
 		commit:  s.Snapshot.Index,
 		role:    RoleFollower,
@@ -131,8 +134,8 @@
 func (c *core) blank() bool { return c.hard.Term == 0 && c.log.last() == 0 }
 
 func (c *core) resetDeadline(now time.Duration) {
-	spread := c.timing.electionMax - c.timing.electionMin
-	c.deadline = now + c.timing.electionMin + time.Duration(c.rand.Int64N(int64(spread)))
+	spread := c.timing.maxElection - c.timing.minElection
+	c.deadline = now + c.timing.minElection + time.Duration(c.rand.Int64N(int64(spread)))
 }
 
 // noteMembers records the member list of e, if it carries one.
@@ -213,7 +216,7 @@
 }
 
 func (c *core) tickLeader(now time.Duration) error {
-	if now >= max(c.leaseStart(now), c.electedAt)+c.timing.electionMin {
+	if now >= max(c.leaseStart(now), c.electedAt)+c.timing.minElection {
 		// A majority has not answered for as long as it needs to elect another
 		// leader.
 		c.follow(now, c.hard.Term, galenawal.ID{})
@@ -351,7 +354,7 @@
 	if c.role == RoleLeader {
 		return c.holdsLease(now)
 	}
-	return now < c.contact+c.timing.electionMin
+	return now < c.contact+c.timing.minElection
 }
 
 // current tells whether the candidate's log is at least as new as this one.
--- a/galenaraft/engine.go
+++ b/galenaraft/engine.go
@@ -98,20 +98,22 @@
 }
 
 // flush makes the core's decisions durable, applies what is committed and
-// returns the messages to send. An error is fatal for the replica.
-func (e *engine) flush(now time.Duration) ([]Message, error) {
+// returns the messages to send. An error is fatal for the replica. The clock
+// is read again after the files were synced, since that can take longer than
+// the lease.
+func (e *engine) flush(clock func() time.Duration) ([]Message, error) {
 	c := e.core
 	if c.role == RoleLeader {
-		if err := c.broadcast(now, false); err != nil {
+		if err := c.broadcast(clock(), false); err != nil {
 			return nil, err
 		}
 	}
 	if err := e.persist(); err != nil {
 		return nil, err
 	}
-	c.advanceCommit(now)
+	c.advanceCommit(clock())
 	e.apply()
-	e.resolve(now)
+	e.resolve(clock())
 	if err := e.snapshot(); err != nil {
 		return nil, err
 	}
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -13,7 +13,7 @@
 const (
 	// batchBytes bounds the commands in one append message.
 	batchBytes = 512 << 10
-	// chunkBytes bounds the part of a snapshot in one message.
+	// chunkBytes is the default bound of the part of a snapshot in one message.
 	chunkBytes = 256 << 10
 	// resendBeats is after how many heartbeats unanswered entries are sent
 	// again.
@@ -135,7 +135,7 @@
 		return eris.Wrap(galenahead.ErrNoQuorum, "no other voter answers")
 	}
 	c.transferTo = best
-	c.transferBy = now + c.timing.electionMin
+	c.transferBy = now + c.timing.minElection
 	c.handOver(now)
 	return nil
 }
@@ -238,7 +238,7 @@
 		p.snapshot, p.offset = &s, 0
 	}
 	s := p.snapshot
-	end := min(len(s.Data), p.offset+chunkBytes)
+	end := min(len(s.Data), p.offset+c.chunk)
 	p.waitUntil = now + resendBeats*c.timing.heartbeat
 	c.send(Message{Kind: KindSnapshot, To: to, Sent: now, Chunk: &Chunk{
 		Index: s.Index, Term: s.Term, Members: s.Members,
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -175,7 +175,7 @@
 	if err := n.engine.core.tick(n.now()); err != nil {
 		return err
 	}
-	out, err := n.engine.flush(n.now())
+	out, err := n.engine.flush(n.now)
 	if err != nil {
 		return err
 	}
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -83,7 +83,7 @@
 
 		r = startNode(t, cfg)
 		is.True(errors.Is(r.Bootstrap(t.Context(), []galenahead.Member{r.self()}), galenahead.ErrConflict))
-		time.Sleep(DefaultElectionMax + DefaultTick)
+		time.Sleep(DefaultMaxElectionTimeout + DefaultTick)
 		is.NoErr(r.ReadBarrier(t.Context()))
 		is.Equal(r.machine.n, uint64(10))
 		r.stop()
