Add the control daemon: operators' calls, driver, reports

Cause: the replicated state needs a process that serves operators, pushes the configuration and carries waves and jobs out at the platform.

Ruled out: dating a broker's report by its arrival (it may have been made before the drain it should prove); a report now carries a mark of the leader that the entry held before making it. Asking the platform's usage for every VM (8,000 calls a second at 16,000 VMs); only VMs that are out or moving are asked.

Before: nothing.

--- /dev/null
+++ b/galenacontrol/driver.go
@@ -0,0 +1,198 @@
+package galenacontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenastate"
+	"github.com/galenahead/galenahead/galenawave"
+)
+
+const (
+	// stepPeriod is the time between two looks at the state. Urgent work has
+	// 1.8 s from its submission to its start.
+	stepPeriod = 200 * time.Millisecond
+	// platformCalls bounds the calls to the platform at a time.
+	platformCalls = 16
+	// stateDrained is the platform's state of a VM that runs no more work.
+	stateDrained = "drained"
+)
+
+// Driver carries waves, moves and jobs out while this replica leads. All it
+// keeps in memory can be lost: every command is fenced by an epoch or a step
+// number, and the platform's calls are idempotent by epoch.
+type Driver struct {
+	Store         *Store
+	Reports       *Reports
+	Platform      *Platform
+	Timers        galenahead.Timers
+	Log           *logrus.Logger
+	Metrics       *galenametric.Metrics
+	RenewInterval time.Duration
+
+	planner *galenawave.Planner
+	jobs    *jobs
+	workers map[galenahead.VMName]workerState
+	waves   map[string]bool
+}
+
+// workerState is what the platform last said of one VM that is out or moving.
+type workerState struct {
+	epoch galenahead.Epoch
+	// drained is set once the platform reported the VM as drained.
+	drained bool
+	// answering is when the VM's present run of answers began.
+	answering time.Time
+	failure   string
+}
+
+// Run takes a step on every tick and every change until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	ticks := d.Timers.Subscribe(ctx, "driver", stepPeriod)
+	d.reset()
+	for {
+		changed := d.Store.Changed()
+		d.step(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+		case <-changed:
+		}
+	}
+}
+
+// reset forgets what was learned in an earlier term.
+func (d *Driver) reset() {
+	d.planner = &galenawave.Planner{}
+	d.jobs = newJobs(d)
+	d.workers = make(map[galenahead.VMName]workerState)
+	d.waves = make(map[string]bool)
+}
+
+// step does nothing unless this replica leads.
+func (d *Driver) step(ctx context.Context) {
+	v, err := d.Store.Current(ctx)
+	if err != nil {
+		d.reset()
+		return
+	}
+	d.command(ctx, v)
+	now := d.Timers.Now()
+	for _, c := range d.planner.Plan(v, d.measure(v, now), now) {
+		d.propose(ctx, now, c.Change)
+	}
+	d.observe(v, now)
+	d.jobs.step(ctx, v)
+}
+
+// propose commits a planned change and logs it.
+func (d *Driver) propose(ctx context.Context, now time.Time, ch galenastate.Change) {
+	done, err := d.Store.drive(ctx, now, ch)
+	line := d.Log.WithFields(logrus.Fields{"decision": ch.Kind(), "change": ch, "took_effect": done})
+	if err != nil {
+		line.WithField("error", err.Error()).Warn("change was not committed")
+		return
+	}
+	line.Info("fleet decision")
+	if done && ch.VMAcquired != nil {
+		d.Metrics.Moves.Add(1)
+	}
+}
+
+// measure joins the brokers' reports with the platform's.
+func (d *Driver) measure(v *galenastate.View, now time.Time) galenawave.Measurements {
+	return d.Reports.measurements(v, now, d.workers)
+}
+
+// command calls the platform for every VM that is out or moving.
+func (d *Driver) command(ctx context.Context, v *galenastate.View) {
+	var list []*vmCommand
+	for vm := range v.VMs() {
+		if vm.Condition == galenastate.ConditionUp && vm.Phase != galenastate.PhaseAcquiring {
+			delete(d.workers, vm.Name)
+			continue
+		}
+		list = append(list, &vmCommand{driver: d, vm: *vm, state: d.workers[vm.Name]})
+	}
+	g := &errgroup.Group{}
+	g.SetLimit(platformCalls)
+	for _, c := range list {
+		g.Go(func() error { return c.run(ctx) })
+	}
+	// run reports its failures in the state.
+	_ = g.Wait()
+	for _, c := range list {
+		d.workers[c.vm.Name] = c.state
+	}
+}
+
+// vmCommand is one call for one VM.
+type vmCommand struct {
+	driver *Driver
+	vm     galenastate.VM
+	state  workerState
+}
+
+// run calls what the VM's condition asks for and notes the platform's answer.
+func (c *vmCommand) run(ctx context.Context) error {
+	if c.state.epoch != c.vm.Epoch {
+		c.state = workerState{epoch: c.vm.Epoch}
+	}
+	p := c.driver.Platform
+	switch c.vm.Condition {
+	case galenastate.ConditionDraining:
+		reply, err := p.Drain(ctx, c.vm.Name, c.vm.Epoch)
+		c.state.drained = err == nil && reply.GetState() == stateDrained
+	case galenastate.ConditionRebooting:
+		reply, err := p.Reboot(ctx, c.vm.Name, c.vm.Epoch)
+		c.answered(err == nil && reply.GetState() == vmUp)
+	case galenastate.ConditionUp, galenastate.ConditionSettling, galenastate.ConditionDown:
+		_, err := p.Usage(ctx, c.vm.Name)
+		c.answered(err == nil)
+	}
+	return nil
+}
+
+func (c *vmCommand) answered(ok bool) {
+	if !ok {
+		c.state.answering = time.Time{}
+		return
+	}
+	if c.state.answering.IsZero() {
+		c.state.answering = c.driver.Timers.Now()
+	}
+}
+
+// observe updates the figures: roll-out time of ended waves and buffer cost.
+func (d *Driver) observe(v *galenastate.View, now time.Time) {
+	for _, w := range v.Waves() {
+		ended := w.State == galenastate.WaveDone
+		if ended && !d.waves[w.Name] && d.waves != nil {
+			d.Metrics.Rollout.Record("wave", time.Duration(w.EndedMS-w.StartedMS)*time.Millisecond)
+		}
+		d.waves[w.Name] = ended
+	}
+	d.Metrics.BufferCost.Set(now, idleReserve(v))
+}
+
+// idleReserve returns how many VMs of the spare pool are in service there
+// without a job: capacity held in reserve.
+func idleReserve(v *galenastate.View) float64 {
+	spare, ok := v.Spare()
+	if !ok {
+		return 0
+	}
+	n := 0
+	for vm := range v.VMs() {
+		if vm.Pool == spare.Name && vm.Phase == galenastate.PhaseOwned && vm.Condition == galenastate.ConditionUp && vm.Jobs == 0 {
+			n++
+		}
+	}
+	return float64(n)
+}
--- /dev/null
+++ b/galenacontrol/reports.go
@@ -0,0 +1,126 @@
+package galenacontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaconfig"
+	"github.com/galenahead/galenahead/galenarpc"
+	"github.com/galenahead/galenahead/galenastate"
+	"github.com/galenahead/galenahead/galenawave"
+)
+
+// reportTTL is how long the report of a service's broker is used. Brokers
+// report every second.
+const reportTTL = 5 * time.Second
+
+// Reports collects what the brokers at the entries report to the leader.
+type Reports struct {
+	Timers galenahead.Timers
+	Store  *Store
+
+	mu       sync.Mutex
+	services map[galenahead.ServiceName]serviceReport
+}
+
+// serviceReport is the newest report of one service's broker.
+type serviceReport struct {
+	galenaconfig.ServiceReport
+	// asOf is a time before which the report cannot have been made.
+	asOf time.Time
+	// received is when the report arrived.
+	received time.Time
+}
+
+// Register adds the reports' method to m.
+func (s *Reports) Register(m *galenarpc.Mux) {
+	galenarpc.Handle(m, galenaconfig.MethodReport, s.report)
+}
+
+func (s *Reports) report(ctx context.Context, r galenaconfig.EntryReport) (galenaconfig.ReportReply, error) {
+	v, err := s.Store.Current(ctx)
+	if err != nil {
+		return galenaconfig.ReportReply{}, err
+	}
+	now := s.Timers.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.services == nil {
+		s.services = make(map[galenahead.ServiceName]serviceReport)
+	}
+	for _, svc := range r.Services {
+		old := s.services[svc.Service]
+		if svc.Epoch < old.Epoch && now.Sub(old.received) < reportTTL {
+			continue
+		}
+		s.services[svc.Service] = serviceReport{ServiceReport: svc, asOf: time.UnixMilli(r.AsOf.TimeMS), received: now}
+	}
+	return galenaconfig.ReportReply{Mark: galenaconfig.Mark{TimeMS: now.UnixMilli(), Revision: v.Revision()}}, nil
+}
+
+// fresh returns the usable reports.
+func (s *Reports) fresh(now time.Time) map[galenahead.ServiceName]serviceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[galenahead.ServiceName]serviceReport, len(s.services))
+	for name, r := range s.services {
+		if now.Sub(r.received) <= reportTTL {
+			out[name] = r
+		}
+	}
+	return out
+}
+
+// measurements joins the brokers' reports with what the driver knows of tasks.
+func (s *Reports) measurements(v *galenastate.View, now time.Time, workers map[galenahead.VMName]workerState) galenawave.Measurements {
+	reports := s.fresh(now)
+	m := galenawave.Measurements{VMs: make(map[galenahead.VMName]galenawave.Report)}
+	for _, svc := range v.Services() {
+		r, ok := reports[svc.Name]
+		if !ok {
+			continue
+		}
+		for _, l := range r.Loads {
+			m.Loads = append(m.Loads, galenawave.Load{
+				Service: svc.Name, DataCentre: l.DataCentre, Demand: l.Demand, Capacity: l.Capacity, VMs: l.VMs, Budget: r.Budget,
+			})
+		}
+	}
+	users := servicesByPool(v)
+	for vm := range v.VMs() {
+		if vm.Condition == galenastate.ConditionUp && vm.Phase == galenastate.PhaseOwned {
+			continue
+		}
+		m.VMs[vm.Name] = vmReport(vm, users[vm.Pool], reports, workers[vm.Name], now)
+	}
+	return m
+}
+
+func servicesByPool(v *galenastate.View) map[galenahead.PoolName][]galenahead.ServiceName {
+	out := make(map[galenahead.PoolName][]galenahead.ServiceName)
+	for _, s := range v.Services() {
+		out[s.Pool] = append(out[s.Pool], s.Name)
+	}
+	return out
+}
+
+// vmReport joins the reports of the brokers of all services of the VM's pool.
+// Without one of them nothing is proved: At stays zero.
+func vmReport(vm *galenastate.VM, services []galenahead.ServiceName, reports map[galenahead.ServiceName]serviceReport,
+	w workerState, now time.Time) galenawave.Report {
+	out := galenawave.Report{Tasks: int(vm.Jobs), At: now, AnsweringSince: w.answering, Pool: vm.Pool, Failure: w.failure}
+	for _, name := range services {
+		r, ok := reports[name]
+		if !ok {
+			out.At = time.Time{}
+			continue
+		}
+		if r.asOf.Before(out.At) {
+			out.At = r.asOf
+		}
+		out.SlotsOut += r.SlotsOut[vm.Name]
+	}
+	return out
+}
