Add the wave and move planner: first version

Ruled out: durable planner state (the steps in the log suffice; averages of demand only delay a move after a change of leader).

Before: nothing. After: it compiles and lints; no test has run yet.

--- a/galenastate/apply_vm.go
+++ b/galenastate/apply_vm.go
@@ -11,6 +11,12 @@
 	ch.touch(kindVM, string(vm.Name))
 }
 
+// setPhase stores a VM that entered another phase.
+func (ch *change) setPhase(vm VM) {
+	vm.PhaseMS = ch.command.TimeMS
+	ch.setVM(vm)
+}
+
 // setVMWork stores a VM of which only the work or attribution changed.
 func (ch *change) setVMWork(vm VM) {
 	ch.vms.put(ch.gen, vm.Name, &vm)
@@ -38,7 +44,7 @@
 		Accelerators: v.Accelerators,
 		Epoch:        ch.epoch(),
 		Home:         pool.Name,
-		MovedMS:      ch.command.TimeMS,
+		PhaseMS:      ch.command.TimeMS,
 	})
 	return nil
 }
@@ -131,7 +137,7 @@
 	if !driver {
 		vm.Home = pool.Name
 	}
-	ch.setVM(vm)
+	ch.setPhase(vm)
 	return nil
 }
 
@@ -156,7 +162,7 @@
 	vm.Phase = PhaseFree
 	vm.Pool = ""
 	vm.Released = vm.Epoch
-	ch.setVM(vm)
+	ch.setPhase(vm)
 	return nil
 }
 
@@ -181,7 +187,7 @@
 	next.Pool = next.ToPool
 	next.ToPool = ""
 	next.Epoch = ch.epoch()
-	ch.setVM(next)
+	ch.setPhase(next)
 	return nil
 }
 
@@ -198,8 +204,7 @@
 		return invalid("phase", vm.Phase.String(), "acquiring")
 	}
 	vm.Phase = PhaseOwned
-	vm.MovedMS = ch.command.TimeMS
-	ch.setVM(vm)
+	ch.setPhase(vm)
 	return nil
 }
 
--- a/galenastate/record.go
+++ b/galenastate/record.go
@@ -44,8 +44,8 @@
 	// Failures lists the different jobs that failed here since the last
 	// success.
 	Failures []galenahead.JobID `cbor:"18,keyasint,omitempty" json:"failures,omitempty"`
-	// MovedMS is when the VM was acquired by its pool, in Unix milliseconds.
-	MovedMS int64 `cbor:"19,keyasint,omitempty" json:"moved_ms,omitempty"`
+	// PhaseMS is when the VM entered its phase, in Unix milliseconds.
+	PhaseMS int64 `cbor:"19,keyasint,omitempty" json:"phase_ms,omitempty"`
 }
 
 // Service is a service that runs on a pool.
--- /dev/null
+++ b/galenawave/measure.go
@@ -0,0 +1,58 @@
+// Package galenawave plans maintenance waves and moves of VMs between pools.
+// The planner proposes commands of galenastate; it reads no clock, and what it
+// keeps between calls only delays decisions when a new leader starts without
+// it.
+package galenawave
+
+import (
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
+
+// Measurements is what the brokers, workers and budgets report.
+type Measurements struct {
+	// Loads has one element for each service and data centre. A service without
+	// any element has no known headroom: its pool's VMs are not drained.
+	Loads []Load
+	// VMs has a report for each VM that has one. A VM without a report proves
+	// nothing. Reports of VMs that are in service and idle may be left out.
+	VMs map[galenahead.VMName]Report
+}
+
+// Load is the demand for one service in one data centre.
+type Load struct {
+	Service    galenahead.ServiceName
+	DataCentre galenahead.DataCentre
+	// Demand is the number of requests in flight and waiting, in slots.
+	Demand float64
+	// Capacity is the number of slots of the instances in service.
+	Capacity float64
+	// VMs is the number of VMs that Capacity counts.
+	VMs int
+	// Budget is the share of the availability budget that is left to the worst
+	// caller, from 0 to 1.
+	Budget float64
+}
+
+// Report is what is known of one VM.
+type Report struct {
+	// SlotsOut is the number of slots that any broker still counts as granted.
+	SlotsOut int
+	// Tasks is the number of tasks whose leases have neither ended nor expired.
+	Tasks int
+	// At is the time of the oldest broker's or worker's report counted above.
+	At time.Time
+	// AnsweringSince is when the VM's current uninterrupted run of answers
+	// began. It is zero while the VM does not answer.
+	AnsweringSince time.Time
+	// Pool is the pool whose services the VM's instances announce.
+	Pool galenahead.PoolName
+	// Failure is why the platform gave up on the VM, or empty.
+	Failure string
+}
+
+// proves tells whether the report shows that nothing used the VM after since.
+func (r Report) proves(since time.Time) bool {
+	return r.SlotsOut == 0 && r.Tasks == 0 && r.At.After(since)
+}
