Add the control daemon's command

Cause: the control daemon needs a command line with a check of its settings.

Ruled out: a copy of the command in each daemon; galenadaemon holds it.

--- /dev/null
+++ b/cmd/galena-control/command/control.go
@@ -0,0 +1,46 @@
+// Package command holds the command line of galena-control.
+package command
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/galenahead/galenahead/galenacontrol"
+	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenasettings"
+)
+
+// NewCmdControl returns the command. runF replaces serving in tests.
+func NewCmdControl(runF func(context.Context, *galenadaemon.Options) error) *cobra.Command {
+	if runF == nil {
+		runF = run
+	}
+	return galenadaemon.NewCmd("galena-control", "Run a control daemon", runF, check)
+}
+
+func check(path string) error {
+	_, err := galenasettings.LoadControl(path)
+	return err
+}
+
+func run(ctx context.Context, o *galenadaemon.Options) error {
+	s, err := galenasettings.LoadControl(o.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := galenadaemon.OpenLog(s.Process.LogFile, s.Process.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	galenadaemon.LimitProcs(s.Process.MaxProcs)
+	d, err := galenacontrol.NewDaemon(s, log.Logger)
+	if err != nil {
+		return err
+	}
+	log.WithField("name", s.Process.Name).Info("control daemon started")
+	err = d.Run(ctx)
+	log.WithField("name", s.Process.Name).Info("control daemon stopped")
+	return err
+}
--- /dev/null
+++ b/galenadaemon/command.go
@@ -0,0 +1,79 @@
+package galenadaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/galenahead/galenahead/galenasettings"
+)
+
+// Exit codes of the daemons.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// errUsage marks errors of the command line.
+var errUsage = eris.New("wrong use")
+
+// Options are the options of a daemon.
+type Options struct {
+	// Settings is the path of the INI file.
+	Settings string
+}
+
+// NewCmd returns a daemon's command with its subcommand check.
+func NewCmd(use, short string, run func(context.Context, *Options) error, check func(path string) error) *cobra.Command {
+	o := &Options{}
+	cmd := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), o) },
+	}
+	cmd.Flags().StringVar(&o.Settings, "settings", "", "settings file (path)")
+	_ = cmd.MarkFlagRequired("settings")
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return eris.Wrap(errUsage, err.Error()) })
+	cmd.AddCommand(newCmdCheck(check))
+	return cmd
+}
+
+func newCmdCheck(check func(path string) error) *cobra.Command {
+	return &cobra.Command{
+		Use: "check <file>", Short: "Check a settings file and exit", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := check(args[0]); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: valid\n", args[0])
+			return err
+		},
+	}
+}
+
+// Main runs a daemon's command until SIGTERM or SIGINT and returns its exit
+// code.
+func Main(cmd *cobra.Command) int {
+	ctx, stop := Signals()
+	defer stop()
+	err := cmd.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", cmd.Name(), err)
+	if errors.Is(err, errUsage) || errors.Is(err, galenasettings.ErrSettings) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+// LimitProcs sets the number of processors that Go code uses; 0 leaves it.
+func LimitProcs(n int) {
+	if n > 0 {
+		runtime.GOMAXPROCS(n)
+	}
+}
