--- a/galenaroute/instance.go
+++ b/galenaroute/instance.go
@@ -50,6 +50,8 @@
 	inFlight int
 	// quietSince is the last answer, or the start of the first request in flight.
 	quietSince time.Time
+	// answeredAt is the last complete answer.
+	answeredAt time.Time
 	lastSeen   time.Time
 	lastStart  time.Time
 	// cost is the cost in the ranking under way.
--- a/galenaroute/route.go
+++ b/galenaroute/route.go
@@ -35,8 +35,12 @@
 const (
 	// Succeeded is a complete answer that is no server error.
 	Succeeded Kind = iota
-	// Failed is a server error, a broken connection or a timeout.
+	// Failed is a server error or a broken connection.
 	Failed
+	// TimedOut is an attempt that the entry gave up. It counts as a failure when
+	// the instance has answered nothing else since: with heavy-tailed run times a
+	// working instance has timeouts too.
+	TimedOut
 	// Unsent is an attempt that ended before a byte was sent, through no fault of
 	// the instance.
 	Unsent
@@ -45,12 +49,14 @@
 // Result is the result of one attempt.
 type Result struct {
 	Kind Kind
-	// RunTime is the time from sending to the complete answer.
+	// RunTime is the time from sending to the complete answer, or to giving up.
 	RunTime time.Duration
 }
 
 // Config configures a Router.
 type Config struct {
+	// Entry is the entry's own name.
+	Entry galenahead.EntryName
 	// DataCentre is where the entry runs.
 	DataCentre galenahead.DataCentre
 	// Way is the one-way latency between data centres; 0 means 1.5 ms.
@@ -109,6 +115,11 @@
 		s.succeeded(now, in, res.RunTime)
 	case Failed:
 		s.failed(now, in)
+	case TimedOut:
+		if now.Add(-res.RunTime).Before(in.answeredAt) {
+			return
+		}
+		s.failed(now, in)
 	case Unsent:
 	}
 }
@@ -123,32 +134,45 @@
 	return s.verdict(now, s.instance(now, l)) != rejected
 }
 
+// SetInstances sets how many instances of a service are announced. Without it,
+// the bound on ejections is derived from the instances that the entry has had
+// leases of.
+func (rt *Router) SetInstances(service galenahead.ServiceName, n int) {
+	s := rt.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced = n
+}
+
 // Suspect is an instance that an entry ejected. Entries send their suspects to
-// one another, so that an instance that fails everything does not cost every
-// entry a request.
+// one another, at every ejection and with every heartbeat, so that an instance
+// that fails everything does not cost every entry a request and a series of
+// probes.
 type Suspect struct {
 	Service  galenahead.ServiceName `json:"service"`
 	Instance galenahead.InstanceID  `json:"instance"`
 }
 
 // Suspects returns the instances that this entry has ejected by its own
-// measurement.
-func (rt *Router) Suspects(now time.Time) []Suspect {
+// measurement and probes itself.
+func (rt *Router) Suspects() []Suspect {
 	rt.mu.RLock()
 	defer rt.mu.RUnlock()
 	var all []Suspect
 	for name, s := range rt.shards {
-		all = s.suspects(now, name, all)
+		all = s.suspects(name, all)
 	}
 	sortSuspects(all)
 	return all
 }
 
 // Adopt ejects the instances that another entry suspects, within the same
-// bounds as the entry's own ejections.
-func (rt *Router) Adopt(now time.Time, suspects []Suspect) {
+// bounds as the entry's own ejections, for as long as that entry names them. Of
+// several entries that suspect an instance the one with the lowest name probes
+// it.
+func (rt *Router) Adopt(now time.Time, from galenahead.EntryName, suspects []Suspect) {
 	for _, x := range suspects {
-		rt.shard(x.Service).adopt(now, x.Instance)
+		rt.shard(x.Service).adopt(now, from < rt.cfg.Entry, x.Instance)
 	}
 }
 
--- a/galenaroute/route_test.go
+++ b/galenaroute/route_test.go
@@ -127,7 +127,7 @@
 	// Fails until it is ejected; the others have no failures.
 	i, _ := w.rt.Choose(w.now, w.r, w.leases[:1])
 	w.rt.Observe(w.now, w.leases[i], Result{Kind: Failed})
-	is.Equal(w.rt.Suspects(w.now), []Suspect{{Service: "s", Instance: "i0"}})
+	is.Equal(w.rt.Suspects(), []Suspect{{Service: "s", Instance: "i0"}})
 	w.now = w.now.Add(firstEjection)
 	order := w.r
 	order.Idempotent = false
@@ -169,9 +169,9 @@
 	for _, l := range w.leases {
 		w.rt.Usable(w.now, l) // announced
 	}
-	w.rt.Adopt(w.now, []Suspect{{Service: "s", Instance: "i0"}})
+	w.rt.Adopt(w.now, "peer", []Suspect{{Service: "s", Instance: "i0"}})
 	is.Equal(w.rt.Usable(w.now, w.leases[0]), false)
-	is.Equal(len(w.rt.Suspects(w.now)), 0)
+	is.Equal(len(w.rt.Suspects()), 0)
 }
 
 // Guards against changes of the choices that nobody intended: instance 3 is
--- a/galenaroute/shard.go
+++ b/galenaroute/shard.go
@@ -23,6 +23,9 @@
 	stallChance = 0.01
 	// leastStall is the shortest silence that counts as frozen.
 	leastStall = 50 * time.Millisecond
+	// adoptedFor is how long another entry's suspicion holds unless it is renewed:
+	// three heartbeats.
+	adoptedFor = time.Second
 	// costTolerance is the relative difference up to which costs count as equal:
 	// half the resolution of the learned run times.
 	costTolerance = 0.1
@@ -45,9 +48,13 @@
 	times     *RunTimes
 	service   galenahead.ServiceName
 	instances map[galenahead.InstanceID]*instance
+	// list holds the same instances in the order of their first use, so that sums
+	// do not depend on the order of a map.
+	list []*instance
 	// stall caches the silence after which k requests in flight show a frozen
 	// instance, index k-1.
 	stall      [8]time.Duration
+	announced  int
 	stallKnown bool
 	median     time.Duration
 	learned    int
@@ -149,6 +156,7 @@
 
 func (s *shard) succeeded(now time.Time, in *instance, d time.Duration) {
 	in.quietSince = now
+	in.answeredAt = now
 	in.failures -= in.failures * failureWeight
 	in.learn(d, s.median)
 	in.recover(now)
@@ -168,12 +176,14 @@
 // all fail alike the fault is elsewhere, and ejecting any of them is no help.
 func (s *shard) worseThanPeers(in *instance) bool {
 	sum, n := 0.0, 0
-	for _, peer := range s.instances {
+	for _, peer := range s.list {
 		if peer != in {
 			sum += peer.failures
 			n++
 		}
 	}
+	// Instances without results count as not failing.
+	n = max(n, s.announced-1)
 	if n == 0 {
 		return false
 	}
@@ -183,12 +193,12 @@
 // mayEject tells whether one more instance may be out of use.
 func (s *shard) mayEject(now time.Time, in *instance) bool {
 	out := 0
-	for _, peer := range s.instances {
+	for _, peer := range s.list {
 		if peer != in && (peer.ejected || s.stalled(now, peer)) {
 			out++
 		}
 	}
-	return (out+1)*ejectedShare <= len(s.instances)
+	return (out+1)*ejectedShare <= max(len(s.instances), s.announced)
 }
 
 // refresh recomputes what is derived from the service's run times, at every
@@ -218,6 +228,7 @@
 		s.sweep(now)
 		in = &instance{id: l.Instance}
 		s.instances[l.Instance] = in
+		s.list = append(s.list, in)
 	}
 	in.lastSeen = now
 	return in
@@ -225,33 +236,42 @@
 
 // sweep forgets instances that are gone.
 func (s *shard) sweep(now time.Time) {
-	for id, in := range s.instances {
-		if in.inFlight == 0 && now.Sub(in.lastSeen) > forgetAfter {
-			delete(s.instances, id)
+	s.list = slices.DeleteFunc(s.list, func(in *instance) bool {
+		gone := in.inFlight == 0 && now.Sub(in.lastSeen) > forgetAfter
+		if gone {
+			delete(s.instances, in.id)
 		}
-	}
+		return gone
+	})
 }
 
-func (s *shard) suspects(now time.Time, name galenahead.ServiceName, all []Suspect) []Suspect {
+func (s *shard) suspects(name galenahead.ServiceName, all []Suspect) []Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, in := range s.instances {
-		if in.ejected && !in.adopted && now.Before(in.until) {
-			all = append(all, Suspect{Service: name, Instance: id})
+	for _, in := range s.list {
+		if in.ejected && !in.adopted {
+			all = append(all, Suspect{Service: name, Instance: in.id})
 		}
 	}
 	return all
 }
 
-func (s *shard) adopt(now time.Time, id galenahead.InstanceID) {
+// adopt ejects an instance on behalf of another entry. first tells that the
+// other entry goes before this one in probing it.
+func (s *shard) adopt(now time.Time, first bool, id galenahead.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	in := s.instance(now, galenahead.SlotLease{Instance: id})
-	if in.ejected || !s.mayEject(now, in) {
+	switch {
+	case in.ejected && !in.adopted && !first:
+		return
+	case !in.ejected && !s.mayEject(now, in):
 		return
 	}
-	in.eject(now)
+	in.ejected = true
 	in.adopted = true
+	in.successes = 0
+	in.until = now.Add(adoptedFor)
 }
 
 func sortSuspects(all []Suspect) {
--- /dev/null
+++ b/test/galena-bench/main.go
@@ -0,0 +1,4 @@
+// Command galena-bench measures the decisions of galenahead.
+package main
+
+func main() {}
