Add slot leases with an elected broker per service

Cause: an instance must never get more requests than its slots from all entries together, while slots move to the entries whose callers need them.

Ruled out: slot identities in the messages. Totals that only grow make lost, repeated and reordered messages harmless. Ruled out: lease ages counted from the receipt of a grant; they count from the sending of the entry's own message, so that a late grant is already expired.

Conclusion: the slot pool can be wired into the entry.

--- /dev/null
+++ b/galenabroker/ledger.go
@@ -0,0 +1,423 @@
+package galenabroker
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenapeer"
+)
+
+const (
+	// sendMargin is how long after the end of a slot lease a request that was
+	// sent under it may still be under way to the instance.
+	sendMargin = 500 * time.Millisecond
+	// tickAge is the largest usual age of the broker's tick in an announcement:
+	// ticks come with the renewals.
+	tickAge = RenewInterval + 500*time.Millisecond
+	// leftMemory is how long announcements of an instance are ignored after it
+	// said that it leaves, because earlier ones may arrive late.
+	leftMemory = 10 * time.Second
+	// keepInstance is how long an instance without a lease is remembered.
+	keepInstance = time.Minute
+	// spareSlots is granted beyond the demand while slots are plentiful.
+	spareSlots = 1
+)
+
+// Ledger is a broker's account of the slots of one service in one epoch. It is
+// a deterministic core without locks, goroutines or clock reads, and it is
+// discarded with the lease.
+type Ledger struct {
+	service galenahead.ServiceName
+	entries []galenapeer.Entry
+	tenure  Tenure
+	// maxRequest is the longest time from the sending of a request until its
+	// deadline.
+	maxRequest time.Duration
+	open       bool
+	instances  map[galenahead.InstanceID]*instance
+	sessions   map[galenahead.EntryName]*session
+	// former holds the accounts of entries' former processes.
+	former []*session
+	// unreported bounds by instance what entries may have in use that did not
+	// report to this broker.
+	unreported map[galenahead.InstanceID]int
+	retired    map[uint32]bool
+	drained    map[galenahead.VMName]struct{}
+	// grantsAtOnce is set by tests only, to show that the tests detect it.
+	grantsAtOnce bool
+}
+
+type instance struct {
+	ann     galenahead.Announcement
+	slots   int
+	expires time.Duration
+	left    bool
+	leftAt  time.Duration
+}
+
+// session is an entry's process as seen by the broker.
+type session struct {
+	entry   galenapeer.Entry
+	life    uint32
+	seq     uint64
+	synced  time.Duration
+	version uint64
+	demand  map[galenahead.CallerName]int
+	avoid   []galenahead.InstanceID
+	// old tells that no former process of the entry can have requests in
+	// flight.
+	old      bool
+	accounts map[galenahead.InstanceID]*account
+	// changed tells that the entry is to be told.
+	changed bool
+}
+
+type account struct {
+	base     int
+	granted  uint64
+	returned uint64
+	// limit is the number of slots that the entry may keep, or noLimit.
+	limit int
+	// cap bounds the slots in use after the session's lease has ended.
+	cap     int
+	vm      galenahead.VMName
+	address string
+}
+
+const (
+	// closed is the limit for instances that get no new work: the entry
+	// returns unused slots and sends nothing on those that it took.
+	closed = -1
+	// noLimit is the absence of a limit.
+	noLimit = -2
+)
+
+// NewLedger returns the ledger of a broker that was just elected.
+func NewLedger(service galenahead.ServiceName, entries []galenapeer.Entry, t Tenure, maxRequest time.Duration) *Ledger {
+	return &Ledger{
+		service:    service,
+		entries:    entries,
+		tenure:     t,
+		maxRequest: maxRequest,
+		instances:  make(map[galenahead.InstanceID]*instance),
+		sessions:   make(map[galenahead.EntryName]*session),
+		unreported: make(map[galenahead.InstanceID]int),
+		retired:    make(map[uint32]bool),
+	}
+}
+
+// SetDrained replaces the set of VMs that get no new work.
+func (l *Ledger) SetDrained(now galenapeer.Instant, vms map[galenahead.VMName]struct{}) {
+	l.drained = vms
+	l.allocate(now)
+}
+
+// Announce handles a forwarded announcement of another entry, or of this one.
+// It fails with ErrNotLeader for another epoch's broker.
+func (l *Ledger) Announce(now galenapeer.Instant, q AnnounceRequest) error {
+	if q.Epoch != l.tenure.Epoch {
+		return galenahead.ErrNotLeader
+	}
+	a := q.Announcement
+	if a.Slots < 0 || a.Connections < 0 || a.InFlight < 0 || a.Instance == "" || len(a.Instance) > galenahead.MaxIDLength {
+		return galenahead.ErrInvalid
+	}
+	tick := min(time.Duration(q.TickMS)*time.Millisecond, now.Mono)
+	i, ok := l.instances[a.Instance]
+	if !ok {
+		i = &instance{}
+		l.instances[a.Instance] = i
+	}
+	l.observe(a, tick)
+	if i.left && now.Mono-i.leftAt < leftMemory {
+		return nil
+	}
+	i.ann = a
+	i.slots = min(a.Slots, a.Connections)
+	i.left = a.Leaving
+	i.leftAt = now.Mono
+	i.expires = min(now.Mono, tick+tickAge) + time.Duration(a.LeaseMS)*time.Millisecond
+	l.allocate(now)
+	return nil
+}
+
+// Sync handles an entry's message and returns the reply. It fails with
+// ErrNotLeader for another epoch, and with ErrLeaseExpired for a process that
+// was replaced by a later one of the same entry.
+func (l *Ledger) Sync(now galenapeer.Instant, q SyncRequest, item SyncItem) (GrantItem, error) {
+	i := slices.IndexFunc(l.entries, func(e galenapeer.Entry) bool { return e.Name == q.From })
+	if i < 0 || item.Epoch != l.tenure.Epoch {
+		return GrantItem{}, galenahead.ErrNotLeader
+	}
+	if l.retired[item.Life] {
+		return GrantItem{}, galenahead.ErrLeaseExpired
+	}
+	s := l.session(now, l.entries[i], item.Life, q.UptimeMS)
+	known := s.update(now, item)
+	l.allocate(now)
+	s.changed = false
+	return l.grantItem(s, known), nil
+}
+
+// Tick lets leases end and slots come free.
+func (l *Ledger) Tick(now galenapeer.Instant) {
+	maps.DeleteFunc(l.instances, func(_ galenahead.InstanceID, i *instance) bool {
+		return now.Mono-i.expires > keepInstance
+	})
+	l.former = slices.DeleteFunc(l.former, func(s *session) bool {
+		return now.Mono >= s.lapse()+l.maxRequest
+	})
+	l.allocate(now)
+}
+
+// Changed returns the entries that are to be sent their Item.
+func (l *Ledger) Changed() []galenapeer.Entry {
+	var out []galenapeer.Entry
+	for _, e := range l.entries {
+		if s := l.sessions[e.Name]; s != nil && s.changed {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Item returns the entry's present grants and limits.
+func (l *Ledger) Item(entry galenahead.EntryName) (GrantItem, bool) {
+	s := l.sessions[entry]
+	if s == nil {
+		return GrantItem{}, false
+	}
+	s.changed = false
+	return l.grantItem(s, nil), true
+}
+
+// Size returns the number of usable slots and instances.
+func (l *Ledger) Size(now galenapeer.Instant) (slots, instances int) {
+	for _, i := range l.instances {
+		if l.usable(now, i) {
+			slots += i.slots
+			instances++
+		}
+	}
+	return slots, instances
+}
+
+// Open tells whether slots are granted yet.
+func (l *Ledger) Open() bool { return l.open }
+
+// Settled tells whether everything that former brokers granted is known.
+func (l *Ledger) Settled(now galenapeer.Instant) bool {
+	if !l.open {
+		return false
+	}
+	for id := range l.instances {
+		if l.unknown(now, id) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Outstanding returns the slots counted as in use by VM.
+func (l *Ledger) Outstanding(now galenapeer.Instant) Outstanding {
+	out := Outstanding{Service: l.service, Epoch: l.tenure.Epoch, Ready: l.open, VMs: make(map[galenahead.VMName]int)}
+	for id, i := range l.instances {
+		out.VMs[i.ann.VM] += l.unknown(now, id)
+	}
+	for _, s := range l.all() {
+		for id, a := range s.accounts {
+			out.VMs[l.vm(id, a)] += l.counted(now, s, a)
+		}
+	}
+	return out
+}
+
+func (l *Ledger) vm(id galenahead.InstanceID, a *account) galenahead.VMName {
+	if i, ok := l.instances[id]; ok {
+		return i.ann.VM
+	}
+	return a.vm
+}
+
+// session returns the session of the sender's process. Requests of the entry's
+// former process may still be in flight, so that its account is kept.
+func (l *Ledger) session(now galenapeer.Instant, e galenapeer.Entry, life uint32, uptimeMS int64) *session {
+	s, ok := l.sessions[e.Name]
+	if ok && s.life == life {
+		return s
+	}
+	if ok {
+		l.retired[s.life] = true
+		l.former = append(l.former, s)
+	}
+	started := now.Mono - time.Duration(uptimeMS)*time.Millisecond
+	s = &session{
+		entry:    e,
+		life:     life,
+		old:      ok || started <= l.tenure.Won-l.maxRequest-SlotTTL,
+		accounts: make(map[galenahead.InstanceID]*account),
+	}
+	l.sessions[e.Name] = s
+	return s
+}
+
+// observe lowers the bounds on what unreachable entries have in use, by an
+// announcement that the instance made after tick.
+func (l *Ledger) observe(a galenahead.Announcement, tick time.Duration) {
+	if tick >= l.tenure.Won+SlotTTL+rateMargin+sendMargin {
+		if b, ok := l.unreported[a.Instance]; !ok || a.InFlight < b {
+			l.unreported[a.Instance] = a.InFlight
+		}
+	}
+	for _, s := range l.all() {
+		if acc, ok := s.accounts[a.Instance]; ok && tick >= s.lapse()+sendMargin {
+			acc.cap = min(acc.cap, a.InFlight)
+		}
+	}
+}
+
+func (l *Ledger) all() []*session {
+	out := make([]*session, 0, len(l.sessions)+len(l.former))
+	for _, e := range l.entries {
+		if s := l.sessions[e.Name]; s != nil {
+			out = append(out, s)
+		}
+	}
+	return append(out, l.former...)
+}
+
+// counted returns how many slots the account may have in use.
+func (l *Ledger) counted(now galenapeer.Instant, s *session, a *account) int {
+	n := a.outstanding()
+	if now.Mono < s.lapse() {
+		return n
+	}
+	if now.Mono >= s.lapse()+l.maxRequest {
+		return 0
+	}
+	return min(n, a.cap)
+}
+
+// unknown bounds the slots of the instance that are in use by entries, or
+// former processes of entries, that did not report to this broker. All
+// reported and unreported slots together are at most the instance's slots.
+func (l *Ledger) unknown(now galenapeer.Instant, id galenahead.InstanceID) int {
+	if now.Mono >= l.tenure.Won+SlotTTL+l.maxRequest || l.allReported() {
+		return 0
+	}
+	n := 0
+	if i, ok := l.instances[id]; ok {
+		n = i.slots
+	}
+	for _, s := range l.all() {
+		if a, ok := s.accounts[id]; ok {
+			n -= a.base
+		}
+	}
+	if b, ok := l.unreported[id]; ok {
+		n = min(n, b)
+	}
+	return max(n, 0)
+}
+
+func (l *Ledger) allReported() bool {
+	for _, e := range l.entries {
+		if s := l.sessions[e.Name]; s == nil || !s.old {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Ledger) usable(now galenapeer.Instant, i *instance) bool {
+	_, drained := l.drained[i.ann.VM]
+	return !i.left && !drained && now.Mono < i.expires
+}
+
+// update takes the entry's message in and returns the grant totals that the
+// entry knows.
+func (s *session) update(now galenapeer.Instant, item SyncItem) map[galenahead.InstanceID]uint64 {
+	known := make(map[galenahead.InstanceID]uint64, len(item.Held))
+	for _, h := range item.Held {
+		known[h.Instance] = h.Granted
+		a := s.account(h.Instance)
+		a.base = max(a.base, h.Base)
+		a.returned = max(a.returned, h.Returned)
+		if h.VM != "" {
+			a.vm = h.VM
+		}
+	}
+	if item.Seq <= s.seq {
+		return known
+	}
+	s.seq = item.Seq
+	s.synced = now.Mono
+	s.demand = item.Demand
+	s.avoid = item.Avoid
+	for _, a := range s.accounts {
+		a.cap = unbounded
+	}
+	return known
+}
+
+const unbounded = 1 << 30
+
+func (s *session) account(id galenahead.InstanceID) *account {
+	a, ok := s.accounts[id]
+	if !ok {
+		a = &account{limit: noLimit, cap: unbounded}
+		s.accounts[id] = a
+	}
+	return a
+}
+
+// lapse returns when the entry can send nothing more under this session.
+func (s *session) lapse() time.Duration { return s.synced + SlotTTL + rateMargin }
+
+func (s *session) held() int {
+	n := 0
+	for _, a := range s.accounts {
+		n += a.outstanding()
+	}
+	return n
+}
+
+func (a *account) outstanding() int {
+	return a.base + int(a.granted) - int(a.returned)
+}
+
+// grantItem describes the session. Grants that the entry already knows by
+// known are left out.
+func (l *Ledger) grantItem(s *session, known map[galenahead.InstanceID]uint64) GrantItem {
+	s.version++
+	g := GrantItem{Service: l.service, Epoch: l.tenure.Epoch, Life: s.life, Seq: s.seq, Version: s.version}
+	for _, id := range slices.Sorted(maps.Keys(s.accounts)) {
+		a := s.accounts[id]
+		if a.limit != noLimit {
+			if g.Limits == nil {
+				g.Limits = make(map[galenahead.InstanceID]int)
+			}
+			g.Limits[id] = a.limit
+		}
+		total, listed := known[id]
+		i, ok := l.instances[id]
+		if a.granted == 0 || !ok || listed && total == a.granted && a.address == i.ann.Address {
+			continue
+		}
+		if !listed && a.outstanding() == 0 {
+			// The entry has returned them all, so that it knows the total.
+			continue
+		}
+		out := Grant{Instance: id, Granted: a.granted}
+		if total == 0 || a.address != i.ann.Address {
+			out.Address, out.DataCentre, out.VM = i.ann.Address, i.ann.DataCentre, i.ann.VM
+		}
+		if known != nil {
+			a.address = i.ann.Address
+		}
+		g.Grants = append(g.Grants, out)
+	}
+	return g
+}
