Add the entry daemon

Cause: the parts of an entry need one process that wires them: peers, claims, slots, configuration, the request filters, announcements and reports.

Passing announcements of any service to the broker (a typing error would elect brokers for services that do not exist); they are refused until the service is configured.

Before: no entry daemon.

Conclusion: the whole path can be tried.

--- /dev/null
+++ b/cmd/galena-entry/command/entry.go
@@ -0,0 +1,42 @@
+// Package command holds the command line of galena-entry.
+package command
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenaentry"
+	"github.com/galenahead/galenahead/galenasettings"
+)
+
+// NewCmdEntry returns the command. runF replaces serving in tests.
+func NewCmdEntry(runF func(context.Context, *galenadaemon.Options) error) *cobra.Command {
+	if runF == nil {
+		runF = run
+	}
+	return galenadaemon.NewCmd("galena-entry", "Run an entry daemon", runF, check)
+}
+
+func check(path string) error {
+	_, err := galenasettings.LoadEntry(path)
+	return err
+}
+
+func run(ctx context.Context, o *galenadaemon.Options) error {
+	s, err := galenasettings.LoadEntry(o.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := galenadaemon.OpenLog(s.Process.LogFile, s.Process.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	galenadaemon.LimitProcs(s.Process.MaxProcs)
+	log.WithField("name", s.Process.Name).Info("entry daemon started")
+	err = galenaentry.NewDaemon(s, log.Logger, log.Writer.Dropped).Run(ctx)
+	log.WithField("name", s.Process.Name).Info("entry daemon stopped")
+	return err
+}
--- a/galenaentry/answer.go
+++ b/galenaentry/answer.go
@@ -37,7 +37,7 @@
 	if a.ContentType != "" {
 		c.SetContentType(a.ContentType)
 	}
-	c.SetBodyRaw(a.Body)
+	c.Response.SetBodyRaw(a.Body)
 }
 
 // statusOf returns the HTTP status of an answer: the upstream's own when the
--- a/galenaentry/attempt.go
+++ b/galenaentry/attempt.go
@@ -80,9 +80,7 @@
 	a, err := t.owner.sender.Send(ctx, t.lease.Address, t.request, t.id, until, t.valid)
 	now := t.owner.timers.Now()
 	r := classify(t.request, a, err)
-	t.lane.router.Observe(now, t.lease.Instance, galenaroute.Result{
-		Service: t.request.Service, RunTime: now.Sub(start), Failed: err != nil || a.Status >= fasthttp.StatusInternalServerError,
-	})
+	t.lane.router.Observe(now, t.lease, galenaroute.Result{Kind: kindOf(a, err), RunTime: now.Sub(start)})
 	t.lane.put(t.lease)
 	if t.finish() {
 		t.result <- r
@@ -114,6 +112,18 @@
 	return t.abandoned
 }
 
+// kindOf classifies the result of sending for the router. A refused connection
+// counts as a failure of the instance, an expired slot lease does not.
+func kindOf(a galenahead.Answer, err error) galenaroute.Kind {
+	switch {
+	case errors.Is(err, galenahead.ErrLeaseExpired):
+		return galenaroute.Unsent
+	case err != nil || a.Status >= fasthttp.StatusInternalServerError:
+		return galenaroute.Failed
+	}
+	return galenaroute.Succeeded
+}
+
 // classify turns the result of sending into an answer. Only an idempotent
 // request may be repeated after its first byte was sent.
 func classify(r galenahead.Request, a galenahead.Answer, err error) result {
--- /dev/null
+++ b/galenaentry/daemon.go
@@ -0,0 +1,270 @@
+package galenaentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenabroker"
+	"github.com/galenahead/galenahead/galenabudget"
+	"github.com/galenahead/galenahead/galenaclaim"
+	"github.com/galenahead/galenahead/galenaconfig"
+	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenapeer"
+	"github.com/galenahead/galenahead/galenaqueue"
+	"github.com/galenahead/galenahead/galenaroute"
+	"github.com/galenahead/galenahead/galenarpc"
+	"github.com/galenahead/galenahead/galenasettings"
+	"github.com/galenahead/galenahead/galenastate"
+	"github.com/galenahead/galenahead/galenatimer"
+)
+
+const (
+	// stopTimeout bounds the wait for requests in flight on SIGTERM: the longest
+	// deadline and the time an attempt outlives it.
+	stopTimeout = maxDeadline + lateLimit
+	// maxAnnouncement is the largest announcement, in bytes.
+	maxAnnouncement = 16 << 10
+)
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings galenasettings.Entry
+	log      *logrus.Logger
+	timers   *galenatimer.Service
+	client   *galenarpc.Client
+	mux      galenarpc.Mux
+	peers    *galenapeer.Service
+	claims   *galenaclaim.Service
+	broker   *galenabroker.Service
+	follower *galenaconfig.Follower
+	server   *Server
+	reporter *reporter
+	recorder *recorder
+	// work bounds what the daemon's parts do in the background.
+	work     context.Context
+	endWork  context.CancelFunc
+	draining chan struct{}
+}
+
+// NewDaemon returns a daemon that does nothing until Run.
+func NewDaemon(s galenasettings.Entry, log *logrus.Logger, dropped func() int64) *Daemon {
+	d := &Daemon{
+		settings: s, log: log, timers: &galenatimer.Service{}, client: &galenarpc.Client{}, draining: make(chan struct{}),
+	}
+	d.work, d.endWork = context.WithCancel(context.Background())
+	self := galenahead.EntryName(s.Process.Name)
+	entries := peerEntries(s)
+	d.peers = galenapeer.New(galenapeer.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
+	d.claims = galenaclaim.New(galenaclaim.Config{
+		Self: self, Entries: entries, Caller: d.client, Timers: d.timers, ClockTrusted: d.peers.ClockTrusted,
+	})
+	d.broker = galenabroker.New(galenabroker.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
+	d.follower = d.newFollower(self, entries)
+	d.wireServer(self, dropped)
+	for _, part := range []interface{ Register(*galenarpc.Mux) }{d.peers, d.claims, d.broker, d.follower} {
+		part.Register(&d.mux)
+	}
+	return d
+}
+
+func peerEntries(s galenasettings.Entry) []galenapeer.Entry {
+	entries := make([]galenapeer.Entry, 0, len(s.Entries))
+	for _, e := range s.Entries {
+		entries = append(entries, galenapeer.Entry{Name: e.Name, DataCentre: e.DataCentre, Address: e.Peer.String()})
+	}
+	return entries
+}
+
+func (d *Daemon) newFollower(self galenahead.EntryName, entries []galenapeer.Entry) *galenaconfig.Follower {
+	addresses := make(map[galenahead.EntryName]string, len(entries))
+	for _, e := range entries {
+		addresses[e.Name] = e.Address
+	}
+	return galenaconfig.NewFollower(galenaconfig.FollowerConfig{
+		Self: self, Control: controlAddresses(d.settings), Entries: addresses, Caller: d.client, Timers: d.timers,
+		Peers: d.peers, Applied: d.apply,
+	})
+}
+
+func controlAddresses(s galenasettings.Entry) []string {
+	list := make([]string, 0, len(s.Control))
+	for _, c := range s.Control {
+		list = append(list, c.Peer.String())
+	}
+	return list
+}
+
+func (d *Daemon) wireServer(self galenahead.EntryName, dropped func() int64) {
+	d.recorder = &recorder{
+		log: d.log, metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}), dropped: dropped,
+	}
+	router := galenaroute.New(galenaroute.Config{DataCentre: d.settings.Process.DataCentre})
+	d.server = NewServer(ServerConfig{
+		Name: self, Timers: d.timers, Gate: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.recorder,
+		MaxBody: d.settings.Limits.MaxBodyKB << 10,
+		Limits: galenaqueue.Config{
+			MaxRequests: d.settings.Limits.QueuePerService, MaxBytes: d.settings.Limits.QueueMB << 20,
+		},
+	})
+	d.reporter = &reporter{
+		self: self, control: controlAddresses(d.settings), caller: d.client, timers: d.timers,
+		follower: d.follower, broker: d.broker, budgets: d.recorder.budgets,
+	}
+}
+
+// apply puts a new configuration in force at this entry.
+func (d *Daemon) apply(c galenastate.Config) {
+	var drained []galenahead.VMName
+	for _, vm := range c.VMs {
+		if !vm.Usable() {
+			drained = append(drained, vm.Name)
+		}
+	}
+	d.broker.SetDrained(drained)
+	names := make([]galenahead.ServiceName, 0, len(c.Services))
+	services := make([]Service, 0, len(c.Services))
+	for _, s := range c.Services {
+		names = append(names, s.Name)
+		services = append(services, serviceOf(s))
+	}
+	d.broker.SetServices(names)
+	d.server.SetServices(d.work, services)
+}
+
+func serviceOf(s galenastate.Service) Service {
+	weights := make(map[galenahead.CallerName]int, len(s.Callers))
+	for _, c := range s.Callers {
+		weights[c.Caller] = int(c.Share)
+	}
+	return Service{Name: s.Name, Weights: weights, Connections: int(s.Connections)}
+}
+
+// Serving implements Gate.
+func (d *Daemon) Serving() error {
+	if s := d.peers.Serving(); !s.Ready {
+		return eris.Wrap(galenahead.ErrNotReady, string(s.Mode))
+	}
+	return nil
+}
+
+// Deadline implements Gate.
+func (d *Daemon) Deadline(service galenahead.ServiceName) time.Duration {
+	if s, ok := d.follower.Config().Services[service]; ok && s.DeadlineMS > 0 {
+		return min(time.Duration(s.DeadlineMS)*time.Millisecond, maxDeadline)
+	}
+	return d.settings.Limits.DefaultDeadline
+}
+
+// Run serves until ctx ends, stops gracefully and returns nil, or returns the
+// first error.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.client.Close()
+	defer d.endWork()
+	g, work := errgroup.WithContext(d.work)
+	if err := d.serve(g, work); err != nil {
+		return err
+	}
+	for _, part := range []interface{ Run(context.Context) error }{d.peers, d.claims, d.follower, d.reporter} {
+		g.Go(func() error { return part.Run(work) })
+	}
+	brokering, resign := context.WithCancel(work)
+	defer resign()
+	resigned := make(chan struct{})
+	g.Go(func() error {
+		defer close(resigned)
+		return d.broker.Run(brokering)
+	})
+	d.recorder.metrics.Publish("galena_entry")
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return g.Wait()
+	}
+	err := d.stop(work)
+	resign()
+	<-resigned
+	d.endWork()
+	if serveErr := g.Wait(); serveErr != nil {
+		return serveErr
+	}
+	return err
+}
+
+// stop turns readiness off, lets the balancer see it and finishes the requests
+// in flight.
+func (d *Daemon) stop(work context.Context) error {
+	close(d.draining)
+	select {
+	case <-work.Done():
+	case <-d.timers.After(work, d.settings.Process.StopDelay):
+	}
+	ctx, cancel := context.WithTimeout(work, stopTimeout)
+	defer cancel()
+	return d.server.Stop(ctx)
+}
+
+// serve opens the four listeners.
+func (d *Daemon) serve(g *errgroup.Group, ctx context.Context) error {
+	callers, err := galenadaemon.Listen(d.settings.Listen.Caller)
+	if err != nil {
+		return err
+	}
+	upstreams, err := galenadaemon.Listen(d.settings.Listen.Upstream)
+	if err != nil {
+		return err
+	}
+	status, err := galenadaemon.Listen(d.settings.Listen.Status)
+	if err != nil {
+		return err
+	}
+	peers, err := galenadaemon.Listen(d.settings.Listen.Peer)
+	if err != nil {
+		return err
+	}
+	n := &announcer{announce: d.announce}
+	pages := map[string]fasthttp.RequestHandler{"/budgets": d.serveBudgets}
+	g.Go(func() error { return d.server.Serve(ctx, callers) })
+	g.Go(func() error {
+		srv := &fasthttp.Server{Handler: n.serve, NoDefaultServerHeader: true, MaxRequestBodySize: maxAnnouncement, ReadTimeout: readTimeout}
+		return galenadaemon.ServeHTTP(ctx, srv, upstreams)
+	})
+	g.Go(func() error { return (&galenadaemon.Status{Ready: d.ready, Pages: pages}).Serve(ctx, status) })
+	g.Go(func() error { return (&galenarpc.Server{Mux: &d.mux}).Serve(ctx, peers) })
+	return nil
+}
+
+// announce passes an announcement of a configured service to its broker.
+func (d *Daemon) announce(ctx context.Context, a galenahead.Announcement) error {
+	if _, ok := d.follower.Config().Services[a.Service]; !ok {
+		return eris.Wrapf(galenahead.ErrNotFound, "service %s is not configured at this entry", a.Service)
+	}
+	return d.broker.Announce(ctx, a)
+}
+
+// ready tells the balancer whether to send requests here.
+func (d *Daemon) ready() error {
+	select {
+	case <-d.draining:
+		return eris.Wrap(galenahead.ErrNotReady, "stopping")
+	default:
+	}
+	return d.Serving()
+}
+
+// serveBudgets shows the availability budgets of the requests answered here.
+func (d *Daemon) serveBudgets(c *fasthttp.RequestCtx) {
+	body, err := d.recorder.budgets.JSON(d.timers.Now())
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
--- a/galenaentry/headers.go
+++ b/galenaentry/headers.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenabroker"
 )
 
 // Headers of callers' requests and answers; docs/interfaces.md describes them.
@@ -22,8 +23,9 @@
 	HeaderReason     = "X-Galena-Reason"
 )
 
-// maxDeadline bounds the time a request may take.
-const maxDeadline = 10 * time.Minute
+// maxDeadline bounds the time a request may take. Brokers count the slots of a
+// dead entry for as long.
+const maxDeadline = galenabroker.DefaultMaxRequest
 
 // errHeader reports a missing or malformed header.
 var errHeader = eris.New("bad header")
--- a/galenaentry/lane.go
+++ b/galenaentry/lane.go
@@ -16,11 +16,17 @@
 	sweepPeriod = 20 * time.Millisecond
 )
 
+// slotPool is a galenahead.SlotPool that knows for which caller a slot is.
+type slotPool interface {
+	galenahead.SlotPool
+	TakeFor(service galenahead.ServiceName, caller galenahead.CallerName, choose func([]galenahead.SlotLease) int) (galenahead.SlotLease, bool)
+}
+
 // lane joins the queue of one service with the slots this entry holds for it.
 type lane struct {
 	service galenahead.ServiceName
 	queue   *galenaqueue.Queue
-	slots   galenahead.SlotPool
+	slots   slotPool
 	router  *galenaroute.Router
 	timers  galenahead.Timers
 
@@ -90,7 +96,7 @@
 
 // take chooses a free slot for r.
 func (l *lane) take(now time.Time, r galenahead.Request) (galenahead.SlotLease, bool) {
-	return l.slots.Take(l.service, func(candidates []galenahead.SlotLease) int {
+	return l.slots.TakeFor(l.service, r.Caller, func(candidates []galenahead.SlotLease) int {
 		i, _ := l.router.Choose(now, r, candidates)
 		return i
 	})
--- a/galenaentry/lanes.go
+++ b/galenaentry/lanes.go
@@ -11,7 +11,7 @@
 
 // lanes holds the lane of each configured service.
 type lanes struct {
-	slots  galenahead.SlotPool
+	slots  slotPool
 	router *galenaroute.Router
 	timers galenahead.Timers
 
@@ -49,3 +49,18 @@
 	go l.run(ctx)
 	return l
 }
+
+// retain ends the lanes of services that are not listed. Their waiting requests
+// end by their deadlines.
+func (s *lanes) retain(listed map[galenahead.ServiceName]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, cancel := range s.cancel {
+		if listed[name] {
+			continue
+		}
+		cancel()
+		delete(s.active, name)
+		delete(s.cancel, name)
+	}
+}
--- a/galenaentry/queue.go
+++ b/galenaentry/queue.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaqueue"
 )
 
 // queueFilter waits until the request has a slot, its deadline cannot be met
@@ -24,12 +25,12 @@
 			defer l.leave(t)
 			<-t.Done()
 			x.QueueWait += l.timers.Now().Sub(start)
-			dispatched, err := t.Result()
-			if err != nil {
-				return galenahead.NotRun(queueReason(err))
-			}
-			if !dispatched {
+			switch t.Final() {
+			case galenaqueue.StateExpired:
+				return galenahead.NotRun(ReasonDeadline)
+			case galenaqueue.StateCancelled:
 				return galenahead.NotRun(ReasonCancelled)
+			case galenaqueue.StateWaiting, galenaqueue.StateDispatched:
 			}
 			x.Lease = t.Lease()
 			return next(ctx, x)
--- /dev/null
+++ b/galenaentry/report.go
@@ -0,0 +1,90 @@
+package galenaentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenabroker"
+	"github.com/galenahead/galenahead/galenabudget"
+	"github.com/galenahead/galenahead/galenaconfig"
+)
+
+const (
+	// reportPeriod is the time between two reports to the control leader.
+	reportPeriod = time.Second
+	// reportTimeout bounds one report.
+	reportTimeout = 500 * time.Millisecond
+)
+
+// reporter tells the control leader what the brokers at this entry know.
+type reporter struct {
+	self     galenahead.EntryName
+	control  []string
+	caller   galenahead.Caller
+	timers   galenahead.Timers
+	follower *galenaconfig.Follower
+	broker   *galenabroker.Service
+	budgets  *galenabudget.Tracker
+
+	leader int
+	// pending is the leader's newest mark, held the newest one whose revision
+	// this entry holds.
+	pending, held galenaconfig.Mark
+}
+
+// Run reports until ctx ends.
+func (p *reporter) Run(ctx context.Context) error {
+	ticks := p.timers.Subscribe(ctx, "entry.report", reportPeriod)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+			p.report(ctx)
+		}
+	}
+}
+
+func (p *reporter) report(ctx context.Context) {
+	// The revision is read before the counts: they then include its effect.
+	if p.follower.Config().Revision >= p.pending.Revision {
+		p.held = p.pending
+	}
+	r := galenaconfig.EntryReport{Entry: p.self, AsOf: p.held, Services: p.services()}
+	if len(r.Services) == 0 {
+		return
+	}
+	for range p.control {
+		if p.send(ctx, r) {
+			return
+		}
+		p.leader = (p.leader + 1) % len(p.control)
+	}
+}
+
+func (p *reporter) send(ctx context.Context, r galenaconfig.EntryReport) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var reply galenaconfig.ReportReply
+	if err := p.caller.Call(ctx, p.control[p.leader], galenaconfig.MethodReport, r, &reply); err != nil {
+		return false
+	}
+	p.pending = reply.Mark
+	return true
+}
+
+// services returns the reports of the brokers here that know all grants.
+func (p *reporter) services() []galenaconfig.ServiceReport {
+	now := p.timers.Now()
+	var list []galenaconfig.ServiceReport
+	for _, o := range p.broker.Outstanding() {
+		if !o.Ready {
+			continue
+		}
+		list = append(list, galenaconfig.ServiceReport{
+			Service: o.Service, Epoch: o.Epoch, SlotsOut: o.VMs, Budget: max(p.budgets.Lowest(now, o.Service), 0),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/galenaentry/server.go
@@ -0,0 +1,160 @@
+package galenaentry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenaqueue"
+	"github.com/galenahead/galenahead/galenaretry"
+	"github.com/galenahead/galenahead/galenaroute"
+	"github.com/galenahead/galenahead/galenaupstream"
+)
+
+const (
+	// sweepIdlePeriod is how often idle connections to upstreams are looked at.
+	sweepIdlePeriod = time.Second
+	// idleTimeout closes callers' idle connections.
+	idleTimeout = 2 * time.Minute
+	// readTimeout bounds the time a caller may take to send a request.
+	readTimeout = 30 * time.Second
+)
+
+// ServerConfig configures a Server. Only MaxBody and Limits may be zero.
+type ServerConfig struct {
+	Name     galenahead.EntryName
+	Timers   galenahead.Timers
+	Gate     Gate
+	Claims   galenahead.Claimer
+	Slots    slotPool
+	Router   *galenaroute.Router
+	Observer Observer
+	// MaxBody is the largest request and answer body, in bytes; 0 means 16 MiB.
+	MaxBody int
+	// Limits bounds the queue of each service.
+	Limits galenaqueue.Config
+}
+
+// Server answers callers.
+type Server struct {
+	cfg      ServerConfig
+	lanes    *lanes
+	attempts *attempts
+	accept   *acceptor
+}
+
+const defaultMaxBody = 16 << 20
+
+// NewServer returns a server without services; SetServices adds them.
+func NewServer(cfg ServerConfig) *Server {
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = defaultMaxBody
+	}
+	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers}}
+	s.attempts = &attempts{sender: &galenaupstream.Sender{MaxBody: cfg.MaxBody}, lanes: s.lanes, timers: cfg.Timers}
+	s.accept = &acceptor{
+		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
+		handle: Chain(s.attempts.handle,
+			claimFilter(cfg.Claims),
+			retryFilter(&galenaretry.Budgets{}, cfg.Timers),
+			queueFilter(s.lanes),
+		),
+	}
+	return s
+}
+
+// Service is what the server needs to know of a configured service.
+type Service struct {
+	Name galenahead.ServiceName
+	// Weights are the callers' shares.
+	Weights map[galenahead.CallerName]int
+	// Connections is how many connections all entries together may open to one
+	// instance.
+	Connections int
+}
+
+// SetServices starts the lanes of new services, updates the weights of the
+// others and ends those that are not listed. ctx bounds the lanes' lives.
+func (s *Server) SetServices(ctx context.Context, services []Service) {
+	listed := make(map[galenahead.ServiceName]bool, len(services))
+	for _, svc := range services {
+		listed[svc.Name] = true
+		cfg := s.cfg.Limits
+		cfg.Estimate = s.estimate
+		s.lanes.ensure(ctx, svc.Name, cfg).queue.SetWeights(svc.Weights)
+	}
+	s.lanes.retain(listed)
+}
+
+// estimate returns the learned run time of a request.
+func (s *Server) estimate(r galenahead.Request) galenaqueue.Estimate {
+	sum, ok := s.cfg.Router.Times.Summary(r.Service)
+	if !ok {
+		return galenaqueue.Estimate{}
+	}
+	return galenaqueue.Estimate{Shortest: sum.Shortest, Mean: sum.Mean}
+}
+
+// Serve answers callers on ln until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &fasthttp.Server{
+		Handler: s.accept.serve, NoDefaultServerHeader: true, MaxRequestBodySize: s.cfg.MaxBody,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultContentType: true,
+	}
+	go s.loopSweep(ctx)
+	return galenadaemon.ServeHTTP(ctx, srv, ln)
+}
+
+// loopSweep closes idle connections to upstreams.
+func (s *Server) loopSweep(ctx context.Context) {
+	ticks := s.cfg.Timers.Subscribe(ctx, "entry.idle", sweepIdlePeriod)
+	for {
+		select {
+		case <-ctx.Done():
+			s.attempts.sender.Pool.Close()
+			return
+		case now := <-ticks:
+			s.attempts.sender.Pool.Sweep(now)
+		}
+	}
+}
+
+// InFlight returns the number of requests being handled.
+func (s *Server) InFlight() int64 { return s.accept.inFlight.Load() }
+
+// Stop refuses new requests and waits until those in flight have ended,
+// attempts whose callers no longer wait included. It fails with the context's
+// error.
+func (s *Server) Stop(ctx context.Context) error {
+	s.accept.stopping.Store(true)
+	w := &stopWait{server: s, done: make(chan struct{})}
+	go w.run()
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "requests still in flight")
+	}
+}
+
+// stopWait waits for the requests in flight.
+type stopWait struct {
+	server *Server
+	done   chan struct{}
+}
+
+// drainPoll is how often a stopping entry counts its requests in flight.
+const drainPoll = 10 * time.Millisecond
+
+func (w *stopWait) run() {
+	defer close(w.done)
+	for w.server.InFlight() > 0 {
+		time.Sleep(drainPoll)
+	}
+	w.server.attempts.open.Wait()
+}
--- a/galenaupstream/send.go
+++ b/galenaupstream/send.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -58,7 +59,7 @@
 	}
 	if !valid() {
 		s.Pool.put(addr, c)
-		return galenahead.Answer{}, eris.Wrap(ErrUnsent, galenahead.ErrLeaseExpired.Error())
+		return galenahead.Answer{}, errors.Join(ErrUnsent, galenahead.ErrLeaseExpired)
 	}
 	a, reusable, err := s.exchange(c, addr, r, attempt)
 	if err != nil || !reusable || !stop() {
