Run the whole path in separate processes

Cause: nothing showed a request, a move and a configuration pass through separate processes. The first runs found that bootstrap needs incarnations that an operator could not know, and that a request key issued within 4.5 s of an entry's start is refused by its claim replicas, as it must be.

Ruled out: an incarnation of zero in bootstrap (a replica that lost its disk could then be taken for a voter).

Before: bootstrap failed with "needs an incarnation".

Conclusion: the parts fit; placement and process tests come next.

--- a/cmd/galenactl/client/client.go
+++ b/cmd/galenactl/client/client.go
@@ -120,6 +120,22 @@
 	})
 }
 
+// Each calls Status at every address, for what only the answering daemon
+// knows. It fails when one of them does not answer.
+func (c *Client) Each(ctx context.Context) ([]*galenapb.StatusReply, error) {
+	var list []*galenapb.StatusReply
+	for _, address := range c.addresses {
+		r, err := attempt(ctx, c, address, 0, func(ctx context.Context, cc galenapb.ControlClient) (*galenapb.StatusReply, error) {
+			return cc.Status(ctx, &galenapb.StatusRequest{})
+		})
+		if err != nil {
+			return nil, eris.Wrapf(typed(err), "status of %s", address)
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
+
 // Bootstrap starts a blank cluster at the first address. It is never resent
 // elsewhere, because a second daemon would start a second cluster.
 func (c *Client) Bootstrap(ctx context.Context, req *galenapb.BootstrapRequest) (*galenapb.BootstrapReply, error) {
--- a/cmd/galenactl/cluster/cluster.go
+++ b/cmd/galenactl/cluster/cluster.go
@@ -54,7 +54,8 @@
 // statusRows returns one row for the cluster, each replica and each entry.
 func statusRows(r *galenapb.StatusReply) [][]any {
 	rows := [][]any{{"cluster", r.GetLeader(), "leader", r.GetRevision(),
-		fmt.Sprintf("term %d, index %d, answered by %s (%s)", r.GetTerm(), r.GetCommitIndex(), r.GetName(), r.GetRole())}}
+		fmt.Sprintf("term %d, index %d, answered by %s (%s, incarnation %d)",
+			r.GetTerm(), r.GetCommitIndex(), r.GetName(), r.GetRole(), r.GetIncarnation())}}
 	for _, m := range r.GetMembers() {
 		rows = append(rows, []any{"replica", m.GetName(), memberState(r, m), "",
 			fmt.Sprintf("%s, incarnation %d", m.GetAddress(), m.GetIncarnation())})
@@ -98,14 +99,11 @@
 		Short: "Start a blank cluster through the first --control address",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := cli.Require(cmd, "member"); err != nil {
-				return err
-			}
 			return runF(cmd.Context(), o)
 		},
 	}
 	cmd.Flags().StringSliceVar(&o.Members, "member", nil,
-		"voter of the new cluster, repeated or comma-separated (name=ip:port[/incarnation])")
+		"voter of the new cluster, default every daemon at --control (name=ip:port/incarnation[,...])")
 	return cmd
 }
 
@@ -119,6 +117,13 @@
 		req.Members = append(req.Members, m)
 	}
 	return o.Factory.Query(ctx, func(ctx context.Context, c *client.Client) error {
+		if len(req.GetMembers()) == 0 {
+			members, err := allMembers(ctx, c)
+			if err != nil {
+				return err
+			}
+			req.Members = members
+		}
 		r, err := c.Bootstrap(ctx, req)
 		if err != nil {
 			return eris.Wrap(err, "bootstrap; see galenactl cluster status before a second attempt")
@@ -127,6 +132,21 @@
 	})
 }
 
+// allMembers returns the daemons at every address as voters.
+func allMembers(ctx context.Context, c *client.Client) ([]*galenapb.Member, error) {
+	replies, err := c.Each(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var members []*galenapb.Member
+	for _, r := range replies {
+		members = append(members, &galenapb.Member{
+			Name: r.GetName(), Address: r.GetPeerAddress(), Incarnation: r.GetIncarnation(), Voter: true,
+		})
+	}
+	return members, nil
+}
+
 // parseMember reads name=ip:port[/incarnation].
 func parseMember(s string) (*galenapb.Member, error) {
 	bad := cli.Usagef("--member %q is not of the form name=ip:port[/incarnation]", s)
--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -84,7 +84,10 @@
 	for _, c := range d.settings.Control {
 		addresses[c.Name] = c.Operator.String()
 	}
-	d.operator = &Operator{Store: d.store, Publisher: publisher, Timers: d.timers, Addresses: addresses, RolledOut: d.rolledOut}
+	d.operator = &Operator{
+		Store: d.store, Publisher: publisher, Timers: d.timers, Addresses: addresses,
+		PeerAddress: d.settings.Listen.Peer.String(), RolledOut: d.rolledOut,
+	}
 	d.driver = &Driver{
 		Store: d.store, Reports: reports, Timers: d.timers, Log: d.log, Metrics: &d.metrics,
 		Platform: &Platform{Address: d.settings.Platform.Worker.String()}, RenewInterval: d.settings.Platform.RenewInterval,
--- a/galenacontrol/operator.go
+++ b/galenacontrol/operator.go
@@ -31,6 +31,8 @@
 	Timers    galenahead.Timers
 	// Addresses maps replicas to their operator addresses.
 	Addresses map[galenahead.ReplicaName]string
+	// PeerAddress is where the other replicas reach this one.
+	PeerAddress string
 	// RolledOut is called with the roll-out time of each change whose effect
 	// was awaited. It may be nil.
 	RolledOut func(time.Duration)
@@ -55,6 +57,7 @@
 	reply := &galenapb.StatusReply{
 		Name: string(st.Name), Role: st.Role, Leader: string(st.Leader), Term: st.Term,
 		CommitIndex: st.CommitIndex, Revision: uint64(o.Store.View().Revision()),
+		Incarnation: st.Incarnation, PeerAddress: o.PeerAddress,
 	}
 	for _, m := range st.Members {
 		reply.Members = append(reply.Members, memberPB(m))
--- a/galenaentry/lane.go
+++ b/galenaentry/lane.go
@@ -32,6 +32,15 @@
 
 	mu      sync.Mutex
 	waiting map[*galenaqueue.Ticket]*Exchange
+	// decisions holds the routing decision behind each slot taken, by slot lease,
+	// until its request goes on.
+	decisions map[uint64]decision
+}
+
+// decision is what the log tells of a routing decision.
+type decision struct {
+	candidates int
+	reason     string
 }
 
 // run dispatches waiting requests when slots are added, and on every sweep.
@@ -96,10 +105,28 @@
 
 // take chooses a free slot for r.
 func (l *lane) take(now time.Time, r galenahead.Request) (galenahead.SlotLease, bool) {
-	return l.slots.TakeFor(l.service, r.Caller, func(candidates []galenahead.SlotLease) int {
-		i, _ := l.router.Choose(now, r, candidates)
+	var d decision
+	lease, ok := l.slots.TakeFor(l.service, r.Caller, func(candidates []galenahead.SlotLease) int {
+		i, reason := l.router.Choose(now, r, candidates)
+		d = decision{candidates: len(candidates), reason: reason}
 		return i
 	})
+	if !ok {
+		return lease, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.decisions[lease.ID] = d
+	return lease, true
+}
+
+// decided returns the decision behind a slot lease and forgets it.
+func (l *lane) decided(lease galenahead.SlotLease) decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.decisions[lease.ID]
+	delete(l.decisions, lease.ID)
+	return d
 }
 
 // sweep drops requests that are no longer worth serving and reports the demand.
--- a/galenaentry/lanes.go
+++ b/galenaentry/lanes.go
@@ -37,7 +37,7 @@
 	}
 	l := &lane{
 		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers,
-		waiting: make(map[*galenaqueue.Ticket]*Exchange),
+		waiting: make(map[*galenaqueue.Ticket]*Exchange), decisions: make(map[uint64]decision),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	if s.active == nil {
--- a/galenaentry/queue.go
+++ b/galenaentry/queue.go
@@ -33,6 +33,8 @@
 			case galenaqueue.StateWaiting, galenaqueue.StateDispatched:
 			}
 			x.Lease = t.Lease()
+			d := l.decided(x.Lease)
+			x.Candidates, x.RouteReason = d.candidates, d.reason
 			return next(ctx, x)
 		}
 	}
--- /dev/null
+++ b/test/galena-local/deployment/settings.go
@@ -0,0 +1,91 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// writeSettings writes the settings file of every daemon.
+func (d *Deployment) writeSettings() error {
+	for _, c := range d.controls {
+		if err := d.write(c.Name, d.controlSettings(c)); err != nil {
+			return err
+		}
+	}
+	for _, e := range d.entries {
+		if err := d.write(e.Name, d.entrySettings(e)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) write(name, text string) error {
+	err := os.WriteFile(filepath.Join(d.dir, name+".ini"), []byte(text), 0o644)
+	return eris.Wrapf(err, "write settings of %s", name)
+}
+
+func (d *Deployment) controlSettings(c *Control) string {
+	return process(c.Name, c.dataCentre) + fmt.Sprintf(`
+[listen]
+operator_address = %s
+peer_address = %s
+status_address = %s
+
+[data]
+directory = %s
+
+[platform]
+worker_address = %s
+renew_interval = 1s
+`, c.operator, c.peer, c.status, c.DataDir, d.platform) + d.lists()
+}
+
+func (d *Deployment) entrySettings(e *Entry) string {
+	return process(e.Name, e.dataCentre) + fmt.Sprintf(`
+[listen]
+caller_address = %s
+upstream_address = %s
+status_address = %s
+peer_address = %s
+
+[limits]
+max_body_kb = 1024
+queue_per_service = 2000
+queue_mb = 64
+default_deadline = 2s
+claim_window = 10m
+claim_memory_mb = 64
+`, e.Caller, e.Upstream, e.Status, e.peer) + d.lists()
+}
+
+func process(name, dataCentre string) string {
+	return fmt.Sprintf(`[process]
+name = %s
+data_centre = %s
+region = hokkaido
+stop_delay = 200ms
+log_level = info
+log_file = -
+max_procs = 2
+`, name, dataCentre)
+}
+
+// lists returns the sections that all daemons share.
+func (d *Deployment) lists() string {
+	var b strings.Builder
+	b.WriteString("\n[entries]\n")
+	for _, e := range d.entries {
+		fmt.Fprintf(&b, "%s = %s %s\n", e.Name, e.dataCentre, e.peer)
+	}
+	b.WriteString("\n[control]\n")
+	for _, c := range d.controls {
+		fmt.Fprintf(&b, "%s = %s %s %s\n", c.Name, c.dataCentre, c.peer, c.operator)
+	}
+	b.WriteString("\n[weights]\nbuffer_cost = 1\nrollout_time = 1\n")
+	return b.String()
+}
