--- a/galenastate/apply_vm.go
+++ b/galenastate/apply_vm.go
@@ -74,25 +74,35 @@
 	return checkSize(v.Cores, v.MemoryMB, v.Accelerators)
 }
 
+// vmRemove starts the removal. The VM is deleted with the release proof, since
+// its name could otherwise be added to another pool while the old one uses it.
 func (ch *change) vmRemove(r *VMRemove) error {
 	vm, ok := ch.vms.get(r.VM)
 	if !ok {
 		return notFound("vm", r.VM)
 	}
-	if vm.Phase != PhaseOwned && vm.Phase != PhaseFree {
+	if vm.Phase == PhaseFree {
+		ch.deleteVM(r.VM)
+		return nil
+	}
+	if vm.Phase != PhaseOwned {
 		return invalid("phase", vm.Phase.String(), "owned or free")
 	}
-	if vm.Wave != "" {
+	if ch.outOpen(vm) {
 		return invalid("wave", vm.Wave, "a VM that no wave has out")
 	}
-	if vm.Jobs > 0 {
-		return invalid("jobs", vm.Jobs, "a VM without jobs")
-	}
-	ch.vms.del(ch.gen, r.VM)
-	ch.touch(kindVM, string(r.VM))
+	next := *vm
+	ch.leaveWave(&next)
+	next.Phase = PhaseReleasing
+	ch.setPhase(next)
 	return nil
 }
 
+func (ch *change) deleteVM(name galenahead.VMName) {
+	ch.vms.del(ch.gen, name)
+	ch.touch(kindVM, string(name))
+}
+
 // fencedVM returns the VM if epoch is its current one.
 func (ch *change) fencedVM(name galenahead.VMName, epoch galenahead.Epoch) (VM, error) {
 	vm, ok := ch.vms.get(name)
@@ -159,6 +169,10 @@
 	if vm.Jobs != 0 {
 		return invalid("jobs", vm.Jobs, "0")
 	}
+	if vm.ToPool == "" {
+		ch.deleteVM(vm.Name)
+		return nil
+	}
 	vm.Phase = PhaseFree
 	vm.Pool = ""
 	vm.Released = vm.Epoch
@@ -180,7 +194,7 @@
 		return err
 	}
 	proved := next.Phase == PhaseFree && next.Released == next.Epoch
-	if !proved && !(ch.faults.ignoreProof && next.Phase == PhaseReleasing) {
+	if !proved && !(ch.faults.ignoreProof && next.ToPool != "") {
 		return invalid("phase", next.Phase.String(), "free, with the release proof for the epoch")
 	}
 	next.Phase = PhaseAcquiring
@@ -220,10 +234,13 @@
 		ch.repeated = true
 		return nil
 	}
-	if vm.Wave != "" && c.Condition != ConditionDown {
+	if c.Condition != ConditionDown && ch.outOpen(&vm) {
 		return invalid("condition", c.Condition.String(), "down, while wave "+vm.Wave+" has the VM out")
 	}
 	vm.Condition = c.Condition
+	if vm.Condition == ConditionUp {
+		ch.leaveWave(&vm)
+	}
 	ch.setVM(vm)
 	return nil
 }
--- a/galenastate/apply_wave.go
+++ b/galenastate/apply_wave.go
@@ -193,7 +193,7 @@
 	if vm.Condition != ConditionUp || vm.Wave != "" {
 		return invalid("condition", vm.Condition.String(), "up")
 	}
-	if out := ch.outOf(w); out >= w.MaxAtOnce {
+	if out := w.AllOut(); out >= w.MaxAtOnce {
 		return invalid("max_at_once", out+1, describeMax(int64(w.MaxAtOnce)))
 	}
 	vm.Wave = w.Name
@@ -203,18 +203,6 @@
 	return nil
 }
 
-// outOf returns how many VMs of the wave are out: on their way, or failed and
-// not up again.
-func (s *state) outOf(w *Wave) int32 {
-	out := w.Out
-	for _, name := range w.Failed {
-		if vm, ok := s.vms.get(name); ok && vm.Condition != ConditionUp {
-			out++
-		}
-	}
-	return out
-}
-
 // stepReboot needs the proof that nothing uses the VM. The new epoch lets the
 // platform recognise a reboot that a new leader sends again.
 func (ch *change) stepReboot(w *Wave, s *WaveStep, vm VM, at WaveVM) error {
@@ -256,9 +244,9 @@
 	return nil
 }
 
+// stepFail leaves the VM with the wave until it is up again or removed.
 func (ch *change) stepFail(w *Wave, s *WaveStep, vm VM) error {
 	vm.Condition = ConditionDown
-	vm.Wave = ""
 	w.Out--
 	w.Failures++
 	w.Failed = append(slices.Clone(w.Failed), vm.Name)
@@ -266,6 +254,28 @@
 	return nil
 }
 
+// leaveWave ends a failed VM's part in its wave.
+func (ch *change) leaveWave(vm *VM) {
+	old, ok := ch.waves.get(vm.Wave)
+	vm.Wave = ""
+	if !ok {
+		return
+	}
+	w := *old
+	w.Failed = without(w.Failed, vm.Name)
+	ch.waves.put(ch.gen, w.Name, &w)
+}
+
+// outOpen tells whether the VM is out in a wave and has not failed.
+func (s *state) outOpen(vm *VM) bool {
+	w, ok := s.waves.get(vm.Wave)
+	if !ok {
+		return false
+	}
+	at, reached := w.VM(vm.Name)
+	return reached && at.Open()
+}
+
 func (ch *change) stepAbort(w *Wave, s *WaveStep, vm VM, at WaveVM) error {
 	if at.State != StepDraining || vm.Condition != ConditionDraining {
 		return invalid("condition", vm.Condition.String(), "draining")
--- a/galenastate/command.go
+++ b/galenastate/command.go
@@ -54,7 +54,8 @@
 	Accelerators int32                 `cbor:"8,keyasint,omitempty" json:"accelerators,omitempty"`
 }
 
-// VMRemove removes a VM that is owned or free and has no jobs.
+// VMRemove removes a VM. A free VM is deleted at once, an owned one is released
+// first and deleted with the release proof.
 type VMRemove struct {
 	VM galenahead.VMName `cbor:"1,keyasint" json:"vm"`
 }
--- a/galenastate/record.go
+++ b/galenastate/record.go
@@ -28,14 +28,16 @@
 	Epoch     galenahead.Epoch `cbor:"9,keyasint,omitempty" json:"epoch,omitempty"`
 	Phase     Phase            `cbor:"10,keyasint,omitempty" json:"phase,omitzero"`
 	Condition Condition        `cbor:"11,keyasint,omitempty" json:"condition,omitzero"`
-	// ToPool is the target of a move, until the VM is acquired.
+	// ToPool is the target of a move, until the VM is acquired. A VM that is
+	// being released without a target is being removed.
 	ToPool galenahead.PoolName `cbor:"12,keyasint,omitempty" json:"to_pool,omitempty"`
 	// Home is the pool in which operators put the VM. Another owner has
 	// borrowed it.
 	Home galenahead.PoolName `cbor:"13,keyasint,omitempty" json:"home,omitempty"`
 	// Released is the epoch for which the release was proved.
 	Released galenahead.Epoch `cbor:"14,keyasint,omitempty" json:"released,omitempty"`
-	// Wave names the wave that has the VM out.
+	// Wave names the wave that has the VM out, or in which it failed until it is
+	// up again.
 	Wave string `cbor:"15,keyasint,omitempty" json:"wave,omitempty"`
 	// Parked workers get no jobs.
 	Parked bool `cbor:"16,keyasint,omitempty" json:"parked,omitempty"`
@@ -160,8 +162,8 @@
 	Out int32 `cbor:"8,keyasint,omitempty" json:"out"`
 	// Failures is the number of failures since the wave was started or resumed.
 	Failures int32 `cbor:"9,keyasint,omitempty" json:"failures"`
-	// Failed lists the VMs that failed in the wave; they count as out until
-	// they are up again or removed.
+	// Failed lists the VMs that failed in the wave and are neither up again nor
+	// removed.
 	Failed    []galenahead.VMName `cbor:"10,keyasint,omitempty" json:"failed,omitempty"`
 	StartedMS int64               `cbor:"11,keyasint,omitempty" json:"started_ms"`
 	EndedMS   int64               `cbor:"12,keyasint,omitempty" json:"ended_ms,omitempty"`
@@ -177,6 +179,9 @@
 	return w.State == WaveRunning || w.State == WavePaused || w.State == WaveStopped
 }
 
+// AllOut returns how many VMs of the wave are out, failed ones included.
+func (w Wave) AllOut() int32 { return w.Out + int32(len(w.Failed)) }
+
 // VM returns the state of one VM in the wave, if the wave has reached it.
 func (w Wave) VM(name galenahead.VMName) (WaveVM, bool) {
 	v, ok := w.steps.get(name)
--- a/galenastate/view.go
+++ b/galenastate/view.go
@@ -97,9 +97,6 @@
 // Waves returns all kept waves, sorted by name.
 func (v *View) Waves() []Wave { return v.waves.list() }
 
-// OutOf returns how many VMs of a wave are out, failed ones included.
-func (v *View) OutOf(w Wave) int32 { return v.outOf(&w) }
-
 // Job returns one job.
 func (v *View) Job(id galenahead.JobID) (Job, bool) { return value(v.jobs.get(id)) }
 
--- a/galenawave/wave.go
+++ b/galenawave/wave.go
@@ -25,7 +25,7 @@
 
 // planWave returns the next steps of one wave.
 func (p *Planner) planWave(v *galenastate.View, w galenastate.Wave, m Measurements, now time.Time) []galenastate.Command {
-	s := &waveSteps{wave: w, view: v, now: now, next: w.Next, failures: w.Failures, out: v.OutOf(w)}
+	s := &waveSteps{wave: w, view: v, now: now, next: w.Next, failures: w.Failures, out: w.AllOut()}
 	for _, at := range w.VMs() {
 		if at.Open() {
 			s.advance(at, m.VMs[at.VM])
