Add unit tests, a recorded trace and benchmarks of the control state

Cause: quotas, attribution, bounds of the tables and the cost at 16,000 VMs had no test and no figure.

Ruled out: nothing yet.

Before: no figures.

--- a/galenastate/apply_job.go
+++ b/galenastate/apply_job.go
@@ -69,9 +69,8 @@
 	if total.Fits(team.Quota) {
 		return nil
 	}
-	found := fmt.Sprintf("%+v, for a job of %+v", total, size)
-	allowed := fmt.Sprintf("the quota of team %s, %+v", team.Name, team.Quota)
-	return &refusal{CodeQuota, describe("size", found, allowed)}
+	allowed := fmt.Sprintf("the quota of team %s, which is %v, including this job of %v", team.Name, team.Quota, size)
+	return &refusal{CodeQuota, describe("size", total, allowed)}
 }
 
 func (ch *change) jobCancel(c *JobCancel) error {
--- /dev/null
+++ b/galenastate/bench_test.go
@@ -0,0 +1,179 @@
+package galenastate
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/galenahead/galenahead"
+)
+
+// The scale in two years: workers, pools and teams; RequestLimit request ids.
+const (
+	benchVMs   = 16000
+	benchPools = 25
+	benchTeams = 800
+)
+
+func benchVM(i int) galenahead.VMName { return galenahead.VMName(fmt.Sprintf("worker-%05d", i)) }
+
+func benchMachine(tb testing.TB) *Machine {
+	m := &Machine{}
+	for i := range benchPools {
+		operate(tb, m, Change{PoolSet: &Pool{Name: galenahead.PoolName(fmt.Sprintf("pool-%02d", i))}})
+	}
+	for i := range benchTeams {
+		operate(tb, m, Change{TeamSet: &TeamSet{Name: galenahead.TeamName(fmt.Sprintf("team-%03d", i)), Quota: Size{Cores: 1000, MemoryMB: 1 << 20}}})
+	}
+	for i := range benchVMs {
+		operate(tb, m, Change{VMAdd: &VMAdd{
+			Name:       benchVM(i),
+			Pool:       galenahead.PoolName(fmt.Sprintf("pool-%02d", i*benchPools/benchVMs)),
+			DataCentre: galenahead.DataCentre(fmt.Sprintf("dc-%02d", i%36)),
+			Rack:       galenahead.RackName(fmt.Sprintf("rack-%04d", i/4)),
+			Address:    fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250),
+			Cores:      64,
+			MemoryMB:   131072,
+		}})
+	}
+	for i := range RequestLimit {
+		r := apply(tb, m, benchSetting(i, m.View().Revision()))
+		if r.Code != CodeOK {
+			tb.Fatal(r)
+		}
+	}
+	return m
+}
+
+func benchSetting(i int, base galenahead.Revision) Command {
+	id := fmt.Sprintf("018f3a2b-7c4d-7e8f-9a0b-%012d", i)
+	return Command{RequestID: id, Operator: "sato", Base: base, TimeMS: 1767225600000,
+		Change: Change{SettingSet: &Setting{Key: fmt.Sprint("key-", i%50), Value: "value"}}}
+}
+
+func benchCondition(i int, vm VM) Command {
+	return Command{Operator: "galena-control", TimeMS: 1767225600000,
+		Change: Change{VMCondition: &VMCondition{VM: vm.Name, Epoch: vm.Epoch, Condition: ConditionDown * Condition(1-i/benchVMs%2)}}}
+}
+
+// BenchmarkApply measures one command, without and with a view taken after
+// each.
+func BenchmarkApply(b *testing.B) {
+	m := benchMachine(b)
+	for _, view := range []bool{false, true} {
+		b.Run(fmt.Sprintf("operator/view=%v", view), func(b *testing.B) {
+			base, size := m.View().Revision(), 0
+			for i := 0; b.Loop(); i++ {
+				c := benchSetting(int(base)+i, base+galenahead.Revision(i))
+				record, _ := c.Encode()
+				size += len(record)
+				m.Apply(1, record)
+				if view {
+					m.View()
+				}
+			}
+			b.ReportMetric(float64(size)/float64(b.N), "record-bytes/op")
+		})
+		b.Run(fmt.Sprintf("driver/view=%v", view), func(b *testing.B) {
+			v, size := m.View(), 0
+			for i := 0; b.Loop(); i++ {
+				vm, _ := v.VM(benchVM(i * 7919 % benchVMs))
+				record, _ := benchCondition(i, vm).Encode()
+				size += len(record)
+				m.Apply(1, record)
+				if view {
+					m.View()
+				}
+			}
+			b.ReportMetric(float64(size)/float64(b.N), "record-bytes/op")
+		})
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	m := benchMachine(b)
+	for b.Loop() {
+		s, err := m.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(s)), "snapshot-bytes")
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	s, err := benchMachine(b).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if err := new(Machine).Restore(s); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkView measures reading: a view without a change since the last one,
+// a walk over all VMs, and the encoding of the whole configuration and of a
+// delta of one VM.
+func BenchmarkView(b *testing.B) {
+	m := benchMachine(b)
+	b.Run("unchanged", func(b *testing.B) {
+		for b.Loop() {
+			m.View()
+		}
+	})
+	b.Run("walk", func(b *testing.B) {
+		v, n := m.View(), 0
+		for b.Loop() {
+			for vm := range v.VMs() {
+				n += int(vm.Cores)
+			}
+		}
+	})
+	b.Run("full", func(b *testing.B) {
+		for b.Loop() {
+			d, _ := json.Marshal(m.View().Full())
+			b.ReportMetric(float64(len(d)), "json-bytes")
+		}
+	})
+	b.Run("delta", func(b *testing.B) {
+		vm, _ := m.View().VM(benchVM(1))
+		from := m.View().Revision()
+		apply(b, m, benchCondition(0, vm))
+		for b.Loop() {
+			d, _ := m.View().Since(from)
+			j, _ := json.Marshal(d)
+			b.ReportMetric(float64(len(j)), "json-bytes")
+		}
+	})
+}
+
+// BenchmarkHeap reports the memory of the state, as built and as restored.
+func BenchmarkHeap(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		m := benchMachine(b)
+		b.ReportMetric(float64(heap()-before), "built-heap-bytes")
+		s, err := m.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		m = &Machine{}
+		before = heap()
+		if err := m.Restore(s); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(heap()-before), "restored-heap-bytes")
+		runtime.KeepAlive(m)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/galenastate/record.go
+++ b/galenastate/record.go
@@ -1,6 +1,10 @@
 package galenastate
 
-import "github.com/galenahead/galenahead"
+import (
+	"fmt"
+
+	"github.com/galenahead/galenahead"
+)
 
 // Records are immutable once they are in the state. The integer keys are the
 // format of log records and snapshots: a key is never given another meaning.
@@ -76,6 +80,11 @@
 	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators"`
 }
 
+// String returns the size with its units.
+func (s Size) String() string {
+	return fmt.Sprintf("%d cores, %d MB, %d accelerators", s.Cores, s.MemoryMB, s.Accelerators)
+}
+
 // Add returns s plus o.
 func (s Size) Add(o Size) Size {
 	return Size{s.Cores + o.Cores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
--- /dev/null
+++ b/galenastate/state_test.go
@@ -0,0 +1,280 @@
+package galenastate
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/galenahead/galenahead"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// apply proposes a command at the current revision.
+func apply(t testing.TB, m *Machine, c Command) Result {
+	t.Helper()
+	b, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := DecodeResult(m.Apply(1, b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// operate applies an operators' change, which must be accepted.
+func operate(t testing.TB, m *Machine, c Change) {
+	t.Helper()
+	v := m.View()
+	r := apply(t, m, Command{RequestID: fmt.Sprint("setup", v.Revision()), Operator: "op", Base: v.Revision(), Change: c})
+	if err := r.Err(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against views that change with the table, and against lost or
+// misplaced rows when chunks are split and emptied.
+func TestTableAgainstMap(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	var tab table[string, int]
+	want := map[string]int{}
+	gen := uint64(1)
+	var view table[string, int]
+	var viewed []int
+	for i := range 20000 {
+		key := fmt.Sprint(r.IntN(1000))
+		if r.IntN(3) == 0 && i < 15000 || i >= 15000 && r.IntN(4) > 0 {
+			tab.del(gen, key)
+			delete(want, key)
+		} else {
+			tab.put(gen, key, &i)
+			want[key] = i
+		}
+		got, ok := tab.get(key)
+		n, exists := want[key]
+		is.True(ok == exists && (!ok || *got == n))
+		is.Equal(tab.n, len(want))
+		if i%500 == 0 {
+			is.True(slices.Equal(view.list(), viewed))
+			view, gen = tab, gen+1
+			viewed = view.list()
+			is.Equal(len(viewed), len(want))
+		}
+	}
+}
+
+// Guards against a table of request ids that grows without bound, or that
+// forgets ids too early or in a snapshot.
+func TestRequestIDsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var m Machine
+	set := func(id int) Result {
+		return apply(t, &m, Command{RequestID: fmt.Sprint("id", id), Operator: "op", Base: m.View().Revision(),
+			Change: Change{SettingSet: &Setting{Key: "k", Value: fmt.Sprint(id)}}})
+	}
+	for id := range RequestLimit + 2 {
+		is.Equal(set(id).Revision, galenahead.Revision(id+1))
+	}
+	snap, err := m.Snapshot()
+	is.NoErr(err)
+	is.NoErr(m.Restore(snap))
+	is.Equal(set(2).Revision, galenahead.Revision(3))                           // oldest id that is kept
+	is.Equal(set(RequestLimit+1).Revision, galenahead.Revision(RequestLimit+2)) // newest id
+	is.Equal(len(m.requests.ring), RequestLimit)                                // bounded
+	is.Equal(len(m.requests.index), RequestLimit)                               // bounded
+	is.Equal(set(0).Revision, galenahead.Revision(RequestLimit+3))              // forgotten id is a new one
+	r := apply(t, &m, Command{RequestID: "id5", Operator: "op", Change: Change{SettingSet: &Setting{Key: "x"}}})
+	is.True(errors.Is(r.Err(), galenahead.ErrRequestIDReused))
+	is.True(m.View().History(0)[0].Revision == m.View().Revision())
+	is.True(len(m.View().History(0)) <= 2*HistoryLimit)
+}
+
+// Guards against results that lose their sentinel error or their winner on the
+// way to a client.
+func TestResultsAndErrors(t *testing.T) {
+	is := is.New(t)
+	for code, sentinel := range codeErrors {
+		r := Result{Code: Code(code), Message: "field: found 1, allowed is 2"}
+		if Code(code) == CodeConflict {
+			r.Message = ""
+			r.Winner = &Accepted{Revision: 7, Operator: "op", Change: Change{PoolSet: &Pool{Name: "p"}}}
+		}
+		decoded, err := DecodeResult(r.Encode())
+		is.NoErr(err)
+		is.True(errors.Is(decoded.Err(), sentinel))
+		back := ResultOf(decoded.Err())
+		is.Equal(back.Code, r.Code)
+		is.Equal(back.Winner, r.Winner)
+	}
+	is.Equal(ResultOf(errors.New("x")).Code, CodeInvalid)
+}
+
+// fleet returns a machine with VMs w0 to w3 and jobs j0 to j3 of team t.
+func fleet(t testing.TB) *Machine {
+	m := &Machine{}
+	operate(t, m, Change{PoolSet: &Pool{Name: "p"}})
+	operate(t, m, Change{TeamSet: &TeamSet{Name: "t", Quota: Size{Cores: 3}}})
+	for i := range 4 {
+		operate(t, m, Change{VMAdd: &VMAdd{Name: galenahead.VMName(fmt.Sprint("w", i)), Pool: "p", DataCentre: "d", Rack: "r"}})
+		operate(t, m, Change{JobSubmit: &JobSubmit{ID: galenahead.JobID(fmt.Sprint("j", i)), Team: "t", Pool: "p", Cores: 1}})
+	}
+	return m
+}
+
+// place gives a job to a worker.
+func place(t testing.TB, m *Machine, job galenahead.JobID, worker galenahead.VMName) Result {
+	j, _ := m.View().Job(job)
+	w, _ := m.View().VM(worker)
+	return apply(t, m, Command{Change: Change{JobPlaced: &JobPlacement{Job: job, Epoch: j.Epoch + 1, Worker: worker, WorkerEpoch: w.Epoch}}})
+}
+
+// fail lets a job fail on a worker.
+func fail(t testing.TB, m *Machine, job galenahead.JobID, worker galenahead.VMName) {
+	is := is.New(t)
+	is.NoErr(place(t, m, job, worker).Err())
+	j, _ := m.View().Job(job)
+	is.NoErr(apply(t, m, Command{Change: Change{JobFailed: &JobFailure{Job: job, Epoch: j.Epoch, Reason: "exit 1"}}}).Err())
+}
+
+// Guards against parking good workers for a job that cannot run, and good jobs
+// for a worker that fails everything.
+func TestAttributionOfFailures(t *testing.T) {
+	is := is.New(t)
+	m := fleet(t)
+	fail(t, m, "j0", "w0")
+	fail(t, m, "j0", "w0")
+	fail(t, m, "j0", "w1")
+	j, _ := m.View().Job("j0")
+	is.Equal(j.State, JobQueued) // two different workers
+	fail(t, m, "j0", "w2")
+	j, _ = m.View().Job("j0")
+	is.Equal(j.State, JobParked)
+	w, _ := m.View().VM("w0")
+	is.Equal(len(w.Failures), 0) // not attributed to the worker
+
+	fail(t, m, "j1", "w3")
+	fail(t, m, "j2", "w3")
+	fail(t, m, "j3", "w3")
+	w, _ = m.View().VM("w3")
+	is.True(w.Parked)
+	j, _ = m.View().Job("j1")
+	is.Equal(len(j.FailedOn), 0) // not attributed to the job
+	is.True(errors.Is(place(t, m, "j1", "w3").Err(), galenahead.ErrInvalid))
+
+	fail(t, m, "j1", "w1")
+	is.NoErr(place(t, m, "j2", "w1").Err())
+	j, _ = m.View().Job("j2")
+	is.NoErr(apply(t, m, Command{Change: Change{JobFinished: &JobEvent{Job: "j2", Epoch: j.Epoch}}}).Err())
+	w, _ = m.View().VM("w1")
+	is.Equal(len(w.Failures), 0) // a success ends the row
+}
+
+// Guards against quotas that hold for single jobs but not for their sum, and
+// against ended jobs that are kept for ever.
+func TestQuotasAndEndedJobs(t *testing.T) {
+	is := is.New(t)
+	m := fleet(t)
+	for i := range 3 {
+		is.NoErr(place(t, m, galenahead.JobID(fmt.Sprint("j", i)), "w0").Err())
+	}
+	is.True(errors.Is(place(t, m, "j3", "w1").Err(), galenahead.ErrQuota))
+	operate(t, m, Change{JobCancel: &JobCancel{ID: "j0"}})
+	is.True(errors.Is(place(t, m, "j3", "w1").Err(), galenahead.ErrQuota)) // the cancelled task still runs
+	j, _ := m.View().Job("j0")
+	apply(t, m, Command{Change: Change{JobFinished: &JobEvent{Job: "j0", Epoch: j.Epoch}}})
+	is.NoErr(place(t, m, "j3", "w1").Err())
+	for i := range endedLimit + 10 {
+		id := galenahead.JobID(fmt.Sprint("e", i))
+		operate(t, m, Change{JobSubmit: &JobSubmit{ID: id, Team: "t", Pool: "p"}})
+		operate(t, m, Change{JobCancel: &JobCancel{ID: id}})
+	}
+	is.Equal(m.View().JobCount(), 3+endedLimit)
+}
+
+// Guards against deltas with a gap after their oldest part was dropped.
+func TestDeltasAfterOverflow(t *testing.T) {
+	is := is.New(t)
+	var m Machine
+	var c Config
+	for i := range 3 * deltaLimit {
+		operate(t, &m, Change{SettingSet: &Setting{Key: fmt.Sprint("k", i), Value: "v"}})
+		if i < deltaLimit {
+			d, ok := m.View().Since(c.Revision)
+			is.True(ok)
+			c, ok = c.With(d)
+			is.True(ok)
+		}
+	}
+	v := m.View()
+	for from := galenahead.Revision(0); from < v.Revision()+2; from += 97 {
+		d, ok := v.Since(from)
+		is.True(!ok || len(d.Settings) == int(v.Revision()-from))
+		is.True(ok || from < v.Revision()-deltaLimit || from > v.Revision())
+	}
+}
+
+// Guards against a change of the outcome of recorded operators' and platform
+// events. A line of the trace is a command, or "restart".
+func TestRecordedTraces(t *testing.T) {
+	traces, err := filepath.Glob("testdata/*.jsonl")
+	is.New(t).NoErr(err)
+	for _, path := range traces {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			is := is.New(t)
+			got := replay(t, path)
+			golden := strings.TrimSuffix(path, ".jsonl") + ".golden"
+			if *update {
+				is.NoErr(os.WriteFile(golden, []byte(got), 0o644))
+			}
+			want, err := os.ReadFile(golden)
+			is.NoErr(err)
+			is.Equal(got, string(want))
+		})
+	}
+}
+
+func replay(t *testing.T, path string) string {
+	is := is.New(t)
+	f, err := os.Open(path)
+	is.NoErr(err)
+	defer f.Close()
+	var m Machine
+	var out strings.Builder
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		if lines.Text() == "restart" {
+			snap, err := m.Snapshot()
+			is.NoErr(err)
+			m = Machine{}
+			is.NoErr(m.Restore(snap))
+			fmt.Fprintf(&out, "%d restart\n", n)
+			continue
+		}
+		var c Command
+		is.NoErr(json.Unmarshal(lines.Bytes(), &c))
+		r := apply(t, &m, c)
+		outcome := "accepted"
+		if r.Repeated {
+			outcome = "repeated"
+		}
+		if err := r.Err(); err != nil {
+			outcome = err.Error()
+		}
+		fmt.Fprintf(&out, "%d %s revision=%d %s\n", n, c.Change.Kind(), r.Revision, outcome)
+	}
+	state, err := json.MarshalIndent(m.View().Full(), "", " ")
+	is.NoErr(err)
+	return out.String() + string(state) + "\n"
+}
