--- a/galenabroker/holdings.go
+++ b/galenabroker/holdings.go
@@ -26,8 +26,10 @@
 type Holdings struct {
 	service galenahead.ServiceName
 	life    uint32
-	broker  galenahead.EntryName
-	epoch   galenahead.Epoch
+	// replaces is the life of the account that the present one replaces.
+	replaces uint32
+	broker   galenahead.EntryName
+	epoch    galenahead.Epoch
 	// seq is the number of the last message, sent holds the send times.
 	seq     uint64
 	sent    [sentMemory]sentSync
@@ -119,14 +121,16 @@
 	}
 	h.refresh(now)
 	h.broker, h.epoch = broker, item.Epoch
+	h.replaces = 0
 	h.rebase()
 }
 
-// Rejoin starts a new account at the same broker under another life. The
-// broker asks for it when it took the present life for a former process.
+// Rejoin starts a new account at the same broker under another life, after the
+// broker closed the present one.
 func (h *Holdings) Rejoin(now galenapeer.Instant, life uint32) {
 	h.refresh(now)
-	h.life = life
+	h.replaces, h.life = h.life, life
+	h.lapses++
 	h.rebase()
 }
 
@@ -220,7 +224,9 @@
 	return now.Mono < u.expires
 }
 
-// Put marks a slot as unused. It tells whether the slot can be taken again.
+// Put marks a slot as unused. It tells whether the slot can be taken again. A
+// slot that was taken before the lease ran out, or in an older epoch, is
+// returned: the broker may meanwhile have counted it as free.
 func (h *Holdings) Put(now galenapeer.Instant, id uint64) bool {
 	h.refresh(now)
 	u, ok := h.uses[id]
@@ -235,7 +241,8 @@
 	x := u.hold
 	x.busy--
 	x.idle = append(x.idle, now.Mono)
-	if !h.leased || x.held() > max(x.limit, 0) && x.limit != noLimit {
+	stale := !h.leased || u.lapses != h.lapses || u.epoch != h.epoch
+	if stale || x.held() > max(x.limit, 0) && x.limit != noLimit {
 		h.giveBack(x, 1)
 		h.urgent = h.urgent || h.leased
 		return false
@@ -281,7 +288,7 @@
 	h.synced = now.Mono
 	h.urgent = false
 	h.sent[h.seq%sentMemory] = sentSync{h.seq, now.Mono}
-	item := SyncItem{Service: h.service, Epoch: h.epoch, Life: h.life, Seq: h.seq}
+	item := SyncItem{Service: h.service, Epoch: h.epoch, Life: h.life, Replaces: h.replaces, Seq: h.seq}
 	h.reported = 0
 	for _, m := range []map[galenahead.CallerName]int{h.waiting, h.running} {
 		for c, n := range m {
--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -11,8 +11,9 @@
 
 const (
 	// sendMargin is how long after the end of a slot lease a request that was
-	// sent under it may still be under way to the instance.
-	sendMargin = 500 * time.Millisecond
+	// sent under it may still be under way to the instance, and by how much an
+	// announcement may be older than the tick that it carries.
+	sendMargin = stallLimit + 200*time.Millisecond
 	// tickAge is the largest usual age of the broker's tick in an announcement:
 	// ticks come with the renewals.
 	tickAge = RenewInterval + 500*time.Millisecond
@@ -144,8 +145,10 @@
 }
 
 // Sync handles an entry's message and returns the reply. It fails with
-// ErrNotLeader for another epoch, and with ErrLeaseExpired for a process that
-// was replaced by a later one of the same entry.
+// ErrNotLeader for another epoch, and with ErrLeaseExpired for an account that
+// was replaced, or whose lease ended while the entry held slots. The entry then
+// starts a new account: late messages about the old one may grant slots that
+// have been counted as free since.
 func (l *Ledger) Sync(now galenapeer.Instant, q SyncRequest, item SyncItem) (GrantItem, error) {
 	i := slices.IndexFunc(l.entries, func(e galenapeer.Entry) bool { return e.Name == q.From })
 	if i < 0 || item.Epoch != l.tenure.Epoch {
@@ -154,8 +157,13 @@
 	if l.retired[item.Life] {
 		return GrantItem{}, galenahead.ErrLeaseExpired
 	}
-	s := l.session(now, l.entries[i], item.Life, q.UptimeMS)
-	known := s.update(now, item)
+	s := l.session(now, l.entries[i], item, q.UptimeMS)
+	known := s.merge(item)
+	if s.seq > 0 && now.Mono >= s.lapse() && s.held() > 0 {
+		l.retire(s)
+		return GrantItem{}, galenahead.ErrLeaseExpired
+	}
+	s.renew(now, item)
 	l.allocate(now)
 	s.changed = false
 	return l.grantItem(s, known), nil
@@ -241,21 +249,25 @@
 	return a.vm
 }
 
-// session returns the session of the sender's process. Requests of the entry's
-// former process may still be in flight, so that its account is kept.
-func (l *Ledger) session(now galenapeer.Instant, e galenapeer.Entry, life uint32, uptimeMS int64) *session {
+// session returns the session of the sender's account. Requests of the entry's
+// former process may still be in flight, so that its account is kept, unless
+// the new account replaces it.
+func (l *Ledger) session(now galenapeer.Instant, e galenapeer.Entry, item SyncItem, uptimeMS int64) *session {
 	s, ok := l.sessions[e.Name]
-	if ok && s.life == life {
+	if ok && s.life == item.Life {
 		return s
 	}
 	if ok {
-		l.retired[s.life] = true
-		l.former = append(l.former, s)
+		l.retire(s)
 	}
+	l.former = slices.DeleteFunc(l.former, func(f *session) bool {
+		ok = ok || f.entry.Name == e.Name
+		return f.entry.Name == e.Name && f.life == item.Replaces
+	})
 	started := now.Mono - time.Duration(uptimeMS)*time.Millisecond
 	s = &session{
 		entry:    e,
-		life:     life,
+		life:     item.Life,
 		old:      ok || started <= l.tenure.Won-l.maxRequest-SlotTTL,
 		accounts: make(map[galenahead.InstanceID]*account),
 	}
@@ -263,6 +275,12 @@
 	return s
 }
 
+func (l *Ledger) retire(s *session) {
+	l.retired[s.life] = true
+	l.former = append(l.former, s)
+	delete(l.sessions, s.entry.Name)
+}
+
 // observe lowers the bounds on what unreachable entries have in use, by an
 // announcement that the instance made after tick.
 func (l *Ledger) observe(a galenahead.Announcement, tick time.Duration) {
@@ -336,9 +354,8 @@
 	return !i.left && !drained && now.Mono < i.expires
 }
 
-// update takes the entry's message in and returns the grant totals that the
-// entry knows.
-func (s *session) update(now galenapeer.Instant, item SyncItem) map[galenahead.InstanceID]uint64 {
+// merge takes the entry's totals in and returns the grant totals that it knows.
+func (s *session) merge(item SyncItem) map[galenahead.InstanceID]uint64 {
 	known := make(map[galenahead.InstanceID]uint64, len(item.Held))
 	for _, h := range item.Held {
 		known[h.Instance] = h.Granted
@@ -349,8 +366,13 @@
 			a.vm = h.VM
 		}
 	}
+	return known
+}
+
+// renew renews the session, unless the message was overtaken by a later one.
+func (s *session) renew(now galenapeer.Instant, item SyncItem) {
 	if item.Seq <= s.seq {
-		return known
+		return
 	}
 	s.seq = item.Seq
 	s.synced = now.Mono
@@ -359,7 +381,6 @@
 	for _, a := range s.accounts {
 		a.cap = unbounded
 	}
-	return known
 }
 
 const unbounded = 1 << 30
--- a/galenabroker/link.go
+++ b/galenabroker/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenapeer"
@@ -79,9 +80,7 @@
 		return
 	}
 	s.accept(r.Items)
-	for _, name := range r.Retired {
-		s.rejoin(name)
-	}
+	s.rejoin(r.Retired)
 }
 
 func (l *link) callSync(ctx context.Context, q SyncRequest) (SyncReply, error) {
@@ -121,11 +120,19 @@
 	_ = s.cfg.Caller.Call(ctx, l.peer.Address, methodGrant, m, nil)
 }
 
-func (s *Service) rejoin(name galenahead.ServiceName) {
-	d := s.desk(name)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.holdings.Rejoin(s.clock.Now(), uint32(s.cfg.Random()))
+// rejoin starts new accounts in place of those with the given lives.
+func (s *Service) rejoin(lives []uint32) {
+	if len(lives) == 0 {
+		return
+	}
+	now := s.clock.Now()
+	for _, d := range s.allDesks() {
+		d.mu.Lock()
+		if slices.Contains(lives, d.holdings.life) {
+			d.holdings.Rejoin(now, uint32(s.cfg.Random()))
+		}
+		d.mu.Unlock()
+	}
 }
 
 // leaseCall sends lease items to one entry and counts its votes.
--- a/galenabroker/message.go
+++ b/galenabroker/message.go
@@ -104,8 +104,11 @@
 type SyncItem struct {
 	Service galenahead.ServiceName `json:"service"`
 	Epoch   galenahead.Epoch       `json:"epoch"`
-	// Life is random for each start of the sender's process.
+	// Life is random for each account of the sender. A process starts a new one
+	// when the broker closed the old one.
 	Life uint32 `json:"life"`
+	// Replaces is the life of the account that this one contains.
+	Replaces uint32 `json:"replaces,omitempty"`
 	// Seq grows with each message of the entry in this epoch.
 	Seq uint64 `json:"seq"`
 	// Demand is the number of waiting and running requests by caller.
@@ -127,9 +130,8 @@
 // not broker are left out.
 type SyncReply struct {
 	Items []GrantItem `json:"items"`
-	// Retired lists services for which the broker knows a later process of the
-	// sender. The sender starts a new account.
-	Retired []galenahead.ServiceName `json:"retired,omitempty"`
+	// Retired lists the lives of closed accounts. The sender starts new ones.
+	Retired []uint32 `json:"retired,omitempty"`
 }
 
 // Grant is the broker's account of an entry's slots at one instance.
--- a/galenabroker/service.go
+++ b/galenabroker/service.go
@@ -57,11 +57,12 @@
 type Service struct {
 	cfg   Config
 	clock *galenapeer.Clock
-	life  uint32
 	links []*link
 
+	// electorMu guards elector and stall.
 	electorMu sync.Mutex
 	elector   *Elector
+	stall     stall
 
 	mu      sync.RWMutex
 	desks   map[galenahead.ServiceName]*desk
@@ -81,7 +82,6 @@
 	s := &Service{
 		cfg:   cfg,
 		clock: galenapeer.NewClock(cfg.Timers),
-		life:  uint32(cfg.Random()),
 		desks: make(map[galenahead.ServiceName]*desk),
 	}
 	s.elector = NewElector(s.clock.Now(), cfg.Self, cfg.Entries, cfg.Random)
@@ -162,9 +162,15 @@
 }
 
 // Announce forwards an upstream's announcement to the service's broker. It
-// fails with ErrNotReady while no broker is known, and with the broker's or
-// the transport's error.
+// fails with ErrNotReady while no broker is known and just after the process
+// was paused, and with the broker's or the transport's error.
 func (s *Service) Announce(ctx context.Context, a galenahead.Announcement) error {
+	s.electorMu.Lock()
+	stalled := s.stall.stalled(s.clock.Now())
+	s.electorMu.Unlock()
+	if stalled {
+		return eris.Wrap(galenahead.ErrNotReady, "entry was paused")
+	}
 	d := s.desk(a.Service)
 	d.mu.Lock()
 	broker, epoch := d.holdings.Broker()
@@ -291,6 +297,7 @@
 		}
 	}
 	s.electorMu.Lock()
+	s.stall.tick(now)
 	items := s.elector.Tick(now, interval)
 	s.electorMu.Unlock()
 	s.lease(ctx, now, items)
@@ -389,7 +396,7 @@
 			case err == nil:
 				r.Items = append(r.Items, g)
 			case errors.Is(err, galenahead.ErrLeaseExpired):
-				r.Retired = append(r.Retired, item.Service)
+				r.Retired = append(r.Retired, item.Life)
 			}
 			s.wakePushes(l)
 		}
@@ -475,7 +482,7 @@
 	if d, ok := s.desks[name]; ok {
 		return d
 	}
-	d := &desk{holdings: NewHoldings(name, s.life), drained: s.drained}
+	d := &desk{holdings: NewHoldings(name, uint32(s.cfg.Random())), drained: s.drained}
 	d.holdings.SetDrained(s.drained)
 	s.desks[name] = d
 	return d
