Replay the decisions with the library's slot leases; fix false ejections

Cause: with suspects passed between entries, idle slots on healthy instances rose to 7-9 of 70 in a burst, because a timeout of a long request counted as a failure. Timeouts count from the second in a row and are not passed on; the entry that probes an instance tells the others when it works again.

Ruled out: keeping every entry's own probing (an instance that fails everything cost 60-89 requests instead of 9).

--- a/galenaroute/instance.go
+++ b/galenaroute/instance.go
@@ -26,8 +26,8 @@
 	// maxEjection bounds an ejection.
 	maxEjection = 10 * time.Second
 	// returnSteps is how many successes in a row bring an ejected instance back;
-	// after n of them it may have n+1 requests in flight.
-	returnSteps = 8
+	// after n of them it may have n+1 requests in flight from this entry.
+	returnSteps = 4
 	// probePatience is how long an ejected instance waits for an idempotent probe
 	// before any request may probe it. Without it, a service without idempotent
 	// requests would never get an instance back.
@@ -52,14 +52,20 @@
 	quietSince time.Time
 	// answeredAt is the last complete answer.
 	answeredAt time.Time
-	lastSeen   time.Time
-	lastStart  time.Time
+	// timeouts counts the timeouts since.
+	timeouts  int
+	lastSeen  time.Time
+	lastStart time.Time
 	// cost is the cost in the ranking under way.
 	cost float64
 	// ejected tells that the instance is out of use or on its way back.
 	ejected bool
-	// adopted tells that the ejection was another entry's measurement.
-	adopted   bool
+	// owner is the entry on whose behalf the instance is ejected, empty for an own
+	// ejection.
+	owner galenahead.EntryName
+	// private tells that the ejection is not passed on: timeouts at one entry are
+	// weak evidence.
+	private   bool
 	until     time.Time
 	ejections int
 	successes int
@@ -123,8 +129,15 @@
 	if in.successes < returnSteps {
 		return
 	}
+	in.back(now)
+}
+
+// back brings the instance back into use.
+func (in *instance) back(now time.Time) {
 	in.ejected = false
-	in.adopted = false
+	in.owner = ""
+	in.private = false
 	in.healthyAt = now
 	in.failures = 0
+	in.timeouts = 0
 }
--- a/galenaroute/route.go
+++ b/galenaroute/route.go
@@ -5,6 +5,7 @@
 package galenaroute
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,9 +38,9 @@
 	Succeeded Kind = iota
 	// Failed is a server error or a broken connection.
 	Failed
-	// TimedOut is an attempt that the entry gave up. It counts as a failure when
-	// the instance has answered nothing else since: with heavy-tailed run times a
-	// working instance has timeouts too.
+	// TimedOut is an attempt that the entry gave up. With heavy-tailed run times
+	// a working instance has timeouts too, so they count only when the instance
+	// has answered nothing else since, and from the second in a row.
 	TimedOut
 	// Unsent is an attempt that ended before a byte was sent, through no fault of
 	// the instance.
@@ -116,10 +117,7 @@
 	case Failed:
 		s.failed(now, in)
 	case TimedOut:
-		if now.Add(-res.RunTime).Before(in.answeredAt) {
-			return
-		}
-		s.failed(now, in)
+		s.timedOut(now, in, now.Add(-res.RunTime))
 	case Unsent:
 	}
 }
@@ -153,8 +151,8 @@
 	Instance galenahead.InstanceID  `json:"instance"`
 }
 
-// Suspects returns the instances that this entry has ejected by its own
-// measurement and probes itself.
+// Suspects returns the instances that this entry has ejected because of errors
+// and probes itself.
 func (rt *Router) Suspects() []Suspect {
 	rt.mu.RLock()
 	defer rt.mu.RUnlock()
@@ -166,13 +164,21 @@
 	return all
 }
 
-// Adopt ejects the instances that another entry suspects, within the same
-// bounds as the entry's own ejections, for as long as that entry names them. Of
-// several entries that suspect an instance the one with the lowest name probes
-// it.
+// Adopt takes over the complete list of another entry's suspects. An instance
+// is ejected, within the same bounds as by own measurement, until the other
+// entry, which probes it, no longer lists it. When nothing more is heard of that
+// entry, this one probes the instance after a second. Of several entries that
+// suspect an instance, the one with the lowest name probes it.
 func (rt *Router) Adopt(now time.Time, from galenahead.EntryName, suspects []Suspect) {
 	for _, x := range suspects {
-		rt.shard(x.Service).adopt(now, from < rt.cfg.Entry, x.Instance)
+		rt.shard(x.Service).adopt(now, rt.cfg.Entry, from, x.Instance)
+	}
+	rt.mu.RLock()
+	defer rt.mu.RUnlock()
+	for name, s := range rt.shards {
+		s.release(now, from, func(id galenahead.InstanceID) bool {
+			return slices.Contains(suspects, Suspect{Service: name, Instance: id})
+		})
 	}
 }
 
--- a/galenaroute/route_test.go
+++ b/galenaroute/route_test.go
@@ -172,6 +172,8 @@
 	w.rt.Adopt(w.now, "peer", []Suspect{{Service: "s", Instance: "i0"}})
 	is.Equal(w.rt.Usable(w.now, w.leases[0]), false)
 	is.Equal(len(w.rt.Suspects()), 0)
+	w.rt.Adopt(w.now, "peer", nil)
+	is.True(w.rt.Usable(w.now, w.leases[0]))
 }
 
 // Guards against changes of the choices that nobody intended: instance 3 is
--- a/galenaroute/shard.go
+++ b/galenaroute/shard.go
@@ -26,6 +26,9 @@
 	// adoptedFor is how long another entry's suspicion holds unless it is renewed:
 	// three heartbeats.
 	adoptedFor = time.Second
+	// timeoutsInRow is how many timeouts without an answer in between count as a
+	// failure.
+	timeoutsInRow = 2
 	// costTolerance is the relative difference up to which costs count as equal:
 	// half the resolution of the learned run times.
 	costTolerance = 0.1
@@ -157,6 +160,7 @@
 func (s *shard) succeeded(now time.Time, in *instance, d time.Duration) {
 	in.quietSince = now
 	in.answeredAt = now
+	in.timeouts = 0
 	in.failures -= in.failures * failureWeight
 	in.learn(d, s.median)
 	in.recover(now)
@@ -168,7 +172,20 @@
 	in.failures += (1 - in.failures) * failureWeight
 	if in.ejected || s.worseThanPeers(in) && s.mayEject(now, in) {
 		in.eject(now)
-		in.adopted = false
+		in.owner = ""
+		in.private = false
+	}
+}
+
+// timedOut counts an attempt that was sent at the given time and given up.
+func (s *shard) timedOut(now time.Time, in *instance, sent time.Time) {
+	if sent.Before(in.answeredAt) {
+		return
+	}
+	in.timeouts++
+	if in.timeouts >= timeoutsInRow {
+		s.failed(now, in)
+		in.private = in.ejected
 	}
 }
 
@@ -249,31 +266,46 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, in := range s.list {
-		if in.ejected && !in.adopted {
+		if in.ejected && in.owner == "" && !in.private {
 			all = append(all, Suspect{Service: name, Instance: in.id})
 		}
 	}
 	return all
 }
 
-// adopt ejects an instance on behalf of another entry. first tells that the
-// other entry goes before this one in probing it.
-func (s *shard) adopt(now time.Time, first bool, id galenahead.InstanceID) {
+// adopt ejects an instance on behalf of another entry.
+func (s *shard) adopt(now time.Time, self, from galenahead.EntryName, id galenahead.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	in := s.instance(now, galenahead.SlotLease{Instance: id})
+	owner := in.owner
+	if owner == "" {
+		owner = self
+	}
 	switch {
-	case in.ejected && !in.adopted && !first:
+	case in.ejected && !in.private && owner < from:
 		return
 	case !in.ejected && !s.mayEject(now, in):
 		return
 	}
 	in.ejected = true
-	in.adopted = true
+	in.owner = from
 	in.successes = 0
 	in.until = now.Add(adoptedFor)
 }
 
+// release brings the instances back that were ejected on behalf of an entry
+// and that it has found to work.
+func (s *shard) release(now time.Time, from galenahead.EntryName, listed func(galenahead.InstanceID) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, in := range s.list {
+		if in.ejected && in.owner == from && !listed(in.id) {
+			in.back(now)
+		}
+	}
+}
+
 func sortSuspects(all []Suspect) {
 	slices.SortFunc(all, func(a, b Suspect) int {
 		if c := strings.Compare(string(a.Service), string(b.Service)); c != 0 {
--- /dev/null
+++ b/test/galena-bench/sim/lease.go
@@ -0,0 +1,278 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenabroker"
+	"github.com/galenahead/galenahead/galenapeer"
+)
+
+const (
+	// warmUp is the time before the trace, in which leases and announcements
+	// settle.
+	warmUp = 10 * time.Second
+	// failover is how long a service has no broker after its broker's entry died:
+	// the lease of 3 s and a short election.
+	failover = 3200 * time.Millisecond
+	// syncGap is the shortest time between two messages of an entry to a broker.
+	syncGap = 2 * time.Millisecond
+	// tickPeriod is that of the library's broker and entries.
+	tickPeriod = 50 * time.Millisecond
+	// renewPeriod is that of a broker's lease.
+	renewPeriod = time.Second
+)
+
+// slots is where one entry gets the slots of one service from.
+type slots interface {
+	want(waiting map[galenahead.CallerName]int)
+	take(caller galenahead.CallerName, choose func([]galenahead.SlotLease) int) (galenahead.SlotLease, bool)
+	put(l galenahead.SlotLease)
+	// restart is called when the entry's process ended.
+	restart()
+}
+
+// instant returns the present time for the broker. Its monotonic part is never
+// negative, although the trace starts after the warm-up.
+func (w *world) instant() galenapeer.Instant {
+	return galenapeer.Instant{Mono: w.now + 2*warmUp, Wall: w.time()}
+}
+
+// office runs the broker of one service, with the library's ledger. Elections
+// are modelled by their duration.
+type office struct {
+	s       *shipped
+	service galenahead.ServiceName
+	members []*instance
+	host    int
+	epoch   galenahead.Epoch
+	ledger  *galenabroker.Ledger
+	pools   []*leased
+}
+
+func newOffice(s *shipped, index int) *office {
+	o := &office{s: s, service: galenahead.ServiceName(s.w.t.Services[index]), host: index % len(s.w.entries)}
+	for _, in := range s.w.instances {
+		if in.Service == index {
+			o.members = append(o.members, in)
+		}
+	}
+	for _, n := range s.nodes {
+		p := &leased{o: o, n: n}
+		p.restart()
+		o.pools = append(o.pools, p)
+	}
+	o.elect(s.w.instant().Mono)
+	s.w.in(0, o.tick)
+	for i, in := range o.members {
+		s.w.in(time.Duration(i)*announcePeriod/time.Duration(len(o.members)), func() { o.announce(in) })
+	}
+	return o
+}
+
+// elect starts a ledger at the host.
+func (o *office) elect(won time.Duration) {
+	o.epoch++
+	t := galenabroker.Tenure{Epoch: o.epoch, Won: won}
+	o.ledger = galenabroker.NewLedger(o.service, o.s.peers, t, maxPatience)
+	o.renew()
+}
+
+// renew tells the entries of the broker.
+func (o *office) renew() {
+	if o.ledger == nil {
+		return
+	}
+	item := galenabroker.LeaseItem{Service: o.service, Epoch: o.epoch, Kind: galenabroker.LeaseHeld}
+	item.Slots, item.Instances = o.ledger.Size(o.s.w.instant())
+	name := o.s.nodes[o.host].name
+	for _, p := range o.pools {
+		o.s.w.in(o.way(p.n), func() {
+			if !p.n.e.dead {
+				p.holdings.Join(o.s.w.instant(), name, item)
+				p.signal()
+			}
+		})
+	}
+}
+
+// membership elects another host when the entry of the broker is lost.
+func (o *office) membership() {
+	w := o.s.w
+	if o.ledger == nil || !w.entries[o.host].dead {
+		return
+	}
+	o.ledger = nil
+	w.in(failover, func() {
+		for w.entries[o.host].dead {
+			o.host = (o.host + 1) % len(w.entries)
+		}
+		o.elect(w.instant().Mono)
+	})
+}
+
+func (o *office) tick() {
+	w := o.s.w
+	if w.now > w.t.Length+warmUp {
+		return
+	}
+	w.in(tickPeriod, o.tick)
+	if o.ledger != nil {
+		o.ledger.Tick(w.instant())
+		o.push()
+	}
+	if w.now%renewPeriod == 0 {
+		o.renew()
+	}
+	for _, p := range o.pools {
+		p.holdings.Tick(w.instant())
+		p.signal()
+	}
+}
+
+// announce forwards an instance's announcement, every second.
+func (o *office) announce(in *instance) {
+	w := o.s.w
+	if w.now > w.t.Length+warmUp {
+		return
+	}
+	w.in(announcePeriod, func() { o.announce(in) })
+	if o.ledger == nil || in.cutOff || in.stopped || in.frozenTo > w.now {
+		return
+	}
+	// An error tells of another epoch; the next announcement repeats it.
+	_ = o.ledger.Announce(w.instant(), galenabroker.AnnounceRequest{
+		Epoch: o.epoch, TickMS: w.instant().Mono.Milliseconds(),
+		Announcement: galenahead.Announcement{
+			Instance: in.id, Address: string(in.id), Service: o.service, DataCentre: in.centre,
+			VM: galenahead.VMName(in.id), Slots: in.Slots, Connections: connections,
+			LeaseMS: announceLease.Milliseconds(), InFlight: in.inFlight, Leaving: in.leaving,
+		},
+	})
+	o.push()
+}
+
+// push sends changed grants and limits.
+func (o *office) push() {
+	for _, e := range o.ledger.Changed() {
+		item, ok := o.ledger.Item(e.Name)
+		p := o.pools[o.s.indexOf(e.Name)]
+		if !ok {
+			continue
+		}
+		o.s.w.in(o.way(p.n), func() { p.granted(item) })
+	}
+}
+
+func (o *office) way(n *node) time.Duration {
+	host := o.s.w.entries[o.host]
+	switch {
+	case host == n.e:
+		return 0
+	case host.centre == n.e.centre:
+		return wayLocal
+	default:
+		return wayCentres
+	}
+}
+
+// leased is the library's holdings of one entry.
+type leased struct {
+	o        *office
+	n        *node
+	life     uint32
+	born     time.Duration
+	holdings *galenabroker.Holdings
+	syncing  bool
+}
+
+func (p *leased) restart() {
+	p.life++
+	p.born = p.o.s.w.now
+	p.holdings = galenabroker.NewHoldings(p.o.service, p.life<<8|uint32(p.n.e.index))
+	p.syncing = false
+}
+
+func (p *leased) want(waiting map[galenahead.CallerName]int) {
+	p.holdings.Want(waiting)
+	p.signal()
+}
+
+func (p *leased) take(caller galenahead.CallerName, choose func([]galenahead.SlotLease) int) (galenahead.SlotLease, bool) {
+	l, _, ok := p.holdings.Take(p.o.s.w.instant(), caller, choose)
+	return l, ok
+}
+
+func (p *leased) put(l galenahead.SlotLease) {
+	p.holdings.Put(p.o.s.w.instant(), l.ID)
+	p.signal()
+}
+
+// signal sends a message to the broker when one is due.
+func (p *leased) signal() {
+	w := p.o.s.w
+	if p.syncing || p.n.e.dead || !p.holdings.Due(w.instant()) {
+		return
+	}
+	p.syncing = true
+	holdings := p.holdings
+	item := holdings.Sync(w.instant())
+	q := galenabroker.SyncRequest{From: p.n.name, UptimeMS: (w.now - p.born + time.Hour).Milliseconds()}
+	if p.life > 1 {
+		q.UptimeMS = (w.now - p.born).Milliseconds()
+	}
+	w.in(p.o.way(p.n), func() { p.deliver(q, item) })
+	w.in(2*p.o.way(p.n)+syncGap, func() {
+		if p.holdings == holdings {
+			p.syncing = false
+			p.signal()
+		}
+	})
+}
+
+// deliver handles an entry's message at the broker.
+func (p *leased) deliver(q galenabroker.SyncRequest, item galenabroker.SyncItem) {
+	o := p.o
+	if o.ledger == nil {
+		return
+	}
+	reply, err := o.ledger.Sync(o.s.w.instant(), q, item)
+	if err == nil {
+		o.s.w.in(o.way(p.n), func() { p.granted(reply) })
+	}
+	o.push()
+}
+
+func (p *leased) granted(item galenabroker.GrantItem) {
+	if p.n.e.dead {
+		return
+	}
+	if p.holdings.Granted(p.o.s.w.instant(), item) > 0 {
+		p.n.dispatch(p.o.service)
+	}
+	p.signal()
+}
+
+// quota is a fixed part of the slots.
+type quota struct {
+	free []galenahead.SlotLease
+}
+
+func (p *quota) want(map[galenahead.CallerName]int) {}
+
+func (p *quota) restart() {}
+
+func (p *quota) take(_ galenahead.CallerName, choose func([]galenahead.SlotLease) int) (galenahead.SlotLease, bool) {
+	if len(p.free) == 0 {
+		return galenahead.SlotLease{}, false
+	}
+	i := choose(p.free)
+	if i < 0 {
+		return galenahead.SlotLease{}, false
+	}
+	l := p.free[i]
+	p.free = append(p.free[:i], p.free[i+1:]...)
+	return l, true
+}
+
+func (p *quota) put(l galenahead.SlotLease) { p.free = append(p.free, l) }
--- a/test/galena-bench/sim/shipped.go
+++ b/test/galena-bench/sim/shipped.go
@@ -3,23 +3,18 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenapeer"
 	"github.com/galenahead/galenahead/galenaqueue"
 	"github.com/galenahead/galenahead/galenaretry"
 	"github.com/galenahead/galenahead/galenaroute"
 )
 
-const (
-	// idleReturn is how long an entry keeps an idle slot lease.
-	idleReturn = 200 * time.Millisecond
-	// wantDelay is how long an entry collects changes of its demand.
-	wantDelay = time.Millisecond
-	// avoidTime is how long a broker grants an entry no slots of an instance that
-	// the entry returned as not usable.
-	avoidTime = 100 * time.Millisecond
-)
+// maxPatience is the longest time from arrival to deadline.
+const maxPatience = 3*time.Second + grace
 
 // Tuning varies the shipped policy. The zero value is not the shipped one; see
 // Shipped.
@@ -30,25 +25,20 @@
 	NoRetryBudget bool
 	// Gossip is the period at which entries exchange suspects; 0 is never.
 	Gossip time.Duration
-	// Return gives slots back to the broker after every request.
-	Return bool
-	// NoAvoid lets the broker grant slots that the entry cannot use.
-	NoAvoid bool
 	// Drop is the quantile of the run time below which a request is refused.
 	Drop float64
-	// NoRecall turns the recall of slots off.
-	NoRecall bool
 }
 
 // Shipped is the policy of the entry daemon.
 func Shipped() Tuning { return Tuning{Gossip: 300 * time.Millisecond} }
 
-// shipped replays the library's decisions with a model of the slot leases.
+// shipped replays the library's decisions and slot leases.
 type shipped struct {
 	w       *world
 	o       Tuning
 	nodes   []*node
-	brokers map[galenahead.ServiceName]*broker
+	peers   []galenapeer.Entry
+	offices []*office
 	byID    map[galenahead.InstanceID]*instance
 }
 
@@ -59,25 +49,15 @@
 	queues  galenaqueue.Set
 	router  *galenaroute.Router
 	retry   *galenaretry.Budgets
-	pools   map[galenahead.ServiceName]*pool
+	pools   map[galenahead.ServiceName]slots
 	tickets map[*galenaqueue.Ticket]*query
 	name    galenahead.EntryName
 	// told is how many suspects the other entries were told of.
 	told int
 }
 
-// pool holds one entry's leases of one service.
-type pool struct {
-	free     []galenahead.SlotLease
-	since    []time.Duration
-	received int
-	recalled int
-	wanting  bool
-	sent     bool
-}
-
 func newShipped(w *world, o Tuning) *shipped {
-	s := &shipped{w: w, o: o, brokers: make(map[galenahead.ServiceName]*broker), byID: make(map[galenahead.InstanceID]*instance)}
+	s := &shipped{w: w, o: o, byID: make(map[galenahead.InstanceID]*instance)}
 	for _, in := range w.instances {
 		s.byID[in.id] = in
 	}
@@ -85,10 +65,7 @@
 		s.nodes = append(s.nodes, s.newNode(e))
 	}
 	for i, name := range w.t.Services {
-		s.brokers[galenahead.ServiceName(name)] = newBroker(s, i)
-	}
-	if o.Quota {
-		s.shareOut()
+		s.connect(i, galenahead.ServiceName(name))
 	}
 	s.membership()
 	if o.Gossip > 0 {
@@ -98,7 +75,7 @@
 }
 
 func (s *shipped) newNode(e *entry) *node {
-	n := &node{s: s, e: e, pools: make(map[galenahead.ServiceName]*pool), tickets: make(map[*galenaqueue.Ticket]*query)}
+	n := &node{s: s, e: e, pools: make(map[galenahead.ServiceName]slots), tickets: make(map[*galenaqueue.Ticket]*query)}
 	n.name = galenahead.EntryName(fmt.Sprintf("entry-%02d", e.index))
 	n.router = galenaroute.New(galenaroute.Config{Entry: n.name, DataCentre: e.centre, Way: wayCentres})
 	rng := rand.New(rand.NewPCG(uint64(e.index), 1))
@@ -110,9 +87,7 @@
 	n.queues.New = func(galenahead.ServiceName) *galenaqueue.Queue {
 		return galenaqueue.New(galenaqueue.Config{Estimate: n.estimate})
 	}
-	for _, name := range s.w.t.Services {
-		n.pools[galenahead.ServiceName(name)] = &pool{}
-	}
+	s.peers = append(s.peers, galenapeer.Entry{Name: n.name, DataCentre: e.centre})
 	return n
 }
 
@@ -128,15 +103,44 @@
 	return galenaqueue.Estimate{Shortest: shortest, Mean: sum.Mean}
 }
 
-// shareOut gives every entry its fixed part of the slots.
-func (s *shipped) shareOut() {
+// connect gives every entry its source of slots.
+func (s *shipped) connect(index int, name galenahead.ServiceName) {
+	if !s.o.Quota {
+		o := newOffice(s, index)
+		s.offices = append(s.offices, o)
+		for i, n := range s.nodes {
+			n.pools[name] = o.pools[i]
+		}
+		return
+	}
+	parts := make([]*quota, len(s.nodes))
+	for i, n := range s.nodes {
+		parts[i] = &quota{}
+		n.pools[name] = parts[i]
+	}
 	for _, in := range s.w.instances {
 		for k := range in.Slots {
-			n := s.nodes[(in.index*in.Slots+k)%len(s.nodes)]
-			p := n.pools[s.service(in)]
-			p.add(s.lease(in), 0)
+			if in.Service == index {
+				parts[(in.index*in.Slots+k)%len(parts)].put(s.lease(in))
+			}
+		}
+	}
+}
+
+func (s *shipped) indexOf(name galenahead.EntryName) int {
+	return slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == name })
+}
+
+// announced returns how many instances of a service are announced, and their
+// slots.
+func (s *shipped) announced(name galenahead.ServiceName) (instances, slots int) {
+	for _, in := range s.w.instances {
+		if in.announced && s.service(in) == name {
+			instances++
+			slots += in.Slots
 		}
 	}
+	return instances, slots
 }
 
 func (s *shipped) service(in *instance) galenahead.ServiceName {
@@ -158,13 +162,15 @@
 			alive++
 		}
 	}
+	for _, o := range s.offices {
+		o.membership()
+	}
 	for _, service := range s.w.t.Services {
 		name := galenahead.ServiceName(service)
-		b := s.brokers[name]
-		b.membership()
+		instances, slots := s.announced(name)
 		for _, n := range s.nodes {
-			n.queues.Queue(name).SetSlots(max(1, b.total()/max(1, alive)))
-			n.router.SetInstances(name, b.count())
+			n.queues.Queue(name).SetSlots(max(1, slots/max(1, alive)))
+			n.router.SetInstances(name, instances)
 		}
 	}
 	for _, n := range s.nodes {
@@ -188,8 +194,9 @@
 func (n *node) tell() {
 	w := n.s.w
 	suspects := n.router.Suspects()
+	known := n.told
 	n.told = len(suspects)
-	if n.e.dead || len(suspects) == 0 || n.s.o.Gossip == 0 {
+	if n.e.dead || known+n.told == 0 || n.s.o.Gossip == 0 {
 		return
 	}
 	for _, to := range n.s.nodes {
@@ -199,18 +206,10 @@
 	}
 }
 
-// lost drops what a killed entry held. Its slots in use come back when the
-// instances announce that the requests have ended; idle ones at once, which is
-// up to 2 s too early.
+// lost drops what a killed entry held.
 func (n *node) lost() {
 	for _, service := range n.s.w.t.Services {
-		name := galenahead.ServiceName(service)
-		p := n.pools[name]
-		for _, l := range p.free {
-			n.s.brokers[name].put(n, l)
-		}
-		p.free, p.since = nil, nil
-		p.recalled = 0
+		n.pools[galenahead.ServiceName(service)].restart()
 	}
 	for t := range n.tickets {
 		n.queues.Queue(t.Request().Service).Cancel(t)
@@ -246,15 +245,13 @@
 
 // dispatch sends queued requests while there are usable slots.
 func (n *node) dispatch(service galenahead.ServiceName) {
-	w, p, queue := n.s.w, n.pools[service], n.queues.Queue(service)
-	n.dropUnannounced(service)
-	for len(p.free) > 0 {
-		t, ok := queue.Dispatch(w.time(), func(r galenahead.Request) (galenahead.SlotLease, bool) {
-			i, _ := n.router.Choose(w.time(), r, p.free)
-			if i < 0 {
-				return galenahead.SlotLease{}, false
-			}
-			return p.take(i), true
+	now, pool, queue := n.s.w.time(), n.pools[service], n.queues.Queue(service)
+	for {
+		t, ok := queue.Dispatch(now, func(r galenahead.Request) (galenahead.SlotLease, bool) {
+			return pool.take(r.Caller, func(candidates []galenahead.SlotLease) int {
+				i, _ := n.router.Choose(now, r, candidates)
+				return i
+			})
 		})
 		if !ok {
 			break
@@ -263,42 +260,7 @@
 		delete(n.tickets, t)
 		n.send(q, t.Lease())
 	}
-	if queue.Len() > 0 {
-		n.returnUnusable(service)
-	}
-	n.want(service)
-}
-
-func (n *node) dropUnannounced(service galenahead.ServiceName) {
-	p := n.pools[service]
-	for i := len(p.free) - 1; i >= 0; i-- {
-		if !n.s.byID[p.free[i].Instance].announced && !n.s.o.Quota {
-			n.giveBack(p.take(i), false)
-		}
-	}
-}
-
-// returnUnusable gives back the slots of instances that the router rejects.
-func (n *node) returnUnusable(service galenahead.ServiceName) {
-	p := n.pools[service]
-	if n.s.o.Quota || n.s.o.NoAvoid {
-		return
-	}
-	for i := len(p.free) - 1; i >= 0; i-- {
-		if !n.router.Usable(n.s.w.time(), p.free[i]) {
-			n.giveBack(p.take(i), true)
-		}
-	}
-}
-
-func (n *node) giveBack(l galenahead.SlotLease, avoid bool) {
-	b := n.s.brokers[l.Service]
-	n.s.w.in(b.way(n), func() {
-		if avoid {
-			b.avoid[avoidKey{n.e.index, l.Instance}] = n.s.w.now + avoidTime
-		}
-		b.put(n, l)
-	})
+	pool.want(queue.Waiting())
 }
 
 func (n *node) send(q *query, l galenahead.SlotLease) {
@@ -323,12 +285,11 @@
 	if len(n.router.Suspects()) > n.told {
 		n.tell()
 	}
-	if n.e.dead {
-		n.s.brokers[l.Service].put(n, l)
+	if n.e.dead || a.life != n.e.life {
 		return
 	}
+	n.pools[l.Service].put(l)
 	n.settle(a.q, res)
-	n.reuse(l)
 	n.dispatch(l.Service)
 }
 
@@ -365,81 +326,3 @@
 	}
 	n.s.w.finish(q, EndFailed)
 }
-
-// reuse keeps a slot for the next request or gives it back.
-func (n *node) reuse(l galenahead.SlotLease) {
-	p := n.pools[l.Service]
-	if n.s.o.Quota {
-		p.add(l, n.s.w.now)
-		return
-	}
-	if p.recalled > 0 || n.s.o.Return {
-		p.recalled = max(0, p.recalled-1)
-		n.giveBack(l, false)
-		return
-	}
-	p.add(l, n.s.w.now)
-	n.s.w.in(idleReturn, func() { n.returnIdle(l.Service) })
-}
-
-func (n *node) returnIdle(service galenahead.ServiceName) {
-	p := n.pools[service]
-	for i := len(p.free) - 1; i >= 0; i-- {
-		if n.s.w.now-p.since[i] >= idleReturn {
-			n.giveBack(p.take(i), false)
-		}
-	}
-}
-
-// want tells the broker the demand, at most once in wantDelay.
-func (n *node) want(service galenahead.ServiceName) {
-	p := n.pools[service]
-	waiting := n.queues.Queue(service).Len() > 0
-	if p.wanting || n.s.o.Quota || (!waiting && !p.sent) {
-		return
-	}
-	p.wanting = true
-	n.s.w.in(wantDelay, func() {
-		p.wanting = false
-		demand := n.queues.Queue(service).Waiting()
-		p.sent = len(demand) > 0
-		received := p.received
-		b := n.s.brokers[service]
-		n.s.w.in(b.way(n), func() { b.want(n, demand, received) })
-	})
-}
-
-// granted adds a slot from the broker.
-func (n *node) granted(l galenahead.SlotLease) {
-	p := n.pools[l.Service]
-	p.received++
-	if n.e.dead {
-		n.s.brokers[l.Service].put(n, l)
-		return
-	}
-	p.add(l, n.s.w.now)
-	n.s.w.in(idleReturn, func() { n.returnIdle(l.Service) })
-	n.dispatch(l.Service)
-}
-
-// recall gives idle slots back at once and the others as they become free.
-func (n *node) recall(service galenahead.ServiceName, count int) {
-	p := n.pools[service]
-	p.recalled = count
-	for p.recalled > 0 && len(p.free) > 0 {
-		p.recalled--
-		n.giveBack(p.take(len(p.free)-1), false)
-	}
-}
-
-func (p *pool) add(l galenahead.SlotLease, now time.Duration) {
-	p.free = append(p.free, l)
-	p.since = append(p.since, now)
-}
-
-func (p *pool) take(i int) galenahead.SlotLease {
-	l := p.free[i]
-	p.free = append(p.free[:i], p.free[i+1:]...)
-	p.since = append(p.since[:i], p.since[i+1:]...)
-	return l
-}
--- a/test/galena-bench/sim/sim_test.go
+++ b/test/galena-bench/sim/sim_test.go
@@ -45,9 +45,6 @@
 		for _, d := range []float64{.25, .5, .7, .8, .9, .95} {
 			add(fmt.Sprint("drop", d), func(o *Tuning) { o.Drop = d })
 		}
-		add("return", func(o *Tuning) { o.Return = true })
-		add("norecall", func(o *Tuning) { o.NoRecall = true })
-		add("noavoid", func(o *Tuning) { o.NoAvoid = true })
 		add("nogossip", func(o *Tuning) { o.Gossip = 0 })
 		rs, _ := compare(tr, vs)
 		fmt.Println(name)
--- a/test/galena-bench/sim/world.go
+++ b/test/galena-bench/sim/world.go
@@ -63,6 +63,7 @@
 	// observed tells that the entry has seen the end of the attempt, or has given
 	// it up.
 	observed bool
+	life     int
 	// ended is called when the instance is done with the attempt.
 	ended func(result)
 }
@@ -85,6 +86,7 @@
 	failing   bool
 	stopped   bool
 	cutOff    bool
+	leaving   bool
 	frozenTo  time.Duration
 	announced bool
 	spent     int
@@ -95,7 +97,9 @@
 	index  int
 	centre galenahead.DataCentre
 	dead   bool
-	open   map[*query]bool
+	// life counts the starts of its process.
+	life int
+	open map[*query]bool
 }
 
 // world is one replay.
@@ -124,7 +128,7 @@
 }
 
 func newWorld(t *trace.Trace) *world {
-	w := &world{t: t, ends: make([]End, len(t.Requests))}
+	w := &world{t: t, loop: loop{now: -warmUp}, ends: make([]End, len(t.Requests))}
 	for i, x := range t.Instances {
 		w.instances = append(w.instances, &instance{
 			Instance: x, index: i, announced: true, id: galenahead.InstanceID("i" + strconv.Itoa(i)),
@@ -144,7 +148,7 @@
 	for _, f := range w.t.Faults {
 		w.schedule(f)
 	}
-	w.next(0, 0)
+	w.at(0, func() { w.next(0, 0) })
 	w.loop.run()
 }
 
@@ -220,7 +224,7 @@
 // send starts an attempt. ended is called when the answer or an error reaches
 // the entry; with silent, the instance was cut off.
 func (w *world) send(q *query, e *entry, in *instance, ended func(result)) *attempt {
-	a := &attempt{q: q, e: e, in: in, sent: w.now, ended: ended}
+	a := &attempt{q: q, e: e, in: in, sent: w.now, life: e.life, ended: ended}
 	q.attempts++
 	in.inFlight++
 	in.peak = max(in.peak, in.inFlight)
@@ -294,9 +298,7 @@
 
 func (w *world) end(a *attempt, res result) {
 	a.in.inFlight--
-	if !a.e.dead {
-		a.ended(res)
-	}
+	a.ended(res)
 }
 
 // schedule schedules a fault and its end.
@@ -313,10 +315,13 @@
 		w.announceGap(in, f.From, f.Until)
 	case trace.FaultLeaving:
 		in := w.instances[f.Index]
-		w.at(f.From, func() { w.announce(in, false) })
+		w.at(f.From, func() {
+			in.leaving = true
+			w.announce(in, false)
+		})
 		w.at(f.From+stopAfterLeaving, func() { in.stopped = true })
 		w.at(f.Until, func() {
-			in.stopped = false
+			in.stopped, in.leaving = false, false
 			w.announce(in, true)
 		})
 	case trace.FaultCentre:
@@ -370,6 +375,7 @@
 // connections.
 func (w *world) killEntry(e *entry) {
 	e.dead = true
+	e.life++
 	for _, q := range w.openOf(e) {
 		w.finish(q, EndUnknown)
 	}
