Place jobs through the control daemon

Cause: jobs stayed queued because the daemon had no placer.

Before: the job of the local deployment stays queued.

--- a/galenacontrol/jobs.go
+++ b/galenacontrol/jobs.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenapb"
+	"github.com/galenahead/galenahead/galenaplace"
 	"github.com/galenahead/galenahead/galenastate"
 )
 
@@ -23,9 +24,6 @@
 	leaseMargin = time.Second
 	// placementsPerStep bounds the placements of one step.
 	placementsPerStep = 256
-	// throttledPercent is the share of its processors that a throttled task
-	// keeps.
-	throttledPercent = 25
 )
 
 // jobs carries jobs out: it places queued ones, starts and renews their tasks,
@@ -50,7 +48,7 @@
 // step places queued jobs and advances the tasks of the others.
 func (s *jobs) step(ctx context.Context, v *galenastate.View) {
 	now := s.driver.Timers.Now()
-	s.index.sync(v)
+	s.index.sync(v, now)
 	queued, tasks := split(v)
 	for _, j := range queued[:min(len(queued), placementsPerStep)] {
 		s.place(ctx, v, j, now)
@@ -108,9 +106,6 @@
 // place chooses a worker for a queued job, makes room on it and commits the
 // decision. The task starts in a later step.
 func (s *jobs) place(ctx context.Context, v *galenastate.View, j galenastate.Job, now time.Time) {
-	if s.index.placer == nil {
-		return
-	}
 	p, err := s.index.placer.Place(j.Spec(), now)
 	line := s.driver.Log.WithFields(logrus.Fields{
 		"decision": "job_placed", "job": j.ID, "team": j.Team, "urgent": j.Urgent, "worker": p.Worker,
@@ -129,7 +124,7 @@
 	}})
 	line.WithField("took_effect", done && err == nil).Info("placement decision")
 	if done && err == nil {
-		s.index.placer.Start(j.Spec(), p.Worker, now)
+		s.index.placed(j, p, now)
 	}
 }
 
@@ -144,7 +139,7 @@
 	for _, id := range p.Throttle {
 		if j, ok := v.Job(id); ok {
 			// An unthrottled task only slows the urgent one down.
-			_, _ = s.driver.Platform.Throttle(ctx, task{job: j, lease: s.lease()}, throttledPercent)
+			_, _ = s.driver.Platform.Throttle(ctx, task{job: j, lease: s.lease()}, galenaplace.ThrottlePercent())
 		}
 	}
 	return true
