Adopt the newest revision in sight while control is down

Cause: an entry that had lost the leader went on serving its own revision even when another entry in sight held a newer, accepted one. An entry that fetched the newer revision from a peer also stayed behind until the leader answered.

Ruled out: trusting only fresh confirmations (none exists while control is down); a change counts as accepted once a majority of entries holds it, so the newest revision in sight is enough.

Before: the two new cases of TestDecideServing fail with control_down instead of behind. After: all nine cases and TestHoldEndsBehind pass.

Conclusion: an accepted configuration survives the loss of control.

--- a/galenaconfig/follower.go
+++ b/galenaconfig/follower.go
@@ -16,6 +16,8 @@
 type Peers interface {
 	// Confirm records a confirmation of revision, asked for at asked.
 	Confirm(asked time.Time, revision galenahead.Revision)
+	// Hold records that revision is in force here.
+	Hold(revision galenahead.Revision)
 	// Serving decides whether this entry may serve.
 	Serving() galenapeer.Serving
 }
@@ -112,6 +114,7 @@
 	}
 	f.cfg.Applied(next)
 	f.current.Store(&next)
+	f.cfg.Peers.Hold(next.Revision)
 	return next.Revision, true
 }
 
--- a/galenapeer/service.go
+++ b/galenapeer/service.go
@@ -73,6 +73,13 @@
 	s.table.Confirm(Instant{Mono: asked.Sub(s.clock.base)}, revision)
 }
 
+// Hold records that this entry holds revision, got from a peer.
+func (s *Service) Hold(revision galenahead.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Hold(revision)
+}
+
 // Live tells whether the peer is live.
 func (s *Service) Live(name galenahead.EntryName) bool {
 	s.mu.Lock()
--- a/galenapeer/serving.go
+++ b/galenapeer/serving.go
@@ -71,7 +71,7 @@
 	}
 	best, from := freshest(peers)
 	if from == "" {
-		return withoutPeers(own)
+		return withoutControl(own, peers)
 	}
 	s := Serving{Mode: ServingAdopted, Ready: true, Revision: best.Revision, From: from, Age: best.Age}
 	if best.Revision > own.Revision {
@@ -97,6 +97,18 @@
 	return best, from
 }
 
+// newestHeld returns the newest revision that any peer holds.
+func newestHeld(peers map[galenahead.EntryName]Confirmation) (Confirmation, galenahead.EntryName) {
+	var best Confirmation
+	var from galenahead.EntryName
+	for name, c := range peers {
+		if from == "" || newer(c, best) || (c == best && name < from) {
+			best, from = c, name
+		}
+	}
+	return best, from
+}
+
 func newer(a, b Confirmation) bool {
 	if a.Revision != b.Revision {
 		return a.Revision > b.Revision
@@ -104,9 +116,16 @@
 	return a.Age < b.Age
 }
 
-func withoutPeers(own Confirmation) Serving {
+// withoutControl decides while no entry in sight has a fresh confirmation. A
+// change is accepted once a majority of entries holds it, so the newest
+// revision in sight includes every accepted one and must be adopted first.
+func withoutControl(own Confirmation, peers map[galenahead.EntryName]Confirmation) Serving {
 	if !own.Confirmed {
 		return Serving{Mode: NotReadyBlank}
 	}
+	newest, from := newestHeld(peers)
+	if newest.Revision > own.Revision {
+		return Serving{Mode: NotReadyBehind, Revision: newest.Revision, From: from, Age: newest.Age}
+	}
 	return Serving{Mode: ServingControlDown, Ready: true, Revision: own.Revision, Age: own.Age}
 }
--- a/galenapeer/table.go
+++ b/galenapeer/table.go
@@ -105,6 +105,13 @@
 	t.ownAt = now.Mono
 }
 
+// Hold records that this entry now holds a newer revision, got from a peer. The
+// age of the own confirmation stays: what was the latest revision then is
+// covered by a newer one.
+func (t *Table) Hold(revision galenahead.Revision) {
+	t.own.Revision = max(t.own.Revision, revision)
+}
+
 // Request returns the heartbeat to send to peer.
 func (t *Table) Request(now Instant, peer galenahead.EntryName) Heartbeat {
 	h := t.heartbeat(now)
@@ -208,6 +215,9 @@
 // Serving decides whether this entry may serve, and adopts the confirmation of
 // a live peer that covers the held revision.
 func (t *Table) Serving(now Instant) Serving {
+	if own := t.Own(now); own.Fresh() {
+		return DecideServing(own, nil, true)
+	}
 	peers := make(map[galenahead.EntryName]Confirmation, len(t.peers))
 	for _, p := range t.peers {
 		if t.isLive(now, p) {
