Add fault tests with real processes

Cause: what must hold was shown only in virtual time.

Ruled out: a simulator of the cluster; the tests start the real programs on loopback, at most 16 processes each.

Before: no process tests.

--- a/test/galena-local/deployment/deployment.go
+++ b/test/galena-local/deployment/deployment.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -33,7 +34,7 @@
 
 // Deployment is a set of processes that share one directory.
 type Deployment struct {
-	dir       string
+	dir, bin  string
 	platform  string
 	evidence  string
 	controls  []*Control
@@ -58,10 +59,10 @@
 	dataCentre                     string
 }
 
-// New lays out a deployment below dir with free loopback ports. Nothing runs
-// before Build and Start.
-func New(dir string, controls, entries int) (*Deployment, error) {
-	d := &Deployment{dir: dir}
+// New lays out a deployment below dir with free loopback ports. bin holds the
+// programs that Build built. Nothing runs before Start.
+func New(dir, bin string, controls, entries int) (*Deployment, error) {
+	d := &Deployment{dir: dir, bin: bin}
 	ports := &portSource{}
 	d.platform, d.evidence = ports.next(), ports.next()
 	for i := range controls {
@@ -111,12 +112,12 @@
 	return s.err
 }
 
-// Build builds the programs into the deployment's directory.
-func (d *Deployment) Build(ctx context.Context) error {
+// Build builds the programs into the directory bin.
+func Build(ctx context.Context, bin string) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for name, pkg := range programs {
 		g.Go(func() error {
-			out, err := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(d.dir, name), pkg).CombinedOutput()
+			out, err := exec.CommandContext(ctx, "go", "build", "-o", filepath.Join(bin, name), pkg).CombinedOutput()
 			return eris.Wrapf(err, "build %s: %s", name, out)
 		})
 	}
@@ -189,13 +190,28 @@
 	return p, addr, p.Start()
 }
 
+// Load runs the stand-in callers against all entries and decodes their summary
+// into summary.
+func (d *Deployment) Load(ctx context.Context, upstreams []string, summary any, args ...string) error {
+	args = append([]string{
+		"caller", "--entries", strings.Join(d.CallerAddresses(), ","), "--upstreams", strings.Join(upstreams, ","),
+	}, args...)
+	cmd := exec.CommandContext(ctx, filepath.Join(d.bin, "galena-standin"), args...)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	if err := cmd.Run(); err != nil {
+		return eris.Wrapf(err, "galena-standin caller: %s", strings.TrimSpace(errOut.String()))
+	}
+	return eris.Wrap(json.Unmarshal(out.Bytes(), summary), "decode the callers' summary")
+}
+
 // Ctl runs galenactl and returns its standard output.
 func (d *Deployment) Ctl(ctx context.Context, args ...string) (string, error) {
 	var operators []string
 	for _, c := range d.controls {
 		operators = append(operators, c.operator)
 	}
-	cmd := exec.CommandContext(ctx, filepath.Join(d.dir, "galenactl"), append([]string{"--control", strings.Join(operators, ",")}, args...)...)
+	cmd := exec.CommandContext(ctx, filepath.Join(d.bin, "galenactl"), append([]string{"--control", strings.Join(operators, ",")}, args...)...)
 	var out, errOut bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &errOut
 	if err := cmd.Run(); err != nil {
@@ -244,7 +260,7 @@
 }
 
 func (d *Deployment) process(name, program string, args ...string) *Process {
-	p := &Process{name: name, path: filepath.Join(d.dir, program), args: args, log: filepath.Join(d.dir, name+".log")}
+	p := &Process{name: name, path: filepath.Join(d.bin, program), dir: d.dir, args: args, log: filepath.Join(d.dir, name+".log")}
 	d.processes = append([]*Process{p}, d.processes...)
 	return p
 }
@@ -253,6 +269,7 @@
 type Process struct {
 	name string
 	path string
+	dir  string
 	args []string
 	log  string
 	cmd  *exec.Cmd
@@ -267,7 +284,7 @@
 	}
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command(p.path, p.args...)
-	cmd.Dir = filepath.Dir(p.path)
+	cmd.Dir = p.dir
 	cmd.Stdout, cmd.Stderr = out, out
 	// A process never outlives the one that tests it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -318,3 +335,6 @@
 	}
 	return string(b)
 }
+
+// PeerAddress returns where the other replicas reach this one.
+func (c *Control) PeerAddress() string { return c.peer }
--- /dev/null
+++ b/test/galena-local/fleet_test.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/galenahead/galenahead/test/galena-local/deployment"
+)
+
+// bin holds the programs, built once for all tests.
+var bin string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "galena-local-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := deployment.Build(context.Background(), dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	bin = dir
+	return m.Run()
+}
+
+const (
+	// testTimeout bounds one test; it is far above what a test needs.
+	testTimeout = 3 * time.Minute
+	vmsPerPool  = 4
+)
+
+// fleet is a running deployment with one service on a pool.
+type fleet struct {
+	*deployment.Deployment
+	t         *testing.T
+	ctx       context.Context
+	upstreams []string
+	processes []*deployment.Process
+}
+
+// startFleet starts a deployment with the service counter on four VMs.
+func startFleet(t *testing.T, controls, entries int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	d, err := deployment.New(t.TempDir(), bin, controls, entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{Deployment: d, t: t, ctx: ctx}
+	t.Cleanup(f.cleanup)
+	f.must(d.Start(ctx))
+	f.ctl("pool", "set", "counter")
+	for i := range vmsPerPool {
+		f.addVM(i)
+	}
+	f.ctl("service", "set", "counter", "--pool", "counter")
+	f.awaitService()
+	return f
+}
+
+func (f *fleet) addVM(i int) {
+	f.t.Helper()
+	vm, rack := fmt.Sprintf("counter-%d", i+1), fmt.Sprintf("r%d", i+1)
+	f.ctl("vm", "add", vm, "--pool", "counter", "--data-centre", "sapporo", "--rack", rack, "--cores", "64", "--memory-mb", "131072")
+	p, addr, err := f.Upstream("counter", vm+"-a", vm, rack, "sapporo")
+	f.must(err)
+	f.upstreams = append(f.upstreams, addr)
+	f.processes = append(f.processes, p)
+}
+
+// cleanup stops everything. A paused process is killed, since it cannot stop.
+func (f *fleet) cleanup() {
+	if err := f.Stop(); err != nil && !f.t.Failed() {
+		f.t.Error(err)
+	}
+	if !f.t.Failed() {
+		return
+	}
+	for _, c := range f.Controls() {
+		f.t.Logf("%s:\n%s", c.Name, lastLines(c.Log()))
+	}
+}
+
+func lastLines(s string) string {
+	const kept = 15
+	lines := strings.Split(strings.TrimSpace(s), "\n")
+	return strings.Join(lines[max(0, len(lines)-kept):], "\n")
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// ctl runs galenactl until it succeeds, under one request id.
+func (f *fleet) ctl(args ...string) string {
+	f.t.Helper()
+	var out string
+	f.must(f.Eventually(f.ctx, func() (err error) {
+		out, err = f.Ctl(f.ctx, args...)
+		return err
+	}))
+	return out
+}
+
+// awaitService waits until every entry is ready and every claim replica votes:
+// a load of non-idempotent requests over all entries succeeds.
+func (f *fleet) awaitService() {
+	f.t.Helper()
+	f.must(f.Eventually(f.ctx, func() error {
+		s := f.load("--duration", "300ms", "--rate", "40", "--non-idempotent", "1", "--resends", "0")
+		if s.Ran == s.Sent && s.Sent > 0 {
+			return nil
+		}
+		return fmt.Errorf("service is not ready: %+v", s)
+	}))
+}
+
+// summary is what the tests need of the callers' summary.
+type summary struct {
+	Sent       int            `json:"sent"`
+	Ran        int            `json:"ran"`
+	RanError   int            `json:"ran_error"`
+	NotRun     int            `json:"not_run"`
+	Unknown    int            `json:"unknown"`
+	Lost       int            `json:"lost"`
+	Mismatched int            `json:"mismatched"`
+	Late       int            `json:"late"`
+	Doubled    int            `json:"doubled"`
+	Reasons    map[string]int `json:"reasons"`
+	Evidence   struct {
+		Unreachable  []string `json:"unreachable"`
+		PeakInFlight int      `json:"peak_in_flight"`
+		DoubledRuns  []string `json:"doubled_runs"`
+		NotRunButRan []string `json:"not_run_but_ran"`
+	} `json:"evidence"`
+}
+
+func (f *fleet) load(args ...string) summary {
+	f.t.Helper()
+	var s summary
+	f.must(f.Load(f.ctx, f.upstreams, &s, args...))
+	return s
+}
+
+// runningLoad is a load in the background.
+type runningLoad struct {
+	fleet *fleet
+	args  []string
+	done  chan struct{}
+	sum   summary
+	err   error
+}
+
+func (f *fleet) startLoad(args ...string) *runningLoad {
+	l := &runningLoad{fleet: f, args: args, done: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+func (l *runningLoad) run() {
+	defer close(l.done)
+	l.err = l.fleet.Load(l.fleet.ctx, l.fleet.upstreams, &l.sum, l.args...)
+}
+
+func (l *runningLoad) wait() summary {
+	l.fleet.t.Helper()
+	<-l.done
+	l.fleet.must(l.err)
+	l.fleet.t.Logf("load: %+v", l.sum)
+	return l.sum
+}
+
+// checkAnswers checks what must hold in spite of any fault.
+func (s summary) checkAnswers(t *testing.T) {
+	t.Helper()
+	if s.Ran == 0 {
+		t.Error("no request ran")
+	}
+	if s.Mismatched > 0 {
+		t.Errorf("%d answers belong to other requests", s.Mismatched)
+	}
+	if s.Doubled > 0 || len(s.Evidence.DoubledRuns) > 0 {
+		t.Errorf("non-idempotent requests ran twice: %v", s.Evidence.DoubledRuns)
+	}
+	if len(s.Evidence.NotRunButRan) > 0 {
+		t.Errorf("requests ran in spite of not_run: %v", s.Evidence.NotRunButRan)
+	}
+	if s.Evidence.PeakInFlight > 8 {
+		t.Errorf("an instance with 8 slots had %d requests in flight", s.Evidence.PeakInFlight)
+	}
+}
+
+// getJSON decodes the body of a GET.
+func (f *fleet) getJSON(url string, v any) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodGet, url, nil)
+	f.must(err)
+	resp, err := http.DefaultClient.Do(req)
+	f.must(err)
+	defer func() { _ = resp.Body.Close() }()
+	f.must(json.NewDecoder(resp.Body).Decode(v))
+}
--- a/test/galena-local/main.go
+++ b/test/galena-local/main.go
@@ -37,12 +37,12 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	d, err := deployment.New(dir, controls, entries)
-	if err != nil {
+	fmt.Println("building the programs")
+	if err := deployment.Build(ctx, dir); err != nil {
 		return err
 	}
-	fmt.Println("building the programs")
-	if err := d.Build(ctx); err != nil {
+	d, err := deployment.New(dir, dir, controls, entries)
+	if err != nil {
 		return err
 	}
 	defer func() {
