--- a/galenaraft/config.go
+++ b/galenaraft/config.go
@@ -16,15 +16,15 @@
 
 // Defaults of Config.
 const (
-	DefaultTick            = 50 * time.Millisecond
-	DefaultHeartbeat       = 300 * time.Millisecond
-	DefaultMinElectionTimeout     = 1500 * time.Millisecond
-	DefaultMaxElectionTimeout     = 3 * time.Second
-	DefaultLease           = time.Second
-	DefaultCallTimeout     = time.Second
-	DefaultSnapshotEntries = 4096
-	DefaultSnapshotBytes   = 4 << 20
-	DefaultRetainedEntries = 512
+	DefaultTick               = 50 * time.Millisecond
+	DefaultHeartbeat          = 300 * time.Millisecond
+	DefaultMinElectionTimeout = 1500 * time.Millisecond
+	DefaultMaxElectionTimeout = 3 * time.Second
+	DefaultLease              = time.Second
+	DefaultCallTimeout        = time.Second
+	DefaultSnapshotEntries    = 4096
+	DefaultSnapshotBytes      = 4 << 20
+	DefaultRetainedEntries    = 512
 )
 
 // Config configures a Node. Zero values of the optional fields stand for the
@@ -52,8 +52,8 @@
 	Rand *rand.Rand
 
 	// Tick is how often time-outs are checked.
-	Tick        time.Duration
-	Heartbeat   time.Duration
+	Tick               time.Duration
+	Heartbeat          time.Duration
 	MinElectionTimeout time.Duration
 	MaxElectionTimeout time.Duration
 	// Lease must be shorter than MinElectionTimeout by more than the drift of two
--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -272,7 +272,7 @@
 		if m.Term == c.hard.Term && c.role == RoleFollower && c.members().voter(c.id) {
 			return c.campaign(now, true)
 		}
-	case KindPreVoteResponse, KindVoteResponse, KindAppendResponse, KindSnapshotResponse:
+	case KindPreVoteResponse, KindVoteResponse, KindAppendResponse, KindSnapshotResponse, KindNewerTerm:
 		return c.stepResponse(now, m)
 	}
 	return nil
@@ -395,16 +395,15 @@
 
 // stepLeaderRequest handles what only a leader sends.
 func (c *core) stepLeaderRequest(now time.Duration, m Message) error {
+	if m.Term < c.hard.Term {
+		c.send(Message{Kind: KindNewerTerm, To: m.From})
+		return nil
+	}
 	kind := KindAppendResponse
 	if m.Kind == KindSnapshot {
 		kind = KindSnapshotResponse
 	}
 	r := Message{Kind: kind, To: m.From, Sent: m.Sent}
-	if m.Term < c.hard.Term {
-		r.Reject = true
-		c.send(r)
-		return nil
-	}
 	c.follow(now, m.Term, m.From)
 	c.contact = now
 	c.resetDeadline(now)
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -303,7 +303,7 @@
 
 func (c *core) stepSnapshotResponse(now time.Duration, m Message) error {
 	p := c.heardFrom(m)
-	if p == nil || m.Reject || m.Chunk == nil {
+	if p == nil || m.Chunk == nil {
 		return nil
 	}
 	if m.Index > 0 {
--- a/galenaraft/message.go
+++ b/galenaraft/message.go
@@ -24,6 +24,10 @@
 	KindSnapshot         Kind = "snapshot"
 	KindSnapshotResponse Kind = "snapshot_response"
 	KindTakeOver         Kind = "take_over"
+	// KindNewerTerm answers a leader of an older term. It repeats nothing of the
+	// request: the sender may lead the newer term by now, and must not take the
+	// answer for one to a request of that term.
+	KindNewerTerm Kind = "newer_term"
 )
 
 // request tells whether a message of this kind starts an exchange.
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -154,12 +154,17 @@
 		// The first record is synced before the file gets its name.
 		return s, eris.Wrap(galenahead.ErrCorrupt, "log has no intact record")
 	}
-	if err := s.replay(records); err != nil {
+	replaced, err := s.replay(records)
+	if err != nil {
 		return s, err
 	}
 	l.sequence = uint64(len(records))
 	l.size = int64(good)
-	return s, l.reopen(good < len(b))
+	if err := l.reopen(good < len(b)); err != nil || !replaced {
+		return s, err
+	}
+	// New entries would not follow the replaced ones in the file.
+	return s, l.Compact(s.HardState, nil)
 }
 
 // reopen opens the log for appending and cuts a torn tail.
@@ -178,12 +183,14 @@
 	return eris.Wrap(f.Sync(), "sync log")
 }
 
-func (s *State) replay(records []record) error {
+// replay applies the records. It tells whether the snapshot has replaced the
+// whole log.
+func (s *State) replay(records []record) (replaced bool, err error) {
 	for _, r := range records {
 		s.HardState = r.HardState
 		for _, e := range r.Entries {
 			if err := s.put(e); err != nil {
-				return err
+				return false, err
 			}
 		}
 	}
@@ -205,22 +212,23 @@
 
 // alignWithSnapshot drops entries that a snapshot from the leader has replaced
 // when the process ended before the log was rewritten.
-func (s *State) alignWithSnapshot() error {
+func (s *State) alignWithSnapshot() (replaced bool, err error) {
 	if len(s.Entries) == 0 {
-		return nil
+		return false, nil
 	}
 	first := s.Entries[0].Index
 	if first > s.Snapshot.Index+1 {
-		return eris.Wrapf(galenahead.ErrCorrupt, "log starts at entry %d, snapshot ends at %d", first, s.Snapshot.Index)
+		return false, eris.Wrapf(galenahead.ErrCorrupt, "log starts at entry %d, snapshot ends at %d", first, s.Snapshot.Index)
 	}
 	if first == s.Snapshot.Index+1 {
-		return nil
+		return false, nil
 	}
 	at := s.Snapshot.Index - first
-	if at >= uint64(len(s.Entries)) || s.Entries[at].Term != s.Snapshot.Term {
-		s.Entries = nil
+	if at < uint64(len(s.Entries)) && s.Entries[at].Term == s.Snapshot.Term {
+		return false, nil
 	}
-	return nil
+	s.Entries = nil
+	return true, nil
 }
 
 // Append durably records the state and the entries with one write and one
