--- a/galenaraft/config.go
+++ b/galenaraft/config.go
@@ -35,7 +35,8 @@
 	// Path is the data directory. Dir replaces it in tests.
 	Path string
 	Dir  galenawal.Dir
-	// StateMachine is used only by Run, and by Open to restore a snapshot.
+	// StateMachine is called by Open, to restore a snapshot, and then only by
+	// Run. Whoever reads it meanwhile needs a lock of its own.
 	StateMachine galenahead.StateMachine
 	// Caller sends messages to other replicas. A cluster of one needs none.
 	Caller galenahead.Caller
--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -430,7 +430,10 @@
 		r.Index = c.retryFrom(m.Index)
 		return nil
 	}
-	for _, e := range m.Entries {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+uint64(i)+1 {
+			return nil // an ill-formed message; r acknowledges nothing
+		}
 		if t, ok := c.log.term(e.Index); ok && t == e.Term {
 			continue
 		}
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -280,6 +280,9 @@
 
 // advance records that a replica holds the log up to index.
 func (c *core) advance(now time.Duration, id galenawal.ID, p *progress, index uint64) error {
+	if index > c.log.last() {
+		return nil // an ill-formed message
+	}
 	if index > p.match {
 		p.match = index
 		p.waitUntil = 0
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -247,7 +247,8 @@
 }
 
 // Guards against a learner that cannot catch up from a snapshot, is promoted
-// too early, or is added while its old identity is a member.
+// too early, or is added while its old identity is a member, and against a
+// leader that goes on after its removal.
 func TestMembershipChanges(t *testing.T) {
 	root := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
@@ -286,6 +287,11 @@
 		is.Equal(c.nodes[lost].machine.n.Load(), uint64(30))
 		is.NoErr(change(galenahead.MemberPromote))
 		is.Equal(len(l.Status().Members), 3)
+		m = l.self()
+		is.NoErr(change(galenahead.MemberRemove)) // a leader that removes itself steps down
+		is.Equal(l.HoldsLease(), false)
+		time.Sleep(longElection)
+		is.Equal(len(c.leader().Status().Members), 2)
 	})
 }
 
