--- a/galenaraft/api.go
+++ b/galenaraft/api.go
@@ -80,6 +80,9 @@
 // HoldsLease tells whether this replica leads and its lease holds now.
 func (n *Node) HoldsLease() bool { return n.now() < n.view.Load().leaseEnd }
 
+// Syncs returns how many records this replica has synced to its log since Open.
+func (n *Node) Syncs() uint64 { return n.view.Load().syncs }
+
 // ChangeMember implements galenahead.ReplicatedLog. An incarnation of zero in
 // a promotion or removal stands for the one that is a member. Besides
 // ErrNotLeader and ErrNoQuorum it fails with ErrNotReady while an earlier
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -52,6 +52,7 @@
 type view struct {
 	status   galenahead.LogStatus
 	leaseEnd time.Duration
+	syncs    uint64
 }
 
 // Open opens the files of a replica. A replica whose files are damaged sets
@@ -209,7 +210,7 @@
 // publish updates what other goroutines see.
 func (n *Node) publish(now time.Duration) {
 	c := n.engine.core
-	v := &view{leaseEnd: c.leaseEnd(now)}
+	v := &view{leaseEnd: c.leaseEnd(now), syncs: n.engine.wal.Syncs()}
 	v.status = galenahead.LogStatus{
 		Name:        n.cfg.Name,
 		Role:        string(c.status()),
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -30,6 +30,7 @@
 	incarnation uint64
 	sequence    uint64
 	size        int64
+	syncs       uint64
 	failed      error
 }
 
@@ -249,6 +250,7 @@
 		return l.fail(eris.Wrap(err, "sync log"))
 	}
 	l.sequence++
+	l.syncs++
 	l.size += int64(len(b))
 	return nil
 }
@@ -320,6 +322,9 @@
 // Size returns the size of the log file in bytes.
 func (l *Log) Size() int64 { return l.size }
 
+// Syncs returns how many records were appended since Open, each with one sync.
+func (l *Log) Syncs() uint64 { return l.syncs }
+
 // Close closes the log. Everything that was acknowledged is already durable.
 func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log") }
 
