Crash replicas in the histories while they open their files

Cause: no history ended a process between its start and its first message, so the first start, a torn tail and a replaced log were recovered only once. Found: a failed write in Open lost its cause in ErrFailed; both are kept now. Conclusion: a start can end at any write or sync.

--- a/galenaraft/sim_test.go
+++ b/galenaraft/sim_test.go
@@ -154,7 +154,11 @@
 	r.drift = 1 + (s.rand.Float64()-0.5)/25
 	r.frozen = 0
 	r.state = hashState{r: r}
-	if err := r.open(); err != nil {
+	switch err := r.open(); {
+	case errors.Is(err, errCrash):
+		r.crash(0)
+		return
+	case err != nil:
 		s.fail("%s cannot start: %v", r.name, err)
 		return
 	}
@@ -245,6 +249,9 @@
 			return
 		}
 		r.disk.restart()
+		if r.sim.lossy && r.sim.rand.IntN(2) == 0 {
+			r.disk.crashIn = 1 + r.sim.rand.IntN(20)
+		}
 		r.boot()
 	})
 }
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
 
 	"github.com/fxamacker/cbor/v2"
@@ -329,6 +330,6 @@
 func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log") }
 
 func (l *Log) fail(err error) error {
-	l.failed = eris.Wrap(ErrFailed, err.Error())
+	l.failed = fmt.Errorf("%w: %w", ErrFailed, err)
 	return l.failed
 }
