Plan: look for a VM only when one may be taken out; help empty pools

Cause: a pool with all VMs down has no measured capacity, so its need was forgotten and it borrowed nothing. Plan searched for VMs while the limit was reached.

Ruled out: a configured capacity per VM (declared values are inaccurate).

Before: no move in 10 min for a pool without VMs. After: at least two, tested.

Conclusion: the search is rare, since a VM is out for about a minute.

--- a/galenawave/headroom.go
+++ b/galenawave/headroom.go
@@ -15,6 +15,12 @@
 	up, out int
 }
 
+// placedVM is a VM with its failure domains.
+type placedVM struct {
+	vm           *galenastate.VM
+	rack, centre *domain
+}
+
 // rackKey names a rack; racks of different data centres may share a name.
 type rackKey struct {
 	dataCentre galenahead.DataCentre
@@ -24,6 +30,7 @@
 // headroom decides which VM of a pool can be taken out next.
 type headroom struct {
 	pool    *poolSurvey
+	vms     []placedVM
 	up, out int
 	racks   map[rackKey]*domain
 	centres map[galenahead.DataCentre]*domain
@@ -36,20 +43,22 @@
 func newHeadroom(pool *poolSurvey) *headroom {
 	h := &headroom{
 		pool:    pool,
+		vms:     make([]placedVM, 0, len(pool.vms)),
 		racks:   make(map[rackKey]*domain),
 		centres: make(map[galenahead.DataCentre]*domain),
 	}
 	for _, vm := range pool.vms {
-		rack, centre := h.domains(vm)
+		p := h.place(vm)
+		h.vms = append(h.vms, p)
 		if inService(vm) {
 			h.up++
-			rack.up++
-			centre.up++
+			p.rack.up++
+			p.centre.up++
 			continue
 		}
 		h.out++
-		rack.out++
-		centre.out++
+		p.rack.out++
+		p.centre.out++
 	}
 	h.findLargest()
 	return h
@@ -65,42 +74,41 @@
 	}
 }
 
-func (h *headroom) domains(vm *galenastate.VM) (rack, centre *domain) {
+func (h *headroom) place(vm *galenastate.VM) placedVM {
 	key := rackKey{vm.DataCentre, vm.Rack}
 	rack, ok := h.racks[key]
 	if !ok {
 		rack = &domain{}
 		h.racks[key] = rack
 	}
-	centre, ok = h.centres[vm.DataCentre]
+	centre, ok := h.centres[vm.DataCentre]
 	if !ok {
 		centre = &domain{}
 		h.centres[vm.DataCentre] = centre
 	}
-	return rack, centre
+	return placedVM{vm, rack, centre}
 }
 
-func (h *headroom) takeOut(vm *galenastate.VM) {
-	rack, centre := h.domains(vm)
+func (h *headroom) takeOut(p placedVM) {
 	h.up--
 	h.out++
-	rack.up--
-	rack.out++
-	centre.up--
-	centre.out++
+	p.rack.up--
+	p.rack.out++
+	p.centre.up--
+	p.centre.out++
 	h.findLargest()
 }
 
 // choose returns the index of the VM to take out next, or -1. Racks and data
 // centres that have VMs out come first, so that few of them are touched at a
 // time; then the data centre with the most VMs in service.
-func (h *headroom) choose(pending []*galenastate.VM) int {
+func (h *headroom) choose(pending []placedVM) int {
 	best := -1
-	for i, vm := range pending {
-		if best >= 0 && !h.before(vm, pending[best]) {
+	for i, p := range pending {
+		if best >= 0 && !before(p, pending[best]) {
 			continue
 		}
-		if h.allows(vm) {
+		if h.allows(p) {
 			best = i
 		}
 	}
@@ -117,37 +125,34 @@
 	return text[:min(len(text), reasonLimit)]
 }
 
-func (h *headroom) before(a, b *galenastate.VM) bool {
-	rackA, centreA := h.domains(a)
-	rackB, centreB := h.domains(b)
-	if rackA.out != rackB.out {
-		return rackA.out > rackB.out
+func before(a, b placedVM) bool {
+	if a.rack.out != b.rack.out {
+		return a.rack.out > b.rack.out
 	}
-	if centreA.out != centreB.out {
-		return centreA.out > centreB.out
+	if a.centre.out != b.centre.out {
+		return a.centre.out > b.centre.out
 	}
-	if centreA.up != centreB.up {
-		return centreA.up > centreB.up
+	if a.centre.up != b.centre.up {
+		return a.centre.up > b.centre.up
 	}
-	if a.DataCentre != b.DataCentre {
-		return a.DataCentre < b.DataCentre
+	if a.vm.DataCentre != b.vm.DataCentre {
+		return a.vm.DataCentre < b.vm.DataCentre
 	}
-	return a.Rack < b.Rack
+	return a.vm.Rack < b.vm.Rack
 }
 
-// allows tells whether every service of the pool holds its demand without vm.
+// allows tells whether every service of the pool holds its demand without p.
 // While VMs of another rack or data centre are out, it must also hold it after
 // the loss of the largest rack or data centre.
-func (h *headroom) allows(vm *galenastate.VM) bool {
+func (h *headroom) allows(p placedVM) bool {
 	if h.ignore {
 		return true
 	}
-	rack, centre := h.domains(vm)
 	spare := 0
-	if h.out > rack.out {
+	if h.out > p.rack.out {
 		spare = h.largestRack
 	}
-	if h.out > centre.out {
+	if h.out > p.centre.out {
 		spare = h.largestCentre
 	}
 	for _, s := range h.pool.services {
--- a/galenawave/move.go
+++ b/galenawave/move.go
@@ -156,15 +156,15 @@
 		mv.pools[p.Name] = d
 	}
 	use, known := s.use()
-	if !known {
-		*d = poolDemand{}
-		return
-	}
-	if !d.known {
+	if known && !d.known {
 		d.use, d.known = use, true
 	}
-	d.use += (use - d.use) * (1 - math.Exp(-step.Seconds()/smoothing.Seconds()))
-	d.surplus = lasted(d.surplus, step, float64(s.up) >= d.target()+1+giveBackMargin)
+	// A pool without a VM in service has no measured capacity; its need is that
+	// of its last average.
+	if known {
+		d.use += (use - d.use) * (1 - math.Exp(-step.Seconds()/smoothing.Seconds()))
+	}
+	d.surplus = lasted(d.surplus, step, known && float64(s.up) >= d.target()+1+giveBackMargin)
 	d.deficit = lasted(d.deficit, step, s.up+s.in < d.need())
 }
 
--- a/galenawave/planner_test.go
+++ b/galenawave/planner_test.go
@@ -445,6 +445,21 @@
 	}
 }
 
+// Guards against a pool that gets no help because all its VMs are down.
+func TestPoolWithoutVMsBorrows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, kitakaze, 1)
+	w.run(10 * time.Minute)
+	for vm := range w.m.View().VMs() {
+		if vm.Pool == "counter" {
+			w.apply(galenastate.Command{Change: galenastate.Change{VMCondition: &galenastate.VMCondition{
+				VM: vm.Name, Epoch: vm.Epoch, Condition: galenastate.ConditionDown}}})
+		}
+	}
+	w.run(10 * time.Minute)
+	is.True(w.moves >= 2)
+}
+
 // Guards against weights without effect; prints the figures of both
 // deployments, each with its own weights and with the other's.
 func TestWeightsTradeBufferForRollout(t *testing.T) {
--- a/galenawave/wave.go
+++ b/galenawave/wave.go
@@ -161,16 +161,19 @@
 // drainNext takes out further VMs, as far as the limit and the headroom go,
 // and ends the wave when no VM is left.
 func (s *waveSteps) drainNext(pool *poolSurvey) {
+	if s.out >= s.wave.MaxAtOnce && s.wave.Out > 0 {
+		return
+	}
 	h := newHeadroom(pool)
 	h.ignore = s.faults.ignoreHeadroom
-	pending := s.pending(pool)
+	pending := s.pending(h.vms)
 	for len(pending) > 0 && s.out < s.wave.MaxAtOnce {
 		i := h.choose(pending)
 		if i < 0 {
 			return
 		}
 		h.takeOut(pending[i])
-		s.step(galenastate.StepDrain, pending[i].Name, h.describe())
+		s.step(galenastate.StepDrain, pending[i].vm.Name, h.describe())
 		pending = append(pending[:i], pending[i+1:]...)
 		s.out++
 	}
@@ -180,15 +183,15 @@
 }
 
 // pending returns the VMs in service that the wave has not maintained.
-func (s *waveSteps) pending(pool *poolSurvey) []*galenastate.VM {
-	var out []*galenastate.VM
-	for _, vm := range pool.vms {
-		if !inService(vm) || vm.Wave != "" {
+func (s *waveSteps) pending(vms []placedVM) []placedVM {
+	var out []placedVM
+	for _, p := range vms {
+		if !inService(p.vm) || p.vm.Wave != "" {
 			continue
 		}
-		at, reached := s.wave.VM(vm.Name)
+		at, reached := s.wave.VM(p.vm.Name)
 		if !reached || at.State == galenastate.StepAborted {
-			out = append(out, vm)
+			out = append(out, p)
 		}
 	}
 	return out
