Keep a view's index current; compare replicas in the histories

Cause: a replica that never restarts was added to the histories.

Conclusion: every command starts a new view.

--- a/galenastate/machine.go
+++ b/galenastate/machine.go
@@ -83,6 +83,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state.index = index
+	m.view = nil
 	c, err := DecodeCommand(command)
 	if err != nil {
 		return m.refuse(invalid("command", err.Error(), "a CBOR command")).Encode()
@@ -166,7 +167,6 @@
 	if ch.repeated {
 		return Result{Revision: m.state.revision, Repeated: true}
 	}
-	m.view = nil
 	ch.commit()
 	return Result{Revision: m.state.revision}
 }
--- a/galenastate/model_test.go
+++ b/galenastate/model_test.go
@@ -15,8 +15,10 @@
 // messages that are duplicated, reordered, delayed and lost. It keeps an own
 // account of what the platform does, and compares it after every command.
 type history struct {
-	r      *rand.Rand
-	m      *Machine
+	r *rand.Rand
+	m *Machine
+	// twin applies the same log and never restarts.
+	twin   *Machine
 	faults faults
 	index  uint64
 	ms     int64
@@ -42,6 +44,7 @@
 	return &history{
 		r:       rand.New(rand.NewPCG(seed, 1)),
 		m:       &Machine{faults: f},
+		twin:    &Machine{faults: f},
 		faults:  f,
 		results: map[string][]byte{},
 		user:    map[galenahead.VMName]galenahead.PoolName{},
@@ -111,6 +114,7 @@
 	before := h.m.View()
 	h.index++
 	out := h.m.Apply(h.index, b)
+	h.twin.Apply(h.index, b)
 	c, _ := DecodeCommand(b)
 	res, err := DecodeResult(out)
 	if err != nil {
@@ -175,9 +179,11 @@
 	if err := next.Restore(snap); err != nil {
 		return err
 	}
-	again, err := next.Snapshot()
-	if err != nil || !bytes.Equal(snap, again) {
-		return fmt.Errorf("snapshot of a restored machine differs (%v)", err)
+	for _, m := range []*Machine{next, h.twin} {
+		again, err := m.Snapshot()
+		if err != nil || !bytes.Equal(snap, again) {
+			return fmt.Errorf("snapshots differ after a restart (%v)", err)
+		}
 	}
 	h.m = next
 	for _, b := range h.sent[max(0, len(h.sent)-4):] {
