--- a/galenaplace/bench_test.go
+++ b/galenaplace/bench_test.go
@@ -123,3 +123,16 @@
 	b.ReportMetric(100*float64(yields)/float64(len(times)), "%yield")
 	runtime.KeepAlive(f)
 }
+
+// BenchmarkReport measures one usage report on a fleet that is three quarters
+// full.
+func BenchmarkReport(b *testing.B) {
+	f := newFleet(16000)
+	f.fill(5.5, 200)
+	at := t0.Add(time.Minute)
+	n := 0
+	for b.Loop() {
+		n++
+		f.x.Report(f.workers[n%len(f.workers)].Name, Usage{at.Add(time.Duration(n)), 30_000, 60_000})
+	}
+}
