--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -280,6 +280,9 @@
 
 // advance records that a replica holds the log up to index.
 func (c *core) advance(now time.Duration, id galenawal.ID, p *progress, index uint64) error {
+	if index > c.log.last() {
+		return nil // an ill-formed message
+	}
 	if index > p.match {
 		p.match = index
 		p.waitUntil = 0
@@ -303,7 +306,7 @@
 
 func (c *core) stepSnapshotResponse(now time.Duration, m Message) error {
 	p := c.heardFrom(m)
-	if p == nil || m.Reject || m.Chunk == nil {
+	if p == nil || m.Chunk == nil {
 		return nil
 	}
 	if m.Index > 0 {
--- a/galenastate/machine.go
+++ b/galenastate/machine.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -19,8 +20,12 @@
 	requests requestTable
 	view     *View
 	faults   faults
+	// snapshotSize is the length of the newest snapshot, in bytes.
+	snapshotSize atomic.Int64
 }
 
+var _ galenahead.StateMachine = (*Machine)(nil)
+
 // faults are defects that only tests set, to show that their checks find them.
 type faults struct {
 	ignoreEpoch    bool
@@ -80,6 +85,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state.index = index
+	m.view = nil
 	c, err := DecodeCommand(command)
 	if err != nil {
 		return m.refuse(invalid("command", err.Error(), "a CBOR command")).Encode()
@@ -163,7 +169,6 @@
 	if ch.repeated {
 		return Result{Revision: m.state.revision, Repeated: true}
 	}
-	m.view = nil
 	ch.commit()
 	return Result{Revision: m.state.revision}
 }
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,6 +31,7 @@
 	incarnation uint64
 	sequence    uint64
 	size        int64
+	syncs       uint64
 	failed      error
 }
 
@@ -154,12 +156,17 @@
 		// The first record is synced before the file gets its name.
 		return s, eris.Wrap(galenahead.ErrCorrupt, "log has no intact record")
 	}
-	if err := s.replay(records); err != nil {
+	replaced, err := s.replay(records)
+	if err != nil {
 		return s, err
 	}
 	l.sequence = uint64(len(records))
 	l.size = int64(good)
-	return s, l.reopen(good < len(b))
+	if err := l.reopen(good < len(b)); err != nil || !replaced {
+		return s, err
+	}
+	// New entries would not follow the replaced ones in the file.
+	return s, l.Compact(s.HardState, nil)
 }
 
 // reopen opens the log for appending and cuts a torn tail.
@@ -178,12 +185,14 @@
 	return eris.Wrap(f.Sync(), "sync log")
 }
 
-func (s *State) replay(records []record) error {
+// replay applies the records. It tells whether the snapshot has replaced the
+// whole log.
+func (s *State) replay(records []record) (replaced bool, err error) {
 	for _, r := range records {
 		s.HardState = r.HardState
 		for _, e := range r.Entries {
 			if err := s.put(e); err != nil {
-				return err
+				return false, err
 			}
 		}
 	}
@@ -205,22 +214,23 @@
 
 // alignWithSnapshot drops entries that a snapshot from the leader has replaced
 // when the process ended before the log was rewritten.
-func (s *State) alignWithSnapshot() error {
+func (s *State) alignWithSnapshot() (replaced bool, err error) {
 	if len(s.Entries) == 0 {
-		return nil
+		return false, nil
 	}
 	first := s.Entries[0].Index
 	if first > s.Snapshot.Index+1 {
-		return eris.Wrapf(galenahead.ErrCorrupt, "log starts at entry %d, snapshot ends at %d", first, s.Snapshot.Index)
+		return false, eris.Wrapf(galenahead.ErrCorrupt, "log starts at entry %d, snapshot ends at %d", first, s.Snapshot.Index)
 	}
 	if first == s.Snapshot.Index+1 {
-		return nil
+		return false, nil
 	}
 	at := s.Snapshot.Index - first
-	if at >= uint64(len(s.Entries)) || s.Entries[at].Term != s.Snapshot.Term {
-		s.Entries = nil
+	if at < uint64(len(s.Entries)) && s.Entries[at].Term == s.Snapshot.Term {
+		return false, nil
 	}
-	return nil
+	s.Entries = nil
+	return true, nil
 }
 
 // Append durably records the state and the entries with one write and one
@@ -241,6 +251,7 @@
 		return l.fail(eris.Wrap(err, "sync log"))
 	}
 	l.sequence++
+	l.syncs++
 	l.size += int64(len(b))
 	return nil
 }
@@ -312,10 +323,13 @@
 // Size returns the size of the log file in bytes.
 func (l *Log) Size() int64 { return l.size }
 
+// Syncs returns how many records were appended since Open, each with one sync.
+func (l *Log) Syncs() uint64 { return l.syncs }
+
 // Close closes the log. Everything that was acknowledged is already durable.
 func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log") }
 
 func (l *Log) fail(err error) error {
-	l.failed = eris.Wrap(ErrFailed, err.Error())
+	l.failed = fmt.Errorf("%w: %w", ErrFailed, err)
 	return l.failed
 }
