--- a/galenaclaim/service.go
+++ b/galenaclaim/service.go
@@ -100,11 +100,11 @@
 		return s.table.Vote(s.clock.Now(), s.cfg.ClockTrusted(), q), nil
 	})
 	galenarpc.Handle(m, methodFinish, func(_ context.Context, q FinishRequest) (bool, error) {
-		s.table.Finish(s.clock.Now(), q)
+		s.table.Finish(s.clock.Now(), s.cfg.ClockTrusted(), q)
 		return true, nil
 	})
 	galenarpc.Handle(m, methodRelease, func(_ context.Context, q ReleaseRequest) (bool, error) {
-		s.table.Release(s.clock.Now(), q)
+		s.table.Release(s.clock.Now(), s.cfg.ClockTrusted(), q)
 		return true, nil
 	})
 }
@@ -128,9 +128,15 @@
 // Claim asks for the key on behalf of attempt, which must be unique for the
 // key. ErrClaimUndecided does not prove that no earlier attempt ran.
 func (s *Service) Claim(ctx context.Context, key galenahead.RequestKey, attempt string) (galenahead.ClaimResult, error) {
-	if _, err := key.IssueTime(); err != nil {
+	issued, err := key.IssueTime()
+	if err != nil {
 		return galenahead.ClaimResult{}, err
 	}
+	age := s.clock.Now().Wall.Sub(issued)
+	if s.cfg.ClockTrusted() && (age > Window+clockMargin || age < -MaxAhead-clockMargin) {
+		// No trusted clock of a replica finds the key within the window.
+		return galenahead.ClaimResult{}, galenahead.ErrKeyExpired
+	}
 	for range ballots {
 		a := Attempt{Entry: s.cfg.Self, Life: s.life, Order: s.order.Add(1)}
 		d, b := s.vote(ctx, VoteRequest{Key: key, Attempt: a})
@@ -163,7 +169,7 @@
 	if resultSize(&a) <= MaxResult {
 		q.Answer = &a
 	}
-	return s.deliver(ctx, key, methodFinish, q, func() { s.table.Finish(s.clock.Now(), q) })
+	return s.deliver(ctx, key, methodFinish, q, func() { s.table.Finish(s.clock.Now(), s.cfg.ClockTrusted(), q) })
 }
 
 // Release gives up a granted attempt of which no byte was sent. It returns when
@@ -178,14 +184,14 @@
 
 func (s *Service) release(ctx context.Context, key galenahead.RequestKey, a Attempt) error {
 	q := ReleaseRequest{Key: key, Attempt: a}
-	return s.deliver(ctx, key, methodRelease, q, func() { s.table.Release(s.clock.Now(), q) })
+	return s.deliver(ctx, key, methodRelease, q, func() { s.table.Release(s.clock.Now(), s.cfg.ClockTrusted(), q) })
 }
 
 // withdraw releases the votes of an attempt that was not granted, without
 // waiting. Replicas that did not answer get it too, as they may have voted.
 func (s *Service) withdraw(ctx context.Context, key galenahead.RequestKey, a Attempt) {
 	q := ReleaseRequest{Key: key, Attempt: a}
-	s.send(ctx, key, methodRelease, q, func() { s.table.Release(s.clock.Now(), q) })
+	s.send(ctx, key, methodRelease, q, func() { s.table.Release(s.clock.Now(), s.cfg.ClockTrusted(), q) })
 }
 
 // vote asks all replicas at once.
--- a/galenaclaim/table.go
+++ b/galenaclaim/table.go
@@ -161,8 +161,8 @@
 // Finish records the result of a granted attempt, also when this replica had
 // voted for another one: two other replicas voted for the attempt, so that no
 // other attempt can have run.
-func (t *Table) Finish(now galenapeer.Instant, q FinishRequest) {
-	issued, h, ok := t.accepts(now, q.Key, q.Attempt)
+func (t *Table) Finish(now galenapeer.Instant, trusted bool, q FinishRequest) {
+	issued, h, ok := t.accepts(now, trusted, q.Key, q.Attempt)
 	if !ok {
 		return
 	}
@@ -184,8 +184,8 @@
 
 // Release withdraws the attempt's vote and fences late messages of the attempt
 // and of earlier ones of the same entry.
-func (t *Table) Release(now galenapeer.Instant, q ReleaseRequest) {
-	issued, h, ok := t.accepts(now, q.Key, q.Attempt)
+func (t *Table) Release(now galenapeer.Instant, trusted bool, q ReleaseRequest) {
+	issued, h, ok := t.accepts(now, trusted, q.Key, q.Attempt)
 	if !ok {
 		return
 	}
@@ -269,11 +269,11 @@
 	return ""
 }
 
-// accepts checks a message other than a claim. Keys far ahead of the clock are
-// not stored, since they would stay for as long.
-func (t *Table) accepts(now galenapeer.Instant, key galenahead.RequestKey, a Attempt) (time.Time, holder, bool) {
+// accepts checks a message other than a claim. Keys far ahead of a trusted
+// clock are not stored, since they would stay for as long.
+func (t *Table) accepts(now galenapeer.Instant, trusted bool, key galenahead.RequestKey, a Attempt) (time.Time, holder, bool) {
 	issued, err := key.IssueTime()
-	if err != nil || issued.After(now.Wall.Add(MaxAhead+clockMargin)) {
+	if err != nil || trusted && issued.After(now.Wall.Add(MaxAhead+clockMargin)) {
 		return time.Time{}, holder{}, false
 	}
 	h, ok := t.holder(a)
