--- a/galenapeer/service.go
+++ b/galenapeer/service.go
@@ -73,6 +73,14 @@
 	s.table.Confirm(Instant{Mono: asked.Sub(s.clock.base)}, revision)
 }
 
+// Hold records that the content of revision is held without a statement of the
+// leader.
+func (s *Service) Hold(revision galenahead.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Hold(revision)
+}
+
 // Live tells whether the peer is live.
 func (s *Service) Live(name galenahead.EntryName) bool {
 	s.mu.Lock()
--- a/galenapeer/serving.go
+++ b/galenapeer/serving.go
@@ -36,7 +36,7 @@
 	// ServingControlDown serves the held revision because a majority is live
 	// and none of it has a fresh confirmation.
 	ServingControlDown ServingMode = "control_down"
-	// NotReadyBehind does not serve until the revision of Serving.From is held.
+	// NotReadyBehind does not serve until Serving.Newer is held.
 	NotReadyBehind ServingMode = "behind"
 	// NotReadyPartitioned does not serve because no majority is live.
 	NotReadyPartitioned ServingMode = "partitioned"
@@ -48,10 +48,13 @@
 type Serving struct {
 	Mode  ServingMode
 	Ready bool
-	// Revision is the one to adopt from From in the modes ServingAdopted and
-	// NotReadyBehind.
+	// Revision is the held one.
 	Revision galenahead.Revision
-	From     galenahead.EntryName
+	// Newer is set in any mode when a live peer has a fresh confirmation of a
+	// newer revision, whose content is to be fetched from From.
+	Newer galenahead.Revision
+	// From is the peer with Newer, or the one relied on in ServingAdopted.
+	From galenahead.EntryName
 	// Age is the age of the confirmation relied on.
 	Age time.Duration
 }
@@ -63,20 +66,25 @@
 // A peer's confirmation of an older revision also covers a newer one held
 // here: it states that nothing newer existed when it was given.
 func DecideServing(own Confirmation, peers map[galenahead.EntryName]Confirmation, majority bool) Serving {
-	if own.Fresh() {
-		return Serving{Mode: ServingConfirmed, Ready: true, Revision: own.Revision, Age: own.Age}
-	}
-	if !majority {
-		return Serving{Mode: NotReadyPartitioned, Revision: own.Revision, Age: own.Age}
-	}
+	s := Serving{Revision: own.Revision, Age: own.Age}
 	best, from := freshest(peers)
-	if from == "" {
-		return withoutPeers(own)
-	}
-	s := Serving{Mode: ServingAdopted, Ready: true, Revision: best.Revision, From: from, Age: best.Age}
 	if best.Revision > own.Revision {
+		s.Newer, s.From = best.Revision, from
+	}
+	switch {
+	case own.Fresh():
+		s.Mode, s.Ready = ServingConfirmed, true
+	case !majority:
+		s.Mode = NotReadyPartitioned
+	case from == "" && own.Confirmed:
+		s.Mode, s.Ready = ServingControlDown, true
+	case from == "":
+		s.Mode = NotReadyBlank
+	case s.Newer > 0:
 		s.Mode = NotReadyBehind
-		s.Ready = false
+	default:
+		s.Mode, s.Ready = ServingAdopted, true
+		s.From, s.Age = from, best.Age
 	}
 	return s
 }
@@ -103,10 +111,3 @@
 	}
 	return a.Age < b.Age
 }
-
-func withoutPeers(own Confirmation) Serving {
-	if !own.Confirmed {
-		return Serving{Mode: NotReadyBlank}
-	}
-	return Serving{Mode: ServingControlDown, Ready: true, Revision: own.Revision, Age: own.Age}
-}
--- a/galenapeer/table.go
+++ b/galenapeer/table.go
@@ -105,6 +105,14 @@
 	t.ownAt = now.Mono
 }
 
+// Hold records that the content of revision is held, for example fetched from a
+// peer, without a statement of the leader. It does not confirm the revision.
+func (t *Table) Hold(revision galenahead.Revision) {
+	if revision > t.own.Revision {
+		t.own = Confirmation{Revision: revision}
+	}
+}
+
 // Request returns the heartbeat to send to peer.
 func (t *Table) Request(now Instant, peer galenahead.EntryName) Heartbeat {
 	h := t.heartbeat(now)
@@ -206,7 +214,7 @@
 }
 
 // Serving decides whether this entry may serve, and adopts the confirmation of
-// a live peer that covers the held revision.
+// a live peer that covers the held revision, with its age.
 func (t *Table) Serving(now Instant) Serving {
 	peers := make(map[galenahead.EntryName]Confirmation, len(t.peers))
 	for _, p := range t.peers {
@@ -216,7 +224,12 @@
 			peers[p.entry.Name] = c
 		}
 	}
-	return DecideServing(t.Own(now), peers, t.Majority(now))
+	s := DecideServing(t.Own(now), peers, t.Majority(now))
+	if s.Mode == ServingAdopted {
+		t.own.Confirmed = true
+		t.ownAt = now.Mono - s.Age
+	}
+	return s
 }
 
 func (t *Table) heartbeat(now Instant) Heartbeat {
