--- a/galenabroker/allocate.go
+++ b/galenabroker/allocate.go
@@ -1,7 +1,6 @@
 package galenabroker
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/galenahead/galenahead"
@@ -126,7 +125,7 @@
 func (l *Ledger) grantOne(s *session, free map[galenahead.InstanceID]int) bool {
 	var best galenahead.InstanceID
 	found, near := false, false
-	for _, id := range slices.Sorted(maps.Keys(free)) {
+	for _, id := range l.ids {
 		if free[id] <= 0 || slices.Contains(s.avoid, id) {
 			continue
 		}
@@ -155,7 +154,7 @@
 	}
 	for i, s := range live {
 		excess := min(max(s.held()-want[i], 0), lacking)
-		for _, id := range slices.Sorted(maps.Keys(s.accounts)) {
+		for _, id := range s.ids {
 			a := s.accounts[id]
 			limit := noLimit
 			n := a.outstanding()
--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -1,7 +1,6 @@
 package galenabroker
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +19,8 @@
 	// leftMemory is how long announcements of an instance are ignored after it
 	// said that it leaves, because earlier ones may arrive late.
 	leftMemory = 10 * time.Second
+	// spareAccounts is how many instances that are gone an account may list.
+	spareAccounts = 64
 	// keepInstance is how long an instance without a lease is remembered.
 	keepInstance = time.Minute
 	// spareSlots is granted beyond the demand while slots are plentiful.
@@ -38,7 +39,9 @@
 	maxRequest time.Duration
 	open       bool
 	instances  map[galenahead.InstanceID]*instance
-	sessions   map[galenahead.EntryName]*session
+	// ids are the keys of instances in order.
+	ids      []galenahead.InstanceID
+	sessions map[galenahead.EntryName]*session
 	// former holds the accounts of entries' former processes.
 	former []*session
 	// unreported bounds by instance what entries may have in use that did not
@@ -71,6 +74,8 @@
 	// flight.
 	old      bool
 	accounts map[galenahead.InstanceID]*account
+	// ids are the keys of accounts in order.
+	ids []galenahead.InstanceID
 	// changed tells that the entry is to be told.
 	changed bool
 }
@@ -130,6 +135,7 @@
 	if !ok {
 		i = &instance{}
 		l.instances[a.Instance] = i
+		l.ids = insert(l.ids, a.Instance)
 	}
 	l.observe(a, tick)
 	if i.left && now.Mono-i.leftAt < leftMemory {
@@ -146,9 +152,10 @@
 
 // Sync handles an entry's message and returns the reply. It fails with
 // ErrNotLeader for another epoch, and with ErrLeaseExpired for an account that
-// was replaced, or whose lease ended while the entry held slots. The entry then
-// starts a new account: late messages about the old one may grant slots that
-// have been counted as free since.
+// was replaced, or whose lease ended while the entry held slots, or that lists
+// many instances that are gone. The entry then starts a new account: late
+// messages about the old one may grant slots that have been counted as free
+// since.
 func (l *Ledger) Sync(now galenapeer.Instant, q SyncRequest, item SyncItem) (GrantItem, error) {
 	i := slices.IndexFunc(l.entries, func(e galenapeer.Entry) bool { return e.Name == q.From })
 	if i < 0 || item.Epoch != l.tenure.Epoch {
@@ -159,7 +166,8 @@
 	}
 	s := l.session(now, l.entries[i], item, q.UptimeMS)
 	known := s.merge(item)
-	if s.seq > 0 && now.Mono >= s.lapse() && s.held() > 0 {
+	lapsed := s.seq > 0 && now.Mono >= s.lapse() && s.held() > 0
+	if lapsed || len(s.accounts) > 2*len(l.instances)+spareAccounts {
 		l.retire(s)
 		return GrantItem{}, galenahead.ErrLeaseExpired
 	}
@@ -171,8 +179,12 @@
 
 // Tick lets leases end and slots come free.
 func (l *Ledger) Tick(now galenapeer.Instant) {
-	maps.DeleteFunc(l.instances, func(_ galenahead.InstanceID, i *instance) bool {
-		return now.Mono-i.expires > keepInstance
+	l.ids = slices.DeleteFunc(l.ids, func(id galenahead.InstanceID) bool {
+		old := now.Mono-l.instances[id].expires > keepInstance
+		if old {
+			delete(l.instances, id)
+		}
+		return old
 	})
 	l.former = slices.DeleteFunc(l.former, func(s *session) bool {
 		return now.Mono >= s.lapse()+l.maxRequest
@@ -390,10 +402,17 @@
 	if !ok {
 		a = &account{limit: noLimit, cap: unbounded}
 		s.accounts[id] = a
+		s.ids = insert(s.ids, id)
 	}
 	return a
 }
 
+// insert adds id to the ordered ids.
+func insert(ids []galenahead.InstanceID, id galenahead.InstanceID) []galenahead.InstanceID {
+	i, _ := slices.BinarySearch(ids, id)
+	return slices.Insert(ids, i, id)
+}
+
 // lapse returns when the entry can send nothing more under this session.
 func (s *session) lapse() time.Duration { return s.synced + SlotTTL + rateMargin }
 
@@ -414,7 +433,7 @@
 func (l *Ledger) grantItem(s *session, known map[galenahead.InstanceID]uint64) GrantItem {
 	s.version++
 	g := GrantItem{Service: l.service, Epoch: l.tenure.Epoch, Life: s.life, Seq: s.seq, Version: s.version}
-	for _, id := range slices.Sorted(maps.Keys(s.accounts)) {
+	for _, id := range s.ids {
 		a := s.accounts[id]
 		if a.limit != noLimit {
 			if g.Limits == nil {
