Share messages between the claims of one entry

Cause: the message codec took most of a claim's cost, and every vote, result and release was a message of its own.

Ruled out: one message to a replica at a time, which would let a claim under load wait for up to two round trips; two are under way at most.

Conclusion: operations of one entry at one replica share messages.

--- a/galenaclaim/message.go
+++ b/galenaclaim/message.go
@@ -47,15 +47,52 @@
 	RefusedUnknown Refusal = "unknown_entry"
 )
 
+// OpKind is the kind of an operation at a replica.
+type OpKind string
+
+// Operations.
+const (
+	// OpVote asks for the replica's vote.
+	OpVote OpKind = "vote"
+	// OpFinish records the result.
+	OpFinish OpKind = "finish"
+	// OpRelease withdraws the vote.
+	OpRelease OpKind = "release"
+)
+
+// Op is one operation on a key.
+type Op struct {
+	Kind  OpKind                `json:"op"`
+	Key   galenahead.RequestKey `json:"key"`
+	Order uint64                `json:"order"`
+	// Answer is the result of OpFinish. It is absent when it is larger than
+	// MaxResult.
+	Answer *galenahead.Answer `json:"answer,omitempty"`
+}
+
+// Batch carries operations of one entry to a replica. Requests under load share
+// messages, since the encoding of a message costs more than its operations.
+type Batch struct {
+	Entry galenahead.EntryName `json:"entry"`
+	Life  uint32               `json:"life"`
+	Ops   []Op                 `json:"ops"`
+}
+
+// BatchReply has one reply for each operation; those of operations other than
+// votes are empty.
+type BatchReply struct {
+	Votes []VoteReply `json:"votes"`
+}
+
 // VoteRequest asks a replica to record Attempt as the claimant of Key.
 type VoteRequest struct {
-	Key     galenahead.RequestKey `json:"key"`
-	Attempt Attempt               `json:"attempt"`
+	Key     galenahead.RequestKey
+	Attempt Attempt
 }
 
 // VoteReply is a replica's vote.
 type VoteReply struct {
-	Vote   VoteKind `json:"vote"`
+	Vote   VoteKind `json:"vote,omitempty"`
 	Reason Refusal  `json:"reason,omitempty"`
 	// Holder is the claimant when Vote is VoteRunning and the attempt is open.
 	Holder *Attempt `json:"holder,omitempty"`
@@ -65,14 +102,14 @@
 
 // FinishRequest records the result of the attempt that was granted Key.
 type FinishRequest struct {
-	Key     galenahead.RequestKey `json:"key"`
-	Attempt Attempt               `json:"attempt"`
-	// Answer is absent when it is larger than MaxResult.
-	Answer *galenahead.Answer `json:"answer,omitempty"`
+	Key     galenahead.RequestKey
+	Attempt Attempt
+	// Answer is nil when it is larger than MaxResult.
+	Answer *galenahead.Answer
 }
 
 // ReleaseRequest withdraws the attempt's vote and fences its late messages.
 type ReleaseRequest struct {
-	Key     galenahead.RequestKey `json:"key"`
-	Attempt Attempt               `json:"attempt"`
+	Key     galenahead.RequestKey
+	Attempt Attempt
 }
--- a/galenaclaim/service.go
+++ b/galenaclaim/service.go
@@ -16,9 +16,7 @@
 )
 
 const (
-	methodVote    = "claim.vote"
-	methodFinish  = "claim.finish"
-	methodRelease = "claim.release"
+	methodBatch = "claim.batch"
 
 	// DefaultTimeout bounds the wait for a replica's reply. Replies usually
 	// come after one round trip of about 3 ms.
@@ -62,6 +60,8 @@
 	life  uint32
 	order atomic.Uint64
 	open  [shardCount]openShard
+	// pipes leads to each entry, in the order of the configured list.
+	pipes []*pipe
 }
 
 var _ galenahead.Claimer = (*Service)(nil)
@@ -73,8 +73,8 @@
 
 // openShard holds the granted attempts that are neither finished nor released.
 type openShard struct {
-	mu       sync.Mutex
-	attempts map[openKey]Attempt
+	mu     sync.Mutex
+	orders map[openKey]uint64
 }
 
 // New returns a service with an empty claim table.
@@ -91,24 +91,37 @@
 	// Orders grow across restarts as long as the clock does. Where it stepped
 	// back, fences of the former process refuse some claims, which is safe.
 	s.order.Store(uint64(now.Wall.UnixNano()))
+	for _, e := range cfg.Entries {
+		s.pipes = append(s.pipes, &pipe{service: s, peer: e})
+	}
 	return s
 }
 
-// Register adds the replica's methods to m.
+// Register adds the replica's method to m.
 func (s *Service) Register(m *galenarpc.Mux) {
-	galenarpc.Handle(m, methodVote, func(_ context.Context, q VoteRequest) (VoteReply, error) {
-		return s.table.Vote(s.clock.Now(), s.cfg.ClockTrusted(), q), nil
-	})
-	galenarpc.Handle(m, methodFinish, func(_ context.Context, q FinishRequest) (bool, error) {
-		s.table.Finish(s.clock.Now(), s.cfg.ClockTrusted(), q)
-		return true, nil
-	})
-	galenarpc.Handle(m, methodRelease, func(_ context.Context, q ReleaseRequest) (bool, error) {
-		s.table.Release(s.clock.Now(), s.cfg.ClockTrusted(), q)
-		return true, nil
+	galenarpc.Handle(m, methodBatch, func(_ context.Context, b Batch) (BatchReply, error) {
+		return s.serve(b), nil
 	})
 }
 
+// serve executes the operations at this replica.
+func (s *Service) serve(b Batch) BatchReply {
+	r := BatchReply{Votes: make([]VoteReply, len(b.Ops))}
+	now, trusted := s.clock.Now(), s.cfg.ClockTrusted()
+	for i, op := range b.Ops {
+		a := Attempt{Entry: b.Entry, Life: b.Life, Order: op.Order}
+		switch op.Kind {
+		case OpVote:
+			r.Votes[i] = s.table.Vote(now, trusted, VoteRequest{op.Key, a})
+		case OpFinish:
+			s.table.Finish(now, trusted, FinishRequest{op.Key, a, op.Answer})
+		case OpRelease:
+			s.table.Release(now, trusted, ReleaseRequest{op.Key, a})
+		}
+	}
+	return r
+}
+
 // Run purges the claim table until ctx ends, and then returns nil.
 func (s *Service) Run(ctx context.Context) error {
 	ticks := s.cfg.Timers.Subscribe(ctx, "claim.tick", tickInterval)
@@ -138,13 +151,15 @@
 		return galenahead.ClaimResult{}, galenahead.ErrKeyExpired
 	}
 	for range ballots {
-		a := Attempt{Entry: s.cfg.Self, Life: s.life, Order: s.order.Add(1)}
-		d, b := s.vote(ctx, VoteRequest{Key: key, Attempt: a})
+		order := s.order.Add(1)
+		d, b := s.vote(ctx, Op{Kind: OpVote, Key: key, Order: order})
 		if d == Granted {
-			s.shard(key).add(openKey{key, attempt}, a)
+			s.shard(key).add(openKey{key, attempt}, order)
 			return galenahead.ClaimResult{State: galenahead.ClaimGranted}, nil
 		}
-		s.withdraw(ctx, key, a)
+		// Replicas that did not answer get the release too, as they may have
+		// voted.
+		s.send(Op{Kind: OpRelease, Key: key, Order: order})
 		if d != Split {
 			return result(d, b)
 		}
@@ -161,58 +176,38 @@
 // Finish records the result of a granted attempt. It returns when a quorum has
 // recorded it, and fails with ErrNoQuorum otherwise.
 func (s *Service) Finish(ctx context.Context, key galenahead.RequestKey, attempt string, a galenahead.Answer) error {
-	at, ok := s.shard(key).remove(openKey{key, attempt})
+	order, ok := s.shard(key).remove(openKey{key, attempt})
 	if !ok {
 		return eris.Wrapf(galenahead.ErrNotFound, "attempt %s of %s", attempt, key)
 	}
-	q := FinishRequest{Key: key, Attempt: at}
+	op := Op{Kind: OpFinish, Key: key, Order: order}
 	if resultSize(&a) <= MaxResult {
-		q.Answer = &a
+		op.Answer = &a
 	}
-	return s.deliver(ctx, key, methodFinish, q, func() { s.table.Finish(s.clock.Now(), s.cfg.ClockTrusted(), q) })
+	return s.deliver(ctx, op)
 }
 
 // Release gives up a granted attempt of which no byte was sent. It returns when
 // a quorum has withdrawn its vote, and fails with ErrNoQuorum otherwise.
 func (s *Service) Release(ctx context.Context, key galenahead.RequestKey, attempt string) error {
-	at, ok := s.shard(key).remove(openKey{key, attempt})
+	order, ok := s.shard(key).remove(openKey{key, attempt})
 	if !ok {
 		return eris.Wrapf(galenahead.ErrNotFound, "attempt %s of %s", attempt, key)
 	}
-	return s.release(ctx, key, at)
-}
-
-func (s *Service) release(ctx context.Context, key galenahead.RequestKey, a Attempt) error {
-	q := ReleaseRequest{Key: key, Attempt: a}
-	return s.deliver(ctx, key, methodRelease, q, func() { s.table.Release(s.clock.Now(), s.cfg.ClockTrusted(), q) })
+	return s.deliver(ctx, Op{Kind: OpRelease, Key: key, Order: order})
 }
 
-// withdraw releases the votes of an attempt that was not granted, without
-// waiting. Replicas that did not answer get it too, as they may have voted.
-func (s *Service) withdraw(ctx context.Context, key galenahead.RequestKey, a Attempt) {
-	q := ReleaseRequest{Key: key, Attempt: a}
-	s.send(ctx, key, methodRelease, q, func() { s.table.Release(s.clock.Now(), s.cfg.ClockTrusted(), q) })
-}
-
-// vote asks all replicas at once.
-func (s *Service) vote(ctx context.Context, q VoteRequest) (Decision, *Ballot) {
-	replies := make(chan numberedReply, replicaCount)
-	replicas := Replicas(s.cfg.Entries, q.Key)
-	for i, r := range replicas {
-		c := &voteCall{service: s, number: i, peer: s.cfg.Entries[r], request: q, replies: replies}
-		if c.peer.Name == s.cfg.Self {
-			replies <- numberedReply{i, s.table.Vote(s.clock.Now(), s.cfg.ClockTrusted(), q)}
-			continue
-		}
-		go c.run(ctx)
-	}
+// vote asks all replicas at once. The remaining calls go on when the ballot is
+// decided, so that the replicas get to know the attempt.
+func (s *Service) vote(ctx context.Context, op Op) (Decision, *Ballot) {
+	replies := s.send(op)
 	b := &Ballot{}
-	for range replicas {
+	for range cap(replies) {
 		select {
 		case <-ctx.Done():
 			return b.Close(), b
 		case r := <-replies:
-			if d := b.Add(r.number, r.reply); d != Pending {
+			if d := b.Add(r.number, r.vote); d != Pending {
 				return d, b
 			}
 		}
@@ -232,16 +227,16 @@
 	return galenahead.ClaimResult{}, galenahead.ErrClaimUndecided
 }
 
-// deliver sends a message to all replicas of key and waits for a quorum.
-func (s *Service) deliver(ctx context.Context, key galenahead.RequestKey, method string, params any, local func()) error {
-	acks := s.send(ctx, key, method, params, local)
+// deliver sends an operation to all replicas of its key and waits for a quorum.
+func (s *Service) deliver(ctx context.Context, op Op) error {
+	replies := s.send(op)
 	n := 0
-	for range cap(acks) {
+	for range cap(replies) {
 		select {
 		case <-ctx.Done():
 			return galenahead.ErrNoQuorum
-		case ok := <-acks:
-			if ok {
+		case r := <-replies:
+			if r.ok {
 				n++
 			}
 		}
@@ -252,94 +247,34 @@
 	return galenahead.ErrNoQuorum
 }
 
-func (s *Service) send(ctx context.Context, key galenahead.RequestKey, method string, params any, local func()) chan bool {
-	replicas := Replicas(s.cfg.Entries, key)
-	acks := make(chan bool, len(replicas))
-	for _, r := range replicas {
-		peer := s.cfg.Entries[r]
-		if peer.Name == s.cfg.Self {
-			local()
-			acks <- true
-			continue
-		}
-		d := &delivery{service: s, peer: peer, method: method, params: params, acks: acks}
-		go d.run(ctx)
+// send starts an operation at all replicas of its key. The channel has room for
+// all replies.
+func (s *Service) send(op Op) <-chan opReply {
+	replicas := Replicas(s.cfg.Entries, op.Key)
+	replies := make(chan opReply, len(replicas))
+	for i, r := range replicas {
+		s.pipes[r].submit(&pending{op: op, number: i, replies: replies})
 	}
-	return acks
+	return replies
 }
 
 func (s *Service) shard(key galenahead.RequestKey) *openShard {
 	return &s.open[xxhash.Sum64String(string(key))%shardCount]
 }
 
-type numberedReply struct {
-	number int
-	reply  VoteReply
-}
-
-// voteCall asks one replica. The call goes on when the ballot is decided
-// earlier, so that the replica is known to have the message.
-type voteCall struct {
-	service *Service
-	number  int
-	peer    galenapeer.Entry
-	request VoteRequest
-	replies chan<- numberedReply
-}
-
-func (c *voteCall) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.service.cfg.Timeout)
-	defer cancel()
-	var r VoteReply
-	err := c.service.cfg.Caller.Call(ctx, c.peer.Address, methodVote, c.request, &r)
-	if err != nil {
-		r = VoteReply{}
-	}
-	c.replies <- numberedReply{c.number, r}
-}
-
-// delivery sends one message to one replica, with repetitions.
-type delivery struct {
-	service *Service
-	peer    galenapeer.Entry
-	method  string
-	params  any
-	acks    chan<- bool
-}
-
-func (d *delivery) run(ctx context.Context) {
-	ctx = context.WithoutCancel(ctx)
-	delay := redeliveryDelay
-	for range deliveries {
-		if d.call(ctx) == nil {
-			d.acks <- true
-			return
-		}
-		<-d.service.cfg.Timers.After(ctx, delay)
-		delay *= 2
-	}
-	d.acks <- false
-}
-
-func (d *delivery) call(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, d.service.cfg.Timeout)
-	defer cancel()
-	return d.service.cfg.Caller.Call(ctx, d.peer.Address, d.method, d.params, nil)
-}
-
-func (o *openShard) add(k openKey, a Attempt) {
+func (o *openShard) add(k openKey, order uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.attempts == nil {
-		o.attempts = make(map[openKey]Attempt)
+	if o.orders == nil {
+		o.orders = make(map[openKey]uint64)
 	}
-	o.attempts[k] = a
+	o.orders[k] = order
 }
 
-func (o *openShard) remove(k openKey) (Attempt, bool) {
+func (o *openShard) remove(k openKey) (uint64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	a, ok := o.attempts[k]
-	delete(o.attempts, k)
-	return a, ok
+	order, ok := o.orders[k]
+	delete(o.orders, k)
+	return order, ok
 }
--- a/galenaclaim/service_test.go
+++ b/galenaclaim/service_test.go
@@ -86,6 +86,8 @@
 func BenchmarkClaimParallel(b *testing.B) {
 	s := startServices(b, 12)
 	b.ReportAllocs()
+	// 320 claims at a time let operations share messages.
+	b.SetParallelism(320 / runtime.GOMAXPROCS(0))
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
 			key := nowKey(i) + galenahead.RequestKey(fmt.Sprintf("-%p", pb))
