Fix a data race in the cluster test

Cause: the race detector reported unlocked reads of the answer gap.

Before: go test -race failed in TestClusterLoad.

Conclusion: the race was in the test only.

--- a/galenabroker/cluster_test.go
+++ b/galenabroker/cluster_test.go
@@ -316,6 +316,18 @@
 	g.last = now
 }
 
+func (g *gap) reset() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.max = 0
+}
+
+func (g *gap) read() (longest time.Duration, last time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.max, g.last
+}
+
 // Guards against more than 8 requests in flight at an instance under load, at
 // half load and beyond capacity and while a broker is lost, and against slots
 // that stay unused.
@@ -370,10 +382,11 @@
 	}
 	for _, stop := range []string{"stopped", "isolated"} {
 		c.loseBroker(stop == "stopped")
-		counter.max = 0
+		counter.reset()
 		time.Sleep(12 * time.Second)
-		t.Logf("broker %s: no answer for %v, then for %v", stop, counter.max, time.Since(counter.last))
-		is.True(time.Since(counter.last) < time.Second)
+		longest, last := counter.read()
+		t.Logf("broker %s: no answer for %v, then for %v", stop, longest, time.Since(last))
+		is.True(time.Since(last) < time.Second)
 	}
 }
 
