Settle a new broker's accounts as soon as all entries reported

Cause: after a cold start, slots were granted only when announcements were dated after the expiry of leases that nobody can hold: with a report of every entry, no former process can send any more.

Conclusion: cold starts and stops of a broker do not wait for old leases.

--- a/galenabroker/allocate.go
+++ b/galenabroker/allocate.go
@@ -39,6 +39,7 @@
 	}
 	expired := now.Mono >= l.tenure.Won+SlotTTL+rateMargin
 	l.open = expired || len(l.sessions) == len(l.entries) || l.grantsAtOnce
+	l.opened = now.Mono
 }
 
 // free returns the free slots of each usable instance, and the number of slots
--- a/galenabroker/cluster_test.go
+++ b/galenabroker/cluster_test.go
@@ -174,6 +174,17 @@
 	}
 }
 
+// usable tells whether the entry gets a slot of the counter service.
+func (m *member) usable() bool {
+	m.broker.Want("counter", map[galenahead.CallerName]int{"a": 1})
+	l, ok := m.broker.Take("counter", func([]galenahead.SlotLease) int { return 0 })
+	if ok {
+		m.broker.Put(l)
+		m.broker.Want("counter", nil)
+	}
+	return ok
+}
+
 // traffic returns bytes and calls per second and entry since the last call.
 func (c *cluster) traffic(seconds int64) (bytes, calls int64) {
 	n := seconds * int64(len(c.members))
@@ -192,7 +203,12 @@
 		live := &atomic.Int64{}
 		live.Store(12)
 		go c.announce(ctx, live)
-		time.Sleep(20 * time.Second)
+		began := time.Now()
+		for !c.members[0].usable() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("first slot %v after the start of all entries", time.Since(began))
+		time.Sleep(10 * time.Second)
 		for _, m := range c.members {
 			is.True(m.peer.Majority() && m.peer.ClockTrusted())
 			slots, ok := m.broker.Known("counter")
@@ -390,6 +406,40 @@
 	}
 }
 
+// Guards against a caller with little demand at one entry that waits behind the
+// burst of another caller at all other entries.
+func TestClusterFairness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(settle)
+		defer cancel()
+		c := newCluster(ctx, t)
+		live := &atomic.Int64{}
+		live.Store(12)
+		go c.announce(ctx, live)
+		time.Sleep(20 * time.Second)
+		counts := &sync.Map{}
+		var loads []*load
+		for i, m := range c.members {
+			l := &load{m: m, service: "counter", counts: counts, served: &atomic.Int64{}, waited: &atomic.Int64{}, direct: &atomic.Int64{}, gap: &gap{}}
+			loads = append(loads, l)
+			caller, loops, pause := galenahead.CallerName("burst"), 30, time.Duration(0)
+			if i == 0 {
+				caller, loops, pause = "small", 3, 100*time.Millisecond
+			}
+			for range loops {
+				go l.loop(ctx, caller, func() time.Duration { return pause })
+			}
+		}
+		time.Sleep(10 * time.Second)
+		small := time.Duration(loads[0].waited.Load() / loads[0].served.Load())
+		burst := time.Duration(loads[1].waited.Load() / loads[1].served.Load())
+		t.Logf("mean wait of the small caller %v, of the burst %v", small, burst)
+		is.True(small < burst/10)
+	})
+}
+
 // loseBroker stops or isolates the broker of the counter service.
 func (c *cluster) loseBroker(stop bool) {
 	for _, m := range c.members {
--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -37,8 +37,11 @@
 	// maxRequest is the longest time from the sending of a request until its
 	// deadline.
 	maxRequest time.Duration
-	open       bool
-	instances  map[galenahead.InstanceID]*instance
+	// open tells since opened that slots are granted: no process that did not
+	// report to this broker can send any more.
+	open      bool
+	opened    time.Duration
+	instances map[galenahead.InstanceID]*instance
 	// ids are the keys of instances in order.
 	ids      []galenahead.InstanceID
 	sessions map[galenahead.EntryName]*session
@@ -296,7 +299,7 @@
 // observe lowers the bounds on what unreachable entries have in use, by an
 // announcement that the instance made after tick.
 func (l *Ledger) observe(a galenahead.Announcement, tick time.Duration) {
-	if tick >= l.tenure.Won+SlotTTL+rateMargin+sendMargin {
+	if l.open && tick >= l.opened+sendMargin {
 		if b, ok := l.unreported[a.Instance]; !ok || a.InFlight < b {
 			l.unreported[a.Instance] = a.InFlight
 		}
