Delay sends in the histories for longer than the leases

Cause: two checks in Holdings.Valid could be removed without a failing history, since a taken slot was sent on within 3 s.

Conclusion: the histories now reach sends after a lapse.

--- a/galenabroker/election.go
+++ b/galenabroker/election.go
@@ -138,7 +138,8 @@
 	case following:
 		if now.Mono >= max(o.heardUntil, o.voteUntil) {
 			o.stage = waiting
-			o.nextAt = now.Mono + e.rank(s)*rankDelay + e.jitter(rankDelay/2)
+			// Entries that start together stand in order of rank too.
+			o.nextAt = max(now.Mono, e.started+RestartSilence) + e.rank(s)*rankDelay + e.jitter(rankDelay/2)
 		}
 	case waiting:
 		if now.Mono < max(o.heardUntil, o.voteUntil) {
--- a/galenabroker/history_test.go
+++ b/galenabroker/history_test.go
@@ -303,8 +303,8 @@
 func (n *node) send(l galenahead.SlotLease) {
 	s, life := n.s, n.life
 	d := s.between(0, 5)
-	if s.chance(2) {
-		d = s.between(0, 3000)
+	if !s.calm && s.chance(3) {
+		d = s.between(0, 9000)
 	}
 	s.after(d, func() {
 		s.at(n.i, func() {
@@ -472,7 +472,7 @@
 	for _, n := range s.nodes {
 		n.waiting = 0
 	}
-	s.until(s.now + simMaxRequest + 5*time.Second)
+	s.until(s.now + simMaxRequest + 11*time.Second)
 	s.checkReturned()
 	return s.failure, s.served
 }
--- a/galenabroker/share_test.go
+++ b/galenabroker/share_test.go
@@ -59,6 +59,38 @@
 	is.Equal(l.Outstanding(now).VMs["vm"], 5)
 }
 
+// Guards against sending on a slot whose instance left or whose lease ran out
+// in between, and against taking such a slot again.
+func TestValidAfterLapseAndClose(t *testing.T) {
+	is := is.New(t)
+	h := NewHoldings("counter", 7)
+	now := galenapeer.Instant{}
+	h.Join(now, "e0", LeaseItem{Epoch: 1, Kind: LeaseHeld})
+	renew := func(version, granted uint64, limits map[galenahead.InstanceID]int) {
+		seq := h.Sync(now).Seq
+		h.Granted(now, GrantItem{Epoch: 1, Life: 7, Seq: seq, Version: version, Grants: []Grant{{Instance: "i", Granted: granted}}, Limits: limits})
+	}
+	take := func() galenahead.SlotLease {
+		l, _, ok := h.Take(now, "a", func([]galenahead.SlotLease) int { return 0 })
+		is.True(ok)
+		return l
+	}
+	renew(1, 1, nil)
+	lapsed := take()
+	is.True(h.Valid(now, lapsed.ID))
+	now.Mono += SlotTTL
+	is.True(!h.Valid(now, lapsed.ID))
+	renew(2, 2, nil)
+	is.True(!h.Valid(now, lapsed.ID))
+	is.True(!h.Put(now, lapsed.ID))
+	closing := take()
+	is.True(h.Valid(now, closing.ID))
+	renew(3, 2, map[galenahead.InstanceID]int{"i": closed})
+	is.True(!h.Valid(now, closing.ID))
+	is.True(!h.Put(now, closing.ID))
+	is.Equal(h.held(), 0)
+}
+
 // benchPool returns a pool with 8 leased slots on each of ten instances.
 func benchPool() *Service {
 	entries := []galenapeer.Entry{{Name: "e0", DataCentre: "a"}}
