--- a/galenabroker/history_test.go
+++ b/galenabroker/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -20,6 +21,10 @@
 	simService    = galenahead.ServiceName("counter")
 )
 
+// count is the number of random histories; a large number takes long under the
+// race detector.
+var count = flag.Int("histories", 60, "number of random histories")
+
 // faults are the mutations that the histories must detect.
 type faults struct{ grantsAtOnce, anyEpoch bool }
 
@@ -298,8 +303,8 @@
 func (n *node) send(l galenahead.SlotLease) {
 	s, life := n.s, n.life
 	d := s.between(0, 5)
-	if s.chance(2) {
-		d = s.between(0, 3000)
+	if !s.calm && s.chance(3) {
+		d = s.between(0, 9000)
 	}
 	s.after(d, func() {
 		s.at(n.i, func() {
@@ -467,7 +472,7 @@
 	for _, n := range s.nodes {
 		n.waiting = 0
 	}
-	s.until(s.now + simMaxRequest + 5*time.Second)
+	s.until(s.now + simMaxRequest + 11*time.Second)
 	s.checkReturned()
 	return s.failure, s.served
 }
@@ -535,7 +540,7 @@
 // work for instances that left, and slots that are lost for good.
 func TestHistories(t *testing.T) {
 	is := is.New(t)
-	failure, served := histories(150, faults{})
+	failure, served := histories(*count, faults{})
 	t.Logf("%d requests served", served)
 	is.Equal(failure, "")
 	is.True(served > 0)
--- a/galenaconfig/follower.go
+++ b/galenaconfig/follower.go
@@ -129,7 +129,7 @@
 		case <-ticks:
 		}
 		s := f.cfg.Peers.Serving()
-		if s.From != "" && s.Revision > f.Config().Revision {
+		if s.Newer > f.Config().Revision {
 			f.fetch(ctx, f.cfg.Entries[s.From])
 		}
 	}
--- a/galenapeer/service.go
+++ b/galenapeer/service.go
@@ -73,7 +73,8 @@
 	s.table.Confirm(Instant{Mono: asked.Sub(s.clock.base)}, revision)
 }
 
-// Hold records that this entry holds revision, got from a peer.
+// Hold records that the content of revision is held without a statement of the
+// leader.
 func (s *Service) Hold(revision galenahead.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/galenapeer/serving.go
+++ b/galenapeer/serving.go
@@ -36,7 +36,7 @@
 	// ServingControlDown serves the held revision because a majority is live
 	// and none of it has a fresh confirmation.
 	ServingControlDown ServingMode = "control_down"
-	// NotReadyBehind does not serve until the revision of Serving.From is held.
+	// NotReadyBehind does not serve until Serving.Newer is held.
 	NotReadyBehind ServingMode = "behind"
 	// NotReadyPartitioned does not serve because no majority is live.
 	NotReadyPartitioned ServingMode = "partitioned"
@@ -48,10 +48,14 @@
 type Serving struct {
 	Mode  ServingMode
 	Ready bool
-	// Revision is the one to adopt from From in the modes ServingAdopted and
-	// NotReadyBehind.
+	// Revision is the held one.
 	Revision galenahead.Revision
-	From     galenahead.EntryName
+	// Newer is set when a live peer has a fresh confirmation of a newer revision,
+	// or holds one while no confirmation in sight is fresh. Its content is to be
+	// fetched from From.
+	Newer galenahead.Revision
+	// From is the peer with Newer, or the one relied on in ServingAdopted.
+	From galenahead.EntryName
 	// Age is the age of the confirmation relied on.
 	Age time.Duration
 }
@@ -63,33 +67,51 @@
 // A peer's confirmation of an older revision also covers a newer one held
 // here: it states that nothing newer existed when it was given.
 func DecideServing(own Confirmation, peers map[galenahead.EntryName]Confirmation, majority bool) Serving {
-	if own.Fresh() {
-		return Serving{Mode: ServingConfirmed, Ready: true, Revision: own.Revision, Age: own.Age}
-	}
-	if !majority {
-		return Serving{Mode: NotReadyPartitioned, Revision: own.Revision, Age: own.Age}
-	}
+	s := Serving{Revision: own.Revision, Age: own.Age}
 	best, from := freshest(peers)
-	if from == "" {
-		return withoutControl(own, peers)
+	if from == "" && own.Confirmed && !own.Fresh() {
+		return withoutControl(s, peers, majority)
 	}
-	s := Serving{Mode: ServingAdopted, Ready: true, Revision: best.Revision, From: from, Age: best.Age}
 	if best.Revision > own.Revision {
+		s.Newer, s.From = best.Revision, from
+	}
+	switch {
+	case own.Fresh():
+		s.Mode, s.Ready = ServingConfirmed, true
+	case !majority:
+		s.Mode = NotReadyPartitioned
+	case from == "":
+		s.Mode = NotReadyBlank
+	case s.Newer > 0:
 		s.Mode = NotReadyBehind
-		s.Ready = false
+	default:
+		s.Mode, s.Ready = ServingAdopted, true
+		s.From, s.Age = from, best.Age
 	}
 	return s
 }
 
-// freshest returns the fresh confirmation of the newest revision, the youngest
-// one among equals.
-func freshest(peers map[galenahead.EntryName]Confirmation) (Confirmation, galenahead.EntryName) {
+// withoutControl decides while no entry in sight has a fresh confirmation. A
+// change is accepted once a majority of entries holds it, so the newest
+// revision in sight includes every accepted one and must be adopted first.
+func withoutControl(s Serving, peers map[galenahead.EntryName]Confirmation, majority bool) Serving {
+	newest, from := newestHeld(peers)
+	switch {
+	case !majority:
+		s.Mode = NotReadyPartitioned
+	case newest.Revision > s.Revision:
+		s.Mode, s.Newer, s.From = NotReadyBehind, newest.Revision, from
+	default:
+		s.Mode, s.Ready = ServingControlDown, true
+	}
+	return s
+}
+
+// newestHeld returns the newest revision that any peer holds.
+func newestHeld(peers map[galenahead.EntryName]Confirmation) (Confirmation, galenahead.EntryName) {
 	var best Confirmation
 	var from galenahead.EntryName
 	for name, c := range peers {
-		if !c.Fresh() {
-			continue
-		}
 		if from == "" || newer(c, best) || (c == best && name < from) {
 			best, from = c, name
 		}
@@ -97,11 +119,15 @@
 	return best, from
 }
 
-// newestHeld returns the newest revision that any peer holds.
-func newestHeld(peers map[galenahead.EntryName]Confirmation) (Confirmation, galenahead.EntryName) {
+// freshest returns the fresh confirmation of the newest revision, the youngest
+// one among equals.
+func freshest(peers map[galenahead.EntryName]Confirmation) (Confirmation, galenahead.EntryName) {
 	var best Confirmation
 	var from galenahead.EntryName
 	for name, c := range peers {
+		if !c.Fresh() {
+			continue
+		}
 		if from == "" || newer(c, best) || (c == best && name < from) {
 			best, from = c, name
 		}
@@ -115,17 +141,3 @@
 	}
 	return a.Age < b.Age
 }
-
-// withoutControl decides while no entry in sight has a fresh confirmation. A
-// change is accepted once a majority of entries holds it, so the newest
-// revision in sight includes every accepted one and must be adopted first.
-func withoutControl(own Confirmation, peers map[galenahead.EntryName]Confirmation) Serving {
-	if !own.Confirmed {
-		return Serving{Mode: NotReadyBlank}
-	}
-	newest, from := newestHeld(peers)
-	if newest.Revision > own.Revision {
-		return Serving{Mode: NotReadyBehind, Revision: newest.Revision, From: from, Age: newest.Age}
-	}
-	return Serving{Mode: ServingControlDown, Ready: true, Revision: own.Revision, Age: own.Age}
-}
--- a/galenapeer/serving_test.go
+++ b/galenapeer/serving_test.go
@@ -11,7 +11,7 @@
 
 // Guards against serving an older revision than an accepted one, and against
 // refusing requests while only control is down.
-func TestDecideServing(t *testing.T) {
+func TestDecideServingTable(t *testing.T) {
 	fresh := func(rev galenahead.Revision) Confirmation { return Confirmation{Revision: rev, Confirmed: true} }
 	old := func(rev galenahead.Revision) Confirmation {
 		return Confirmation{Revision: rev, Confirmed: true, Age: ConfirmationTTL + time.Millisecond}
--- a/galenapeer/table.go
+++ b/galenapeer/table.go
@@ -105,9 +105,9 @@
 	t.ownAt = now.Mono
 }
 
-// Hold records that this entry now holds a newer revision, got from a peer. The
-// age of the own confirmation stays: what was the latest revision then is
-// covered by a newer one.
+// Hold records that the content of revision is held, for example fetched from a
+// peer, without a statement of the leader. The age of the own confirmation
+// stays: it states that nothing newer than an older revision existed then.
 func (t *Table) Hold(revision galenahead.Revision) {
 	t.own.Revision = max(t.own.Revision, revision)
 }
@@ -213,11 +213,8 @@
 }
 
 // Serving decides whether this entry may serve, and adopts the confirmation of
-// a live peer that covers the held revision.
+// a live peer that covers the held revision, with its age.
 func (t *Table) Serving(now Instant) Serving {
-	if own := t.Own(now); own.Fresh() {
-		return DecideServing(own, nil, true)
-	}
 	peers := make(map[galenahead.EntryName]Confirmation, len(t.peers))
 	for _, p := range t.peers {
 		if t.isLive(now, p) {
@@ -226,7 +223,12 @@
 			peers[p.entry.Name] = c
 		}
 	}
-	return DecideServing(t.Own(now), peers, t.Majority(now))
+	s := DecideServing(t.Own(now), peers, t.Majority(now))
+	if s.Mode == ServingAdopted {
+		t.own.Confirmed = true
+		t.ownAt = now.Mono - s.Age
+	}
+	return s
 }
 
 func (t *Table) heartbeat(now Instant) Heartbeat {
