--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -1,7 +1,6 @@
 package galenabroker
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -11,14 +10,17 @@
 
 const (
 	// sendMargin is how long after the end of a slot lease a request that was
-	// sent under it may still be under way to the instance.
-	sendMargin = 500 * time.Millisecond
+	// sent under it may still be under way to the instance, and by how much an
+	// announcement may be older than the tick that it carries.
+	sendMargin = stallLimit + 200*time.Millisecond
 	// tickAge is the largest usual age of the broker's tick in an announcement:
 	// ticks come with the renewals.
 	tickAge = RenewInterval + 500*time.Millisecond
 	// leftMemory is how long announcements of an instance are ignored after it
 	// said that it leaves, because earlier ones may arrive late.
 	leftMemory = 10 * time.Second
+	// spareAccounts is how many instances that are gone an account may list.
+	spareAccounts = 64
 	// keepInstance is how long an instance without a lease is remembered.
 	keepInstance = time.Minute
 	// spareSlots is granted beyond the demand while slots are plentiful.
@@ -35,9 +37,14 @@
 	// maxRequest is the longest time from the sending of a request until its
 	// deadline.
 	maxRequest time.Duration
-	open       bool
-	instances  map[galenahead.InstanceID]*instance
-	sessions   map[galenahead.EntryName]*session
+	// open tells since opened that slots are granted: no process that did not
+	// report to this broker can send any more.
+	open      bool
+	opened    time.Duration
+	instances map[galenahead.InstanceID]*instance
+	// ids are the keys of instances in order.
+	ids      []galenahead.InstanceID
+	sessions map[galenahead.EntryName]*session
 	// former holds the accounts of entries' former processes.
 	former []*session
 	// unreported bounds by instance what entries may have in use that did not
@@ -70,6 +77,8 @@
 	// flight.
 	old      bool
 	accounts map[galenahead.InstanceID]*account
+	// ids are the keys of accounts in order.
+	ids []galenahead.InstanceID
 	// changed tells that the entry is to be told.
 	changed bool
 }
@@ -129,6 +138,7 @@
 	if !ok {
 		i = &instance{}
 		l.instances[a.Instance] = i
+		l.ids = insert(l.ids, a.Instance)
 	}
 	l.observe(a, tick)
 	if i.left && now.Mono-i.leftAt < leftMemory {
@@ -144,8 +154,11 @@
 }
 
 // Sync handles an entry's message and returns the reply. It fails with
-// ErrNotLeader for another epoch, and with ErrLeaseExpired for a process that
-// was replaced by a later one of the same entry.
+// ErrNotLeader for another epoch, and with ErrLeaseExpired for an account that
+// was replaced, or whose lease ended while the entry held slots, or that lists
+// many instances that are gone. The entry then starts a new account: late
+// messages about the old one may grant slots that have been counted as free
+// since.
 func (l *Ledger) Sync(now galenapeer.Instant, q SyncRequest, item SyncItem) (GrantItem, error) {
 	i := slices.IndexFunc(l.entries, func(e galenapeer.Entry) bool { return e.Name == q.From })
 	if i < 0 || item.Epoch != l.tenure.Epoch {
@@ -154,8 +167,14 @@
 	if l.retired[item.Life] {
 		return GrantItem{}, galenahead.ErrLeaseExpired
 	}
-	s := l.session(now, l.entries[i], item.Life, q.UptimeMS)
-	known := s.update(now, item)
+	s := l.session(now, l.entries[i], item, q.UptimeMS)
+	known := s.merge(item)
+	lapsed := s.seq > 0 && now.Mono >= s.lapse() && s.held() > 0
+	if lapsed || len(s.accounts) > 2*len(l.instances)+spareAccounts {
+		l.retire(s)
+		return GrantItem{}, galenahead.ErrLeaseExpired
+	}
+	s.renew(now, item)
 	l.allocate(now)
 	s.changed = false
 	return l.grantItem(s, known), nil
@@ -163,8 +182,12 @@
 
 // Tick lets leases end and slots come free.
 func (l *Ledger) Tick(now galenapeer.Instant) {
-	maps.DeleteFunc(l.instances, func(_ galenahead.InstanceID, i *instance) bool {
-		return now.Mono-i.expires > keepInstance
+	l.ids = slices.DeleteFunc(l.ids, func(id galenahead.InstanceID) bool {
+		old := now.Mono-l.instances[id].expires > keepInstance
+		if old {
+			delete(l.instances, id)
+		}
+		return old
 	})
 	l.former = slices.DeleteFunc(l.former, func(s *session) bool {
 		return now.Mono >= s.lapse()+l.maxRequest
@@ -241,21 +264,25 @@
 	return a.vm
 }
 
-// session returns the session of the sender's process. Requests of the entry's
-// former process may still be in flight, so that its account is kept.
-func (l *Ledger) session(now galenapeer.Instant, e galenapeer.Entry, life uint32, uptimeMS int64) *session {
+// session returns the session of the sender's account. Requests of the entry's
+// former process may still be in flight, so that its account is kept, unless
+// the new account replaces it.
+func (l *Ledger) session(now galenapeer.Instant, e galenapeer.Entry, item SyncItem, uptimeMS int64) *session {
 	s, ok := l.sessions[e.Name]
-	if ok && s.life == life {
+	if ok && s.life == item.Life {
 		return s
 	}
 	if ok {
-		l.retired[s.life] = true
-		l.former = append(l.former, s)
+		l.retire(s)
 	}
+	l.former = slices.DeleteFunc(l.former, func(f *session) bool {
+		ok = ok || f.entry.Name == e.Name
+		return f.entry.Name == e.Name && f.life == item.Replaces
+	})
 	started := now.Mono - time.Duration(uptimeMS)*time.Millisecond
 	s = &session{
 		entry:    e,
-		life:     life,
+		life:     item.Life,
 		old:      ok || started <= l.tenure.Won-l.maxRequest-SlotTTL,
 		accounts: make(map[galenahead.InstanceID]*account),
 	}
@@ -263,10 +290,16 @@
 	return s
 }
 
+func (l *Ledger) retire(s *session) {
+	l.retired[s.life] = true
+	l.former = append(l.former, s)
+	delete(l.sessions, s.entry.Name)
+}
+
 // observe lowers the bounds on what unreachable entries have in use, by an
 // announcement that the instance made after tick.
 func (l *Ledger) observe(a galenahead.Announcement, tick time.Duration) {
-	if tick >= l.tenure.Won+SlotTTL+rateMargin+sendMargin {
+	if l.open && tick >= l.opened+sendMargin {
 		if b, ok := l.unreported[a.Instance]; !ok || a.InFlight < b {
 			l.unreported[a.Instance] = a.InFlight
 		}
@@ -336,9 +369,8 @@
 	return !i.left && !drained && now.Mono < i.expires
 }
 
-// update takes the entry's message in and returns the grant totals that the
-// entry knows.
-func (s *session) update(now galenapeer.Instant, item SyncItem) map[galenahead.InstanceID]uint64 {
+// merge takes the entry's totals in and returns the grant totals that it knows.
+func (s *session) merge(item SyncItem) map[galenahead.InstanceID]uint64 {
 	known := make(map[galenahead.InstanceID]uint64, len(item.Held))
 	for _, h := range item.Held {
 		known[h.Instance] = h.Granted
@@ -349,8 +381,13 @@
 			a.vm = h.VM
 		}
 	}
+	return known
+}
+
+// renew renews the session, unless the message was overtaken by a later one.
+func (s *session) renew(now galenapeer.Instant, item SyncItem) {
 	if item.Seq <= s.seq {
-		return known
+		return
 	}
 	s.seq = item.Seq
 	s.synced = now.Mono
@@ -359,7 +396,6 @@
 	for _, a := range s.accounts {
 		a.cap = unbounded
 	}
-	return known
 }
 
 const unbounded = 1 << 30
@@ -369,10 +405,17 @@
 	if !ok {
 		a = &account{limit: noLimit, cap: unbounded}
 		s.accounts[id] = a
+		s.ids = insert(s.ids, id)
 	}
 	return a
 }
 
+// insert adds id to the ordered ids.
+func insert(ids []galenahead.InstanceID, id galenahead.InstanceID) []galenahead.InstanceID {
+	i, _ := slices.BinarySearch(ids, id)
+	return slices.Insert(ids, i, id)
+}
+
 // lapse returns when the entry can send nothing more under this session.
 func (s *session) lapse() time.Duration { return s.synced + SlotTTL + rateMargin }
 
@@ -393,7 +436,7 @@
 func (l *Ledger) grantItem(s *session, known map[galenahead.InstanceID]uint64) GrantItem {
 	s.version++
 	g := GrantItem{Service: l.service, Epoch: l.tenure.Epoch, Life: s.life, Seq: s.seq, Version: s.version}
-	for _, id := range slices.Sorted(maps.Keys(s.accounts)) {
+	for _, id := range s.ids {
 		a := s.accounts[id]
 		if a.limit != noLimit {
 			if g.Limits == nil {
--- a/galenabroker/service.go
+++ b/galenabroker/service.go
@@ -57,11 +57,12 @@
 type Service struct {
 	cfg   Config
 	clock *galenapeer.Clock
-	life  uint32
 	links []*link
 
+	// electorMu guards elector and stall.
 	electorMu sync.Mutex
 	elector   *Elector
+	stall     stall
 
 	mu      sync.RWMutex
 	desks   map[galenahead.ServiceName]*desk
@@ -81,7 +82,6 @@
 	s := &Service{
 		cfg:   cfg,
 		clock: galenapeer.NewClock(cfg.Timers),
-		life:  uint32(cfg.Random()),
 		desks: make(map[galenahead.ServiceName]*desk),
 	}
 	s.elector = NewElector(s.clock.Now(), cfg.Self, cfg.Entries, cfg.Random)
@@ -128,7 +128,7 @@
 		}
 	}
 	wg.Wait()
-	s.resign(ctx)
+	s.StepDown(ctx)
 	return nil
 }
 
@@ -162,9 +162,15 @@
 }
 
 // Announce forwards an upstream's announcement to the service's broker. It
-// fails with ErrNotReady while no broker is known, and with the broker's or
-// the transport's error.
+// fails with ErrNotReady while no broker is known and just after the process
+// was paused, and with the broker's or the transport's error.
 func (s *Service) Announce(ctx context.Context, a galenahead.Announcement) error {
+	s.electorMu.Lock()
+	stalled := s.stall.stalled(s.clock.Now())
+	s.electorMu.Unlock()
+	if stalled {
+		return eris.Wrap(galenahead.ErrNotReady, "entry was paused")
+	}
 	d := s.desk(a.Service)
 	d.mu.Lock()
 	broker, epoch := d.holdings.Broker()
@@ -291,6 +297,7 @@
 		}
 	}
 	s.electorMu.Lock()
+	s.stall.tick(now)
 	items := s.elector.Tick(now, interval)
 	s.electorMu.Unlock()
 	s.lease(ctx, now, items)
@@ -389,7 +396,7 @@
 			case err == nil:
 				r.Items = append(r.Items, g)
 			case errors.Is(err, galenahead.ErrLeaseExpired):
-				r.Retired = append(r.Retired, item.Service)
+				r.Retired = append(r.Retired, item.Life)
 			}
 			s.wakePushes(l)
 		}
@@ -429,9 +436,11 @@
 	}
 }
 
-// resign gives the leases up, so that the next election need not wait for their
-// end.
-func (s *Service) resign(ctx context.Context) {
+// StepDown gives the broker leases up for good, so that the next elections need
+// not wait for their end. While Run goes on, the entry reports its slots to the
+// new brokers, which need not wait for the expiry of its slots either: call it
+// some hundred milliseconds before Run's context ends.
+func (s *Service) StepDown(ctx context.Context) {
 	now := s.clock.Now()
 	s.electorMu.Lock()
 	items := s.elector.Resign(now)
@@ -475,7 +484,7 @@
 	if d, ok := s.desks[name]; ok {
 		return d
 	}
-	d := &desk{holdings: NewHoldings(name, s.life), drained: s.drained}
+	d := &desk{holdings: NewHoldings(name, uint32(s.cfg.Random())), drained: s.drained}
 	d.holdings.SetDrained(s.drained)
 	s.desks[name] = d
 	return d
