--- a/test/galena-bench/sim/world.go
+++ b/test/galena-bench/sim/world.go
@@ -73,20 +73,22 @@
 // instance is one upstream process.
 type instance struct {
 	trace.Instance
-	index     int
-	id        galenahead.InstanceID
-	centre    galenahead.DataCentre
-	running   int
-	waiting   []*attempt
-	inFlight  int
-	peak      int
-	failing   bool
-	stopped   bool
-	cutOff    bool
-	leaving   bool
-	frozenTo  time.Duration
-	announced bool
-	spent     int
+	index    int
+	id       galenahead.InstanceID
+	centre   galenahead.DataCentre
+	running  int
+	waiting  []*attempt
+	inFlight int
+	peak     int
+	failing  bool
+	// failingLate tells that it runs requests and then answers with an error.
+	failingLate bool
+	stopped     bool
+	cutOff      bool
+	leaving     bool
+	frozenTo    time.Duration
+	announced   bool
+	spent       int
 }
 
 // entry is one entry VM.
@@ -283,6 +285,11 @@
 	}
 	in.running--
 	w.drain(in)
+	if in.failingLate {
+		in.spent++
+		w.reply(a, failed)
+		return
+	}
 	w.reply(a, ran)
 }
 
@@ -317,6 +324,10 @@
 		in := w.instances[f.Index]
 		w.at(f.From, func() { in.failing = true })
 		w.at(f.Until, func() { in.failing = false })
+	case trace.FaultFailingLate:
+		in := w.instances[f.Index]
+		w.at(f.From, func() { in.failingLate = true })
+		w.at(f.Until, func() { in.failingLate = false })
 	case trace.FaultFrozen:
 		in := w.instances[f.Index]
 		w.at(f.From, func() { in.frozenTo = f.Until })
--- a/test/galena-bench/trace/trace.go
+++ b/test/galena-bench/trace/trace.go
@@ -47,6 +47,9 @@
 const (
 	// FaultFailing is an instance that answers everything with an error at once.
 	FaultFailing FaultKind = "failing"
+	// FaultFailingLate is an instance that runs everything and then answers with
+	// an error.
+	FaultFailingLate FaultKind = "failing_late"
 	// FaultFrozen is an instance that accepts requests and neither runs nor
 	// announces anything.
 	FaultFrozen FaultKind = "frozen"
