--- a/galenaqueue/queue.go
+++ b/galenaqueue/queue.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// SetSlots sets how many slots this queue can expect to use. Waits are derived
-// from it; 0 turns refusal by expected wait off.
+// SetSlots sets how many slots this queue can expect to use. With 0, the
+// default, requests are refused by Estimate.Shortest only.
 func (q *Queue) SetSlots(n int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -237,7 +237,7 @@
 // crowded tells that more requests of f wait than it has slots by its share. A
 // caller below its share is never crowded, whatever the others do.
 func (q *Queue) crowded(f *flow) bool {
-	return f.live*max(1, len(q.flows)) > q.slots
+	return q.slots > 0 && f.live*max(1, len(q.flows)) > q.slots
 }
 
 // drop takes a waiting request out of the counts.
--- a/test/galena-bench/sim/shipped.go
+++ b/test/galena-bench/sim/shipped.go
@@ -311,7 +311,6 @@
 	}
 	d := n.retry.Decide(n.s.w.time(), q.r, galenaretry.Attempt{Number: q.attempts, Unsent: res == refused})
 	if d.Retry {
-		n.s.w.retries++
 		n.s.w.in(d.Delay, func() { n.enqueue(q) })
 		return
 	}
--- a/test/galena-bench/sim/world.go
+++ b/test/galena-bench/sim/world.go
@@ -111,8 +111,6 @@
 	buddy     bool
 	ends      []End
 	runsTwice int
-	spent     int
-	retries   int
 	// ranFor is the time that slots ran requests, usefulFor the part of it whose
 	// answers were on time.
 	ranFor, usefulFor time.Duration
@@ -253,7 +251,6 @@
 		w.reply(a, refused)
 	case in.failing:
 		in.spent++
-		w.spent++
 		w.in(failTime, func() { w.reply(a, failed) })
 	case in.running < in.Actual && in.frozenTo <= w.now:
 		w.start(a)
