Test timeouts, probing and the drain rate against mutations

16 single changes of the queue, routing, retry and budget code were tried; the tests missed 5 of them (timeouts in a row, passing them on, timeouts beside answers, the choice of the probing entry, the learned drain rate) and the release of cancelled bodies. With these tests they detect all 16.

--- a/galenaqueue/queue_test.go
+++ b/galenaqueue/queue_test.go
@@ -116,6 +116,28 @@
 	is.NoErr(err)
 }
 
+// Guards against refusing what the learned drain rate allows, when an entry
+// gets more slots than its part.
+func TestDrainRate(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Estimate: func(galenahead.Request) Estimate { return Estimate{Mean: 100 * time.Millisecond} }})
+	q.SetSlots(1)
+	now := epoch
+	for range 200 {
+		for q.Len() < 20 {
+			if _, err := q.Push(now, request("a", time.Hour)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+		q.Pop(now)
+	}
+	_, err := q.Push(now, request("a", now.Sub(epoch)+time.Hour))
+	is.NoErr(err)
+	wait := q.expectedWait(q.flows["a"], now.Add(2*time.Hour), Estimate{Mean: 100 * time.Millisecond})
+	is.True(wait > 180*time.Millisecond && wait < 250*time.Millisecond) // 20 at 10 ms, not at 100 ms
+}
+
 // Guards against a burst filling the queue for everybody, by count or bytes.
 func TestLimits(t *testing.T) {
 	is := is.New(t)
@@ -154,6 +176,7 @@
 		is.True(q.Cancel(p))
 		is.Equal(q.Cancel(p), false)
 		is.Equal(p.Final(), StateCancelled)
+		is.Equal(len(p.Request().Body), 0)
 		is.True(len(f.heap) <= 2*f.live+compactSlack)
 	}
 	is.Equal(q.Len(), 0)
--- a/galenaroute/route_test.go
+++ b/galenaroute/route_test.go
@@ -286,3 +286,59 @@
 		w.rt.Observe(w.now, w.leases[i], Result{RunTime: time.Millisecond})
 	}
 }
+
+// Guards against ejecting an instance for one long request, for timeouts while
+// it answers others, and against passing on ejections by timeouts, which made
+// all entries drop working instances.
+func TestTimeouts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.run(100)
+	timeout := func(l galenahead.SlotLease) {
+		w.rt.Choose(w.now, w.r, []galenahead.SlotLease{l})
+		w.now = w.now.Add(time.Second)
+		w.rt.Observe(w.now, l, Result{Kind: TimedOut, RunTime: time.Second})
+	}
+	ejected := func(l galenahead.SlotLease) bool { return w.rt.shard("s").instance(w.now, l).ejected }
+	timeout(w.leases[0])
+	is.Equal(ejected(w.leases[0]), false)
+	timeout(w.leases[0])
+	is.Equal(ejected(w.leases[0]), true)
+	is.Equal(len(w.rt.Suspects()), 0)
+	for range 5 { // it answers another request while one takes too long
+		w.rt.Choose(w.now, w.r, w.leases[3:4])
+		w.rt.Choose(w.now, w.r, w.leases[3:4])
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.rt.Observe(w.now, w.leases[3], Result{RunTime: 10 * time.Millisecond})
+		w.now = w.now.Add(time.Second)
+		w.rt.Observe(w.now, w.leases[3], Result{Kind: TimedOut, RunTime: time.Second + 10*time.Millisecond})
+	}
+	is.Equal(ejected(w.leases[3]), false)
+	is.Equal(w.rt.shard("s").instance(w.now, w.leases[3]).timeouts, 0)
+}
+
+// Guards against every entry that ejected an instance probing it, and against
+// none of them doing so.
+func TestOneEntryProbes(t *testing.T) {
+	is := is.New(t)
+	routers := map[galenahead.EntryName]*Router{}
+	for _, name := range []galenahead.EntryName{"a", "b", "c"} {
+		w := newWorld(9)
+		w.rt = New(Config{Entry: name})
+		w.run(100)
+		w.rt.Choose(w.now, w.r, w.leases[:1])
+		w.rt.Observe(w.now, w.leases[0], Result{Kind: Failed})
+		routers[name] = w.rt
+	}
+	now := epoch.Add(time.Second)
+	for _, from := range []galenahead.EntryName{"c", "a", "b"} {
+		for name, rt := range routers {
+			if name != from {
+				rt.Adopt(now, from, routers[from].Suspects())
+			}
+		}
+	}
+	is.Equal(len(routers["a"].Suspects()), 1)
+	is.Equal(len(routers["b"].Suspects()), 0)
+	is.Equal(len(routers["c"].Suspects()), 0)
+}
