Count the slots of a lost process after two restarts of its entry

Cause: an entry restarted twice around an election. Its first new process reported nothing in use, and the broker then took the second one's former process for known, so that the requests of the process before both went uncounted.

Ruled out: waiting for the longest deadline after every restart; announcements of fewer requests in flight end the uncertainty sooner.

Conclusion: only a process that reported to this broker proves its slots.

--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -73,8 +73,8 @@
 	version uint64
 	demand  map[galenahead.CallerName]int
 	avoid   []galenahead.InstanceID
-	// old tells that no former process of the entry can have requests in
-	// flight.
+	// old tells that no former process of the entry that did not report to this
+	// broker can have requests in flight.
 	old      bool
 	accounts map[galenahead.InstanceID]*account
 	// ids are the keys of accounts in order.
@@ -275,15 +275,17 @@
 	if ok {
 		l.retire(s)
 	}
+	started := now.Mono - time.Duration(uptimeMS)*time.Millisecond
+	old := started <= l.tenure.Won-l.maxRequest-SlotTTL
 	l.former = slices.DeleteFunc(l.former, func(f *session) bool {
-		ok = ok || f.entry.Name == e.Name
+		// Processes before a known one count only if they are known as well.
+		old = old || f.entry.Name == e.Name && f.old
 		return f.entry.Name == e.Name && f.life == item.Replaces
 	})
-	started := now.Mono - time.Duration(uptimeMS)*time.Millisecond
 	s = &session{
 		entry:    e,
 		life:     item.Life,
-		old:      ok || started <= l.tenure.Won-l.maxRequest-SlotTTL,
+		old:      old,
 		accounts: make(map[galenahead.InstanceID]*account),
 	}
 	l.sessions[e.Name] = s
--- a/galenabroker/share_test.go
+++ b/galenabroker/share_test.go
@@ -59,6 +59,21 @@
 	is.Equal(l.Outstanding(now).VMs["vm"], 5)
 }
 
+// Guards against a broker that takes the slots of a lost process for known
+// because the entry restarted twice, as seed 1925 of the histories did.
+func TestTwoRestartsBeforeReport(t *testing.T) {
+	is := is.New(t)
+	now := galenapeer.Instant{Mono: time.Hour}
+	l := NewLedger("counter", []galenapeer.Entry{{Name: "e0"}}, Tenure{Epoch: 1, Won: time.Hour}, time.Minute)
+	a := galenahead.Announcement{Instance: "i", Service: "counter", Slots: 8, Connections: 8, LeaseMS: 3000, InFlight: 8}
+	is.NoErr(l.Announce(now, AnnounceRequest{Epoch: 1, TickMS: now.Mono.Milliseconds(), Announcement: a}))
+	for life := range uint32(2) {
+		_, err := l.Sync(now, SyncRequest{From: "e0", UptimeMS: 10}, SyncItem{Epoch: 1, Life: life + 1, Seq: 1})
+		is.NoErr(err)
+		is.Equal(l.unknown(now, "i"), 8)
+	}
+}
+
 // Guards against sending on a slot whose instance left or whose lease ran out
 // in between, and against taking such a slot again.
 func TestValidAfterLapseAndClose(t *testing.T) {
