Ignore unknown services and entries in the slot pool

Cause: a request header with an unknown service name started an election, and a lease message of an entry outside the configured list would have failed in the lookup of its connection.

Before: each name added state at every entry. After: services become known by SetServices, announcements and brokers only, at most 256 by announcements; messages of unknown entries are ignored.

Conclusion: callers cannot add state by service names.

--- a/galenabroker/service.go
+++ b/galenabroker/service.go
@@ -34,6 +34,8 @@
 	// syncGap is the shortest time between two messages to one broker, so that
 	// requests under load share messages.
 	syncGap = 2 * time.Millisecond
+	// maxServices bounds the services that become known by announcements.
+	maxServices = 256
 	// longUptime is reported by entries that run for longer.
 	longUptime = time.Hour
 )
@@ -162,9 +164,13 @@
 }
 
 // Announce forwards an upstream's announcement to the service's broker. It
-// fails with ErrNotReady while no broker is known and just after the process
-// was paused, and with the broker's or the transport's error.
+// fails with ErrInvalid for a malformed announcement or too many services, with
+// ErrNotReady while no broker is known and just after the process was paused,
+// and with the broker's or the transport's error.
 func (s *Service) Announce(ctx context.Context, a galenahead.Announcement) error {
+	if a.Service == "" || len(a.Service) > galenahead.MaxIDLength || s.full(a.Service) {
+		return eris.Wrapf(galenahead.ErrInvalid, "announced service %q", a.Service)
+	}
 	s.electorMu.Lock()
 	stalled := s.stall.stalled(s.clock.Now())
 	s.electorMu.Unlock()
@@ -203,9 +209,13 @@
 	return out
 }
 
-// Want declares how many requests of a service wait here, by caller.
+// Want declares how many requests of a service wait here, by caller. It has no
+// effect for services that are neither set nor announced.
 func (s *Service) Want(service galenahead.ServiceName, waiting map[galenahead.CallerName]int) {
-	d := s.desk(service)
+	d, ok := s.known(service)
+	if !ok {
+		return
+	}
 	now := s.clock.Now()
 	d.mu.Lock()
 	d.holdings.Want(waiting)
@@ -226,7 +236,10 @@
 // TakeFor is Take with the caller whose request uses the slot, which makes the
 // sharing between callers exact.
 func (s *Service) TakeFor(service galenahead.ServiceName, caller galenahead.CallerName, choose func(candidates []galenahead.SlotLease) int) (galenahead.SlotLease, bool) {
-	d := s.desk(service)
+	d, ok := s.known(service)
+	if !ok {
+		return galenahead.SlotLease{}, false
+	}
 	now := s.clock.Now()
 	d.mu.Lock()
 	l, expires, ok := d.holdings.Take(now, caller, choose)
@@ -239,7 +252,10 @@
 
 // Valid tells right before sending whether l may still be used.
 func (s *Service) Valid(l galenahead.SlotLease) bool {
-	d := s.desk(l.Service)
+	d, ok := s.known(l.Service)
+	if !ok {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	// The clock is read under the lock, since waiting for it takes time.
@@ -248,7 +264,10 @@
 
 // Put returns a slot after its request ended or was not sent.
 func (s *Service) Put(l galenahead.SlotLease) {
-	d := s.desk(l.Service)
+	d, ok := s.known(l.Service)
+	if !ok {
+		return
+	}
 	now := s.clock.Now()
 	d.mu.Lock()
 	if d.holdings.Put(now, l.ID) {
@@ -263,9 +282,13 @@
 }
 
 // Changed returns a channel that is closed when slots of the service become
-// available here.
+// available here. It returns nil for services that are neither set nor
+// announced.
 func (s *Service) Changed(service galenahead.ServiceName) <-chan struct{} {
-	d := s.desk(service)
+	d, ok := s.known(service)
+	if !ok {
+		return nil
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.changed == nil {
@@ -277,9 +300,7 @@
 // Known tells whether the service has any instance, and how many slots it has
 // in all, by the broker's last renewal.
 func (s *Service) Known(service galenahead.ServiceName) (int, bool) {
-	s.mu.RLock()
-	d, ok := s.desks[service]
-	s.mu.RUnlock()
+	d, ok := s.known(service)
 	if !ok {
 		return 0, false
 	}
@@ -336,6 +357,9 @@
 }
 
 func (s *Service) vote(q LeaseRequest) LeaseReply {
+	if !slices.ContainsFunc(s.links, func(l *link) bool { return l.peer.Name == q.From }) {
+		return LeaseReply{From: s.cfg.Self}
+	}
 	now := s.clock.Now()
 	for _, item := range q.Items {
 		s.desk(item.Service)
@@ -465,11 +489,16 @@
 	return s.links[i]
 }
 
-func (s *Service) desk(name galenahead.ServiceName) *desk {
+func (s *Service) known(name galenahead.ServiceName) (*desk, bool) {
 	s.mu.RLock()
+	defer s.mu.RUnlock()
 	d, ok := s.desks[name]
-	s.mu.RUnlock()
-	if ok {
+	return d, ok
+}
+
+// desk returns the desk of a service, which becomes known by it.
+func (s *Service) desk(name galenahead.ServiceName) *desk {
+	if d, ok := s.known(name); ok {
 		return d
 	}
 	return s.addDesk(name)
@@ -490,6 +519,14 @@
 	return d
 }
 
+// full tells whether the service is unknown and cannot be added.
+func (s *Service) full(name galenahead.ServiceName) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.desks[name]
+	return !ok && len(s.desks) >= maxServices
+}
+
 func (s *Service) allDesks() map[galenahead.ServiceName]*desk {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
