Report outstanding slots as complete only when all processes are known

Cause: a broker that had opened after the expiry of old leases reported its counts as ready, although an entry that did not report may have requests in flight on an instance that the broker has never heard of.

Before: a VM could seem drained too early. After: the report is ready once all processes reported or the longest deadline has passed; the directed test checks it.

Conclusion: the proof that a pool stopped using a VM rests on complete counts.

--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -245,7 +245,7 @@
 
 // Outstanding returns the slots counted as in use by VM.
 func (l *Ledger) Outstanding(now galenapeer.Instant) Outstanding {
-	out := Outstanding{Service: l.service, Epoch: l.tenure.Epoch, Ready: l.open, VMs: make(map[galenahead.VMName]int)}
+	out := Outstanding{Service: l.service, Epoch: l.tenure.Epoch, Ready: l.complete(now), VMs: make(map[galenahead.VMName]int)}
 	for id, i := range l.instances {
 		out.VMs[i.ann.VM] += l.unknown(now, id)
 	}
@@ -339,7 +339,7 @@
 // former processes of entries, that did not report to this broker. All
 // reported and unreported slots together are at most the instance's slots.
 func (l *Ledger) unknown(now galenapeer.Instant, id galenahead.InstanceID) int {
-	if now.Mono >= l.tenure.Won+SlotTTL+l.maxRequest || l.allReported() {
+	if l.complete(now) {
 		return 0
 	}
 	n := 0
@@ -357,7 +357,12 @@
 	return max(n, 0)
 }
 
-func (l *Ledger) allReported() bool {
+// complete tells whether every process that may have requests in flight has
+// reported to this broker.
+func (l *Ledger) complete(now galenapeer.Instant) bool {
+	if now.Mono >= l.tenure.Won+SlotTTL+l.maxRequest {
+		return true
+	}
 	for _, e := range l.entries {
 		if s := l.sessions[e.Name]; s == nil || !s.old {
 			return false
--- a/galenabroker/message.go
+++ b/galenabroker/message.go
@@ -171,8 +171,8 @@
 type Outstanding struct {
 	Service galenahead.ServiceName `json:"service"`
 	Epoch   galenahead.Epoch       `json:"epoch"`
-	// Ready is not set while the broker still learns what its predecessor
-	// granted; the counts are then too low.
+	// Ready is not set while requests may be in flight that an entry did not
+	// report to this broker; the counts may then be too low.
 	Ready bool                      `json:"ready"`
 	VMs   map[galenahead.VMName]int `json:"vms,omitempty"`
 }
--- a/galenabroker/share_test.go
+++ b/galenabroker/share_test.go
@@ -71,6 +71,7 @@
 		_, err := l.Sync(now, SyncRequest{From: "e0", UptimeMS: 10}, SyncItem{Epoch: 1, Life: life + 1, Seq: 1})
 		is.NoErr(err)
 		is.Equal(l.unknown(now, "i"), 8)
+		is.True(!l.Outstanding(now).Ready)
 	}
 }
 
