Bound unreported slots by two announcements

Cause: an announcement of no requests in flight that was seconds late on its way to the entry freed the slots of a killed entry while its request ran.

Ruled out: one announcement with a longer margin, since the delay of a lost packet has no small bound. Two announcements at least 0.8 s apart must agree.

--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -49,7 +49,7 @@
 	former []*session
 	// unreported bounds by instance what entries may have in use that did not
 	// report to this broker.
-	unreported map[galenahead.InstanceID]int
+	unreported map[galenahead.InstanceID]*bound
 	retired    map[uint32]bool
 	drained    map[galenahead.VMName]struct{}
 	// grantsAtOnce is set by tests only, to show that the tests detect it.
@@ -90,7 +90,7 @@
 	// limit is the number of slots that the entry may keep, or noLimit.
 	limit int
 	// cap bounds the slots in use after the session's lease has ended.
-	cap     int
+	cap     bound
 	vm      galenahead.VMName
 	address string
 }
@@ -112,7 +112,7 @@
 		maxRequest: maxRequest,
 		instances:  make(map[galenahead.InstanceID]*instance),
 		sessions:   make(map[galenahead.EntryName]*session),
-		unreported: make(map[galenahead.InstanceID]int),
+		unreported: make(map[galenahead.InstanceID]*bound),
 		retired:    make(map[uint32]bool),
 	}
 }
@@ -140,7 +140,7 @@
 		l.instances[a.Instance] = i
 		l.ids = insert(l.ids, a.Instance)
 	}
-	l.observe(a, tick)
+	l.observe(now, a, tick)
 	if i.left && now.Mono-i.leftAt < leftMemory {
 		return nil
 	}
@@ -300,19 +300,60 @@
 
 // observe lowers the bounds on what unreachable entries have in use, by an
 // announcement that the instance made after tick.
-func (l *Ledger) observe(a galenahead.Announcement, tick time.Duration) {
+func (l *Ledger) observe(now galenapeer.Instant, a galenahead.Announcement, tick time.Duration) {
 	if l.open && tick >= l.opened+sendMargin {
-		if b, ok := l.unreported[a.Instance]; !ok || a.InFlight < b {
-			l.unreported[a.Instance] = a.InFlight
+		b, ok := l.unreported[a.Instance]
+		if !ok {
+			b = &bound{}
+			l.unreported[a.Instance] = b
 		}
+		b.observe(now, a.InFlight)
 	}
 	for _, s := range l.all() {
 		if acc, ok := s.accounts[a.Instance]; ok && tick >= s.lapse()+sendMargin {
-			acc.cap = min(acc.cap, a.InFlight)
+			acc.cap.observe(now, a.InFlight)
 		}
 	}
 }
 
+// boundWindow is the shortest time between the announcements that set a bound.
+// Announcements come every second.
+const boundWindow = 800 * time.Millisecond
+
+// bound is an upper bound learned from announcements. One announcement does not
+// set it, since a single one may have been delayed on its way to the entry. The
+// zero value bounds nothing.
+type bound struct {
+	set     bool
+	value   int
+	watched bool
+	since   time.Duration
+	highest int
+}
+
+func (b *bound) observe(now galenapeer.Instant, n int) {
+	if !b.watched {
+		b.watched, b.since, b.highest = true, now.Mono, n
+		return
+	}
+	b.highest = max(b.highest, n)
+	if now.Mono-b.since < boundWindow {
+		return
+	}
+	if !b.set || b.highest < b.value {
+		b.set, b.value = true, b.highest
+	}
+	b.since, b.highest = now.Mono, n
+}
+
+// limit returns n, or the bound if it is lower.
+func (b *bound) limit(n int) int {
+	if b != nil && b.set {
+		return min(n, b.value)
+	}
+	return n
+}
+
 func (l *Ledger) all() []*session {
 	out := make([]*session, 0, len(l.sessions)+len(l.former))
 	for _, e := range l.entries {
@@ -332,7 +373,7 @@
 	if now.Mono >= s.lapse()+l.maxRequest {
 		return 0
 	}
-	return min(n, a.cap)
+	return a.cap.limit(n)
 }
 
 // unknown bounds the slots of the instance that are in use by entries, or
@@ -351,10 +392,7 @@
 			n -= a.base
 		}
 	}
-	if b, ok := l.unreported[id]; ok {
-		n = min(n, b)
-	}
-	return max(n, 0)
+	return max(l.unreported[id].limit(n), 0)
 }
 
 // complete tells whether every process that may have requests in flight has
@@ -401,16 +439,14 @@
 	s.demand = item.Demand
 	s.avoid = item.Avoid
 	for _, a := range s.accounts {
-		a.cap = unbounded
+		a.cap = bound{}
 	}
 }
 
-const unbounded = 1 << 30
-
 func (s *session) account(id galenahead.InstanceID) *account {
 	a, ok := s.accounts[id]
 	if !ok {
-		a = &account{limit: noLimit, cap: unbounded}
+		a = &account{limit: noLimit}
 		s.accounts[id] = a
 		s.ids = insert(s.ids, id)
 	}
--- a/galenabroker/share_test.go
+++ b/galenabroker/share_test.go
@@ -75,6 +75,24 @@
 	}
 }
 
+// Guards against a bound set by one delayed announcement, as seed 5623 of the
+// histories did.
+func TestBound(t *testing.T) {
+	is := is.New(t)
+	b := &bound{}
+	at := func(d time.Duration) galenapeer.Instant { return galenapeer.Instant{Mono: d} }
+	b.observe(at(0), 0)
+	b.observe(at(0), 0)
+	is.Equal(b.limit(8), 8)
+	b.observe(at(time.Second), 4)
+	is.Equal(b.limit(8), 4)
+	b.observe(at(2*time.Second), 0)
+	is.Equal(b.limit(8), 4)
+	b.observe(at(3*time.Second), 1)
+	is.Equal(b.limit(8), 1)
+	is.Equal(b.limit(0), 0)
+}
+
 // Guards against sending on a slot whose instance left or whose lease ran out
 // in between, and against taking such a slot again.
 func TestValidAfterLapseAndClose(t *testing.T) {
