--- a/galenaroute/route_test.go
+++ b/galenaroute/route_test.go
@@ -97,25 +97,76 @@
 
 // Guards against ejecting most of a service when all instances fail.
 func TestEjectsAtMostAThird(t *testing.T) {
+	for _, failing := range []int{4, 6} {
+		is := is.New(t)
+		w := newWorld(9)
+		w.result = func(i int) Result {
+			if i < failing {
+				return Result{Kind: Failed}
+			}
+			return Result{RunTime: 10 * time.Millisecond}
+		}
+		all, most := w.leases, 0
+		for k := range 300 {
+			// In a burst often only slots of failing instances are free.
+			w.leases = all[:failing]
+			if k%3 == 0 {
+				w.leases = all
+			}
+			w.run(10)
+			out := 0
+			for _, in := range w.rt.shard("s").list {
+				// An ejection lasts until the instance is back at full use.
+				if in.ejected {
+					out++
+				}
+			}
+			most = max(most, out)
+		}
+		is.True(most <= 3)
+		is.True(most > 0)
+	}
+}
+
+// Guards against instances that fail at once drawing in a queue because they
+// always have free slots, when more of them fail than may be ejected.
+func TestFailingFastBeyondAThird(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(9)
-	rng := rand.New(rand.NewPCG(3, 3))
-	w.result = func(i int) Result {
-		if i < 6 || rng.IntN(2) == 0 {
+	w.run(100)
+	w.now = w.now.Add(time.Second)
+	failures := make([]int, 9)
+	for range 1000 { // 1 s with a request waiting at any time; 0 to 5 fail
+		w.now = w.now.Add(time.Millisecond)
+		i, _ := w.rt.Choose(w.now, w.r, w.leases[:6])
+		if i >= 0 {
+			failures[i]++
+			w.rt.Observe(w.now, w.leases[i], Result{Kind: Failed})
+		}
+	}
+	for _, n := range failures {
+		is.True(n <= 105) // one in 10 ms, as a working instance
+	}
+}
+
+// Guards against a caller whose requests fail everywhere taking the instances
+// away from the others.
+func TestFailingRequests(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	rng := rand.New(rand.NewPCG(5, 5))
+	w.result = func(int) Result {
+		if rng.IntN(5) < 2 {
 			return Result{Kind: Failed}
 		}
 		return Result{RunTime: 10 * time.Millisecond}
 	}
-	for range 300 {
-		w.run(10)
-		out := 0
-		for _, l := range w.leases {
-			if !w.rt.Usable(w.now, l) {
-				out++
-			}
-		}
-		is.True(out <= 3)
+	w.run(2000)
+	sum := 0
+	for _, n := range w.used {
+		sum += n
 	}
+	is.Equal(sum, 2000)
 }
 
 // Guards against probing with requests that must not run twice, and against a
@@ -211,18 +262,18 @@
 func TestRunTimes(t *testing.T) {
 	is := is.New(t)
 	var l RunTimes
-	_, ok := l.Summary("s")
+	_, ok := l.Summary("s", "")
 	is.Equal(ok, false)
 	for i := range 1000 {
-		l.Observe("s", time.Duration(i+1)*time.Millisecond)
+		l.Observe("s", "quote", time.Duration(i+1)*time.Millisecond)
 	}
 	p90, ok := l.Quantile("s", 0.9)
 	is.True(ok)
 	is.True(p90 >= 900*time.Millisecond && p90 <= 1100*time.Millisecond)
 	for range 4 * halveAfter {
-		l.Observe("s", time.Millisecond)
+		l.Observe("s", "quote", time.Millisecond)
 	}
-	sum, _ := l.Summary("s")
+	sum, _ := l.Summary("s", "")
 	is.True(sum.P99 < 2*time.Millisecond)
 }
 
@@ -235,3 +286,59 @@
 		w.rt.Observe(w.now, w.leases[i], Result{RunTime: time.Millisecond})
 	}
 }
+
+// Guards against ejecting an instance for one long request, for timeouts while
+// it answers others, and against passing on ejections by timeouts, which made
+// all entries drop working instances.
+func TestTimeouts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(9)
+	w.run(100)
+	timeout := func(l galenahead.SlotLease) {
+		w.rt.Choose(w.now, w.r, []galenahead.SlotLease{l})
+		w.now = w.now.Add(time.Second)
+		w.rt.Observe(w.now, l, Result{Kind: TimedOut, RunTime: time.Second})
+	}
+	ejected := func(l galenahead.SlotLease) bool { return w.rt.shard("s").instance(w.now, l).ejected }
+	timeout(w.leases[0])
+	is.Equal(ejected(w.leases[0]), false)
+	timeout(w.leases[0])
+	is.Equal(ejected(w.leases[0]), true)
+	is.Equal(len(w.rt.Suspects()), 0)
+	for range 5 { // it answers another request while one takes too long
+		w.rt.Choose(w.now, w.r, w.leases[3:4])
+		w.rt.Choose(w.now, w.r, w.leases[3:4])
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.rt.Observe(w.now, w.leases[3], Result{RunTime: 10 * time.Millisecond})
+		w.now = w.now.Add(time.Second)
+		w.rt.Observe(w.now, w.leases[3], Result{Kind: TimedOut, RunTime: time.Second + 10*time.Millisecond})
+	}
+	is.Equal(ejected(w.leases[3]), false)
+	is.Equal(w.rt.shard("s").instance(w.now, w.leases[3]).timeouts, 0)
+}
+
+// Guards against every entry that ejected an instance probing it, and against
+// none of them doing so.
+func TestOneEntryProbes(t *testing.T) {
+	is := is.New(t)
+	routers := map[galenahead.EntryName]*Router{}
+	for _, name := range []galenahead.EntryName{"a", "b", "c"} {
+		w := newWorld(9)
+		w.rt = New(Config{Entry: name})
+		w.run(100)
+		w.rt.Choose(w.now, w.r, w.leases[:1])
+		w.rt.Observe(w.now, w.leases[0], Result{Kind: Failed})
+		routers[name] = w.rt
+	}
+	now := epoch.Add(time.Second)
+	for _, from := range []galenahead.EntryName{"c", "a", "b"} {
+		for name, rt := range routers {
+			if name != from {
+				rt.Adopt(now, from, routers[from].Suspects())
+			}
+		}
+	}
+	is.Equal(len(routers["a"].Suspects()), 1)
+	is.Equal(len(routers["b"].Suspects()), 0)
+	is.Equal(len(routers["c"].Suspects()), 0)
+}
--- a/test/galena-bench/sim/world.go
+++ b/test/galena-bench/sim/world.go
@@ -24,9 +24,6 @@
 	announceLease  = 3 * time.Second
 	// stopAfterLeaving is how long a leaving instance still accepts requests.
 	stopAfterLeaving = 5 * time.Second
-	// balancerNotice is how long the load balancer takes to see a lost entry.
-	// Until then connections to it fail and go to the next entry.
-	balancerNotice = time.Second
 )
 
 // epoch is the start of the virtual time.
@@ -76,20 +73,22 @@
 // instance is one upstream process.
 type instance struct {
 	trace.Instance
-	index     int
-	id        galenahead.InstanceID
-	centre    galenahead.DataCentre
-	running   int
-	waiting   []*attempt
-	inFlight  int
-	peak      int
-	failing   bool
-	stopped   bool
-	cutOff    bool
-	leaving   bool
-	frozenTo  time.Duration
-	announced bool
-	spent     int
+	index    int
+	id       galenahead.InstanceID
+	centre   galenahead.DataCentre
+	running  int
+	waiting  []*attempt
+	inFlight int
+	peak     int
+	failing  bool
+	// failingLate tells that it runs requests and then answers with an error.
+	failingLate bool
+	stopped     bool
+	cutOff      bool
+	leaving     bool
+	frozenTo    time.Duration
+	announced   bool
+	spent       int
 }
 
 // entry is one entry VM.
@@ -112,11 +111,13 @@
 	buddy     bool
 	ends      []End
 	runsTwice int
-	spent     int
-	retries   int
 	// ranFor is the time that slots ran requests, usefulFor the part of it whose
 	// answers were on time.
 	ranFor, usefulFor time.Duration
+	// load counts attempts by instance and requests by entry since watch.
+	watch        time.Duration
+	instanceLoad []int
+	entryLoad    []int
 }
 
 // policy is what decides about requests.
@@ -129,9 +130,11 @@
 
 func newWorld(t *trace.Trace) *world {
 	w := &world{t: t, loop: loop{now: -warmUp}, ends: make([]End, len(t.Requests))}
+	w.instanceLoad = make([]int, len(t.Instances))
+	w.entryLoad = make([]int, len(t.Entries))
 	for i, x := range t.Instances {
 		w.instances = append(w.instances, &instance{
-			Instance: x, index: i, announced: true, id: galenahead.InstanceID("i" + strconv.Itoa(i)),
+			Instance: x, index: i, announced: true, frozenTo: -warmUp, id: galenahead.InstanceID("i" + strconv.Itoa(i)),
 			centre: galenahead.DataCentre(t.Centres[x.Centre]),
 		})
 	}
@@ -177,6 +180,9 @@
 	}
 	q.entry = w.balance(int(x.Entry), index)
 	q.entry.open[q] = true
+	if w.now >= w.watch {
+		w.entryLoad[q.entry.index]++
+	}
 	w.at(q.deadline+grace, func() { w.finish(q, EndUnknown) })
 	w.policy.arrived(q)
 }
@@ -226,6 +232,9 @@
 func (w *world) send(q *query, e *entry, in *instance, ended func(result)) *attempt {
 	a := &attempt{q: q, e: e, in: in, sent: w.now, life: e.life, ended: ended}
 	q.attempts++
+	if w.now >= w.watch {
+		w.instanceLoad[in.index]++
+	}
 	in.inFlight++
 	in.peak = max(in.peak, in.inFlight)
 	w.in(w.way(e, in), func() { w.reach(a) })
@@ -242,7 +251,6 @@
 		w.reply(a, refused)
 	case in.failing:
 		in.spent++
-		w.spent++
 		w.in(failTime, func() { w.reply(a, failed) })
 	case in.running < in.Actual && in.frozenTo <= w.now:
 		w.start(a)
@@ -274,6 +282,11 @@
 	}
 	in.running--
 	w.drain(in)
+	if in.failingLate {
+		in.spent++
+		w.reply(a, failed)
+		return
+	}
 	w.reply(a, ran)
 }
 
@@ -308,6 +321,10 @@
 		in := w.instances[f.Index]
 		w.at(f.From, func() { in.failing = true })
 		w.at(f.Until, func() { in.failing = false })
+	case trace.FaultFailingLate:
+		in := w.instances[f.Index]
+		w.at(f.From, func() { in.failingLate = true })
+		w.at(f.Until, func() { in.failingLate = false })
 	case trace.FaultFrozen:
 		in := w.instances[f.Index]
 		w.at(f.From, func() { in.frozenTo = f.Until })
