--- a/cmd/galenactl/client/client.go
+++ b/cmd/galenactl/client/client.go
@@ -125,17 +125,26 @@
 func (c *Client) Each(ctx context.Context) ([]*galenapb.StatusReply, error) {
 	var list []*galenapb.StatusReply
 	for _, address := range c.addresses {
-		r, err := attempt(ctx, c, address, 0, func(ctx context.Context, cc galenapb.ControlClient) (*galenapb.StatusReply, error) {
-			return cc.Status(ctx, &galenapb.StatusRequest{})
-		})
+		r, err := c.StatusAt(ctx, address)
 		if err != nil {
-			return nil, eris.Wrapf(typed(err), "status of %s", address)
+			return nil, err
 		}
 		list = append(list, r)
 	}
 	return list, nil
 }
 
+// StatusAt returns the view of the daemon at an operator address.
+func (c *Client) StatusAt(ctx context.Context, address string) (*galenapb.StatusReply, error) {
+	r, err := attempt(ctx, c, address, 0, func(ctx context.Context, cc galenapb.ControlClient) (*galenapb.StatusReply, error) {
+		return cc.Status(ctx, &galenapb.StatusRequest{})
+	})
+	if err != nil {
+		return nil, eris.Wrapf(typed(err), "status of %s", address)
+	}
+	return r, nil
+}
+
 // Bootstrap starts a blank cluster at the first address. It is never resent
 // elsewhere, because a second daemon would start a second cluster.
 func (c *Client) Bootstrap(ctx context.Context, req *galenapb.BootstrapRequest) (*galenapb.BootstrapReply, error) {
--- a/cmd/galenactl/cluster/member.go
+++ b/cmd/galenactl/cluster/member.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/galenahead/galenahead/cmd/galenactl/cli"
+	"github.com/galenahead/galenahead/cmd/galenactl/client"
 	"github.com/galenahead/galenahead/galenapb"
 )
 
@@ -14,6 +15,9 @@
 type MemberOptions struct {
 	Factory *cli.Factory
 	Request *galenapb.ChangeMemberRequest
+	// From is the operator address of the replica to add, which knows its own
+	// peer address and incarnation.
+	From string
 }
 
 // NewCmdMember returns the command group for replicas.
@@ -29,14 +33,27 @@
 	flags := cmd.Flags()
 	flags.StringVar(&o.Request.Member.Address, "address", "", "peer address of the replica (ip:port)")
 	flags.Uint64Var(&o.Request.Member.Incarnation, "incarnation", 0,
-		"random number that the replica stored at its first start, 0 if unknown (number)")
-	cmd.PreRunE = func(*cobra.Command, []string) error {
-		if _, err := netip.ParseAddrPort(o.Request.Member.Address); err != nil {
-			return cli.Usagef("--address %q is not ip:port", o.Request.Member.Address)
+		"random number that the replica stored at its first start (number)")
+	flags.StringVar(&o.From, "from", "", "operator address of the replica, instead of --address and --incarnation (ip:port)")
+	cmd.PreRunE = func(*cobra.Command, []string) error { return checkAdd(o) }
+	return cmd
+}
+
+func checkAdd(o *MemberOptions) error {
+	m := o.Request.GetMember()
+	if o.From != "" {
+		if _, err := netip.ParseAddrPort(o.From); err != nil {
+			return cli.Usagef("--from %q is not ip:port", o.From)
 		}
 		return nil
 	}
-	return cmd
+	if _, err := netip.ParseAddrPort(m.GetAddress()); err != nil {
+		return cli.Usagef("--address %q is not ip:port", m.GetAddress())
+	}
+	if m.GetIncarnation() == 0 {
+		return cli.Usagef("--incarnation is missing; pass --from with the replica's operator address instead")
+	}
+	return nil
 }
 
 // NewCmdPromote returns the command that makes a learner a voter.
@@ -72,5 +89,26 @@
 }
 
 func runMember(ctx context.Context, o *MemberOptions) error {
+	if o.From != "" {
+		if err := identify(ctx, o); err != nil {
+			return err
+		}
+	}
 	return o.Factory.ChangeMember(ctx, o.Request)
 }
+
+// identify asks the replica at From for its peer address and incarnation.
+func identify(ctx context.Context, o *MemberOptions) error {
+	return o.Factory.Query(ctx, func(ctx context.Context, c *client.Client) error {
+		r, err := c.StatusAt(ctx, o.From)
+		if err != nil {
+			return err
+		}
+		m := o.Request.GetMember()
+		if r.GetName() != m.GetName() {
+			return cli.Usagef("the replica at %s is %q; pass the address of %q", o.From, r.GetName(), m.GetName())
+		}
+		m.Address, m.Incarnation = r.GetPeerAddress(), r.GetIncarnation()
+		return nil
+	})
+}
--- a/galenabroker/load.go
+++ b/galenabroker/load.go
@@ -77,3 +77,12 @@
 	}
 	return out
 }
+
+// Instances returns how many instances of the service are usable, by the
+// broker's last renewal.
+func (s *Service) Instances(service galenahead.ServiceName) int {
+	d := s.desk(service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holdings.instances
+}
--- a/galenaentry/attempt.go
+++ b/galenaentry/attempt.go
@@ -37,6 +37,7 @@
 		id: x.ID + "." + strconv.Itoa(x.Attempts), result: make(chan result, 1),
 	}
 	s.open.Add(1)
+	sent := s.timers.Now()
 	go t.run(context.WithoutCancel(ctx))
 	select {
 	case r := <-t.result:
@@ -49,6 +50,8 @@
 		x.Retriable = r.retriable
 		return r.answer
 	}
+	now := s.timers.Now()
+	t.observe(now, galenaroute.TimedOut, now.Sub(sent))
 	return galenahead.Unknown(ReasonAnswerLate)
 }
 
@@ -65,6 +68,19 @@
 	mu        sync.Mutex
 	finished  bool
 	abandoned bool
+	observed  bool
+}
+
+// observe tells the router the result of the attempt; only the first call
+// counts.
+func (t *attempt) observe(now time.Time, kind galenaroute.Kind, took time.Duration) {
+	t.mu.Lock()
+	first := !t.observed
+	t.observed = true
+	t.mu.Unlock()
+	if first {
+		t.lane.router.Observe(now, t.lease, galenaroute.Result{Kind: kind, Class: galenaroute.Class(t.request), RunTime: took})
+	}
 }
 
 type result struct {
@@ -80,7 +96,7 @@
 	a, err := t.owner.sender.Send(ctx, t.lease.Address, t.request, t.id, until, t.valid)
 	now := t.owner.timers.Now()
 	r := classify(t.request, a, err)
-	t.lane.router.Observe(now, t.lease, galenaroute.Result{Kind: kindOf(a, err), RunTime: now.Sub(start)})
+	t.observe(now, kindOf(a, err), now.Sub(start))
 	t.lane.put(t.lease)
 	if t.finish() {
 		t.result <- r
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -46,6 +46,7 @@
 	follower *galenaconfig.Follower
 	server   *Server
 	reporter *reporter
+	suspects *suspects
 	recorder *recorder
 	// work bounds what the daemon's parts do in the background.
 	work     context.Context
@@ -68,7 +69,7 @@
 	d.broker = galenabroker.New(galenabroker.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
 	d.follower = d.newFollower(self, entries)
 	d.wireServer(self, dropped)
-	for _, part := range []interface{ Register(*galenarpc.Mux) }{d.peers, d.claims, d.broker, d.follower} {
+	for _, part := range []interface{ Register(*galenarpc.Mux) }{d.peers, d.claims, d.broker, d.follower, d.suspects} {
 		part.Register(&d.mux)
 	}
 	return d
@@ -105,14 +106,20 @@
 	d.recorder = &recorder{
 		log: d.log, metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}), dropped: dropped,
 	}
-	router := galenaroute.New(galenaroute.Config{DataCentre: d.settings.Process.DataCentre})
+	router := galenaroute.New(galenaroute.Config{Entry: self, DataCentre: d.settings.Process.DataCentre})
 	d.server = NewServer(ServerConfig{
-		Name: self, Timers: d.timers, Gate: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.recorder,
+		Name: self, Timers: d.timers, Gate: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.recorder, Entries: d.peers.LiveCount,
 		MaxBody: d.settings.Limits.MaxBodyKB << 10,
 		Limits: galenaqueue.Config{
 			MaxRequests: d.settings.Limits.QueuePerService, MaxBytes: d.settings.Limits.QueueMB << 20,
 		},
 	})
+	d.suspects = &suspects{self: self, client: d.client, router: router, timers: d.timers}
+	for _, e := range d.settings.Entries {
+		if e.Name != self {
+			d.suspects.peers = append(d.suspects.peers, e.Peer.String())
+		}
+	}
 	d.reporter = &reporter{
 		self: self, control: controlAddresses(d.settings), caller: d.client, timers: d.timers,
 		follower: d.follower, broker: d.broker, budgets: d.recorder.budgets,
@@ -171,7 +178,7 @@
 	if err := d.serve(g, work); err != nil {
 		return err
 	}
-	for _, part := range []interface{ Run(context.Context) error }{d.peers, d.claims, d.follower, d.reporter} {
+	for _, part := range []interface{ Run(context.Context) error }{d.peers, d.claims, d.follower, d.reporter, d.suspects} {
 		g.Go(func() error { return part.Run(work) })
 	}
 	brokering, resign := context.WithCancel(work)
--- a/galenaentry/lane.go
+++ b/galenaentry/lane.go
@@ -20,6 +20,8 @@
 type slotPool interface {
 	galenahead.SlotPool
 	TakeFor(service galenahead.ServiceName, caller galenahead.CallerName, choose func([]galenahead.SlotLease) int) (galenahead.SlotLease, bool)
+	// Instances returns how many instances of the service are usable.
+	Instances(service galenahead.ServiceName) int
 }
 
 // lane joins the queue of one service with the slots this entry holds for it.
@@ -29,6 +31,8 @@
 	slots   slotPool
 	router  *galenaroute.Router
 	timers  galenahead.Timers
+	// entries returns how many entries are live.
+	entries func() int
 
 	mu      sync.Mutex
 	waiting map[*galenaqueue.Ticket]*Exchange
@@ -131,6 +135,7 @@
 
 // sweep drops requests that are no longer worth serving and reports the demand.
 func (l *lane) sweep(now time.Time) {
+	l.expect()
 	l.queue.Expire(now)
 	for _, t := range l.gone() {
 		l.queue.Cancel(t)
@@ -138,6 +143,18 @@
 	l.slots.Want(l.service, l.queue.Waiting())
 }
 
+// expect tells the queue how many slots it can expect to get, which is this
+// entry's even part, and the router how many instances there are.
+func (l *lane) expect() {
+	slots, ok := l.slots.Known(l.service)
+	if !ok {
+		l.queue.SetSlots(0)
+		return
+	}
+	l.queue.SetSlots(max(1, slots/max(1, l.entries())))
+	l.router.SetInstances(l.service, l.slots.Instances(l.service))
+}
+
 // gone returns the tickets whose callers closed their connections.
 func (l *lane) gone() []*galenaqueue.Ticket {
 	l.mu.Lock()
--- a/galenaentry/lanes.go
+++ b/galenaentry/lanes.go
@@ -14,6 +14,8 @@
 	slots  slotPool
 	router *galenaroute.Router
 	timers galenahead.Timers
+	// entries returns how many entries are live.
+	entries func() int
 
 	mu     sync.RWMutex
 	active map[galenahead.ServiceName]*lane
@@ -36,7 +38,7 @@
 		return l
 	}
 	l := &lane{
-		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers,
+		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers, entries: s.entries,
 		waiting: make(map[*galenaqueue.Ticket]*Exchange), decisions: make(map[uint64]decision),
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -34,6 +34,8 @@
 	Slots    slotPool
 	Router   *galenaroute.Router
 	Observer Observer
+	// Entries returns how many entries are live.
+	Entries func() int
 	// MaxBody is the largest request and answer body, in bytes; 0 means 16 MiB.
 	MaxBody int
 	// Limits bounds the queue of each service.
@@ -55,7 +57,7 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
-	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers}}
+	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, entries: cfg.Entries}}
 	s.attempts = &attempts{sender: &galenaupstream.Sender{MaxBody: cfg.MaxBody}, lanes: s.lanes, timers: cfg.Timers}
 	s.accept = &acceptor{
 		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
@@ -93,11 +95,13 @@
 
 // estimate returns the learned run time of a request.
 func (s *Server) estimate(r galenahead.Request) galenaqueue.Estimate {
-	sum, ok := s.cfg.Router.Times.Summary(r.Service)
+	times := &s.cfg.Router.Times
+	class, ok := times.Summary(r.Service, galenaroute.Class(r))
 	if !ok {
 		return galenaqueue.Estimate{}
 	}
-	return galenaqueue.Estimate{Shortest: sum.Shortest, Mean: sum.Mean}
+	all, _ := times.Summary(r.Service, "")
+	return galenaqueue.Estimate{Shortest: class.Shortest, Likely: class.Likely, Mean: all.Mean}
 }
 
 // Serve answers callers on ln until ctx ends.
--- a/galenapeer/service.go
+++ b/galenapeer/service.go
@@ -88,6 +88,20 @@
 	return s.table.Live(s.clock.Now(), name)
 }
 
+// LiveCount returns the number of live entries, this one included.
+func (s *Service) LiveCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	n := 1
+	for _, e := range s.cfg.Entries {
+		if e.Name != s.cfg.Self && s.table.Live(now, e.Name) {
+			n++
+		}
+	}
+	return n
+}
+
 // Majority tells whether a majority of entries is live.
 func (s *Service) Majority() bool {
 	s.mu.Lock()
--- a/test/galena-local/deployment/deployment.go
+++ b/test/galena-local/deployment/deployment.go
@@ -336,5 +336,5 @@
 	return string(b)
 }
 
-// PeerAddress returns where the other replicas reach this one.
-func (c *Control) PeerAddress() string { return c.peer }
+// OperatorAddress returns where operators reach the replica.
+func (c *Control) OperatorAddress() string { return c.operator }
--- a/test/galena-local/faults_test.go
+++ b/test/galena-local/faults_test.go
@@ -182,7 +182,7 @@
 	f.must(lost.Start())
 	f.ctl("config", "apply", "kept_too", "yes")
 	f.ctl("cluster", "member", "remove", lost.Name)
-	f.ctl("cluster", "member", "add", lost.Name, "--address", lost.PeerAddress())
+	f.ctl("cluster", "member", "add", lost.Name, "--from", lost.OperatorAddress())
 	f.ctl("cluster", "member", "promote", lost.Name)
 	f.must(f.leader().Kill())
 	if got := f.ctl("config", "get"); !strings.Contains(got, "kept\tyes") || !strings.Contains(got, "kept_too\tyes") {
