Hand broker leases over first on SIGTERM; time silence from a call

Cause: a stopping entry gave its broker leases up only at the end, so its services had no new slots for seconds. A connection that had merely been idle was closed after one timed-out call, because silence was counted from the last reply.

Ruled out: closing connections on each timeout (a long poll that ends by its context is no sign of silence).

--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -208,6 +208,8 @@
 // in flight.
 func (d *Daemon) stop(work context.Context) error {
 	close(d.draining)
+	// Another entry takes the brokers' duties over while the balancer moves away.
+	d.broker.StepDown(work)
 	select {
 	case <-work.Done():
 	case <-d.timers.After(work, d.settings.Process.StopDelay):
--- a/galenarpc/client.go
+++ b/galenarpc/client.go
@@ -36,8 +36,8 @@
 	conn     *Conn
 	failedAt time.Time
 	dialErr  error
-	// answered is when the last reply came.
-	answered time.Time
+	// unanswered is when the first call was made since the last reply, or zero.
+	unanswered time.Time
 }
 
 // Call sends params to method of the peer and decodes the reply into result.
@@ -47,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	p.asked(conn)
 	err = conn.Call(ctx, method, params, result)
 	p.note(conn, ctx.Err() != nil)
 	return decodeError(err)
@@ -114,22 +115,34 @@
 		return nil, p.dialErr
 	}
 	p.dialErr = nil
-	p.answered = time.Now()
+	p.unanswered = time.Time{}
 	// The connection outlives the call that opened it.
 	p.conn = m.connect(context.WithoutCancel(ctx), nc)
 	return p.conn, nil
 }
 
-// note records whether a call on conn was answered, and drops a connection
-// that has been silent for maxSilence.
+// asked records that a call begins on conn.
+func (p *peer) asked(conn *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == conn && p.unanswered.IsZero() {
+		p.unanswered = time.Now()
+	}
+}
+
+// note records whether a call on conn was answered, and drops a connection on
+// which nothing was answered for maxSilence.
 func (p *peer) note(conn *Conn, timedOut bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.conn != conn {
+		return
+	}
 	if !timedOut {
-		p.answered = time.Now()
+		p.unanswered = time.Time{}
 		return
 	}
-	if p.conn != conn || time.Since(p.answered) < maxSilence {
+	if p.unanswered.IsZero() || time.Since(p.unanswered) < maxSilence {
 		return
 	}
 	_ = p.conn.Close()
