--- a/test/galena-local/fleet_test.go
+++ b/test/galena-local/fleet_test.go
@@ -195,13 +195,6 @@
 	} `json:"evidence"`
 }
 
-func (f *fleet) load(args ...string) summary {
-	f.t.Helper()
-	var s summary
-	f.must(f.Load(f.ctx, f.upstreams, &s, args...))
-	return s
-}
-
 // runningLoad is a load in the background.
 type runningLoad struct {
 	fleet *fleet
