--- a/test/galena-local/deployment/deployment.go
+++ b/test/galena-local/deployment/deployment.go
@@ -260,7 +260,7 @@
 }
 
 func (d *Deployment) process(name, program string, args ...string) *Process {
-	p := &Process{name: name, path: filepath.Join(d.bin, program), dir: d.dir, args: args, log: filepath.Join(d.dir, name+".log")}
+	p := NewProcess(name, filepath.Join(d.bin, program), d.dir, args...)
 	d.processes = append([]*Process{p}, d.processes...)
 	return p
 }
@@ -275,6 +275,12 @@
 	cmd  *exec.Cmd
 }
 
+// NewProcess returns a process that runs the program at path in dir and writes
+// its output to a file there. It is idle until Start.
+func NewProcess(name, path, dir string, args ...string) *Process {
+	return &Process{name: name, path: path, dir: dir, args: args, log: filepath.Join(dir, name+".log")}
+}
+
 // Start starts the process, again if it was killed or stopped. Its output goes
 // to a file named after it.
 func (p *Process) Start() error {
