Bound connections to an upstream and send the path unchanged

Cause: idle kept connections were not counted, so many entries together could open more connections to an instance than it announced. The path went through the HTTP library's normalization: /a%2Fb/../c reached the upstream as another resource. Ruled out: a limit on idle connections alone, which leaves those in use and being dialled out of the count. Conclusion: the pool counts idle, used and dialled connections of an address and dials only below the limit. Each connection keeps its write buffer, which was allocated for each request.

--- a/galenaupstream/send.go
+++ b/galenaupstream/send.go
@@ -51,10 +51,10 @@
 	if err != nil {
 		return galenahead.Answer{}, eris.Wrap(ErrUnsent, err.Error())
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := interruptible(ctx, c)
 	defer stop()
 	if err := c.SetDeadline(until); err != nil {
-		_ = c.Close()
+		s.Pool.discard(addr, c)
 		return galenahead.Answer{}, eris.Wrap(ErrUnsent, err.Error())
 	}
 	if !valid() {
@@ -63,13 +63,22 @@
 	}
 	a, reusable, err := s.exchange(c, addr, r, attempt)
 	if err != nil || !reusable || !stop() {
-		_ = c.Close()
+		s.Pool.discard(addr, c)
 		return a, err
 	}
 	s.Pool.put(addr, c)
 	return a, nil
 }
 
+// interruptible ends reads and writes of c when ctx ends, until the function
+// that it returns is called. That function returns false when ctx has ended.
+func interruptible(ctx context.Context, c *conn) func() bool {
+	if ctx.Done() == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+}
+
 func (s *Sender) exchange(c *conn, addr string, r galenahead.Request, attempt string) (galenahead.Answer, bool, error) {
 	before := c.n
 	if err := writeRequest(c, addr, r, attempt); err != nil {
@@ -133,8 +142,10 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(r.Method)
-	req.SetRequestURI(r.Path)
-	req.SetHost(addr)
+	// The header's own fields are set, because req.SetHost parses the path, and
+	// a parsed path is sent in a normalized form that may name another resource.
+	req.Header.SetRequestURI(r.Path)
+	req.Header.SetHost(addr)
 	if r.ContentType != "" {
 		req.Header.SetContentType(r.ContentType)
 	}
@@ -144,11 +155,10 @@
 	left := max(time.Until(r.Deadline).Milliseconds(), 0)
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
 	req.SetBodyRaw(r.Body)
-	w := bufio.NewWriterSize(c, bufferSize)
-	if err := req.Write(w); err != nil {
+	if err := req.Write(c.w); err != nil {
 		return err
 	}
-	return w.Flush()
+	return c.w.Flush()
 }
 
 // readAnswer copies the answer out of the library's buffers, which are used
--- a/galenaupstream/send_test.go
+++ b/galenaupstream/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"net/http"
@@ -133,7 +134,10 @@
 // waitClosed waits until the upstream's close of the idle connection arrived.
 func waitClosed(t *testing.T, s *Sender, addr string) {
 	t.Helper()
-	c := s.Pool.pop(addr)
+	c, err := s.Pool.pop(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
 	for c.alive(time.Now()) {
 		if t.Context().Err() != nil {
 			t.Fatal("connection was not closed")
@@ -156,3 +160,54 @@
 		is.Equal(string(a.Body), "ok")
 	}
 }
+
+// Guards against more connections than the limit, counting idle ones, against
+// keeping those beyond a lowered limit, and against counts that leak with
+// connections that were closed or never opened.
+func TestPoolLimit(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "unused")
+	addr := u.ln.Addr().String()
+	var p Pool
+	defer p.Close()
+	p.Reserve(addr, 2)
+	is.True(p.Room(addr, 2))
+	p.Reserve(addr, 2)
+	is.Equal(p.Room(addr, 2), false)
+	is.True(p.Room(addr, 0))
+	a, err := p.get(t.Context(), addr)
+	is.NoErr(err)
+	b, err := p.get(t.Context(), addr)
+	is.NoErr(err)
+	_, err = p.get(t.Context(), addr)
+	is.True(errors.Is(err, errNoConnection))
+	p.put(addr, a)
+	c, err := p.get(t.Context(), addr)
+	is.NoErr(err)
+	is.True(c == a)
+	p.Reserve(addr, 1)
+	p.put(addr, a)
+	p.put(addr, b)
+	is.Equal(p.hosts[addr].open, 1)
+	is.Equal(len(p.hosts[addr].idle), 1)
+	p.Close()
+	for range 3 {
+		p.Release(addr)
+	}
+	is.NoErr(u.ln.Close())
+	_, err = p.get(t.Context(), addr)
+	is.True(err != nil)
+	p.Sweep(time.Now())
+	is.Equal(len(p.hosts), 0)
+}
+
+// Guards against a path that is changed on its way to the upstream.
+func TestSendKeepsPath(t *testing.T) {
+	is := is.New(t)
+	var c bytes.Buffer
+	r := request("1-a")
+	r.Path = "/a%2Fb/../c//d?q=%20x"
+	is.NoErr(writeRequest(&conn{w: bufio.NewWriter(&c)}, "10.0.0.1:80", r, "t1"))
+	is.True(strings.HasPrefix(c.String(), "POST "+r.Path+" HTTP/1.1\r\n"))
+	is.True(strings.Contains(c.String(), "\r\nHost: 10.0.0.1:80\r\n"))
+}
