Test the filters of the request path; choose slots by free connections

Cause: the filters had no tests. A retry after an attempt that may have run could answer not_run when it found no slot before the deadline; slots of an instance without a connection left here could be taken. Ruled out: an end of the retries with the first failure that may have run, which gives up the retries that the budget allows. Conclusion: the retry filter keeps the answer of an attempt that may have run. An entry uses at most connections / entries (at least 1) per instance.

--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -108,7 +108,7 @@
 	router := galenaroute.New(galenaroute.Config{DataCentre: d.settings.Process.DataCentre})
 	d.server = NewServer(ServerConfig{
 		Name: self, Timers: d.timers, Gate: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.recorder,
-		MaxBody: d.settings.Limits.MaxBodyKB << 10,
+		MaxBody: d.settings.Limits.MaxBodyKB << 10, Entries: len(d.settings.Entries),
 		Limits: galenaqueue.Config{
 			MaxRequests: d.settings.Limits.QueuePerService, MaxBytes: d.settings.Limits.QueueMB << 20,
 		},
--- a/galenaentry/lane.go
+++ b/galenaentry/lane.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenaqueue"
 	"github.com/galenahead/galenahead/galenaroute"
+	"github.com/galenahead/galenahead/galenaupstream"
 )
 
 const (
@@ -29,6 +32,10 @@
 	slots   slotPool
 	router  *galenaroute.Router
 	timers  galenahead.Timers
+	pool    *galenaupstream.Pool
+	// connections bounds the connections of this entry to one instance; 0 means
+	// no bound.
+	connections atomic.Int64
 
 	mu      sync.Mutex
 	waiting map[*galenaqueue.Ticket]*Exchange
@@ -87,6 +94,7 @@
 
 // put returns a slot and hands it to a waiting request.
 func (l *lane) put(lease galenahead.SlotLease) {
+	l.pool.Release(lease.Address)
 	l.slots.Put(lease)
 	l.dispatch(l.timers.Now())
 }
@@ -103,23 +111,49 @@
 	}
 }
 
-// take chooses a free slot for r.
+// take chooses a free slot for r and reserves a connection to its instance.
 func (l *lane) take(now time.Time, r galenahead.Request) (galenahead.SlotLease, bool) {
 	var d decision
 	lease, ok := l.slots.TakeFor(l.service, r.Caller, func(candidates []galenahead.SlotLease) int {
-		i, reason := l.router.Choose(now, r, candidates)
+		i, reason := l.choose(now, r, candidates)
 		d = decision{candidates: len(candidates), reason: reason}
 		return i
 	})
 	if !ok {
 		return lease, false
 	}
+	// The queue calls take for one request at a time, so the room that choose
+	// found is still there.
+	l.pool.Reserve(lease.Address, int(l.connections.Load()))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decisions[lease.ID] = d
 	return lease, true
 }
 
+// choose returns the index of the candidate for r among those whose instances
+// have a connection left at this entry, or -1, and the reason.
+func (l *lane) choose(now time.Time, r galenahead.Request, candidates []galenahead.SlotLease) (int, string) {
+	limit := int(l.connections.Load())
+	free := func(c galenahead.SlotLease) bool { return l.pool.Room(c.Address, limit) }
+	full := slices.IndexFunc(candidates, func(c galenahead.SlotLease) bool { return !free(c) })
+	if full < 0 {
+		return l.router.Choose(now, r, candidates)
+	}
+	var kept []galenahead.SlotLease
+	var indices []int
+	for i, c := range candidates {
+		if free(c) {
+			kept, indices = append(kept, c), append(indices, i)
+		}
+	}
+	i, reason := l.router.Choose(now, r, kept)
+	if i < 0 {
+		return i, reason
+	}
+	return indices[i], reason
+}
+
 // decided returns the decision behind a slot lease and forgets it.
 func (l *lane) decided(lease galenahead.SlotLease) decision {
 	l.mu.Lock()
--- a/galenaentry/lanes.go
+++ b/galenaentry/lanes.go
@@ -7,6 +7,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenaqueue"
 	"github.com/galenahead/galenahead/galenaroute"
+	"github.com/galenahead/galenahead/galenaupstream"
 )
 
 // lanes holds the lane of each configured service.
@@ -14,6 +15,7 @@
 	slots  slotPool
 	router *galenaroute.Router
 	timers galenahead.Timers
+	pool   *galenaupstream.Pool
 
 	mu     sync.RWMutex
 	active map[galenahead.ServiceName]*lane
@@ -36,7 +38,7 @@
 		return l
 	}
 	l := &lane{
-		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers,
+		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers, pool: s.pool,
 		waiting: make(map[*galenaqueue.Ticket]*Exchange), decisions: make(map[uint64]decision),
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/galenaentry/pipeline_test.go
@@ -0,0 +1,397 @@
+package galenaentry
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaretry"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	is := is.New(t)
+	if *update {
+		is.NoErr(os.WriteFile("testdata/"+name, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile("testdata/" + name)
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
+
+// upstream echoes bodies, counts runs and can hold requests back.
+type upstream struct {
+	runs, busy, peak atomic.Int64
+	hold             chan struct{}
+}
+
+func (u *upstream) handle(c *fasthttp.RequestCtx) {
+	u.runs.Add(1)
+	n := u.busy.Add(1)
+	defer u.busy.Add(-1)
+	for p := u.peak.Load(); n > p && !u.peak.CompareAndSwap(p, n); p = u.peak.Load() {
+	}
+	if u.hold != nil {
+		<-u.hold
+	}
+	c.SetBody(c.PostBody())
+}
+
+// Guards against a second run of a resent request, and against an answer other
+// than the recorded one.
+func TestResendGetsRecordedResult(t *testing.T) {
+	is := is.New(t)
+	u := &upstream{hold: make(chan struct{})}
+	f := newFixture(t, u.handle)
+	first := make(chan galenahead.Answer)
+	go func() { first <- f.send("1-a", false, 1) }()
+	f.until(func() bool { return u.runs.Load() == 1 })
+	is.Equal(f.send("1-a", false, 2), galenahead.Unknown(ReasonClaimed))
+	close(u.hold)
+	a := <-first
+	is.Equal(a.Outcome, galenahead.OutcomeRan)
+	is.Equal(string(a.Body), "1-a")
+	is.Equal(f.send("1-a", false, 3), a)
+	is.Equal(u.runs.Load(), int64(1))
+}
+
+// Guards against not_run for a request that may have run: it needs a granted
+// claim, an idempotent request or a first delivery. Guards against a refusal
+// that keeps the claim and an unknown outcome that releases it, and against
+// refusals without a reason, of an unknown service among others.
+func TestOutcomesGolden(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(f *fixture)
+	}{
+		{"entry not ready", func(f *fixture) { f.gate.err = galenahead.ErrNotReady }},
+		{"entry stopping", func(f *fixture) { f.accept.stopping.Store(true) }},
+		{"claim undecided", func(f *fixture) { f.claims.err = galenahead.ErrClaimUndecided }},
+		{"key malformed", func(f *fixture) { f.claims.err = galenahead.ErrBadKey }},
+		{"key expired", func(f *fixture) { f.claims.err = galenahead.ErrKeyExpired }},
+		{"service unknown", func(f *fixture) { f.SetServices(f.t.Context(), nil) }},
+		{"queue full", func(f *fixture) { f.slots.free = 0; f.fillQueue() }},
+		{"no slot in time", func(f *fixture) { f.slots.free = 0; go f.expireQueue() }},
+		{"upstream unreachable", func(f *fixture) { f.slots.address = "127.0.0.1:1" }},
+		{"answer lost", func(f *fixture) { f.slots.address = serveClosed(f.t) }},
+		{"answered", func(*fixture) {}},
+	}
+	var out strings.Builder
+	for _, tc := range cases {
+		for _, idempotent := range []bool{true, false} {
+			for delivery := range 3 {
+				t.Run("", func(t *testing.T) {
+					f := newFixture(t, (&upstream{}).handle)
+					go f.tickUntilDone()
+					tc.set(f)
+					a := f.send("1-a", idempotent, delivery)
+					fmt.Fprintf(&out, "%s: idempotent=%t delivery=%d: %s %s claim=%s slots=%d\n", tc.name, idempotent, delivery,
+						a.Outcome, a.Reason, f.claims.state("1-a"), f.slots.count())
+				})
+			}
+		}
+	}
+	golden(t, "outcomes.golden", out.String())
+}
+
+// tickUntilDone lets retry delays pass.
+func (f *fixture) tickUntilDone() {
+	for f.t.Context().Err() == nil {
+		f.clock.advance(time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *fixture) fillQueue() {
+	l, _ := f.lanes.get("counter")
+	for {
+		if _, err := l.queue.Push(f.clock.Now(), galenahead.Request{Caller: "shop", Deadline: f.clock.Now().Add(time.Hour)}); err != nil {
+			return
+		}
+	}
+}
+
+// expireQueue lets the deadline of the first request pass in the queue.
+func (f *fixture) expireQueue() {
+	l, _ := f.lanes.get("counter")
+	f.until(func() bool { return l.queue.Len() == 1 })
+	f.clock.advance(2 * time.Minute)
+}
+
+// serveClosed returns the address of an upstream that reads a request and
+// closes the connection.
+func serveClosed(t testing.TB) string {
+	return serve(t, func(c *fasthttp.RequestCtx) { c.HijackSetNoResponse(true); c.Hijack(func(net.Conn) {}) })
+}
+
+// Guards against not_run after an attempt that may have run, when its retry
+// finds no slot before the deadline.
+func TestRetryKeepsEarlierAttempt(t *testing.T) {
+	for _, earlier := range []galenahead.Answer{galenahead.Unknown(ReasonAnswerLost), {Outcome: galenahead.OutcomeRan, Status: 500}} {
+		x := &Exchange{Request: galenahead.Request{Idempotent: true, Deadline: time.Now().Add(time.Hour)}}
+		n := 0
+		f := newFixture(t, nil)
+		go f.tickUntilDone()
+		h := retryFilter(&galenaretry.Budgets{}, f.clock)(func(_ context.Context, x *Exchange) galenahead.Answer {
+			n++
+			x.Attempts, x.Retriable = n, n == 1
+			if n == 1 {
+				return earlier
+			}
+			return galenahead.NotRun(ReasonDeadline)
+		})
+		is.New(t).Equal(h(t.Context(), x), earlier)
+		is.New(t).Equal(n, 2)
+	}
+}
+
+// Guards against an answer after the deadline that is lost to a resend, keeps
+// its slot, or is passed on as another request's.
+func TestLateAnswerIsRecorded(t *testing.T) {
+	is := is.New(t)
+	u := &upstream{hold: make(chan struct{}, 1)}
+	f := newFixture(t, u.handle)
+	first := make(chan galenahead.Answer)
+	go func() { first <- f.send("1-a", false, 1) }()
+	f.until(func() bool { return u.runs.Load() == 1 })
+	f.clock.advance(time.Minute)
+	is.Equal(<-first, galenahead.Unknown(ReasonAnswerLate))
+	is.Equal(f.slots.count(), testSlots-1)
+	u.hold <- struct{}{}
+	f.until(func() bool { return f.claims.state("1-a") == galenahead.ClaimDone })
+	is.Equal(f.slots.count(), testSlots)
+	is.Equal(string(f.send("1-a", false, 2).Body), "1-a")
+	u.hold <- struct{}{}
+	is.Equal(string(f.send("1-b", false, 1).Body), "1-b")
+	is.Equal(u.runs.Load(), int64(2))
+}
+
+// Guards against sending under an expired slot lease, and against failing the
+// request instead of taking another slot.
+func TestExpiredLeaseIsRetried(t *testing.T) {
+	is := is.New(t)
+	u := &upstream{}
+	f := newFixture(t, u.handle)
+	f.slots.expired = 2
+	go f.tickUntilDone()
+	is.Equal(f.send("1-a", false, 1).Outcome, galenahead.OutcomeRan)
+	is.Equal(u.runs.Load(), int64(1))
+	is.Equal(f.slots.id, uint64(3))
+	is.Equal(f.slots.count(), testSlots)
+}
+
+// Guards against more connections to one instance than this entry's part of
+// the announced ones, idle ones included, and against slots taken beyond them.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	u := &upstream{hold: make(chan struct{})}
+	f := newFixture(t, u.handle)
+	f.SetServices(t.Context(), []Service{{Name: "counter", Connections: 40}})
+	var wg sync.WaitGroup
+	for i := range testSlots {
+		wg.Go(func() { is.Equal(f.send(fmt.Sprint("1-", i), false, 1).Outcome, galenahead.OutcomeRan) })
+	}
+	l, _ := f.lanes.get("counter")
+	f.until(func() bool { return u.runs.Load() == 3 && l.queue.Len() == testSlots-3 })
+	is.Equal(f.slots.count(), testSlots-3)
+	close(u.hold)
+	wg.Wait()
+	is.Equal(u.peak.Load(), int64(3))
+	is.Equal(f.ownConnections(5), int64(1))
+	is.Equal(f.ownConnections(64), int64(5))
+}
+
+// Guards against crossed answers and bodies that change with the library's
+// buffers, while some requests time out and their connections are reused. Run
+// it with the race detector.
+func TestAnswersAreNotCrossed(t *testing.T) {
+	f := newFixture(t, func(c *fasthttp.RequestCtx) {
+		if b := c.PostBody(); b[len(b)-1]%8 == 0 {
+			time.Sleep(4 * time.Millisecond)
+		}
+		c.SetBody(c.PostBody())
+	})
+	go func() {
+		for t.Context().Err() == nil {
+			f.clock.advance(time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	addr := serve(t, f.accept.serve)
+	var wg sync.WaitGroup
+	var ran atomic.Int64
+	for w := range 16 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(w)))
+			for i := range 100 {
+				if sendRandom(t, addr, fmt.Sprintf("1-%d-%d", w, i), rng) {
+					ran.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.New(t).True(ran.Load() > 100)
+}
+
+// Guards against a request that changes when the HTTP library uses its buffers
+// again, while a late attempt still sends it.
+func TestRequestOutlivesBuffers(t *testing.T) {
+	is := is.New(t)
+	c := &fasthttp.RequestCtx{}
+	fill(&c.Request, "e", "1-a")
+	c.Request.Header.SetRequestURI("/quote")
+	c.Request.SetBodyString("body")
+	x, err := parseRequest(c, time.Time{}, time.Second)
+	is.NoErr(err)
+	for _, b := range [][]byte{c.Request.Body(), c.Request.Header.RequestURI(), c.Request.Header.Peek(HeaderKey)} {
+		clear(b)
+	}
+	is.Equal(string(x.Request.Body), "body")
+	is.Equal(x.Request.Path, "/quote")
+	is.Equal(x.Request.Key, galenahead.RequestKey("1-a"))
+}
+
+// sendRandom sends a body of random length that names the key throughout, and
+// tells whether it ran.
+func sendRandom(t *testing.T, addr, key string, rng *rand.Rand) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	fill(req, addr, key)
+	req.Header.Set(HeaderIdempotent, strconv.FormatBool(rng.IntN(2) == 0))
+	req.Header.Set(HeaderDeadline, strconv.Itoa(1+rng.IntN(40)))
+	req.SetBodyString(strings.Repeat(key+";", 1+rng.IntN(2000)) + string(rune('a'+rng.IntN(26))))
+	if err := fasthttp.Do(req, resp); err != nil {
+		t.Error(err)
+		return false
+	}
+	ran := string(resp.Header.Peek(HeaderOutcome)) == string(galenahead.OutcomeRan)
+	if ran && string(resp.Body()) != string(req.Body()) || string(resp.Header.Peek(HeaderKey)) != key {
+		t.Errorf("%s got another answer", key)
+	}
+	return ran
+}
+
+func fill(req *fasthttp.Request, addr, key string) {
+	req.SetRequestURI("http://" + addr + "/quote")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(HeaderService, "counter")
+	req.Header.Set(HeaderCaller, "shop")
+	req.Header.Set(HeaderKey, key)
+}
+
+// Guards against work that is queued for a caller that closed its connection.
+func TestClosedCallerIsDropped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, nil)
+	f.slots.free = 0
+	c, err := net.Dial("tcp", serve(t, f.accept.serve))
+	is.NoErr(err)
+	req := fasthttp.AcquireRequest()
+	fill(req, "e", "1-a")
+	_, err = req.WriteTo(c)
+	is.NoErr(err)
+	l, _ := f.lanes.get("counter")
+	f.until(func() bool { return l.queue.Len() == 1 })
+	is.NoErr(c.Close())
+	f.until(func() bool { f.clock.advance(0); return l.queue.Len() == 0 })
+	is.Equal(<-f.answers, galenahead.NotRun(ReasonCancelled))
+	is.Equal(f.claims.state("1-a"), galenahead.ClaimState("free"))
+}
+
+// Guards against a stop that interrupts a request or its late answer, and
+// against new requests while stopping.
+func TestStopFinishesRequests(t *testing.T) {
+	is := is.New(t)
+	u := &upstream{hold: make(chan struct{})}
+	f := newFixture(t, u.handle)
+	late := make(chan galenahead.Answer)
+	go func() { late <- f.send("1-a", false, 1) }()
+	f.until(func() bool { return u.runs.Load() == 1 })
+	f.clock.advance(time.Minute)
+	is.Equal((<-late).Reason, ReasonAnswerLate)
+	stopped := make(chan error)
+	go func() { stopped <- f.Stop(t.Context()) }()
+	f.until(f.accept.stopping.Load)
+	is.Equal(f.send("1-b", false, 1), galenahead.NotRun(ReasonShuttingDown))
+	select {
+	case <-stopped:
+		t.Fatal("stopped with an attempt in flight")
+	default:
+	}
+	close(u.hold)
+	is.NoErr(<-stopped)
+	is.Equal(f.claims.state("1-a"), galenahead.ClaimDone)
+}
+
+// Guards against errors that do not name what was found and what is allowed,
+// and against announcements that break a limit.
+func TestMalformedInputGolden(t *testing.T) {
+	var out strings.Builder
+	long := strings.Repeat("x", galenahead.MaxIDLength+1)
+	for _, h := range []string{HeaderService, HeaderCaller, HeaderKey, HeaderDeadline, HeaderIdempotent, HeaderDelivery} {
+		for _, v := range []string{"", "0", "-1", "yes", "99999999999999999999", "30001", long} {
+			c := &fasthttp.RequestCtx{}
+			fill(&c.Request, "e", "1-a")
+			c.Request.Header.Set(h, v)
+			_, err := parseRequest(c, time.Time{}, time.Second)
+			fmt.Fprintf(&out, "%s=%.8q: %v\n", h, v, err)
+		}
+	}
+	good := `"instance":"i","address":"127.0.0.1:1","service":"s","data_centre":"d","rack":"r","vm":"v","slots":8,"connections":64,"lease_ms":3000`
+	n := &announcer{announce: func(context.Context, galenahead.Announcement) error { return nil }}
+	for _, more := range []string{
+		``, `,"instance":""`, `,"vm":"` + long + `"`, `,"rack":7`, `,"address":"host:80"`, `,"slots":0`, `,"slots":65537`,
+		`,"connections":0`, `,"lease_ms":3001`, `,"in_flight":-1`, `,"leaving":true`, `,`,
+	} {
+		c := &fasthttp.RequestCtx{}
+		c.Request.Header.SetMethod(fasthttp.MethodPost)
+		c.Request.SetRequestURI(PathAnnounce)
+		c.Request.SetBodyString("{" + good + more + "}")
+		n.serve(c)
+		fmt.Fprintf(&out, "announcement %.16s: %d %s\n", more, c.Response.StatusCode(), strings.TrimSpace(string(c.Response.Body())))
+	}
+	golden(t, "malformed.golden", out.String())
+}
+
+// Guards against headers that crash the parser, break a limit, or are refused
+// with another error than errHeader.
+func FuzzParseRequest(f *testing.F) {
+	f.Add("counter", "shop", "1-a", "100", "true", "1")
+	f.Add("", "shop\r\n", "-", "-1", "TRUE", "0")
+	f.Add("s", strings.Repeat("c", 65), "1-\x00", "30001", "", "9223372036854775808")
+	f.Fuzz(func(t *testing.T, service, caller, key, deadline, idempotent, delivery string) {
+		c := &fasthttp.RequestCtx{}
+		h := &c.Request.Header
+		for name, v := range map[string]string{HeaderService: service, HeaderCaller: caller, HeaderKey: key,
+			HeaderDeadline: deadline, HeaderIdempotent: idempotent, HeaderDelivery: delivery} {
+			h.Set(name, v)
+		}
+		x, err := parseRequest(c, time.Time{}, time.Second)
+		if err != nil {
+			is.New(t).True(errors.Is(err, errHeader))
+			return
+		}
+		left := x.Request.Deadline.Sub(time.Time{})
+		is.New(t).True(left > 0 && left <= maxDeadline && x.Delivery >= 0)
+		is.New(t).True(x.Request.Key != "" && len(x.Request.Caller) <= galenahead.MaxIDLength)
+		is.New(t).True(!x.Request.Idempotent || idempotent == "true")
+	})
+}
--- a/galenaentry/retry.go
+++ b/galenaentry/retry.go
@@ -8,30 +8,44 @@
 )
 
 // retryFilter repeats attempts that may be repeated, within the service's
-// retry budget and never past the deadline.
+// retry budget and never past the deadline. Once an attempt may have run, the
+// answer is never not_run, even if a later attempt was not sent.
 func retryFilter(budgets *galenaretry.Budgets, timers galenahead.Timers) Filter {
 	return func(next Handler) Handler {
 		return func(ctx context.Context, x *Exchange) galenahead.Answer {
+			var last galenahead.Answer
 			for {
 				x.Retriable = false
 				a := next(ctx, x)
+				if a.Outcome != galenahead.OutcomeNotRun {
+					last = a
+				}
 				if a.Outcome == galenahead.OutcomeRan && !x.Retriable {
 					budgets.Succeeded(x.Request.Service)
 				}
 				if !x.Retriable {
-					return a
+					return mayHaveRun(a, last)
 				}
 				unsent := a.Outcome == galenahead.OutcomeNotRun
 				d := budgets.Decide(timers.Now(), x.Request, galenaretry.Attempt{Number: x.Attempts, Unsent: unsent})
 				if !d.Retry {
-					return a
+					return mayHaveRun(a, last)
 				}
 				select {
 				case <-ctx.Done():
-					return a
+					return mayHaveRun(a, last)
 				case <-timers.After(ctx, d.Delay):
 				}
 			}
 		}
 	}
 }
+
+// mayHaveRun returns a, or the last answer of an attempt that may have run when
+// a denies that the request ran.
+func mayHaveRun(a, last galenahead.Answer) galenahead.Answer {
+	if a.Outcome == galenahead.OutcomeNotRun && last.Outcome != "" {
+		return last
+	}
+	return a
+}
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -25,7 +25,8 @@
 	readTimeout = 30 * time.Second
 )
 
-// ServerConfig configures a Server. Only MaxBody and Limits may be zero.
+// ServerConfig configures a Server. Only MaxBody,
+// Entries and Limits may be zero.
 type ServerConfig struct {
 	Name     galenahead.EntryName
 	Timers   galenahead.Timers
@@ -36,6 +37,9 @@
 	Observer Observer
 	// MaxBody is the largest request and answer body, in bytes; 0 means 16 MiB.
 	MaxBody int
+	// Entries is the number of configured entries, which share the connections
+	// to each instance; 0 means 1.
+	Entries int
 	// Limits bounds the queue of each service.
 	Limits galenaqueue.Config
 }
@@ -55,8 +59,9 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
-	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers}}
-	s.attempts = &attempts{sender: &galenaupstream.Sender{MaxBody: cfg.MaxBody}, lanes: s.lanes, timers: cfg.Timers}
+	sender := &galenaupstream.Sender{MaxBody: cfg.MaxBody}
+	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, pool: &sender.Pool}}
+	s.attempts = &attempts{sender: sender, lanes: s.lanes, timers: cfg.Timers}
 	s.accept = &acceptor{
 		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
 		handle: Chain(s.attempts.handle,
@@ -74,7 +79,7 @@
 	// Weights are the callers' shares.
 	Weights map[galenahead.CallerName]int
 	// Connections is how many connections all entries together may open to one
-	// instance.
+	// instance; 0 means no bound.
 	Connections int
 }
 
@@ -86,11 +91,22 @@
 		listed[svc.Name] = true
 		cfg := s.cfg.Limits
 		cfg.Estimate = s.estimate
-		s.lanes.ensure(ctx, svc.Name, cfg).queue.SetWeights(svc.Weights)
+		l := s.lanes.ensure(ctx, svc.Name, cfg)
+		l.queue.SetWeights(svc.Weights)
+		l.connections.Store(s.ownConnections(svc.Connections))
 	}
 	s.lanes.retain(listed)
 }
 
+// ownConnections returns this entry's part of the connections that all entries
+// together may open to one instance. Every entry needs at least one.
+func (s *Server) ownConnections(all int) int64 {
+	if all <= 0 {
+		return 0
+	}
+	return int64(max(1, all/max(1, s.cfg.Entries)))
+}
+
 // estimate returns the learned run time of a request.
 func (s *Server) estimate(r galenahead.Request) galenaqueue.Estimate {
 	sum, ok := s.cfg.Router.Times.Summary(r.Service)
