--- /dev/null
+++ b/test/galena-path/main.go
@@ -0,0 +1,23 @@
+// Command galena-path measures what the request path of an entry costs: the
+// throughput and latency of requests through an entry daemon against those of
+// direct requests to the same stand-in upstream.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/galenahead/galenahead/test/galena-path/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command.NewCmdPath(os.Stdout, nil).ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "galena-path: %v\n", err)
+		os.Exit(1)
+	}
+}
