--- a/galenaentry/claim.go
+++ b/galenaentry/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -18,7 +19,7 @@
 // claimFilter lets only one exchange per key of a non-idempotent request pass.
 // It must come before any filter that refuses requests: a refusal may say
 // not_run only when no other exchange of the key can have run.
-func claimFilter(claims galenahead.Claimer) Filter {
+func claimFilter(claims *recordedClaims) Filter {
 	return func(next Handler) Handler {
 		return func(ctx context.Context, x *Exchange) galenahead.Answer {
 			if x.Request.Idempotent {
@@ -32,9 +33,9 @@
 			case galenahead.ClaimDone:
 				return res.Answer
 			case galenahead.ClaimGranted:
-				x.late = func(a galenahead.Answer) { record(ctx, claims, x, a) }
+				x.late = func(a galenahead.Answer) { claims.record(x, a) }
 				a := next(ctx, x)
-				record(ctx, claims, x, a)
+				claims.record(x, a)
 				return a
 			case galenahead.ClaimRunning:
 			}
@@ -70,17 +71,43 @@
 	return galenahead.Unknown(reason)
 }
 
+// recordedClaims records the results of granted claims.
+type recordedClaims struct {
+	galenahead.Claimer
+	// open counts the results being recorded, for a graceful stop.
+	open sync.WaitGroup
+}
+
 // record tells the claim replicas how the exchange ended. An unknown outcome
-// stays claimed: the request may still run.
-func record(ctx context.Context, claims galenahead.Claimer, x *Exchange, a galenahead.Answer) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
-	// A failure leaves the key claimed, so a resend gets unknown.
+// stays claimed: the request may still run. A result is recorded while the
+// caller already gets it, because a resend in between gets unknown and never
+// runs; a release comes first, because its caller may resend at once.
+func (c *recordedClaims) record(x *Exchange, a galenahead.Answer) {
 	switch a.Outcome {
 	case galenahead.OutcomeRan:
-		_ = claims.Finish(ctx, x.Request.Key, x.ID, a)
+		c.open.Add(1)
+		go (&recording{claims: c, key: x.Request.Key, id: x.ID, answer: a}).run()
 	case galenahead.OutcomeNotRun:
-		_ = claims.Release(ctx, x.Request.Key, x.ID)
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		defer cancel()
+		// A failure leaves the key claimed, so a resend gets unknown.
+		_ = c.Release(ctx, x.Request.Key, x.ID)
 	case galenahead.OutcomeUnknown:
 	}
 }
+
+// recording is a result on its way to the claim replicas.
+type recording struct {
+	claims *recordedClaims
+	key    galenahead.RequestKey
+	id     string
+	answer galenahead.Answer
+}
+
+func (r *recording) run() {
+	defer r.claims.open.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	// A failure leaves the key claimed, so a resend gets unknown.
+	_ = r.claims.Finish(ctx, r.key, r.id, r.answer)
+}
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -47,6 +47,7 @@
 	server   *Server
 	reporter *reporter
 	recorder *recorder
+	gate     *gateCache
 	// work bounds what the daemon's parts do in the background.
 	work     context.Context
 	endWork  context.CancelFunc
@@ -66,6 +67,7 @@
 		Self: self, Entries: entries, Caller: d.client, Timers: d.timers, ClockTrusted: d.peers.ClockTrusted,
 	})
 	d.broker = galenabroker.New(galenabroker.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
+	d.gate = &gateCache{timers: d.timers, decide: d.peers.Serving}
 	d.follower = d.newFollower(self, entries)
 	d.wireServer(self, dropped)
 	for _, part := range []interface{ Register(*galenarpc.Mux) }{d.peers, d.claims, d.broker, d.follower} {
@@ -147,12 +149,7 @@
 }
 
 // Serving implements Gate.
-func (d *Daemon) Serving() error {
-	if s := d.peers.Serving(); !s.Ready {
-		return eris.Wrap(galenahead.ErrNotReady, string(s.Mode))
-	}
-	return nil
-}
+func (d *Daemon) Serving() error { return d.gate.serving() }
 
 // Deadline implements Gate.
 func (d *Daemon) Deadline(service galenahead.ServiceName) time.Duration {
--- a/galenaentry/pipeline_test.go
+++ b/galenaentry/pipeline_test.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenapeer"
 	"github.com/galenahead/galenahead/galenaretry"
 )
 
@@ -67,6 +68,7 @@
 	a := <-first
 	is.Equal(a.Outcome, galenahead.OutcomeRan)
 	is.Equal(string(a.Body), "1-a")
+	f.Server.claims.open.Wait()
 	is.Equal(f.send("1-a", false, 3), a)
 	is.Equal(u.runs.Load(), int64(1))
 }
@@ -101,6 +103,7 @@
 					go f.tickUntilDone()
 					tc.set(f)
 					a := f.send("1-a", idempotent, delivery)
+					f.Server.claims.open.Wait()
 					fmt.Fprintf(&out, "%s: idempotent=%t delivery=%d: %s %s claim=%s slots=%d\n", tc.name, idempotent, delivery,
 						a.Outcome, a.Reason, f.claims.state("1-a"), f.slots.count())
 				})
@@ -341,6 +344,32 @@
 	is.Equal(f.claims.state("1-a"), galenahead.ClaimDone)
 }
 
+// Guards against serving on a decision that is older than gateAge or than the
+// confirmation behind it, as after a pause, and against keeping a refusal.
+func TestGateCache(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	decided := 0
+	s := galenapeer.Serving{Ready: true, Age: galenapeer.ConfirmationTTL - gateAge/2}
+	g := &gateCache{timers: c, decide: func() galenapeer.Serving { decided++; return s }}
+	for _, step := range []struct {
+		pass time.Duration
+		age  time.Duration
+		want int
+	}{{0, s.Age, 1}, {gateAge/2 - 1, 0, 1}, {1, 0, 2}, {gateAge - 1, 0, 2}, {1, 0, 3}, {time.Hour, 4 * time.Second, 4}, {0, 0, 5}, {0, 0, 5}} {
+		c.advance(step.pass)
+		s.Age = step.age
+		is.NoErr(g.serving())
+		is.Equal(decided, step.want)
+	}
+	c.advance(gateAge)
+	s.Ready = false
+	for range 2 {
+		is.True(errors.Is(g.serving(), galenahead.ErrNotReady))
+	}
+	is.Equal(decided, 7)
+}
+
 // Guards against errors that do not name what was found and what is allowed,
 // and against announcements that break a limit.
 func TestMalformedInputGolden(t *testing.T) {
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -50,6 +50,7 @@
 	lanes    *lanes
 	attempts *attempts
 	accept   *acceptor
+	claims   *recordedClaims
 }
 
 const defaultMaxBody = 16 << 20
@@ -60,12 +61,13 @@
 		cfg.MaxBody = defaultMaxBody
 	}
 	sender := &galenaupstream.Sender{MaxBody: cfg.MaxBody}
-	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, pool: &sender.Pool}}
+	s := &Server{cfg: cfg, claims: &recordedClaims{Claimer: cfg.Claims}}
+	s.lanes = &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, pool: &sender.Pool}
 	s.attempts = &attempts{sender: sender, lanes: s.lanes, timers: cfg.Timers}
 	s.accept = &acceptor{
 		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
 		handle: Chain(s.attempts.handle,
-			claimFilter(cfg.Claims),
+			claimFilter(s.claims),
 			retryFilter(&galenaretry.Budgets{}, cfg.Timers),
 			queueFilter(s.lanes),
 		),
@@ -144,7 +146,8 @@
 func (s *Server) InFlight() int64 { return s.accept.inFlight.Load() }
 
 // Stop refuses new requests and waits until those in flight have ended,
-// attempts whose callers no longer wait included. It fails with the context's
+// attempts whose callers no longer wait and results being recorded included. It
+// fails with the context's
 // error.
 func (s *Server) Stop(ctx context.Context) error {
 	s.accept.stopping.Store(true)
@@ -173,4 +176,5 @@
 		time.Sleep(drainPoll)
 	}
 	w.server.attempts.open.Wait()
+	w.server.claims.open.Wait()
 }
