--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -48,6 +48,7 @@
 	reporter *reporter
 	suspects *suspects
 	recorder *recorder
+	gate     *gateCache
 	// work bounds what the daemon's parts do in the background.
 	work     context.Context
 	endWork  context.CancelFunc
@@ -67,6 +68,7 @@
 		Self: self, Entries: entries, Caller: d.client, Timers: d.timers, ClockTrusted: d.peers.ClockTrusted,
 	})
 	d.broker = galenabroker.New(galenabroker.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
+	d.gate = &gateCache{timers: d.timers, decide: d.peers.Serving}
 	d.follower = d.newFollower(self, entries)
 	d.wireServer(self, dropped)
 	for _, part := range []interface{ Register(*galenarpc.Mux) }{d.peers, d.claims, d.broker, d.follower, d.suspects} {
@@ -108,8 +110,8 @@
 	}
 	router := galenaroute.New(galenaroute.Config{Entry: self, DataCentre: d.settings.Process.DataCentre})
 	d.server = NewServer(ServerConfig{
-		Name: self, Timers: d.timers, Gate: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.recorder, Entries: d.peers.LiveCount,
-		MaxBody: d.settings.Limits.MaxBodyKB << 10,
+		Name: self, Timers: d.timers, Gate: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.recorder,
+		MaxBody: d.settings.Limits.MaxBodyKB << 10, Entries: len(d.settings.Entries), LiveEntries: d.peers.LiveCount,
 		Limits: galenaqueue.Config{
 			MaxRequests: d.settings.Limits.QueuePerService, MaxBytes: d.settings.Limits.QueueMB << 20,
 		},
@@ -154,12 +156,7 @@
 }
 
 // Serving implements Gate.
-func (d *Daemon) Serving() error {
-	if s := d.peers.Serving(); !s.Ready {
-		return eris.Wrap(galenahead.ErrNotReady, string(s.Mode))
-	}
-	return nil
-}
+func (d *Daemon) Serving() error { return d.gate.serving() }
 
 // Deadline implements Gate.
 func (d *Daemon) Deadline(service galenahead.ServiceName) time.Duration {
--- a/galenaentry/lanes.go
+++ b/galenaentry/lanes.go
@@ -7,6 +7,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenaqueue"
 	"github.com/galenahead/galenahead/galenaroute"
+	"github.com/galenahead/galenahead/galenaupstream"
 )
 
 // lanes holds the lane of each configured service.
@@ -16,6 +17,7 @@
 	timers galenahead.Timers
 	// entries returns how many entries are live.
 	entries func() int
+	pool    *galenaupstream.Pool
 
 	mu     sync.RWMutex
 	active map[galenahead.ServiceName]*lane
@@ -38,7 +40,7 @@
 		return l
 	}
 	l := &lane{
-		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers, entries: s.entries,
+		service: service, queue: galenaqueue.New(cfg), slots: s.slots, router: s.router, timers: s.timers, entries: s.entries, pool: s.pool,
 		waiting: make(map[*galenaqueue.Ticket]*Exchange), decisions: make(map[uint64]decision),
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -25,7 +25,8 @@
 	readTimeout = 30 * time.Second
 )
 
-// ServerConfig configures a Server. Only MaxBody and Limits may be zero.
+// ServerConfig configures a Server. Only MaxBody,
+// Entries and Limits may be zero.
 type ServerConfig struct {
 	Name     galenahead.EntryName
 	Timers   galenahead.Timers
@@ -34,10 +35,13 @@
 	Slots    slotPool
 	Router   *galenaroute.Router
 	Observer Observer
-	// Entries returns how many entries are live.
-	Entries func() int
+	// LiveEntries returns how many entries are live.
+	LiveEntries func() int
 	// MaxBody is the largest request and answer body, in bytes; 0 means 16 MiB.
 	MaxBody int
+	// Entries is the number of configured entries, which share the connections
+	// to each instance; 0 means 1.
+	Entries int
 	// Limits bounds the queue of each service.
 	Limits galenaqueue.Config
 }
@@ -48,6 +52,7 @@
 	lanes    *lanes
 	attempts *attempts
 	accept   *acceptor
+	claims   *recordedClaims
 }
 
 const defaultMaxBody = 16 << 20
@@ -57,12 +62,14 @@
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
-	s := &Server{cfg: cfg, lanes: &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, entries: cfg.Entries}}
-	s.attempts = &attempts{sender: &galenaupstream.Sender{MaxBody: cfg.MaxBody}, lanes: s.lanes, timers: cfg.Timers}
+	sender := &galenaupstream.Sender{MaxBody: cfg.MaxBody}
+	s := &Server{cfg: cfg, claims: &recordedClaims{Claimer: cfg.Claims}}
+	s.lanes = &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, pool: &sender.Pool, entries: cfg.LiveEntries}
+	s.attempts = &attempts{sender: sender, lanes: s.lanes, timers: cfg.Timers}
 	s.accept = &acceptor{
 		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
 		handle: Chain(s.attempts.handle,
-			claimFilter(cfg.Claims),
+			claimFilter(s.claims),
 			retryFilter(&galenaretry.Budgets{}, cfg.Timers),
 			queueFilter(s.lanes),
 		),
@@ -76,7 +83,7 @@
 	// Weights are the callers' shares.
 	Weights map[galenahead.CallerName]int
 	// Connections is how many connections all entries together may open to one
-	// instance.
+	// instance; 0 means no bound.
 	Connections int
 }
 
@@ -88,11 +95,22 @@
 		listed[svc.Name] = true
 		cfg := s.cfg.Limits
 		cfg.Estimate = s.estimate
-		s.lanes.ensure(ctx, svc.Name, cfg).queue.SetWeights(svc.Weights)
+		l := s.lanes.ensure(ctx, svc.Name, cfg)
+		l.queue.SetWeights(svc.Weights)
+		l.connections.Store(s.ownConnections(svc.Connections))
 	}
 	s.lanes.retain(listed)
 }
 
+// ownConnections returns this entry's part of the connections that all entries
+// together may open to one instance. Every entry needs at least one.
+func (s *Server) ownConnections(all int) int64 {
+	if all <= 0 {
+		return 0
+	}
+	return int64(max(1, all/max(1, s.cfg.Entries)))
+}
+
 // estimate returns the learned run time of a request.
 func (s *Server) estimate(r galenahead.Request) galenaqueue.Estimate {
 	times := &s.cfg.Router.Times
@@ -132,7 +150,8 @@
 func (s *Server) InFlight() int64 { return s.accept.inFlight.Load() }
 
 // Stop refuses new requests and waits until those in flight have ended,
-// attempts whose callers no longer wait included. It fails with the context's
+// attempts whose callers no longer wait and results being recorded included. It
+// fails with the context's
 // error.
 func (s *Server) Stop(ctx context.Context) error {
 	s.accept.stopping.Store(true)
@@ -161,4 +180,5 @@
 		time.Sleep(drainPoll)
 	}
 	w.server.attempts.open.Wait()
+	w.server.claims.open.Wait()
 }
