--- a/cmd/galenactl/client/client.go
+++ b/cmd/galenactl/client/client.go
@@ -31,6 +31,8 @@
 	// leaderMark precedes the leader's operator address in the message of a
 	// daemon that does not lead.
 	leaderMark = "leader="
+	// leaderRole is the role of the daemon that leads.
+	leaderRole = "leader"
 )
 
 // ErrNoLeader reports that no control leader answered in time.
@@ -113,11 +115,26 @@
 	})
 }
 
-// Status returns a daemon's view of the cluster.
+// Status returns the leader's view of the cluster, or that of the first daemon
+// that answers when none leads. Only the leader knows the entries.
 func (c *Client) Status(ctx context.Context) (*galenapb.StatusReply, error) {
-	return call(ctx, c, 0, func(ctx context.Context, cc galenapb.ControlClient) (*galenapb.StatusReply, error) {
-		return cc.Status(ctx, &galenapb.StatusRequest{})
-	})
+	var first *galenapb.StatusReply
+	var failure error
+	for _, address := range c.addresses {
+		r, err := c.StatusAt(ctx, address)
+		switch {
+		case err != nil:
+			failure = err
+		case r.GetRole() == leaderRole:
+			return r, nil
+		case first == nil:
+			first = r
+		}
+	}
+	if first == nil {
+		return nil, noLeader{failure}
+	}
+	return first, nil
 }
 
 // Each calls Status at every address, for what only the answering daemon
--- a/cmd/galenactl/vm/vm.go
+++ b/cmd/galenactl/vm/vm.go
@@ -13,7 +13,7 @@
 // NewCmdVM returns the command group.
 func NewCmdVM(f *cli.Factory) *cobra.Command {
 	return cli.NewGroup("vm", "List, add, move and remove VMs",
-		NewCmdList(f, nil), NewCmdAdd(f, nil), NewCmdMove(f, nil), NewCmdRemove(f, nil))
+		NewCmdList(f, nil), NewCmdAdd(f, nil), NewCmdMove(f, nil), NewCmdRemove(f, nil), NewCmdReturn(f, nil))
 }
 
 // NewCmdList returns the command that lists VMs.
@@ -49,7 +49,7 @@
 
 func row(v *galenapb.VM) []any {
 	return []any{v.GetName(), v.GetPool(), v.GetDataCentre(), v.GetRack(), v.GetAddress(), v.GetCores(),
-		v.GetMemoryMb(), v.GetAccelerators(), v.GetEpoch(), v.GetPhase(), v.GetCondition()}
+		v.GetMemoryMb(), v.GetAccelerators(), v.GetEpoch(), v.GetPhase(), condition(v)}
 }
 
 // AddOptions are the options of vm add.
@@ -155,3 +155,40 @@
 		Change: &galenapb.ApplyRequest_VmRemove{VmRemove: &galenapb.VMRemove{Vm: o.VM}},
 	})
 }
+
+// ReturnOptions are the options of vm return.
+type ReturnOptions struct {
+	Factory *cli.Factory
+	VM      string
+}
+
+// NewCmdReturn returns the command that puts a VM back into service.
+func NewCmdReturn(f *cli.Factory, runF func(context.Context, *ReturnOptions) error) *cobra.Command {
+	o := &ReturnOptions{Factory: f}
+	if runF == nil {
+		runF = runReturn
+	}
+	return &cobra.Command{
+		Use:   "return <name>",
+		Short: "Put a VM that is down or parked back into service",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o.VM = args[0]
+			return runF(cmd.Context(), o)
+		},
+	}
+}
+
+func runReturn(ctx context.Context, o *ReturnOptions) error {
+	return o.Factory.Change(ctx, &galenapb.ApplyRequest{
+		Change: &galenapb.ApplyRequest_VmReturn{VmReturn: &galenapb.VMReturn{Vm: o.VM}},
+	})
+}
+
+// condition returns what keeps a VM from getting work, or up.
+func condition(v *galenapb.VM) string {
+	if v.GetParked() {
+		return v.GetCondition() + ", parked"
+	}
+	return v.GetCondition()
+}
--- a/cmd/galenactl/wave/wave.go
+++ b/cmd/galenactl/wave/wave.go
@@ -66,7 +66,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&o.Wave.Pool, "pool", "", "pool whose VMs are maintained (pool name)")
-	flags.Int32Var(&o.Wave.MaxAtOnce, "max-at-once", 1, "VMs that may be out at a time (VMs)")
+	flags.Int32Var(&o.Wave.MaxAtOnce, "max-at-once", 0, "VMs that may be out at a time, 0 for as many as the weights allow (VMs)")
 	flags.DurationVar(&o.Settle, "settle", defaultSettle,
 		"time a VM must answer before the next one goes out (duration, such as 10s)")
 	return cmd
--- a/galenaconfig/report.go
+++ b/galenaconfig/report.go
@@ -18,19 +18,30 @@
 	// AsOf is the newest mark whose revision the entry holds.
 	AsOf     Mark            `json:"as_of"`
 	Services []ServiceReport `json:"services,omitempty"`
+	// Budgets counts what this entry answered, for the callers with failures.
+	Budgets []BudgetCount `json:"budgets,omitempty"`
+}
+
+// BudgetCount counts one caller's requests at one entry in the budget window.
+type BudgetCount struct {
+	Service galenahead.ServiceName `json:"service"`
+	Caller  galenahead.CallerName  `json:"caller"`
+	Total   int64                  `json:"total"`
+	// Failed counts the requests that were not answered in time.
+	Failed int64 `json:"failed"`
 }
 
 // ServiceReport is the report of one service's broker.
 type ServiceReport struct {
 	Service galenahead.ServiceName `json:"service"`
 	Epoch   galenahead.Epoch       `json:"epoch"`
+	// Complete is set when SlotsOut counts every slot that any broker granted.
+	// For some time after its election a broker cannot know them all.
+	Complete bool `json:"complete,omitempty"`
 	// SlotsOut counts the granted slots of each VM; a VM that is not listed has
 	// none.
 	SlotsOut map[galenahead.VMName]int `json:"slots_out,omitempty"`
 	Loads    []ServiceLoad             `json:"loads,omitempty"`
-	// Budget is the share of the availability budget left to the worst caller,
-	// from 0 to 1.
-	Budget float64 `json:"budget"`
 }
 
 // ServiceLoad is the load of a service in one data centre, in slots.
--- a/galenacontrol/convert.go
+++ b/galenacontrol/convert.go
@@ -119,7 +119,7 @@
 		r.Vms = append(r.Vms, &galenapb.VM{
 			Name: string(vm.Name), Pool: string(vm.Pool), DataCentre: string(vm.DataCentre), Rack: string(vm.Rack),
 			Address: vm.Address, Cores: vm.Cores, MemoryMb: vm.MemoryMB, Accelerators: vm.Accelerators,
-			Epoch: uint64(vm.Epoch), Phase: vm.Phase.String(), Condition: vm.Condition.String(),
+			Epoch: uint64(vm.Epoch), Phase: vm.Phase.String(), Condition: vm.Condition.String(), Parked: vm.Parked,
 		})
 	}
 }
--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,12 +19,15 @@
 	"github.com/galenahead/galenahead/galenaraft"
 	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenasettings"
+	"github.com/galenahead/galenahead/galenastate"
 	"github.com/galenahead/galenahead/galenatimer"
 )
 
 const (
 	// handOverTimeout bounds the wait for another replica to take over.
 	handOverTimeout = 2 * time.Second
+	// finishTimeout bounds the wait for operators' calls in flight.
+	finishTimeout = 5 * time.Second
 	// maxOperatorMessage is the largest operators' request, in bytes.
 	maxOperatorMessage = 1 << 20
 )
@@ -41,6 +45,9 @@
 	driver   *Driver
 	metrics  galenametric.Metrics
 	fatal    chan error
+	// operators serves operators' calls.
+	operators *grpc.Server
+	stopping  atomic.Bool
 }
 
 // NewDaemon opens the data directory of a control daemon.
@@ -48,6 +55,7 @@
 	d := &Daemon{
 		settings: s, log: log, timers: &galenatimer.Service{}, client: &galenarpc.Client{},
 		store: &Store{}, fatal: make(chan error, 1),
+		operators: grpc.NewServer(grpc.MaxRecvMsgSize(maxOperatorMessage)),
 	}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: galenahead.ReplicaName(s.Process.Name), Path: s.DataDirectory, StateMachine: d.store,
@@ -91,6 +99,10 @@
 	d.driver = &Driver{
 		Store: d.store, Reports: reports, Timers: d.timers, Log: d.log, Metrics: &d.metrics,
 		Platform: &Platform{Address: d.settings.Platform.Worker.String()}, RenewInterval: d.settings.Platform.RenewInterval,
+		Weights: map[string]float64{
+			galenastate.SettingBufferCost:  d.settings.Weights.BufferCost,
+			galenastate.SettingRolloutTime: d.settings.Weights.RolloutTime,
+		},
 	}
 }
 
@@ -134,11 +146,38 @@
 		return err
 	case <-ctx.Done():
 	}
+	d.stopping.Store(true)
+	select {
+	case <-serving.Done():
+	case <-d.timers.After(serving, d.settings.Process.StopDelay):
+	}
 	d.handOver()
+	d.finishCalls()
 	stop()
 	return nil
 }
 
+// finishCalls waits for the operators' calls in flight.
+func (d *Daemon) finishCalls() {
+	s := &gracefulStop{server: d.operators, done: make(chan struct{})}
+	go s.run()
+	select {
+	case <-s.done:
+	case <-d.timers.After(context.Background(), finishTimeout):
+	}
+}
+
+// gracefulStop stops a gRPC server once its calls have ended.
+type gracefulStop struct {
+	server *grpc.Server
+	done   chan struct{}
+}
+
+func (s *gracefulStop) run() {
+	defer close(s.done)
+	s.server.GracefulStop()
+}
+
 // handOver gives the leadership to another replica, if this one leads.
 func (d *Daemon) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
@@ -150,11 +189,10 @@
 }
 
 func (d *Daemon) serveOperators(ctx context.Context, ln net.Listener) error {
-	srv := grpc.NewServer(grpc.MaxRecvMsgSize(maxOperatorMessage))
-	galenapb.RegisterControlServer(srv, d.operator)
-	stop := context.AfterFunc(ctx, srv.Stop)
+	galenapb.RegisterControlServer(d.operators, d.operator)
+	stop := context.AfterFunc(ctx, d.operators.Stop)
 	defer stop()
-	if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
+	if err := d.operators.Serve(ln); err != nil && ctx.Err() == nil {
 		return eris.Wrap(err, "serve operators")
 	}
 	return nil
@@ -163,8 +201,11 @@
 // rolledOut records the roll-out time of one configuration change.
 func (d *Daemon) rolledOut(took time.Duration) { d.metrics.Rollout.Record("configuration", took) }
 
-// ready reports whether this replica knows a leader.
+// ready reports whether this replica knows a leader and is not stopping.
 func (d *Daemon) ready() error {
+	if d.stopping.Load() {
+		return eris.New("stopping")
+	}
 	if d.node.Status().Leader == "" {
 		return eris.New("no leader known")
 	}
--- a/galenacontrol/driver.go
+++ b/galenacontrol/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,17 +36,23 @@
 	Log           *logrus.Logger
 	Metrics       *galenametric.Metrics
 	RenewInterval time.Duration
+	// Weights holds the settings to begin with, by key.
+	Weights map[string]float64
 
 	planner *galenawave.Planner
 	tracker *tracker
 	jobs    *jobs
 	workers map[galenahead.VMName]workerState
-	waves   map[string]bool
+	// resuming holds VMs in service that the platform may still hold drained.
+	resuming map[galenahead.VMName]bool
+	waves    map[string]bool
 }
 
 // workerState is what the platform last said of one VM that is out or moving.
 type workerState struct {
 	epoch galenahead.Epoch
+	// draining is set once a drain was asked for.
+	draining bool
 	// drained is set once the platform reported the VM as drained.
 	drained bool
 	// answering is when the VM's present run of answers began.
@@ -74,6 +82,7 @@
 	d.tracker = newTracker()
 	d.jobs = newJobs(d)
 	d.workers = make(map[galenahead.VMName]workerState)
+	d.resuming = make(map[galenahead.VMName]bool)
 	d.waves = make(map[string]bool)
 }
 
@@ -84,8 +93,10 @@
 		d.reset()
 		return
 	}
+	d.setWeights(ctx, v)
 	c := d.tracker.follow(v)
 	d.command(ctx, c)
+	d.resume(ctx, v)
 	now := d.Timers.Now()
 	for _, c := range d.planner.Plan(v, d.measure(v, now), now) {
 		d.propose(ctx, now, c.Change)
@@ -94,6 +105,21 @@
 	d.jobs.step(ctx, v, c)
 }
 
+// setWeights sets the weights that no operator has set yet.
+func (d *Driver) setWeights(ctx context.Context, v *galenastate.View) {
+	for key, value := range d.Weights {
+		if _, ok := v.Setting(key); ok {
+			continue
+		}
+		// A refusal means that an operator was faster; the next step sees it.
+		_, _ = d.Store.Propose(ctx, galenastate.Command{
+			RequestID: fmt.Sprintf("initial-%s-%d", key, v.Revision()), Base: v.Revision(), Operator: "galena-control", TimeMS: d.Timers.Now().UnixMilli(),
+			Change: galenastate.Change{SettingSet: &galenastate.Setting{Key: key, Value: strconv.FormatFloat(value, 'g', -1, 64)}},
+		})
+		return
+	}
+}
+
 // propose commits a planned change and logs it.
 func (d *Driver) propose(ctx context.Context, now time.Time, ch galenastate.Change) {
 	done, err := d.Store.drive(ctx, now, ch)
@@ -113,11 +139,34 @@
 	return d.Reports.measurements(v, now, d.tracker.out, d.workers)
 }
 
+// leave forgets what the platform said of a VM that is in service again. One
+// that was drained and not rebooted must be told so.
+func (d *Driver) leave(vm *galenastate.VM) {
+	if w, ok := d.workers[vm.Name]; ok && w.draining && w.epoch == vm.Epoch {
+		d.resuming[vm.Name] = true
+	}
+	delete(d.workers, vm.Name)
+}
+
+// resume ends the drains of VMs that are in service.
+func (d *Driver) resume(ctx context.Context, v *galenastate.View) {
+	for name := range d.resuming {
+		vm, ok := v.VM(name)
+		if !ok || commanded(&vm) {
+			delete(d.resuming, name)
+			continue
+		}
+		if reply, err := d.Platform.Resume(ctx, name, vm.Epoch); err == nil && reply.GetState() == vmUp {
+			delete(d.resuming, name)
+		}
+	}
+}
+
 // command calls the platform for every VM that is out or moving.
 func (d *Driver) command(ctx context.Context, ch changes) {
 	for _, vm := range ch.vms {
 		if !commanded(vm) {
-			delete(d.workers, vm.Name)
+			d.leave(vm)
 		}
 	}
 	for _, name := range ch.removedVMs {
@@ -161,6 +210,7 @@
 	p := c.driver.Platform
 	switch c.vm.Condition {
 	case galenastate.ConditionDraining:
+		c.state.draining = true
 		reply, err := p.Drain(ctx, c.vm.Name, c.vm.Epoch)
 		c.state.drained = err == nil && reply.GetState() == stateDrained
 	case galenastate.ConditionRebooting:
--- a/galenacontrol/jobs.go
+++ b/galenacontrol/jobs.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,11 +37,42 @@
 	renewed map[galenahead.JobID]time.Time
 	// since is when this replica began to lead.
 	since time.Time
+
+	mu sync.Mutex
+	// refused holds workers that refused to start a task, until they may be
+	// tried again.
+	refused map[galenahead.VMName]time.Time
+}
+
+// refusalPause is how long a worker that refused a task gets no other one.
+const refusalPause = 5 * time.Second
+
+// refuse notes that a worker in service refused to start a task. The platform
+// may hold it drained.
+func (s *jobs) refuse(vm galenahead.VMName, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[vm] = now.Add(refusalPause)
+}
+
+// avoided returns the workers on which j should not be placed now.
+func (s *jobs) avoided(j galenastate.Job, now time.Time) []galenahead.VMName {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := slices.Clone(j.FailedOn)
+	for vm, until := range s.refused {
+		if now.After(until) {
+			delete(s.refused, vm)
+			continue
+		}
+		list = append(list, vm)
+	}
+	return list
 }
 
 func newJobs(d *Driver) *jobs {
 	return &jobs{
-		driver: d, index: newWorkerIndex(), renewed: make(map[galenahead.JobID]time.Time), since: d.Timers.Now(),
+		driver: d, index: newWorkerIndex(), renewed: make(map[galenahead.JobID]time.Time), refused: make(map[galenahead.VMName]time.Time), since: d.Timers.Now(),
 	}
 }
 
@@ -90,6 +122,9 @@
 	for _, t := range due {
 		s.renewed[t.job.ID] = t.lastRenewed
 	}
+	for vm := range s.refused {
+		s.driver.resuming[vm] = true
+	}
 }
 
 // inOrder returns queued jobs, urgent and older ones first.
@@ -108,8 +143,12 @@
 // place chooses a worker for a queued job, makes room on it and commits the
 // decision. The task starts in a later step.
 func (s *jobs) place(ctx context.Context, v *galenastate.View, j galenastate.Job, now time.Time) {
-	s.index.placer.Avoid(j.ID, j.FailedOn...)
+	avoided := s.avoided(j, now)
+	s.index.placer.Avoid(j.ID, avoided...)
 	p, err := s.index.placer.Place(j.Spec(), now)
+	if err == nil && slices.Contains(avoided, p.Worker) && !slices.Contains(j.FailedOn, p.Worker) {
+		err = galenahead.ErrNoWorker
+	}
 	line := s.driver.Log.WithFields(logrus.Fields{
 		"decision": "job_placed", "job": j.ID, "team": j.Team, "urgent": j.Urgent, "worker": p.Worker,
 		"candidates": p.Candidates, "reason": p.Reason, "preempt": p.Preempt, "throttle": p.Throttle,
@@ -223,6 +262,9 @@
 // record commits what the platform says of the task.
 func (t *taskStep) record(ctx context.Context, reply *galenapb.TaskReply) error {
 	event := &galenastate.JobEvent{Job: t.job.ID, Epoch: t.job.Epoch}
+	if t.job.State == galenastate.JobPlaced && !reply.GetAccepted() {
+		t.jobs.refuse(t.job.Worker, t.now)
+	}
 	failure := &galenastate.JobFailure{Job: t.job.ID, Epoch: t.job.Epoch, Reason: "task is " + reply.GetState(), Lost: true}
 	switch reply.GetState() {
 	case taskRunning:
--- a/galenacontrol/operator.go
+++ b/galenacontrol/operator.go
@@ -95,6 +95,9 @@
 // Apply submits one change. It returns once a majority of entries holds the
 // change, or once it is in force everywhere if the request asks to wait.
 func (o *Operator) Apply(ctx context.Context, req *galenapb.ApplyRequest) (*galenapb.ChangeReply, error) {
+	if r := req.GetVmReturn(); r != nil {
+		return o.returnVM(ctx, galenahead.VMName(r.GetVm()))
+	}
 	change, err := changeOf(req)
 	if err != nil {
 		return nil, o.status(err)
@@ -116,6 +119,40 @@
 	return o.finish(ctx, req, r, start)
 }
 
+// returnVM puts a VM that is down or parked back into service. The VM's epoch
+// fences the changes, so that a resend has no second effect.
+func (o *Operator) returnVM(ctx context.Context, name galenahead.VMName) (*galenapb.ChangeReply, error) {
+	v, err := o.Store.Current(ctx)
+	if err != nil {
+		return nil, o.status(err)
+	}
+	vm, ok := v.VM(name)
+	if !ok {
+		return nil, status.Errorf(codes.NotFound, "vm: found %q, allowed is an existing name", name)
+	}
+	var changes []galenastate.Change
+	if vm.Condition == galenastate.ConditionDown {
+		changes = append(changes, galenastate.Change{VMCondition: &galenastate.VMCondition{
+			VM: name, Epoch: vm.Epoch, Condition: galenastate.ConditionUp,
+		}})
+	}
+	if vm.Parked {
+		changes = append(changes, galenastate.Change{WorkerPark: &galenastate.WorkerParking{VM: name, Epoch: vm.Epoch}})
+	}
+	reply := &galenapb.ChangeReply{Revision: uint64(v.Revision())}
+	for _, ch := range changes {
+		r, err := o.Store.Propose(ctx, galenastate.Command{TimeMS: o.Timers.Now().UnixMilli(), Change: ch})
+		if err == nil {
+			err = r.Err()
+		}
+		if err != nil {
+			return nil, o.status(err)
+		}
+		reply.Revision = uint64(r.Revision)
+	}
+	return reply, nil
+}
+
 func (o *Operator) finish(ctx context.Context, req *galenapb.ApplyRequest, r galenastate.Result, start time.Time) (*galenapb.ChangeReply, error) {
 	reply := &galenapb.ChangeReply{Revision: uint64(r.Revision)}
 	if err := r.Err(); err != nil {
--- a/galenacontrol/platform.go
+++ b/galenacontrol/platform.go
@@ -90,6 +90,11 @@
 	return p.vm(ctx, galenapb.WorkerClient.Reboot, vm, epoch)
 }
 
+// Resume ends a drain without a reboot.
+func (p *Platform) Resume(ctx context.Context, vm galenahead.VMName, epoch galenahead.Epoch) (*galenapb.VMReply, error) {
+	return p.vm(ctx, galenapb.WorkerClient.Resume, vm, epoch)
+}
+
 type vmCall func(galenapb.WorkerClient, context.Context, *galenapb.VMRequest, ...grpc.CallOption) (*galenapb.VMReply, error)
 
 func (p *Platform) vm(ctx context.Context, method vmCall, vm galenahead.VMName, epoch galenahead.Epoch) (*galenapb.VMReply, error) {
--- a/galenacontrol/reports.go
+++ b/galenacontrol/reports.go
@@ -23,6 +23,13 @@
 
 	mu       sync.Mutex
 	services map[galenahead.ServiceName]serviceReport
+	budgets  map[galenahead.EntryName]budgetReport
+}
+
+// budgetReport is the newest counts of one entry.
+type budgetReport struct {
+	counts   []galenaconfig.BudgetCount
+	received time.Time
 }
 
 // serviceReport is the newest report of one service's broker.
@@ -51,7 +58,9 @@
 	defer s.mu.Unlock()
 	if s.services == nil {
 		s.services = make(map[galenahead.ServiceName]serviceReport)
+		s.budgets = make(map[galenahead.EntryName]budgetReport)
 	}
+	s.budgets[r.Entry] = budgetReport{counts: r.Budgets, received: now}
 	for _, svc := range r.Services {
 		old := s.services[svc.Service]
 		if svc.Epoch < old.Epoch && now.Sub(old.received) < reportTTL {
@@ -80,6 +89,7 @@
 func (s *Reports) measurements(v *galenastate.View, now time.Time, out map[galenahead.VMName]*galenastate.VM,
 	workers map[galenahead.VMName]workerState) galenawave.Measurements {
 	reports := s.fresh(now)
+	remaining := s.remaining(v, now)
 	m := galenawave.Measurements{VMs: make(map[galenahead.VMName]galenawave.Report)}
 	for _, svc := range v.Services() {
 		r, ok := reports[svc.Name]
@@ -88,7 +98,7 @@
 		}
 		for _, l := range r.Loads {
 			m.Loads = append(m.Loads, galenawave.Load{
-				Service: svc.Name, DataCentre: l.DataCentre, Demand: l.Demand, Capacity: l.Capacity, VMs: l.VMs, Budget: r.Budget,
+				Service: svc.Name, DataCentre: l.DataCentre, Demand: l.Demand, Capacity: l.Capacity, VMs: l.VMs, Budget: remaining[svc.Name],
 			})
 		}
 	}
@@ -99,6 +109,52 @@
 	return m
 }
 
+// budgetMemory is how long the counts of an entry that no longer reports are
+// used: its failures stay within the budget's window.
+const budgetMemory = 10 * time.Minute
+
+// remaining returns for each service the share of the availability budget that
+// is left to its worst caller over all entries, from 0 to 1.
+func (s *Reports) remaining(v *galenastate.View, now time.Time) map[galenahead.ServiceName]float64 {
+	type key struct {
+		service galenahead.ServiceName
+		caller  galenahead.CallerName
+	}
+	sums := make(map[key]galenaconfig.BudgetCount)
+	s.mu.Lock()
+	for _, r := range s.budgets {
+		if now.Sub(r.received) > budgetMemory {
+			continue
+		}
+		for _, c := range r.counts {
+			sum := sums[key{c.Service, c.Caller}]
+			sum.Total += c.Total
+			sum.Failed += c.Failed
+			sums[key{c.Service, c.Caller}] = sum
+		}
+	}
+	s.mu.Unlock()
+	out := make(map[galenahead.ServiceName]float64)
+	for _, svc := range v.Services() {
+		out[svc.Name] = 1
+	}
+	for k, sum := range sums {
+		if svc, ok := v.Service(k.service); ok {
+			out[k.service] = min(out[k.service], budgetLeft(sum, svc.BudgetPPM))
+		}
+	}
+	return out
+}
+
+// budgetLeft returns the share of a budget that is left, from 0 to 1.
+func budgetLeft(c galenaconfig.BudgetCount, ppm int32) float64 {
+	allowed := float64(c.Total) * float64(ppm) / 1e6
+	if allowed <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(c.Failed)/allowed)
+}
+
 func servicesByPool(v *galenastate.View) map[galenahead.PoolName][]galenahead.ServiceName {
 	out := make(map[galenahead.PoolName][]galenahead.ServiceName)
 	for _, s := range v.Services() {
@@ -112,9 +168,13 @@
 func vmReport(vm *galenastate.VM, services []galenahead.ServiceName, reports map[galenahead.ServiceName]serviceReport,
 	w workerState, now time.Time) galenawave.Report {
 	out := galenawave.Report{Tasks: int(vm.Jobs), At: now, InForce: vm.Revision, AnsweringSince: w.answering, Pool: vm.Pool, Failure: w.failure}
+	if vm.Condition == galenastate.ConditionDraining && !w.drained {
+		// The platform may still be ending work that it started itself.
+		out.At = time.Time{}
+	}
 	for _, name := range services {
 		r, ok := reports[name]
-		if !ok {
+		if !ok || !r.Complete {
 			out.At = time.Time{}
 			continue
 		}
--- a/galenadaemon/command.go
+++ b/galenadaemon/command.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime"
 
-	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"github.com/galenahead/galenahead/galenasettings"
@@ -19,8 +18,18 @@
 	exitUsage   = 2
 )
 
-// errUsage marks errors of the command line.
-var errUsage = eris.New("wrong use")
+// runError marks errors of a command that was used rightly.
+type runError struct{ error }
+
+func (e runError) Unwrap() error { return e.error }
+
+// running marks err, unless it is nil.
+func running(err error) error {
+	if err == nil {
+		return nil
+	}
+	return runError{err}
+}
 
 // Options are the options of a daemon.
 type Options struct {
@@ -33,11 +42,10 @@
 	o := &Options{}
 	cmd := &cobra.Command{
 		Use: use, Short: short, Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
-		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), o) },
+		RunE: func(cmd *cobra.Command, _ []string) error { return running(run(cmd.Context(), o)) },
 	}
 	cmd.Flags().StringVar(&o.Settings, "settings", "", "settings file (path)")
 	_ = cmd.MarkFlagRequired("settings")
-	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return eris.Wrap(errUsage, err.Error()) })
 	cmd.AddCommand(newCmdCheck(check))
 	return cmd
 }
@@ -47,10 +55,10 @@
 		Use: "check <file>", Short: "Check a settings file and exit", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := check(args[0]); err != nil {
-				return err
+				return running(err)
 			}
 			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: valid\n", args[0])
-			return err
+			return running(err)
 		},
 	}
 }
@@ -65,10 +73,11 @@
 		return 0
 	}
 	fmt.Fprintf(os.Stderr, "%s: %v\n", cmd.Name(), err)
-	if errors.Is(err, errUsage) || errors.Is(err, galenasettings.ErrSettings) {
-		return exitUsage
+	var ran runError
+	if errors.As(err, &ran) && !errors.Is(err, galenasettings.ErrSettings) {
+		return exitFailure
 	}
-	return exitFailure
+	return exitUsage
 }
 
 // LimitProcs sets the number of processors that Go code uses; 0 leaves it.
--- a/galenaentry/answer.go
+++ b/galenaentry/answer.go
@@ -1,6 +1,7 @@
 package galenaentry
 
 import (
+	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -54,3 +55,13 @@
 	}
 	return fasthttp.StatusServiceUnavailable
 }
+
+// refuseUnreadable answers a request that could not be read, such as one whose
+// body is too large. It was not passed on.
+func refuseUnreadable(c *fasthttp.RequestCtx, err error) {
+	writeAnswer(c, nil, galenahead.NotRun(ReasonBadRequest), err.Error())
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		c.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+	}
+	c.SetConnectionClose()
+}
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,6 +30,8 @@
 	// stopTimeout bounds the wait for requests in flight on SIGTERM: the longest
 	// deadline and the time an attempt outlives it.
 	stopTimeout = maxDeadline + lateLimit
+	// claimBytes is the memory of one claimed key, in bytes.
+	claimBytes = 175
 	// maxAnnouncement is the largest announcement, in bytes.
 	maxAnnouncement = 16 << 10
 )
@@ -66,6 +69,7 @@
 	d.peers = galenapeer.New(galenapeer.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
 	d.claims = galenaclaim.New(galenaclaim.Config{
 		Self: self, Entries: entries, Caller: d.client, Timers: d.timers, ClockTrusted: d.peers.ClockTrusted,
+		MaxKeys: s.Limits.ClaimMemoryMB << 20 / claimBytes,
 	})
 	d.broker = galenabroker.New(galenabroker.Config{Self: self, Entries: entries, Caller: d.client, Timers: d.timers})
 	d.gate = &gateCache{timers: d.timers, decide: d.peers.Serving}
@@ -186,6 +190,7 @@
 		return d.broker.Run(brokering)
 	})
 	d.recorder.metrics.Publish("galena_entry")
+	expvar.Publish("galena_log_dropped", expvar.Func(func() any { return d.recorder.dropped() }))
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
@@ -248,9 +253,13 @@
 
 // announce passes an announcement of a configured service to its broker.
 func (d *Daemon) announce(ctx context.Context, a galenahead.Announcement) error {
-	if _, ok := d.follower.Config().Services[a.Service]; !ok {
+	s, ok := d.follower.Config().Services[a.Service]
+	if !ok {
 		return eris.Wrapf(galenahead.ErrNotFound, "service %s is not configured at this entry", a.Service)
 	}
+	// What an instance declares may be far off; operators bound it.
+	a.Slots = min(a.Slots, int(s.Slots))
+	a.Connections = min(a.Connections, int(s.Connections))
 	return d.broker.Announce(ctx, a)
 }
 
@@ -267,7 +276,7 @@
 	// An entry that has just started cannot vote on claims yet. Others can serve
 	// meanwhile, so the balancer need not send requests here.
 	if !d.claims.Ready() {
-		return eris.Wrap(galenahead.ErrNotReady, "claim replica has just started")
+		return eris.Wrap(galenahead.ErrNotReady, "claim replica has just started or its clock is not trusted")
 	}
 	return nil
 }
--- a/galenaentry/report.go
+++ b/galenaentry/report.go
@@ -1,7 +1,9 @@
 package galenaentry
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -51,10 +53,7 @@
 	if p.follower.Config().Revision >= p.pending.Revision {
 		p.held = p.pending
 	}
-	r := galenaconfig.EntryReport{Entry: p.self, AsOf: p.held, Services: p.services()}
-	if len(r.Services) == 0 {
-		return
-	}
+	r := galenaconfig.EntryReport{Entry: p.self, AsOf: p.held, Services: p.services(), Budgets: p.counts()}
 	for range p.control {
 		if p.send(ctx, r) {
 			return
@@ -74,18 +73,30 @@
 	return true
 }
 
-// services returns the reports of the brokers here that know all grants.
+// maxBudgetCounts bounds the callers reported; those with most failures are.
+const maxBudgetCounts = 64
+
+// counts returns the counts of the callers with failures.
+func (p *reporter) counts() []galenaconfig.BudgetCount {
+	var list []galenaconfig.BudgetCount
+	for _, r := range p.budgets.Snapshot(p.timers.Now()) {
+		failed := r.Late + r.Refused + r.Unknown
+		if failed > 0 {
+			list = append(list, galenaconfig.BudgetCount{
+				Service: r.Service, Caller: r.Caller, Total: r.OnTime + failed, Failed: failed,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b galenaconfig.BudgetCount) int { return cmp.Compare(b.Failed, a.Failed) })
+	return list[:min(len(list), maxBudgetCounts)]
+}
+
+// services returns the reports of the brokers here.
 func (p *reporter) services() []galenaconfig.ServiceReport {
-	now := p.timers.Now()
 	loads := p.broker.Loads()
 	var list []galenaconfig.ServiceReport
 	for _, o := range p.broker.Outstanding() {
-		if !o.Ready {
-			continue
-		}
-		r := galenaconfig.ServiceReport{
-			Service: o.Service, Epoch: o.Epoch, SlotsOut: o.VMs, Budget: max(p.budgets.Lowest(now, o.Service), 0),
-		}
+		r := galenaconfig.ServiceReport{Service: o.Service, Epoch: o.Epoch, Complete: o.Ready, SlotsOut: o.VMs}
 		for _, l := range loads[o.Service] {
 			r.Loads = append(r.Loads, galenaconfig.ServiceLoad{
 				DataCentre: l.DataCentre, Demand: l.Demand, Capacity: l.Capacity, VMs: l.VMs,
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -126,7 +126,7 @@
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	srv := &fasthttp.Server{
 		Handler: s.accept.serve, NoDefaultServerHeader: true, MaxRequestBodySize: s.cfg.MaxBody,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultContentType: true,
+		ReadTimeout: readTimeout, ErrorHandler: refuseUnreadable, IdleTimeout: idleTimeout, NoDefaultContentType: true,
 	}
 	go s.loopSweep(ctx)
 	return galenadaemon.ServeHTTP(ctx, srv, ln)
--- a/galenasettings/sections.go
+++ b/galenasettings/sections.go
@@ -18,8 +18,8 @@
 	maxBodyLimitKB   = 64 << 10
 	maxQueueLength   = 1_000_000
 	maxMemoryMB      = 64 << 10
-	maxDeadline      = 10 * time.Minute
-	maxClaimWindow   = 24 * time.Hour
+	// maxDeadline is the longest deadline that brokers account for.
+	maxDeadline      = 30 * time.Second
 	maxRenewInterval = time.Minute
 	maxWeight        = 100
 	// minEntries is the number of claim replicas of a request key.
@@ -57,7 +57,6 @@
 		QueuePerService: required(r, s, "queue_per_service", integer(1, maxQueueLength, "requests")),
 		QueueMB:         required(r, s, "queue_mb", integer(1, maxMemoryMB, "MB")),
 		DefaultDeadline: required(r, s, "default_deadline", duration(time.Millisecond, maxDeadline)),
-		ClaimWindow:     required(r, s, "claim_window", duration(time.Second, maxClaimWindow)),
 		ClaimMemoryMB:   required(r, s, "claim_memory_mb", integer(1, maxMemoryMB, "MB")),
 	}
 }
--- a/galenasettings/settings.go
+++ b/galenasettings/settings.go
@@ -66,15 +66,16 @@
 	MaxBodyKB int
 	// QueuePerService bounds the requests that wait for one service.
 	QueuePerService int
-	// QueueMB bounds the bodies of all waiting requests.
+	// QueueMB bounds the bodies of the requests that wait for one service.
 	QueueMB int
 	// DefaultDeadline applies to requests without a deadline of their own.
 	DefaultDeadline time.Duration
-	ClaimWindow     time.Duration
-	ClaimMemoryMB   int
+	// ClaimMemoryMB bounds the claim table, without recorded results.
+	ClaimMemoryMB int
 }
 
-// Weights is the section [weights]: the relative importance of the metrics.
+// Weights is the section [weights] of a control daemon: the relative importance
+// of the metrics until an operator sets the settings of the same names.
 type Weights struct {
 	BufferCost  float64
 	RolloutTime float64
@@ -96,7 +97,6 @@
 	Entries []EntryPeer
 	Control []ControlPeer
 	Limits  Limits
-	Weights Weights
 }
 
 // Control holds the settings of a control daemon. It is immutable; the slices
@@ -143,7 +143,6 @@
 	e.Entries = readEntries(r)
 	e.Control = readControl(r)
 	e.Limits = readLimits(r)
-	e.Weights = readWeights(r)
 	claimListen(r, "caller_address", e.Listen.Caller)
 	claimListen(r, "upstream_address", e.Listen.Upstream)
 	claimListen(r, "status_address", e.Listen.Status)
--- a/test/galena-local/faults_test.go
+++ b/test/galena-local/faults_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// Guards against a VM that stays drained at the platform after its wave was
+// cancelled, and against a reboot before the platform has drained it.
+func TestCancelledWave(t *testing.T) {
+	f := startFleet(t, 3, 3, "--drain-time", "5s")
+	f.ctl("team", "set", "knots", "--cores", "256", "--memory-mb", "524288")
+	f.ctl("wave", "start", "spring", "--pool", "counter", "--settle", "500ms")
+	f.waitFor("a draining VM", func() bool { return strings.Contains(f.ctl("vm", "list"), "draining") })
+	f.ctl("wave", "cancel", "spring")
+	f.waitFor("all VMs in service", func() bool { return strings.Count(f.ctl("vm", "list"), "owned\tup") == vmsPerPool })
+	if n := f.reboots().total(); n != 0 {
+		t.Errorf("%d reboots, want none before the platform has drained a VM", n)
+	}
+	// Each job takes a whole VM, so all of them run only if every VM takes work.
+	for i := range vmsPerPool {
+		f.ctl("job", "submit", fmt.Sprintf("job-%d", i), "--team", "knots", "--pool", "counter", "--service", "counter",
+			"--cores", "60", "--memory-mb", "65536")
+	}
+	f.waitFor("all jobs to run", func() bool { return strings.Count(f.ctl("job", "list"), "running") == vmsPerPool })
+}
+
 // evidence is what the stand-in platform has seen.
 type evidence struct {
 	Reboots []struct {
--- a/test/galena-standin/platform/platform.go
+++ b/test/galena-standin/platform/platform.go
@@ -159,6 +159,11 @@
 	return p.table.drain(r), nil
 }
 
+// Resume ends a drain without a reboot.
+func (p *Platform) Resume(_ context.Context, r *galenapb.VMRequest) (*galenapb.VMReply, error) {
+	return p.table.resume(r), nil
+}
+
 // Reboot restarts a drained VM.
 func (p *Platform) Reboot(_ context.Context, r *galenapb.VMRequest) (*galenapb.VMReply, error) {
 	return p.table.reboot(r), nil
--- a/test/galena-standin/platform/table.go
+++ b/test/galena-standin/platform/table.go
@@ -230,6 +230,18 @@
 	return &galenapb.VMReply{Accepted: true, State: v.state}
 }
 
+// resume returns a drained or draining VM to service.
+func (t *table) resume(r *galenapb.VMRequest) *galenapb.VMReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v, ok := t.admitVM(r)
+	if !ok || v.state == stateRebooting {
+		return &galenapb.VMReply{State: v.state}
+	}
+	v.state, v.next = stateUp, ""
+	return &galenapb.VMReply{Accepted: true, State: v.state}
+}
+
 // reboot accepts a drained VM, with or without running tasks, and a repeated
 // command for a VM that is rebooting.
 func (t *table) reboot(r *galenapb.VMRequest) *galenapb.VMReply {
