Send and receive on the caller's goroutine

Cause: each attempt took a goroutine, a channel and a timer, although nearly every answer comes whole and in time. Ruled out: reading on with the caller's deadline and closing the connection there, which loses a late answer that is to be recorded. Conclusion: only an answer that is late or comes in parts gets a goroutine. The late tests use an upstream that sends its answer in parts; a test in galenaupstream interrupts the wait at every byte.

--- a/galenaentry/attempt.go
+++ b/galenaentry/attempt.go
@@ -28,28 +28,27 @@
 }
 
 // handle is the last step of the pipeline: it sends the request once under the
-// slot of x and waits for the answer until the caller's deadline.
+// slot of x and waits for the answer until the caller's deadline. The caller's
+// goroutine does both, unless the answer is late or comes in parts.
 func (s *attempts) handle(ctx context.Context, x *Exchange) galenahead.Answer {
 	x.Attempts++
 	l, _ := s.lanes.get(x.Request.Service)
 	t := &attempt{
-		owner: s, lane: l, lease: x.Lease, request: x.Request, late: x.late,
-		id: x.ID + "." + strconv.Itoa(x.Attempts), result: make(chan result, 1),
+		owner: s, lane: l, lease: x.Lease, request: &x.Request, late: x.late, start: s.timers.Now(),
 	}
 	s.open.Add(1)
-	go t.run(context.WithoutCancel(ctx))
-	select {
-	case r := <-t.result:
-		x.Retriable = r.retriable
-		return r.answer
-	case <-s.timers.After(ctx, x.Request.Deadline.Sub(s.timers.Now())):
+	sent, err := s.sender.Begin(t.lease.Address, x.Request, x.ID+"."+strconv.Itoa(x.Attempts), t.valid)
+	if err == nil && !sent.Ready() {
+		return t.outlive(ctx, x, sent)
 	}
-	if !t.abandon() {
-		r := <-t.result
-		x.Retriable = r.retriable
-		return r.answer
+	defer s.open.Done()
+	var a galenahead.Answer
+	if err == nil {
+		a, err = sent.Finish(t.until())
 	}
-	return galenahead.Unknown(ReasonAnswerLate)
+	r := t.end(a, err)
+	x.Retriable = r.retriable
+	return r.answer
 }
 
 // attempt is one sending of a request to one instance.
@@ -57,10 +56,11 @@
 	owner   *attempts
 	lane    *lane
 	lease   galenahead.SlotLease
-	request galenahead.Request
-	id      string
+	request *galenahead.Request
 	late    func(galenahead.Answer)
-	result  chan result
+	start   time.Time
+	// result has the result of an attempt that may outlive its caller.
+	result chan result
 
 	mu        sync.Mutex
 	finished  bool
@@ -72,16 +72,33 @@
 	retriable bool
 }
 
-// run sends the request and returns the slot once the instance is done.
-func (t *attempt) run(ctx context.Context) {
+// until is when the attempt gives up.
+func (t *attempt) until() time.Time { return t.request.Deadline.Add(lateLimit) }
+
+// outlive waits for the rest of the answer until the caller's deadline and
+// leaves the attempt to its own goroutine.
+func (t *attempt) outlive(ctx context.Context, x *Exchange, sent *galenaupstream.Sent) galenahead.Answer {
+	s := t.owner
+	t.result = make(chan result, 1)
+	go t.run(sent)
+	select {
+	case r := <-t.result:
+		x.Retriable = r.retriable
+		return r.answer
+	case <-s.timers.After(ctx, t.request.Deadline.Sub(s.timers.Now())):
+	}
+	if !t.abandon() {
+		r := <-t.result
+		x.Retriable = r.retriable
+		return r.answer
+	}
+	return galenahead.Unknown(ReasonAnswerLate)
+}
+
+// run receives the answer of an attempt that may outlive its caller.
+func (t *attempt) run(sent *galenaupstream.Sent) {
 	defer t.owner.open.Done()
-	start := t.owner.timers.Now()
-	until := t.request.Deadline.Add(lateLimit)
-	a, err := t.owner.sender.Send(ctx, t.lease.Address, t.request, t.id, until, t.valid)
-	now := t.owner.timers.Now()
-	r := classify(t.request, a, err)
-	t.lane.router.Observe(now, t.lease, galenaroute.Result{Kind: kindOf(a, err), RunTime: now.Sub(start)})
-	t.lane.put(t.lease)
+	r := t.end(sent.Finish(t.until()))
 	if t.finish() {
 		t.result <- r
 		return
@@ -91,6 +108,14 @@
 	}
 }
 
+// end returns the slot once the instance is done with the request.
+func (t *attempt) end(a galenahead.Answer, err error) result {
+	now := t.owner.timers.Now()
+	t.lane.router.Observe(now, t.lease, galenaroute.Result{Kind: kindOf(a, err), RunTime: now.Sub(t.start)})
+	t.lane.put(t.lease)
+	return classify(t.request, a, err)
+}
+
 // valid is asked right before the first byte is sent.
 func (t *attempt) valid() bool {
 	return t.lane.slots.Valid(t.lease) && t.owner.timers.Now().Before(t.request.Deadline)
@@ -126,7 +151,7 @@
 
 // classify turns the result of sending into an answer. Only an idempotent
 // request may be repeated after its first byte was sent.
-func classify(r galenahead.Request, a galenahead.Answer, err error) result {
+func classify(r *galenahead.Request, a galenahead.Answer, err error) result {
 	switch {
 	case err == nil:
 		return result{answer: a, retriable: r.Idempotent && a.Status >= fasthttp.StatusInternalServerError}
--- /dev/null
+++ b/galenaentry/bench_test.go
@@ -0,0 +1,74 @@
+package galenaentry
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/galenahead/galenahead/galenabudget"
+	"github.com/galenahead/galenahead/galenalog"
+	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenatimer"
+)
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// BenchmarkPipeline measures one request through all filters with fakes at the
+// interfaces, an upstream on loopback and a decision line.
+func BenchmarkPipeline(b *testing.B) {
+	for _, idempotent := range []bool{true, false} {
+		b.Run(fmt.Sprintf("idempotent=%t", idempotent), func(b *testing.B) {
+			f := newFixture(b, nil)
+			f.slots.address = serveRaw(b)
+			w := galenalog.NewWriter(discard{})
+			defer func() { _ = w.Close() }()
+			timers := &galenatimer.Service{}
+			f.accept.timers, f.lanes.timers, f.attempts.timers = timers, timers, timers
+			f.accept.observer = &recorder{
+				log: galenalog.New(w, logrus.InfoLevel), metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}),
+			}
+			c := &fasthttp.RequestCtx{}
+			fill(&c.Request, "e", "")
+			c.Request.Header.Set(HeaderIdempotent, strconv.FormatBool(idempotent))
+			c.Request.SetBodyString("body")
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				c.Request.Header.Set(HeaderKey, "1-"+strconv.Itoa(i))
+				c.Response.Reset()
+				f.accept.serve(c)
+				if c.Response.StatusCode() != fasthttp.StatusOK {
+					b.Fatal(c.Response.String())
+				}
+			}
+		})
+	}
+}
+
+// serveRaw returns the address of an upstream that allocates nothing.
+func serveRaw(b *testing.B) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		var req fasthttp.Request
+		for req.Read(r) == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	}()
+	return ln.Addr().String()
+}
--- a/galenaentry/pipeline_test.go
+++ b/galenaentry/pipeline_test.go
@@ -54,6 +54,21 @@
 	c.SetBody(c.PostBody())
 }
 
+// serveSlowly returns the address of an upstream that sends the first bytes of
+// an answer, and the rest when it is no longer held back.
+func (u *upstream) serveSlowly(t testing.TB) string {
+	return serve(t, func(c *fasthttp.RequestCtx) {
+		body := string(c.PostBody())
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(nc net.Conn) {
+			_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\n"))
+			u.runs.Add(1)
+			<-u.hold
+			fmt.Fprintf(nc, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		})
+	})
+}
+
 // Guards against a second run of a resent request, and against an answer other
 // than the recorded one.
 func TestResendGetsRecordedResult(t *testing.T) {
@@ -169,7 +184,8 @@
 func TestLateAnswerIsRecorded(t *testing.T) {
 	is := is.New(t)
 	u := &upstream{hold: make(chan struct{}, 1)}
-	f := newFixture(t, u.handle)
+	f := newFixture(t, nil)
+	f.slots.address = u.serveSlowly(t)
 	first := make(chan galenahead.Answer)
 	go func() { first <- f.send("1-a", false, 1) }()
 	f.until(func() bool { return u.runs.Load() == 1 })
@@ -324,7 +340,8 @@
 func TestStopFinishesRequests(t *testing.T) {
 	is := is.New(t)
 	u := &upstream{hold: make(chan struct{})}
-	f := newFixture(t, u.handle)
+	f := newFixture(t, nil)
+	f.slots.address = u.serveSlowly(t)
 	late := make(chan galenahead.Answer)
 	go func() { late <- f.send("1-a", false, 1) }()
 	f.until(func() bool { return u.runs.Load() == 1 })
--- a/galenaupstream/pool.go
+++ b/galenaupstream/pool.go
@@ -6,7 +6,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"sync"
 	"syscall"
@@ -117,8 +116,8 @@
 	return limit <= 0 || h == nil || h.reserved < limit
 }
 
-// get returns a live idle connection or dials a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get returns a live idle connection or dials a new one until limit.
+func (p *Pool) get(addr string, limit time.Time) (*conn, error) {
 	for {
 		c, err := p.pop(addr)
 		if err != nil {
@@ -132,8 +131,8 @@
 		}
 		p.discard(addr, c)
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	d := net.Dialer{Timeout: dialTimeout, Deadline: limit}
+	nc, err := d.Dial("tcp", addr)
 	if err != nil {
 		p.closed(addr)
 		return nil, err
--- a/galenaupstream/send.go
+++ b/galenaupstream/send.go
@@ -2,8 +2,9 @@
 
 import (
 	"bufio"
-	"context"
+	"bytes"
 	"errors"
+	"os"
 	"strconv"
 	"time"
 
@@ -44,88 +45,151 @@
 
 // Send sends r to addr once and returns the upstream's whole answer. valid is
 // asked right before the first byte is written. Send fails with ErrUnsent,
-// ErrAnswerLost or ErrMismatch and never sends twice. It gives up at until.
-func (s *Sender) Send(ctx context.Context, addr string, r galenahead.Request, attempt string,
-	until time.Time, valid func() bool) (galenahead.Answer, error) {
-	c, err := s.Pool.get(ctx, addr)
+// ErrAnswerLost or ErrMismatch and never sends twice. It gives up sending at
+// the request's deadline, and waiting at until.
+func (s *Sender) Send(addr string, r galenahead.Request, attempt string, until time.Time, valid func() bool) (galenahead.Answer, error) {
+	sent, err := s.Begin(addr, r, attempt, valid)
 	if err != nil {
-		return galenahead.Answer{}, eris.Wrap(ErrUnsent, err.Error())
+		return galenahead.Answer{}, err
 	}
-	stop := interruptible(ctx, c)
-	defer stop()
-	if err := c.SetDeadline(until); err != nil {
+	return sent.Finish(until)
+}
+
+// Sent is a request whose answer is awaited. Its methods are for one goroutine
+// at a time, and Finish must follow.
+type Sent struct {
+	sender  *Sender
+	conn    *conn
+	addr    string
+	request galenahead.Request
+	attempt string
+	resp    *fasthttp.Response
+	// header tells that the header of resp is read.
+	header bool
+	err    error
+}
+
+// Begin sends r to addr until the request's deadline. valid is asked right
+// before the first byte is written. It fails with ErrUnsent or ErrAnswerLost.
+func (s *Sender) Begin(addr string, r galenahead.Request, attempt string, valid func() bool) (*Sent, error) {
+	c, err := s.Pool.get(addr, r.Deadline)
+	if err != nil {
+		return nil, eris.Wrap(ErrUnsent, err.Error())
+	}
+	if err := c.SetDeadline(r.Deadline); err != nil {
 		s.Pool.discard(addr, c)
-		return galenahead.Answer{}, eris.Wrap(ErrUnsent, err.Error())
+		return nil, eris.Wrap(ErrUnsent, err.Error())
 	}
 	if !valid() {
 		s.Pool.put(addr, c)
-		return galenahead.Answer{}, errors.Join(ErrUnsent, galenahead.ErrLeaseExpired)
+		return nil, errors.Join(ErrUnsent, galenahead.ErrLeaseExpired)
 	}
-	a, reusable, err := s.exchange(c, addr, r, attempt)
-	if err != nil || !reusable || !stop() {
+	before := c.n
+	if err := writeRequest(c, addr, r, attempt); err != nil {
 		s.Pool.discard(addr, c)
-		return a, err
+		if c.n == before {
+			return nil, eris.Wrap(ErrUnsent, err.Error())
+		}
+		return nil, eris.Wrap(ErrAnswerLost, err.Error())
 	}
-	s.Pool.put(addr, c)
-	return a, nil
+	return &Sent{sender: s, conn: c, addr: addr, request: r, attempt: attempt, resp: fasthttp.AcquireResponse()}, nil
 }
 
-// interruptible ends reads and writes of c when ctx ends, until the function
-// that it returns is called. That function returns false when ctx has ended.
-func interruptible(ctx context.Context, c *conn) func() bool {
-	if ctx.Done() == nil {
-		return func() bool { return true }
+// Ready waits for the answer until the request's deadline and reports whether
+// Finish can return without waiting. It is false when the deadline passed, or
+// when only a part of the answer has come.
+func (t *Sent) Ready() bool {
+	r := t.conn.r
+	if _, err := r.Peek(1); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+		t.err = err
+		return true
+	}
+	head, _ := r.Peek(r.Buffered())
+	if bytes.HasPrefix(head, interim) || !bytes.Contains(head, headerEnd) {
+		return false
 	}
-	return context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	t.err = readFinalHeader(r, t.resp)
+	t.header = true
+	n := t.resp.Header.ContentLength()
+	return t.err != nil || bodyless(t.resp, t.request.Method) || n >= 0 && n <= r.Buffered()
 }
 
-func (s *Sender) exchange(c *conn, addr string, r galenahead.Request, attempt string) (galenahead.Answer, bool, error) {
-	before := c.n
-	if err := writeRequest(c, addr, r, attempt); err != nil {
-		if c.n == before {
-			return galenahead.Answer{}, false, eris.Wrap(ErrUnsent, err.Error())
-		}
-		return galenahead.Answer{}, false, eris.Wrap(ErrAnswerLost, err.Error())
+// interim is how a 1xx answer begins, headerEnd how every header ends.
+var (
+	interim   = []byte("HTTP/1.1 1")
+	headerEnd = []byte("\r\n\r\n")
+)
+
+// Finish returns the upstream's whole answer. It gives up at until, and fails
+// with ErrAnswerLost or ErrMismatch.
+func (t *Sent) Finish(until time.Time) (galenahead.Answer, error) {
+	defer fasthttp.ReleaseResponse(t.resp)
+	a, reusable, err := t.read(until)
+	if err != nil || !reusable {
+		t.sender.Pool.discard(t.addr, t.conn)
+		return a, err
 	}
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	limit := s.MaxBody
+	t.sender.Pool.put(t.addr, t.conn)
+	return a, nil
+}
+
+func (t *Sent) read(until time.Time) (galenahead.Answer, bool, error) {
+	limit := t.sender.MaxBody
 	if limit == 0 {
 		limit = defaultMaxBody
 	}
-	if err := readResponse(c.r, resp, r.Method, limit); err != nil {
-		return galenahead.Answer{}, false, eris.Wrap(ErrAnswerLost, err.Error())
+	if t.err == nil && !t.header {
+		t.err = t.conn.SetDeadline(until)
+	}
+	if t.err == nil && !t.header {
+		t.err = readFinalHeader(t.conn.r, t.resp)
+	}
+	if t.err == nil {
+		t.err = t.readBody(until, limit)
+	}
+	if t.err != nil {
+		return galenahead.Answer{}, false, eris.Wrap(ErrAnswerLost, t.err.Error())
 	}
-	return readAnswer(c, resp, r, attempt)
+	return readAnswer(t.conn, t.resp, t.request, t.attempt)
 }
 
-// maxInterim bounds the 1xx answers before the final one.
-const maxInterim = 8
-
-// readResponse reads one answer of at most limit bytes of body. It refuses an
-// answer whose end is marked only by the end of the connection, since that
-// cannot be told from a truncated one.
-func readResponse(r *bufio.Reader, resp *fasthttp.Response, method string, limit int) error {
-	if err := readFinalHeader(r, resp); err != nil {
-		return err
-	}
-	status := resp.StatusCode()
-	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+// readBody reads the body after the header. It refuses an answer whose end is
+// marked only by the end of the connection, since that cannot be told from a
+// truncated one.
+func (t *Sent) readBody(until time.Time, limit int) error {
+	if bodyless(t.resp, t.request.Method) {
 		return nil
 	}
-	n := resp.Header.ContentLength()
+	n := t.resp.Header.ContentLength()
 	if n < -1 {
 		return eris.New("answer has no length")
 	}
-	if err := resp.ReadBody(r, limit); err != nil {
+	if n < 0 || n > t.conn.r.Buffered() {
+		if err := t.conn.SetDeadline(until); err != nil {
+			return err
+		}
+	}
+	if err := t.resp.ReadBody(t.conn.r, limit); err != nil {
 		return err
 	}
 	if n == -1 {
-		return resp.Header.ReadTrailer(r)
+		return t.resp.Header.ReadTrailer(t.conn.r)
 	}
 	return nil
 }
 
+// bodyless tells whether the answer ends with its header.
+func bodyless(resp *fasthttp.Response, method string) bool {
+	status := resp.StatusCode()
+	return method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// maxInterim bounds the 1xx answers before the final one.
+const maxInterim = 8
+
 func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxInterim {
 		if err := resp.Header.Read(r); err != nil {
--- a/galenaupstream/send_test.go
+++ b/galenaupstream/send_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
 )
@@ -94,7 +95,7 @@
 			u := newUpstream(t, tc.answer)
 			s := &Sender{MaxBody: 64}
 			defer s.Pool.Close()
-			a, err := s.Send(t.Context(), u.ln.Addr().String(), request("1-a"), "t1", time.Now().Add(time.Minute), always)
+			a, err := s.Send(u.ln.Addr().String(), request("1-a"), "t1", time.Now().Add(time.Minute), always)
 			is.True(errors.Is(err, tc.want))
 			if tc.want == nil {
 				is.Equal(string(a.Body), "ok")
@@ -115,19 +116,19 @@
 	refused := ln.Addr().String()
 	is.NoErr(ln.Close())
 	until := time.Now().Add(time.Minute)
-	_, err = s.Send(t.Context(), refused, request("1-a"), "t1", until, always)
+	_, err = s.Send(refused, request("1-a"), "t1", until, always)
 	is.True(errors.Is(err, ErrUnsent))
 
 	ok := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	u := newUpstream(t, ok+closeMark, ok)
 	addr := u.ln.Addr().String()
-	_, err = s.Send(t.Context(), addr, request("1-a"), "t1", until, func() bool { return false })
+	_, err = s.Send(addr, request("1-a"), "t1", until, func() bool { return false })
 	is.True(errors.Is(err, ErrUnsent))
 	is.Equal(len(u.script), 2)
-	_, err = s.Send(t.Context(), addr, request("1-a"), "t1", until, always)
+	_, err = s.Send(addr, request("1-a"), "t1", until, always)
 	is.NoErr(err)
 	waitClosed(t, s, addr)
-	_, err = s.Send(t.Context(), addr, request("1-b"), "t2", until, always)
+	_, err = s.Send(addr, request("1-b"), "t2", until, always)
 	is.NoErr(err)
 }
 
@@ -155,7 +156,7 @@
 	s := &Sender{}
 	defer s.Pool.Close()
 	for _, key := range []string{"1-a", "1-b"} {
-		a, err := s.Send(t.Context(), u.ln.Addr().String(), request(key), "t1", time.Now().Add(time.Minute), always)
+		a, err := s.Send(u.ln.Addr().String(), request(key), "t1", time.Now().Add(time.Minute), always)
 		is.NoErr(err)
 		is.Equal(string(a.Body), "ok")
 	}
@@ -175,14 +176,14 @@
 	p.Reserve(addr, 2)
 	is.Equal(p.Room(addr, 2), false)
 	is.True(p.Room(addr, 0))
-	a, err := p.get(t.Context(), addr)
+	a, err := p.get(addr, time.Now().Add(time.Minute))
 	is.NoErr(err)
-	b, err := p.get(t.Context(), addr)
+	b, err := p.get(addr, time.Now().Add(time.Minute))
 	is.NoErr(err)
-	_, err = p.get(t.Context(), addr)
+	_, err = p.get(addr, time.Now().Add(time.Minute))
 	is.True(errors.Is(err, errNoConnection))
 	p.put(addr, a)
-	c, err := p.get(t.Context(), addr)
+	c, err := p.get(addr, time.Now().Add(time.Minute))
 	is.NoErr(err)
 	is.True(c == a)
 	p.Reserve(addr, 1)
@@ -195,7 +196,7 @@
 		p.Release(addr)
 	}
 	is.NoErr(u.ln.Close())
-	_, err = p.get(t.Context(), addr)
+	_, err = p.get(addr, time.Now().Add(time.Minute))
 	is.True(err != nil)
 	p.Sweep(time.Now())
 	is.Equal(len(p.hosts), 0)
@@ -211,3 +212,28 @@
 	is.True(strings.HasPrefix(c.String(), "POST "+r.Path+" HTTP/1.1\r\n"))
 	is.True(strings.Contains(c.String(), "\r\nHost: 10.0.0.1:80\r\n"))
 }
+
+// Guards against an answer that is lost when the wait for it is interrupted at
+// the deadline, before its first byte or within it.
+func TestSentGoesOnAfterDeadline(t *testing.T) {
+	is := is.New(t)
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for cut := range len(ok) + 1 {
+		near, far := net.Pipe()
+		c, err := newConn(near)
+		is.NoErr(err)
+		s := &Sender{}
+		sent := &Sent{sender: s, conn: c, addr: "a", request: request("1-a"), resp: fasthttp.AcquireResponse()}
+		go func() { _, _ = far.Write([]byte(ok[:cut])) }()
+		if cut == 0 {
+			is.NoErr(near.SetDeadline(time.Unix(1, 0)))
+		}
+		is.Equal(sent.Ready(), cut == len(ok))
+		go func() { _, _ = far.Write([]byte(ok[cut:])) }()
+		a, err := sent.Finish(time.Now().Add(time.Minute))
+		is.NoErr(err)
+		is.Equal(string(a.Body), "ok")
+		is.Equal(len(s.Pool.hosts["a"].idle), 1)
+		is.NoErr(near.Close())
+	}
+}
