End the requests of a service that is no longer configured

A removed service's lane ended while requests waited in it, and nothing expired them: they waited for ever and blocked a stop. A request between queue and sending looked its lane up again and panicked. Conclusion: the lane answers its waiting requests with not_run (service_unknown) at its end, and an exchange keeps the lane of its slot.

--- a/galenaentry/attempt.go
+++ b/galenaentry/attempt.go
@@ -21,7 +21,6 @@
 // attempts sends requests and outlives their callers where an answer is late.
 type attempts struct {
 	sender *galenaupstream.Sender
-	lanes  *lanes
 	timers galenahead.Timers
 	// open counts the attempts in flight, for a graceful stop.
 	open sync.WaitGroup
@@ -32,9 +31,8 @@
 // goroutine does both, unless the answer is late or comes in parts.
 func (s *attempts) handle(ctx context.Context, x *Exchange) galenahead.Answer {
 	x.Attempts++
-	l, _ := s.lanes.get(x.Request.Service)
 	t := &attempt{
-		owner: s, lane: l, lease: x.Lease, request: &x.Request, late: x.late, start: s.timers.Now(),
+		owner: s, lane: x.lane, lease: x.Lease, request: &x.Request, late: x.late, start: s.timers.Now(),
 	}
 	s.open.Add(1)
 	sent, err := s.sender.Begin(t.lease.Address, x.Request, x.ID+"."+strconv.Itoa(x.Attempts), t.valid)
--- a/galenaentry/lane.go
+++ b/galenaentry/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	// decisions holds the routing decision behind each slot taken, by slot lease,
 	// until its request goes on.
 	decisions map[uint64]decision
+	// ended is set when the service is no longer configured.
+	ended bool
 }
 
 // decision is what the log tells of a routing decision.
@@ -57,6 +60,7 @@
 		changed := l.slots.Changed(l.service)
 		select {
 		case <-ctx.Done():
+			l.end()
 			return
 		case <-changed:
 		case <-ticks:
@@ -75,7 +79,12 @@
 	}
 	l.mu.Lock()
 	l.waiting[t] = x
+	ended := l.ended
 	l.mu.Unlock()
+	if ended {
+		l.queue.Cancel(t)
+		return t, nil
+	}
 	l.dispatch(now)
 	select {
 	case <-t.Done():
@@ -92,6 +101,27 @@
 	delete(l.waiting, t)
 }
 
+// end drops the waiting requests, which nothing would dispatch or expire.
+func (l *lane) end() {
+	l.mu.Lock()
+	l.ended = true
+	tickets := slices.Collect(maps.Keys(l.waiting))
+	l.mu.Unlock()
+	for _, t := range tickets {
+		l.queue.Cancel(t)
+	}
+}
+
+// dropReason tells why a waiting request was cancelled.
+func (l *lane) dropReason() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return ReasonNoService
+	}
+	return ReasonCancelled
+}
+
 // put returns a slot and hands it to a waiting request.
 func (l *lane) put(lease galenahead.SlotLease) {
 	l.pool.Release(lease.Address)
--- a/galenaentry/lanes.go
+++ b/galenaentry/lanes.go
@@ -53,7 +53,7 @@
 }
 
 // retain ends the lanes of services that are not listed. Their waiting requests
-// end by their deadlines.
+// are answered as of an unknown service; those being sent go on.
 func (s *lanes) retain(listed map[galenahead.ServiceName]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/galenaentry/pipeline.go
+++ b/galenaentry/pipeline.go
@@ -24,6 +24,8 @@
 
 	// Lease is the slot of the current attempt.
 	Lease galenahead.SlotLease
+	// lane is where Lease was taken.
+	lane *lane
 	// Attempts counts the attempts so far.
 	Attempts int
 	// Candidates is how many slot leases the last routing decision compared.
--- a/galenaentry/pipeline_test.go
+++ b/galenaentry/pipeline_test.go
@@ -335,6 +335,39 @@
 	is.Equal(f.claims.state("1-a"), galenahead.ClaimState("free"))
 }
 
+// Guards against requests of a service that is no longer configured which wait
+// for ever, or fail when they are being sent.
+func TestRemovedServiceEndsRequests(t *testing.T) {
+	is := is.New(t)
+	u := &upstream{hold: make(chan struct{})}
+	f := newFixture(t, u.handle)
+	f.slots.free = 1
+	sent, waiting := make(chan galenahead.Answer), make(chan galenahead.Answer)
+	go func() { sent <- f.send("1-a", false, 1) }()
+	f.until(func() bool { return u.runs.Load() == 1 })
+	go func() { waiting <- f.send("1-b", false, 1) }()
+	l, _ := f.lanes.get("counter")
+	f.until(func() bool { return l.queue.Len() == 1 })
+	f.SetServices(t.Context(), nil)
+	is.Equal(<-waiting, galenahead.NotRun(ReasonNoService))
+	f.until(func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ended })
+	late := &Exchange{Request: galenahead.Request{Service: "counter", Deadline: f.clock.Now().Add(time.Minute)}}
+	ticket, err := l.enter(late)
+	is.NoErr(err)
+	<-ticket.Done()
+	close(u.hold)
+	is.Equal((<-sent).Outcome, galenahead.OutcomeRan)
+	is.Equal(f.slots.count(), 1)
+	removed := Chain(f.attempts.handle, queueFilter(f.lanes), func(next Handler) Handler {
+		return func(ctx context.Context, x *Exchange) galenahead.Answer {
+			f.SetServices(t.Context(), nil)
+			return next(ctx, x)
+		}
+	})
+	f.SetServices(t.Context(), []Service{{Name: "counter"}})
+	is.Equal(removed(t.Context(), late).Outcome, galenahead.OutcomeRan)
+}
+
 // Guards against a stop that interrupts a request or its late answer, and
 // against new requests while stopping.
 func TestStopFinishesRequests(t *testing.T) {
--- a/galenaentry/queue.go
+++ b/galenaentry/queue.go
@@ -29,10 +29,10 @@
 			case galenaqueue.StateExpired:
 				return galenahead.NotRun(ReasonDeadline)
 			case galenaqueue.StateCancelled:
-				return galenahead.NotRun(ReasonCancelled)
+				return galenahead.NotRun(l.dropReason())
 			case galenaqueue.StateWaiting, galenaqueue.StateDispatched:
 			}
-			x.Lease = t.Lease()
+			x.lane, x.Lease = l, t.Lease()
 			d := l.decided(x.Lease)
 			x.Candidates, x.RouteReason = d.candidates, d.reason
 			return next(ctx, x)
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -63,7 +63,7 @@
 	sender := &galenaupstream.Sender{MaxBody: cfg.MaxBody}
 	s := &Server{cfg: cfg, claims: &recordedClaims{Claimer: cfg.Claims}}
 	s.lanes = &lanes{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, pool: &sender.Pool}
-	s.attempts = &attempts{sender: sender, lanes: s.lanes, timers: cfg.Timers}
+	s.attempts = &attempts{sender: sender, timers: cfg.Timers}
 	s.accept = &acceptor{
 		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
 		handle: Chain(s.attempts.handle,
