--- a/galenalog/log.go
+++ b/galenalog/log.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"io"
 	"strconv"
+	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -38,11 +40,25 @@
 
 // Info logs a Line at level info.
 func Info(l *logrus.Logger, message string, line Line) {
-	if l.IsLevelEnabled(logrus.InfoLevel) {
+	if !l.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
+	w, ok := l.Out.(*Writer)
+	if !ok || len(l.Hooks) > 0 {
 		l.WithField(lineField, line).Info(message)
+		return
 	}
+	// The Writer needs no lock of logrus, and an entry's copies of its fields are
+	// half of the allocations of a line.
+	b := buffers.Get().(*[]byte)
+	*b = appendLine((*b)[:0], time.Now(), logrus.InfoLevel, message, line)
+	_, _ = w.Write(*b)
+	buffers.Put(b)
 }
 
+// buffers holds buffers of lines.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
 // formatter encodes entries with a Line itself and others as logrus does.
 type formatter struct{ logrus.JSONFormatter }
 
@@ -56,15 +72,18 @@
 	if out == nil {
 		out = &bytes.Buffer{}
 	}
-	b := append(out.AvailableBuffer(), `{"time":"`...)
-	b = e.Time.AppendFormat(b, timeFormat)
+	out.Write(appendLine(out.AvailableBuffer(), e.Time, e.Level, e.Message, line))
+	return out.Bytes(), nil
+}
+
+func appendLine(b []byte, at time.Time, level logrus.Level, message string, line Line) []byte {
+	b = append(b, `{"time":"`...)
+	b = at.AppendFormat(b, timeFormat)
 	b = append(b, '"')
-	b = AppendString(b, "level", e.Level.String())
-	b = AppendString(b, "message", e.Message)
+	b = AppendString(b, "level", level.String())
+	b = AppendString(b, "message", message)
 	b = line.AppendFields(b)
-	b = append(b, "}\n"...)
-	out.Write(b)
-	return out.Bytes(), nil
+	return append(b, "}\n"...)
 }
 
 // AppendString appends a field. key needs no escaping.
--- a/galenalog/log_test.go
+++ b/galenalog/log_test.go
@@ -37,6 +37,16 @@
 		is.NoErr(json.Unmarshal([]byte(got[1]), &want))
 		is.NoErr(json.Unmarshal([]byte(got[2]), &have))
 		is.Equal(want, have)
+		direct := &bytes.Buffer{}
+		w := NewWriter(direct)
+		Info(New(w, logrus.InfoLevel), "m", &line{text})
+		is.NoErr(w.Close())
+		var queued map[string]any
+		is.NoErr(json.Unmarshal(direct.Bytes(), &queued))
+		_, err := time.Parse(timeFormat, queued["time"].(string))
+		is.NoErr(err)
+		queued["time"] = want["time"]
+		is.Equal(queued, want)
 		l.SetLevel(logrus.WarnLevel)
 		b.Reset()
 		Info(l, "m", &line{text})
