--- a/test/galena-path/command/measure.go
+++ b/test/galena-path/command/measure.go
@@ -107,7 +107,7 @@
 }
 
 func (m *measurement) upstream() load.Target {
-	return load.Target{Address: m.fleet.Upstream, Service: fleet.Service}
+	return load.Target{Address: m.fleet.Direct, Service: fleet.Service}
 }
 
 func (m *measurement) entry(k *kind) load.Target {
--- a/test/galena-path/fleet/fleet.go
+++ b/test/galena-path/fleet/fleet.go
@@ -34,9 +34,10 @@
 // Fleet is a running deployment with one service on one upstream.
 type Fleet struct {
 	*deployment.Deployment
-	// Entry is the caller address of the measured entry, Upstream the address of
-	// the upstream.
-	Entry, Upstream string
+	// Entry is the caller address of the measured entry, Direct the address of an
+	// upstream like the one behind the entry. Direct requests to the latter would
+	// count as its requests in flight and take slots from the entry.
+	Entry, Direct string
 }
 
 // Start builds the programs below dir, starts a deployment and waits until its
@@ -74,15 +75,24 @@
 			return err
 		}
 	}
-	_, addr, err := f.Deployment.Upstream(Service, "counter-1-a", "counter-1", "r1", "sapporo",
-		"--run-time", "0s", "--shape", "fixed", "--slots", strconv.Itoa(slots), "--connections", strconv.Itoa(entries*slots))
+	if _, err := f.upstream(Service); err != nil {
+		return err
+	}
+	// The entries refuse the announcements of a service that is not configured.
+	addr, err := f.upstream("direct")
 	if err != nil {
 		return err
 	}
-	f.Upstream = addr
+	f.Direct = addr
 	return f.Eventually(ctx, f.ready)
 }
 
+func (f *Fleet) upstream(service string) (string, error) {
+	_, addr, err := f.Deployment.Upstream(service, service+"-1-a", "counter-1", "r1", "sapporo",
+		"--run-time", "0s", "--shape", "fixed", "--slots", strconv.Itoa(slots), "--connections", strconv.Itoa(entries*slots))
+	return addr, err
+}
+
 func (f *Fleet) ctl(ctx context.Context, args []string) error {
 	return f.Eventually(ctx, func() error {
 		_, err := f.Ctl(ctx, args...)
