Save allocations per request; run the crossing test on the real clock

Cause: the test's own clock fell behind the real one, by which connections have their deadlines now, so on a busy machine too few of its requests ran. Conclusion: the test uses real timers. Instead of a number of requests that ran in all, it demands that each request with a long deadline runs, a quarter.

--- a/galenaentry/bench_test.go
+++ b/galenaentry/bench_test.go
@@ -25,12 +25,10 @@
 func BenchmarkPipeline(b *testing.B) {
 	for _, idempotent := range []bool{true, false} {
 		b.Run(fmt.Sprintf("idempotent=%t", idempotent), func(b *testing.B) {
-			f := newFixture(b, nil)
+			f := newFixtureOn(b, &galenatimer.Service{}, nil)
 			f.slots.address = serveRaw(b)
 			w := galenalog.NewWriter(discard{})
 			defer func() { _ = w.Close() }()
-			timers := &galenatimer.Service{}
-			f.accept.timers, f.lanes.timers, f.attempts.timers = timers, timers, timers
 			f.accept.observer = &recorder{
 				log: galenalog.New(w, logrus.InfoLevel), metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}),
 			}
--- a/galenaentry/fake_test.go
+++ b/galenaentry/fake_test.go
@@ -184,13 +184,22 @@
 }
 
 func newFixture(t testing.TB, handle fasthttp.RequestHandler) *fixture {
+	t.Helper()
+	c := newClock()
+	f := newFixtureOn(t, c, handle)
+	f.clock = c
+	return f
+}
+
+// newFixtureOn is newFixture with another timer service than its clock.
+func newFixtureOn(t testing.TB, timers galenahead.Timers, handle fasthttp.RequestHandler) *fixture {
 	t.Helper()
 	f := &fixture{
-		t: t, clock: newClock(), claims: &claims{}, gate: &gate{}, answers: make(observed, 1<<16),
+		t: t, claims: &claims{}, gate: &gate{}, answers: make(observed, 1<<16),
 		slots: &slots{address: serve(t, handle), free: testSlots},
 	}
 	f.Server = NewServer(ServerConfig{
-		Name: "e", Timers: f.clock, Gate: f.gate, Claims: f.claims, Slots: f.slots, Router: &galenaroute.Router{},
+		Name: "e", Timers: timers, Gate: f.gate, Claims: f.claims, Slots: f.slots, Router: &galenaroute.Router{},
 		Observer: f.answers, Entries: 12,
 	})
 	f.SetServices(t.Context(), []Service{{Name: "counter"}})
--- a/galenaentry/headers.go
+++ b/galenaentry/headers.go
@@ -78,8 +78,8 @@
 }
 
 func boolHeader(h *fasthttp.RequestHeader, name string) (bool, error) {
-	v := string(h.Peek(name))
-	switch v {
+	v := h.Peek(name)
+	switch string(v) {
 	case "true":
 		return true, nil
 	case "false", "":
--- a/galenaentry/pipeline_test.go
+++ b/galenaentry/pipeline_test.go
@@ -21,6 +21,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenapeer"
 	"github.com/galenahead/galenahead/galenaretry"
+	"github.com/galenahead/galenahead/galenatimer"
 )
 
 var update = flag.Bool("update", false, "rewrite golden files")
@@ -240,33 +241,23 @@
 // buffers, while some requests time out and their connections are reused. Run
 // it with the race detector.
 func TestAnswersAreNotCrossed(t *testing.T) {
-	f := newFixture(t, func(c *fasthttp.RequestCtx) {
+	f := newFixtureOn(t, &galenatimer.Service{}, func(c *fasthttp.RequestCtx) {
 		if b := c.PostBody(); b[len(b)-1]%8 == 0 {
 			time.Sleep(4 * time.Millisecond)
 		}
 		c.SetBody(c.PostBody())
 	})
-	go func() {
-		for t.Context().Err() == nil {
-			f.clock.advance(time.Millisecond)
-			time.Sleep(time.Millisecond)
-		}
-	}()
 	addr := serve(t, f.accept.serve)
 	var wg sync.WaitGroup
-	var ran atomic.Int64
 	for w := range 16 {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(1, uint64(w)))
 			for i := range 100 {
-				if sendRandom(t, addr, fmt.Sprintf("1-%d-%d", w, i), rng) {
-					ran.Add(1)
-				}
+				sendRandom(t, addr, fmt.Sprintf("1-%d-%d", w, i), rng)
 			}
 		})
 	}
 	wg.Wait()
-	is.New(t).True(ran.Load() > 100)
 }
 
 // Guards against a request that changes when the HTTP library uses its buffers
@@ -287,25 +278,32 @@
 	is.Equal(x.Request.Key, galenahead.RequestKey("1-a"))
 }
 
-// sendRandom sends a body of random length that names the key throughout, and
-// tells whether it ran.
-func sendRandom(t *testing.T, addr, key string, rng *rand.Rand) bool {
+// sendRandom sends a body of random length that names the key throughout. A
+// quarter of the requests has the longest deadline and must run.
+func sendRandom(t *testing.T, addr, key string, rng *rand.Rand) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	fill(req, addr, key)
+	deadline := 1 + rng.IntN(40)
+	patient := rng.IntN(4) == 0
+	if patient {
+		deadline = int(maxDeadline.Milliseconds())
+	}
 	req.Header.Set(HeaderIdempotent, strconv.FormatBool(rng.IntN(2) == 0))
-	req.Header.Set(HeaderDeadline, strconv.Itoa(1+rng.IntN(40)))
+	req.Header.Set(HeaderDeadline, strconv.Itoa(deadline))
 	req.SetBodyString(strings.Repeat(key+";", 1+rng.IntN(2000)) + string(rune('a'+rng.IntN(26))))
 	if err := fasthttp.Do(req, resp); err != nil {
 		t.Error(err)
-		return false
+		return
 	}
 	ran := string(resp.Header.Peek(HeaderOutcome)) == string(galenahead.OutcomeRan)
 	if ran && string(resp.Body()) != string(req.Body()) || string(resp.Header.Peek(HeaderKey)) != key {
 		t.Errorf("%s got another answer", key)
 	}
-	return ran
+	if patient && !ran {
+		t.Errorf("%s: %s", key, &resp.Header)
+	}
 }
 
 func fill(req *fasthttp.Request, addr, key string) {
--- a/galenaupstream/pool.go
+++ b/galenaupstream/pool.go
@@ -51,6 +51,10 @@
 	r    *bufio.Reader
 	w    *bufio.Writer
 	raw  syscall.RawConn
+	// peek looks for bytes without taking them. It is kept, so that a look costs
+	// no allocation, and sets open to whether the connection is open and empty.
+	peek func(fd uintptr)
+	open bool
 	n    int64
 	used time.Time
 }
@@ -63,10 +67,16 @@
 		return c, nil
 	}
 	raw, err := sc.SyscallConn()
-	c.raw = raw
+	c.raw, c.peek = raw, c.look
 	return c, err
 }
 
+func (c *conn) look(fd uintptr) {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+}
+
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.n += int64(n)
@@ -82,13 +92,8 @@
 	if c.raw == nil {
 		return true
 	}
-	open := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-	})
-	return err == nil && open
+	err := c.raw.Control(c.peek)
+	return err == nil && c.open
 }
 
 // Reserve sets the limit of connections to addr, 0 for none, and counts one
--- a/galenaupstream/send.go
+++ b/galenaupstream/send.go
@@ -217,7 +217,8 @@
 	req.Header.Set(HeaderCaller, string(r.Caller))
 	req.Header.Set(HeaderAttempt, attempt)
 	left := max(time.Until(r.Deadline).Milliseconds(), 0)
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	var digits [20]byte
+	req.Header.SetBytesV(HeaderDeadline, strconv.AppendInt(digits[:0], left, 10))
 	req.SetBodyRaw(r.Body)
 	if err := req.Write(c.w); err != nil {
 		return err
