Carry slots over to a new broker

Cause: an entry dropped its unused slots when it joined a new broker, and the new broker closed every instance that had not announced itself yet, so that every failover started without any slots. Now the account at the new broker starts with all held slots. They are used for the rest of the lease by the former broker, and longer once the new broker confirms that the instance announced itself to it. Returned slots of reported accounts are free before all entries have reported. Slots taken before a lease ran out are reported apart: the former broker may have granted them again.

--- a/galenabroker/allocate.go
+++ b/galenabroker/allocate.go
@@ -22,17 +22,16 @@
 		want[i] = n
 		needed += n
 	}
-	if l.open {
-		l.grantAll(live, want, free)
-		if needed < capacity {
-			l.grantSpare(live, want, free, capacity-needed)
-		}
+	l.grantAll(live, want, free)
+	if needed < capacity {
+		l.grantSpare(live, want, free, capacity-needed)
 	}
 	l.recall(now, live, want)
 }
 
-// openWhenSafe starts granting once every entry has reported, or the idle
-// slots that the former broker granted have expired.
+// openWhenSafe notes when every entry has reported, or the idle slots that the
+// former broker granted have expired. Before, only slots that were reported and
+// then returned are free.
 func (l *Ledger) openWhenSafe(now galenapeer.Instant) {
 	if l.open {
 		return
@@ -146,6 +145,18 @@
 	return true
 }
 
+// limitUnknown returns the limit for an unusable instance. An instance that was
+// not announced to this broker yet may work; its slots are used under the lease
+// of the former broker only.
+func (l *Ledger) limitUnknown(now galenapeer.Instant, id galenahead.InstanceID, a *account) int {
+	_, announced := l.instances[id]
+	_, drained := l.drained[a.vm]
+	if !announced && !drained && l.carrying(now) {
+		return noLimit
+	}
+	return closed
+}
+
 // recall sets the limits: nothing on unusable instances, and what exceeds an
 // entry's share while another entry lacks slots.
 func (l *Ledger) recall(now galenapeer.Instant, live []*session, want []int) {
@@ -159,8 +170,8 @@
 			a := s.accounts[id]
 			limit := noLimit
 			n := a.outstanding()
-			if inst, ok := l.instances[id]; !ok || !l.usable(now, inst) {
-				limit = closed
+			if !l.known(now, id) {
+				limit = l.limitUnknown(now, id, a)
 			} else if cut := min(excess, n); cut > 0 {
 				limit = n - cut
 				excess -= cut
--- a/galenabroker/history_test.go
+++ b/galenabroker/history_test.go
@@ -26,7 +26,7 @@
 var count = flag.Int("histories", 60, "number of random histories")
 
 // faults are the mutations that the histories must detect.
-type faults struct{ grantsAtOnce, anyEpoch bool }
+type faults struct{ grantsAtOnce, anyEpoch, carriesOn, trustsLapsed bool }
 
 // sim runs the cores of 12 entries and three instances on one event queue. Time
 // is true time; every node sees its own monotonic and wall clock.
@@ -150,6 +150,7 @@
 	n.elector.Learn(n.clock(), simService)
 	n.desk = &desk{holdings: NewHoldings(simService, n.life)}
 	n.desk.holdings.anyEpoch = s.faults.anyEpoch
+	n.desk.holdings.carriesOn = s.faults.carriesOn
 	n.stall, n.waiting = stall{}, 0
 }
 
@@ -166,6 +167,7 @@
 		n.elector.Abandon(now, simService, t.Epoch)
 	} else if n.desk.ledger != nil {
 		n.desk.ledger.grantsAtOnce = n.s.faults.grantsAtOnce
+		n.desk.ledger.trustsLapsed = n.s.faults.trustsLapsed
 	}
 }
 
@@ -271,7 +273,7 @@
 		return
 	}
 	for _, e := range l.Changed() {
-		g, _ := l.Item(e.Name)
+		g, _ := l.Item(n.clock(), e.Name)
 		to := n.index(e.Name)
 		n.s.deliver(n.i, to, func() { n.s.nodes[to].desk.holdings.Granted(n.s.nodes[to].clock(), g) })
 	}
@@ -550,6 +552,8 @@
 	for name, f := range map[string]faults{
 		"a new broker grants at once": {grantsAtOnce: true},
 		"the epoch is ignored":        {anyEpoch: true},
+		"carried slots do not expire": {carriesOn: true},
+		"lapsed slots count as known": {trustsLapsed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			failure, _ := histories(2000, f)
--- a/galenabroker/holdings.go
+++ b/galenabroker/holdings.go
@@ -39,16 +39,14 @@
 	// have received; unused slots may be used until SlotTTL after it.
 	anchor time.Duration
 	leased bool
-	// lapses counts the times that the lease ran out. A slot that was taken
-	// before may not be used after, even if the lease is renewed: the broker
-	// may have granted the slot to another entry.
-	lapses  uint64
-	version uint64
-	holds   []*hold
-	uses    map[uint64]*use
-	lastID  uint64
-	waiting map[galenahead.CallerName]int
-	running map[galenahead.CallerName]int
+	// carrying tells that a hold is carried.
+	carrying bool
+	version  uint64
+	holds    []*hold
+	uses     map[uint64]*use
+	lastID   uint64
+	waiting  map[galenahead.CallerName]int
+	running  map[galenahead.CallerName]int
 	// queued lists the callers with waiting requests; next is the index to
 	// which the next slot taken without a caller's name is attributed.
 	queued []galenahead.CallerName
@@ -64,8 +62,9 @@
 	drained    map[galenahead.VMName]struct{}
 	candidates []galenahead.SlotLease
 	indices    []*hold
-	// anyEpoch is set by tests only, to show that the tests detect it.
-	anyEpoch bool
+	// anyEpoch and carriesOn are set by tests only, to show that the tests detect
+	// them.
+	anyEpoch, carriesOn bool
 }
 
 type sentSync struct {
@@ -86,16 +85,26 @@
 	// returnedIn is the first message that tells of the last return.
 	returnedIn uint64
 	avoidUntil time.Duration
+	// carried tells that the slots were granted in an older epoch and that the
+	// present broker has not confirmed them yet. Until then they are used under
+	// the older lease, which ends at until: the present broker may not know that
+	// the instance leaves.
+	carried bool
+	until   time.Duration
+	// lapses counts the times that the lease of the slots ran out. A slot that
+	// was taken before may not be used after, even if the lease is renewed: the
+	// broker may have granted the slot to another entry.
+	lapses uint64
+	// lapsed is the part of base that was taken before the lease ran out.
+	lapsed int
 	// idle holds for each unused slot since when it is unused, oldest first.
 	idle []time.Duration
 }
 
 type use struct {
-	hold    *hold
-	caller  galenahead.CallerName
-	epoch   galenahead.Epoch
-	lapses  uint64
-	expires time.Duration
+	hold   *hold
+	caller galenahead.CallerName
+	lapses uint64
 }
 
 // NewHoldings returns the empty holdings of an entry's process.
@@ -109,8 +118,8 @@
 	}
 }
 
-// Join follows the broker of a newer epoch. Slots in use are carried over into
-// its account; unused ones of the old epoch are dropped.
+// Join follows the broker of a newer epoch. The slots are carried over into its
+// account.
 func (h *Holdings) Join(now galenapeer.Instant, broker galenahead.EntryName, item LeaseItem) {
 	if item.Epoch < h.epoch {
 		return
@@ -122,28 +131,60 @@
 	h.refresh(now)
 	h.broker, h.epoch = broker, item.Epoch
 	h.replaces = 0
+	for _, x := range h.holds {
+		h.carry(x)
+	}
+	h.carrying = true
 	h.rebase()
 }
 
+// carry keeps the slots of x for the rest of their lease.
+func (h *Holdings) carry(x *hold) {
+	ended := !h.usable(x) || x.limit == closed
+	if !x.carried {
+		x.carried, x.until = true, h.anchor+SlotTTL
+	}
+	if ended {
+		h.lapse(x)
+	}
+}
+
+// lapse ends the lease of the slots of x.
+func (h *Holdings) lapse(x *hold) {
+	x.carried = false
+	x.lapses++
+	h.giveBack(x, len(x.idle))
+}
+
+// usable tells whether the unused slots of x may be used.
+func (h *Holdings) usable(x *hold) bool { return x.carried || h.leased }
+
 // Rejoin starts a new account at the same broker under another life, after the
 // broker closed the present one.
 func (h *Holdings) Rejoin(now galenapeer.Instant, life uint32) {
 	h.refresh(now)
 	h.replaces, h.life = h.life, life
-	h.lapses++
+	for _, x := range h.holds {
+		h.lapse(x)
+	}
 	h.rebase()
 }
 
-// rebase starts an account that contains the slots in use.
+// rebase starts an account that contains the held slots.
 func (h *Holdings) rebase() {
 	h.leased, h.replied, h.urgent = false, false, true
 	h.version, h.returnedIn = 0, 0
-	h.holds = slices.DeleteFunc(h.holds, func(x *hold) bool { return x.busy == 0 })
+	h.holds = slices.DeleteFunc(h.holds, func(x *hold) bool { return x.held() == 0 })
 	for _, x := range h.holds {
-		x.base, x.granted, x.returned = x.busy, 0, 0
+		x.base, x.granted, x.returned = x.held(), 0, 0
 		x.limit = noLimit
-		x.idle = nil
 		x.returnedIn = 0
+		x.lapsed = 0
+	}
+	for _, u := range h.uses {
+		if u.lapses != u.hold.lapses {
+			u.hold.lapsed++
+		}
 	}
 }
 
@@ -181,9 +222,6 @@
 // monotonic clock.
 func (h *Holdings) Take(now galenapeer.Instant, caller galenahead.CallerName, choose func([]galenahead.SlotLease) int) (l galenahead.SlotLease, expires time.Duration, ok bool) {
 	h.refresh(now)
-	if !h.leased {
-		return l, 0, false
-	}
 	h.listCandidates()
 	if len(h.candidates) == 0 {
 		return l, 0, false
@@ -200,10 +238,13 @@
 	l = h.candidates[i]
 	l.ID = h.lastID
 	expires = h.anchor + SlotTTL
+	if x.carried {
+		expires = x.until
+	}
 	if caller == "" {
 		caller = h.attribute()
 	}
-	h.uses[l.ID] = &use{hold: x, caller: caller, epoch: h.epoch, lapses: h.lapses, expires: expires}
+	h.uses[l.ID] = &use{hold: x, caller: caller, lapses: x.lapses}
 	h.running[caller]++
 	return l, expires, true
 }
@@ -212,21 +253,18 @@
 func (h *Holdings) Valid(now galenapeer.Instant, id uint64) bool {
 	h.refresh(now)
 	u, ok := h.uses[id]
-	if !ok || u.lapses != h.lapses || u.hold.limit == closed {
+	if !ok || u.lapses != u.hold.lapses || u.hold.limit == closed {
 		return false
 	}
 	if _, drained := h.drained[u.hold.vm]; drained {
 		return false
 	}
-	if u.epoch == h.epoch {
-		return h.leased
-	}
-	return now.Mono < u.expires
+	return h.usable(u.hold)
 }
 
 // Put marks a slot as unused. It tells whether the slot can be taken again. A
-// slot that was taken before the lease ran out, or in an older epoch, is
-// returned: the broker may meanwhile have counted it as free.
+// slot that was taken before the lease ran out is returned: the broker may
+// meanwhile have counted it as free.
 func (h *Holdings) Put(now galenapeer.Instant, id uint64) bool {
 	h.refresh(now)
 	u, ok := h.uses[id]
@@ -241,7 +279,7 @@
 	x := u.hold
 	x.busy--
 	x.idle = append(x.idle, now.Mono)
-	stale := !h.leased || u.lapses != h.lapses || u.epoch != h.epoch
+	stale := !h.usable(x) || u.lapses != x.lapses
 	if stale || x.held() > max(x.limit, 0) && x.limit != noLimit {
 		h.giveBack(x, 1)
 		h.urgent = h.urgent || h.leased
@@ -323,11 +361,15 @@
 		h.anchor = max(h.anchor, s.at)
 		h.leased = now.Mono < h.anchor+SlotTTL
 	}
+	newer := g.Version > h.version
+	if newer && h.leased {
+		h.confirm(g.Keep)
+	}
 	added := 0
 	for _, grant := range g.Grants {
 		added += h.add(now, grant)
 	}
-	if g.Version > h.version {
+	if newer {
 		h.version = g.Version
 		h.setLimits(g.Limits)
 	}
@@ -338,6 +380,15 @@
 	return added
 }
 
+// confirm takes carried slots over into the present lease.
+func (h *Holdings) confirm(keep []galenahead.InstanceID) {
+	for _, x := range h.holds {
+		if x.carried && slices.Contains(keep, x.id) {
+			x.carried = false
+		}
+	}
+}
+
 func (h *Holdings) add(now galenapeer.Instant, g Grant) int {
 	x := h.hold(g.Instance)
 	if g.Address != "" {
@@ -368,18 +419,37 @@
 	}
 }
 
-// refresh ends the lease when it ran out.
+// refresh ends the leases that ran out.
 func (h *Holdings) refresh(now galenapeer.Instant) {
 	if h.leased && now.Mono >= h.anchor+SlotTTL {
 		h.leased = false
-		h.lapses++
-		h.dropIdle()
+		for _, x := range h.holds {
+			if !x.carried {
+				h.lapse(x)
+			}
+		}
+	}
+	if h.carrying {
+		h.refreshCarried(now)
+	}
+}
+
+func (h *Holdings) refreshCarried(now galenapeer.Instant) {
+	h.carrying = false
+	for _, x := range h.holds {
+		if x.carried && now.Mono >= x.until && !h.carriesOn {
+			h.lapse(x)
+		}
+		h.carrying = h.carrying || x.carried
 	}
 }
 
+// dropIdle returns the unused slots without a lease.
 func (h *Holdings) dropIdle() {
 	for _, x := range h.holds {
-		h.giveBack(x, len(x.idle))
+		if !x.carried {
+			h.giveBack(x, len(x.idle))
+		}
 	}
 }
 
@@ -398,7 +468,7 @@
 	h.candidates = h.candidates[:0]
 	h.indices = h.indices[:0]
 	for _, x := range h.holds {
-		if len(x.idle) == 0 || x.limit == closed {
+		if len(x.idle) == 0 || x.limit == closed || !h.usable(x) {
 			continue
 		}
 		if _, drained := h.drained[x.vm]; drained {
@@ -464,7 +534,7 @@
 func (x *hold) held() int { return x.busy + len(x.idle) }
 
 func (x *hold) report() HeldSlots {
-	r := HeldSlots{Instance: x.id, Base: x.base, Granted: x.granted, Returned: x.returned}
+	r := HeldSlots{Instance: x.id, Base: x.base, Lapsed: x.lapsed, Granted: x.granted, Returned: x.returned}
 	if x.base > 0 {
 		r.VM = x.vm
 	}
--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -37,8 +37,8 @@
 	// maxRequest is the longest time from the sending of a request until its
 	// deadline.
 	maxRequest time.Duration
-	// open tells since opened that slots are granted: no process that did not
-	// report to this broker can send any more.
+	// open tells since opened that no process that did not report to this broker
+	// can send any more.
 	open      bool
 	opened    time.Duration
 	instances map[galenahead.InstanceID]*instance
@@ -52,8 +52,9 @@
 	unreported map[galenahead.InstanceID]*bound
 	retired    map[uint32]bool
 	drained    map[galenahead.VMName]struct{}
-	// grantsAtOnce is set by tests only, to show that the tests detect it.
-	grantsAtOnce bool
+	// grantsAtOnce and trustsLapsed are set by tests only, to show that the tests
+	// detect them.
+	grantsAtOnce, trustsLapsed bool
 }
 
 type instance struct {
@@ -84,7 +85,9 @@
 }
 
 type account struct {
-	base     int
+	base int
+	// lapsed is the part of base that a former broker may have counted as free.
+	lapsed   int
 	granted  uint64
 	returned uint64
 	// limit is the number of slots that the entry may keep, or noLimit.
@@ -149,6 +152,9 @@
 	i.left = a.Leaving
 	i.leftAt = now.Mono
 	i.expires = min(now.Mono, tick+tickAge) + time.Duration(a.LeaseMS)*time.Millisecond
+	if !ok {
+		l.keep(a.Instance)
+	}
 	l.allocate(now)
 	return nil
 }
@@ -177,7 +183,7 @@
 	s.renew(now, item)
 	l.allocate(now)
 	s.changed = false
-	return l.grantItem(s, known), nil
+	return l.grantItem(now, s, known), nil
 }
 
 // Tick lets leases end and slots come free.
@@ -207,13 +213,13 @@
 }
 
 // Item returns the entry's present grants and limits.
-func (l *Ledger) Item(entry galenahead.EntryName) (GrantItem, bool) {
+func (l *Ledger) Item(now galenapeer.Instant, entry galenahead.EntryName) (GrantItem, bool) {
 	s := l.sessions[entry]
 	if s == nil {
 		return GrantItem{}, false
 	}
 	s.changed = false
-	return l.grantItem(s, nil), true
+	return l.grantItem(now, s, nil), true
 }
 
 // Size returns the number of usable slots and instances.
@@ -227,7 +233,7 @@
 	return slots, instances
 }
 
-// Open tells whether slots are granted yet.
+// Open tells whether no unreported process can send any more.
 func (l *Ledger) Open() bool { return l.open }
 
 // Settled tells whether everything that former brokers granted is known.
@@ -390,6 +396,9 @@
 	for _, s := range l.all() {
 		if a, ok := s.accounts[id]; ok {
 			n -= a.base
+			if !l.trustsLapsed {
+				n += a.lapsed
+			}
 		}
 	}
 	return max(l.unreported[id].limit(n), 0)
@@ -409,6 +418,28 @@
 	return true
 }
 
+// keep tells the entries that carried slots of the instance over.
+func (l *Ledger) keep(id galenahead.InstanceID) {
+	for _, s := range l.sessions {
+		if a, ok := s.accounts[id]; ok && a.base > 0 {
+			s.changed = true
+		}
+	}
+}
+
+// carrying tells whether entries may have slots under leases of the former
+// broker.
+func (l *Ledger) carrying(now galenapeer.Instant) bool {
+	return now.Mono < l.tenure.Won+SlotTTL+rateMargin
+}
+
+// known tells whether the instance announced itself to this broker and may get
+// work.
+func (l *Ledger) known(now galenapeer.Instant, id galenahead.InstanceID) bool {
+	i, ok := l.instances[id]
+	return ok && l.usable(now, i)
+}
+
 func (l *Ledger) usable(now galenapeer.Instant, i *instance) bool {
 	_, drained := l.drained[i.ann.VM]
 	return !i.left && !drained && now.Mono < i.expires
@@ -421,6 +452,7 @@
 		known[h.Instance] = h.Granted
 		a := s.account(h.Instance)
 		a.base = max(a.base, h.Base)
+		a.lapsed = max(a.lapsed, h.Lapsed)
 		a.returned = max(a.returned, h.Returned)
 		if h.VM != "" {
 			a.vm = h.VM
@@ -476,11 +508,14 @@
 
 // grantItem describes the session. Grants that the entry already knows by
 // known are left out.
-func (l *Ledger) grantItem(s *session, known map[galenahead.InstanceID]uint64) GrantItem {
+func (l *Ledger) grantItem(now galenapeer.Instant, s *session, known map[galenahead.InstanceID]uint64) GrantItem {
 	s.version++
 	g := GrantItem{Service: l.service, Epoch: l.tenure.Epoch, Life: s.life, Seq: s.seq, Version: s.version}
 	for _, id := range s.ids {
 		a := s.accounts[id]
+		if a.base > 0 && l.carrying(now) && l.known(now, id) {
+			g.Keep = append(g.Keep, id)
+		}
 		if a.limit != noLimit {
 			if g.Limits == nil {
 				g.Limits = make(map[galenahead.InstanceID]int)
--- a/galenabroker/link.go
+++ b/galenabroker/link.go
@@ -167,5 +167,5 @@
 	if sess := l.sessions[entry]; sess == nil || !sess.changed {
 		return GrantItem{}, false
 	}
-	return l.Item(entry)
+	return l.Item(now, entry)
 }
--- a/galenabroker/message.go
+++ b/galenabroker/message.go
@@ -89,8 +89,11 @@
 // grow, so that lost, repeated and reordered messages do no harm.
 type HeldSlots struct {
 	Instance galenahead.InstanceID `json:"instance"`
-	// Base is the number of slots in use when the entry joined the epoch.
+	// Base is the number of slots held when the entry joined the epoch.
 	Base int `json:"base,omitempty"`
+	// Lapsed is the part of Base that was taken before its lease ran out. The
+	// former broker may have granted it to another entry.
+	Lapsed int `json:"lapsed,omitempty"`
 	// VM is set when Base is.
 	VM galenahead.VMName `json:"vm,omitempty"`
 	// Granted is the total that the entry knows of.
@@ -157,6 +160,9 @@
 	// Version grows with each item sent to the entry.
 	Version uint64  `json:"version"`
 	Grants  []Grant `json:"grants,omitempty"`
+	// Keep lists the instances known to the broker whose slots of an older epoch
+	// the entry may go on using.
+	Keep []galenahead.InstanceID `json:"keep,omitempty"`
 	// Limits is the number of slots to keep by instance; slots beyond it are
 	// to be returned once they are unused. An absent instance has no limit.
 	Limits map[galenahead.InstanceID]int `json:"limits,omitempty"`
--- a/test/galena-bench/sim/lease.go
+++ b/test/galena-bench/sim/lease.go
@@ -155,7 +155,7 @@
 // push sends changed grants and limits.
 func (o *office) push() {
 	for _, e := range o.ledger.Changed() {
-		item, ok := o.ledger.Item(e.Name)
+		item, ok := o.ledger.Item(o.s.w.instant(), e.Name)
 		p := o.pools[o.s.indexOf(e.Name)]
 		if !ok {
 			continue
