Shorten the broker lease and run the elector in the replay

Cause: the broker lease of 3 s outlived the slot leases of 2 s, so that a service had no slots between the end of these and the election. The lease is now 1.2 s, renewed every 250 ms, and an election ends while entries still have carried slots. A restarted entry does not vote for 1.7 s. The replay now elects with the library's elector instead of after a constant time; the first broker of each service is the same entry as before.

--- a/galenabroker/desk.go
+++ b/galenabroker/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenapeer"
@@ -79,15 +78,3 @@
 	broker, _ := d.holdings.Broker()
 	return broker, d.holdings.Due(now)
 }
-
-// unsettled tells whether the entry is a broker that still waits for
-// announcements about its predecessor's grants.
-func (d *desk) unsettled(now galenapeer.Instant) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.current(now)
-	return l != nil && !l.Settled(now) && now.Mono-l.tenure.Won < settleTime
-}
-
-// settleTime bounds the time of frequent renewals after an election.
-const settleTime = 10 * time.Second
--- a/galenabroker/election.go
+++ b/galenabroker/election.go
@@ -111,10 +111,9 @@
 	return o.tenure, o.stage == holding
 }
 
-// Tick returns the items to send to every other entry now. Leases are renewed
-// every interval, at most RenewInterval.
-func (e *Elector) Tick(now galenapeer.Instant, interval time.Duration) []LeaseItem {
-	renew := now.Mono-e.renewed >= interval
+// Tick returns the items to send to every other entry now.
+func (e *Elector) Tick(now galenapeer.Instant) []LeaseItem {
+	renew := now.Mono-e.renewed >= RenewInterval
 	if renew {
 		e.renewed = now.Mono
 	}
--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -52,9 +52,8 @@
 	unreported map[galenahead.InstanceID]*bound
 	retired    map[uint32]bool
 	drained    map[galenahead.VMName]struct{}
-	// grantsAtOnce and trustsLapsed are set by tests only, to show that the tests
-	// detect them.
-	grantsAtOnce, trustsLapsed bool
+	// grantsAtOnce is set by tests only, to show that the tests detect it.
+	grantsAtOnce bool
 }
 
 type instance struct {
@@ -236,19 +235,6 @@
 // Open tells whether no unreported process can send any more.
 func (l *Ledger) Open() bool { return l.open }
 
-// Settled tells whether everything that former brokers granted is known.
-func (l *Ledger) Settled(now galenapeer.Instant) bool {
-	if !l.open {
-		return false
-	}
-	for id := range l.instances {
-		if l.unknown(now, id) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Outstanding returns the slots counted as in use by VM.
 func (l *Ledger) Outstanding(now galenapeer.Instant) Outstanding {
 	out := Outstanding{Service: l.service, Epoch: l.tenure.Epoch, Ready: l.complete(now), VMs: make(map[galenahead.VMName]int)}
@@ -395,10 +381,7 @@
 	}
 	for _, s := range l.all() {
 		if a, ok := s.accounts[id]; ok {
-			n -= a.base
-			if !l.trustsLapsed {
-				n += a.lapsed
-			}
+			n -= a.base - a.lapsed
 		}
 	}
 	return max(l.unreported[id].limit(n), 0)
--- a/galenabroker/message.go
+++ b/galenabroker/message.go
@@ -10,9 +10,10 @@
 
 const (
 	// BrokerTTL is how long a voter keeps its vote for a broker.
-	BrokerTTL = 3 * time.Second
-	// RenewInterval is the time between two renewals of a broker's lease.
-	RenewInterval = time.Second
+	BrokerTTL = 1200 * time.Millisecond
+	// RenewInterval is the time between two renewals of a broker's lease. Ticks
+	// in the renewals date the announcements that settle the accounts.
+	RenewInterval = 250 * time.Millisecond
 	// RestartSilence is how long a restarted entry does not vote: its former
 	// process may have voted just before it ended.
 	RestartSilence = BrokerTTL + 500*time.Millisecond
--- a/galenabroker/service.go
+++ b/galenabroker/service.go
@@ -26,9 +26,6 @@
 	DefaultMaxRequest = 30 * time.Second
 	// tickInterval is the step of elections and expiries.
 	tickInterval = 50 * time.Millisecond
-	// settleInterval replaces RenewInterval just after an election. The ticks
-	// in the renewals date the announcements that settle the accounts.
-	settleInterval = 250 * time.Millisecond
 	// callTimeout bounds calls between entries.
 	callTimeout = 500 * time.Millisecond
 	// syncGap is the shortest time between two messages to one broker, so that
@@ -311,15 +308,9 @@
 
 func (s *Service) tick(ctx context.Context) {
 	now := s.clock.Now()
-	interval := RenewInterval
-	for _, d := range s.allDesks() {
-		if d.unsettled(now) {
-			interval = settleInterval
-		}
-	}
 	s.electorMu.Lock()
 	s.stall.tick(now)
-	items := s.elector.Tick(now, interval)
+	items := s.elector.Tick(now)
 	s.electorMu.Unlock()
 	s.lease(ctx, now, items)
 	s.followTenures(now)
--- a/galenabroker/share_test.go
+++ b/galenabroker/share_test.go
@@ -75,6 +75,74 @@
 	}
 }
 
+// Guards against a new broker that takes slots for free that the former broker
+// granted again after their lease ran out: the entry with them did not report.
+func TestLapsedSlotsAreNotFree(t *testing.T) {
+	is := is.New(t)
+	now := galenapeer.Instant{Mono: time.Hour}
+	l := NewLedger("counter", []galenapeer.Entry{{Name: "e0"}, {Name: "e1"}}, Tenure{Epoch: 1, Won: time.Hour}, time.Minute)
+	a := galenahead.Announcement{Instance: "i", Service: "counter", Slots: 8, Connections: 8, LeaseMS: 3000}
+	is.NoErr(l.Announce(now, AnnounceRequest{Epoch: 1, TickMS: now.Mono.Milliseconds(), Announcement: a}))
+	item := SyncItem{Epoch: 1, Life: 1, Seq: 1, Demand: byCaller{"a": 20}, Held: []HeldSlots{{Instance: "i", Base: 5, Lapsed: 3, Returned: 5}}}
+	g, err := l.Sync(now, SyncRequest{From: "e0", UptimeMS: time.Hour.Milliseconds()}, item)
+	is.NoErr(err)
+	is.Equal(len(g.Grants), 1)
+	is.Equal(int(g.Grants[0].Granted), 2)
+	is.Equal(g.Keep, []galenahead.InstanceID{"i"})
+}
+
+// Guards against slots whose lease ran out and that are reported as known, and
+// against carried slots that outlive the former broker's lease.
+func TestCarriedSlots(t *testing.T) {
+	is := is.New(t)
+	h := NewHoldings("counter", 7)
+	now := galenapeer.Instant{}
+	h.Join(now, "e0", LeaseItem{Epoch: 1, Kind: LeaseHeld})
+	grant := func(epoch galenahead.Epoch, granted uint64, keep ...galenahead.InstanceID) {
+		seq := h.Sync(now).Seq
+		h.Granted(now, GrantItem{Epoch: epoch, Life: 7, Seq: seq, Version: seq, Grants: []Grant{{Instance: "i", Granted: granted}}, Keep: keep})
+	}
+	take := func() (galenahead.SlotLease, bool) {
+		l, _, ok := h.Take(now, "a", func([]galenahead.SlotLease) int { return 0 })
+		return l, ok
+	}
+	grant(1, 1)
+	_, ok := take()
+	is.True(ok)
+	now.Mono += SlotTTL
+	grant(1, 3)
+	renewed := now.Mono
+	now.Mono += time.Second
+	h.Join(now, "e1", LeaseItem{Epoch: 2, Kind: LeaseHeld})
+	is.Equal(h.Sync(now).Held, []HeldSlots{{Instance: "i", Base: 3, Lapsed: 1}})
+	carried, ok := take()
+	is.True(ok)
+	is.True(h.Valid(now, carried.ID))
+	grant(2, 0)
+	now.Mono = renewed + SlotTTL
+	is.True(!h.Valid(now, carried.ID))
+	_, ok = take()
+	is.True(!ok)
+	is.Equal(h.held(), 2)
+}
+
+// Guards against a gap in the use of slots that the new broker has confirmed.
+func TestConfirmedSlots(t *testing.T) {
+	is := is.New(t)
+	h := NewHoldings("counter", 7)
+	now := galenapeer.Instant{}
+	h.Join(now, "e0", LeaseItem{Epoch: 1, Kind: LeaseHeld})
+	h.Granted(now, GrantItem{Epoch: 1, Life: 7, Seq: h.Sync(now).Seq, Version: 1, Grants: []Grant{{Instance: "i", Granted: 1}}})
+	l, _, ok := h.Take(now, "a", func([]galenahead.SlotLease) int { return 0 })
+	is.True(ok)
+	now.Mono += time.Second
+	h.Join(now, "e1", LeaseItem{Epoch: 2, Kind: LeaseHeld})
+	h.Granted(now, GrantItem{Epoch: 2, Life: 7, Seq: h.Sync(now).Seq, Version: 1, Keep: []galenahead.InstanceID{"i"}})
+	now.Mono += SlotTTL - 1
+	is.True(h.Valid(now, l.ID))
+	is.True(h.Put(now, l.ID))
+}
+
 // Guards against a bound set by one delayed announcement, as seed 5623 of the
 // histories did.
 func TestBound(t *testing.T) {
--- a/test/galena-bench/sim/shipped.go
+++ b/test/galena-bench/sim/shipped.go
@@ -37,7 +37,9 @@
 	nodes   []*node
 	peers   []galenapeer.Entry
 	offices []*office
-	byID    map[galenahead.InstanceID]*instance
+	// candidates are the electors of the entries; there are none without leases.
+	candidates []*candidate
+	byID       map[galenahead.InstanceID]*instance
 }
 
 // node is one entry's part.
@@ -65,6 +67,11 @@
 	for i, name := range w.t.Services {
 		s.connect(i, galenahead.ServiceName(name))
 	}
+	for _, n := range s.nodes {
+		if !o.Quota {
+			s.candidates = append(s.candidates, newCandidate(s, n))
+		}
+	}
 	s.membership()
 	if o.Gossip > 0 {
 		w.in(o.Gossip, s.gossip)
