Let the histories lose the broker that accepted a leaving

Cause: the histories did not detect a broker that confirms carried slots of instances it knows nothing of (2,000 seeds): the leaving is repeated every second, so that the next broker usually knew of it in time. Now the broker that accepts the first leaving dies at once in half of the cases.

--- a/galenabroker/history_test.go
+++ b/galenabroker/history_test.go
@@ -26,7 +26,7 @@
 var count = flag.Int("histories", 60, "number of random histories")
 
 // faults are the mutations that the histories must detect.
-type faults struct{ grantsAtOnce, anyEpoch, carriesOn bool }
+type faults struct{ grantsAtOnce, anyEpoch, carriesOn, keepsAll bool }
 
 // sim runs the cores of 12 entries and three instances on one event queue. Time
 // is true time; every node sees its own monotonic and wall clock.
@@ -167,6 +167,7 @@
 		n.elector.Abandon(now, simService, t.Epoch)
 	} else if n.desk.ledger != nil {
 		n.desk.ledger.grantsAtOnce = n.s.faults.grantsAtOnce
+		n.desk.ledger.keepsAll = n.s.faults.keepsAll
 	}
 }
 
@@ -373,6 +374,11 @@
 		if l != nil && l.Announce(p.clock(), q) == nil {
 			if a.Leaving && in.leftAt == 0 {
 				in.leftAt = n.s.now
+				if !n.s.calm && n.s.chance(50) {
+					// The next broker does not know yet that the instance leaves.
+					p.alive = false
+					return
+				}
 			}
 			p.push()
 		}
@@ -552,6 +558,7 @@
 		"a new broker grants at once": {grantsAtOnce: true},
 		"the epoch is ignored":        {anyEpoch: true},
 		"carried slots do not expire": {carriesOn: true},
+		"unknown instances are kept":  {keepsAll: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			failure, _ := histories(2000, f)
--- a/galenabroker/ledger.go
+++ b/galenabroker/ledger.go
@@ -52,8 +52,9 @@
 	unreported map[galenahead.InstanceID]*bound
 	retired    map[uint32]bool
 	drained    map[galenahead.VMName]struct{}
-	// grantsAtOnce is set by tests only, to show that the tests detect it.
-	grantsAtOnce bool
+	// grantsAtOnce and keepsAll are set by tests only, to show that the tests
+	// detect them.
+	grantsAtOnce, keepsAll bool
 }
 
 type instance struct {
@@ -496,7 +497,7 @@
 	g := GrantItem{Service: l.service, Epoch: l.tenure.Epoch, Life: s.life, Seq: s.seq, Version: s.version}
 	for _, id := range s.ids {
 		a := s.accounts[id]
-		if a.base > 0 && l.carrying(now) && l.known(now, id) {
+		if a.base > 0 && l.carrying(now) && (l.known(now, id) || l.keepsAll) {
 			g.Keep = append(g.Keep, id)
 		}
 		if a.limit != noLimit {
