--- a/test/galena-capacity/fleet/fleet.go
+++ b/test/galena-capacity/fleet/fleet.go
@@ -317,6 +317,22 @@
 // Renewals is the number of calls for tasks that the platform got.
 func (f *Fleet) Renewals() int64 { return f.platform.calls.Load() }
 
+// Started returns when the platform was first asked to start a job's task.
+func (f *Fleet) Started(job string) (time.Time, bool) {
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	at, ok := f.platform.started[job]
+	return at, ok
+}
+
+// UrgentJob returns a new urgent job for a fleet with the pools and teams of a
+// prepared state.
+func UrgentJob(i int) *galenapb.Job {
+	return &galenapb.Job{
+		Id: fmt.Sprintf("urgent-%03d", i), Team: string(teamName(0)), Pool: string(poolName(1)), Cores: 1, MemoryMb: 1024, Urgent: true,
+	}
+}
+
 // Traffic holds the bytes of the leader's links so far, in both directions.
 type Traffic struct{ Log, Entries, Operators int64 }
 
--- a/test/galena-capacity/fleet/platform.go
+++ b/test/galena-capacity/fleet/platform.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
@@ -17,6 +19,10 @@
 
 	calls  atomic.Int64
 	server *grpc.Server
+
+	mu sync.Mutex
+	// started is when the first start of each job's task was asked for.
+	started map[string]time.Time
 }
 
 func startPlatform(addr string) (*platform, error) {
@@ -24,7 +30,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for the platform")
 	}
-	p := &platform{server: grpc.NewServer()}
+	p := &platform{server: grpc.NewServer(), started: make(map[string]time.Time)}
 	galenapb.RegisterWorkerServer(p.server, p)
 	go func() { _ = p.server.Serve(ln) }()
 	return p, nil
@@ -37,6 +43,11 @@
 
 // Start implements galenapb.WorkerServer.
 func (p *platform) Start(_ context.Context, r *galenapb.TaskRequest) (*galenapb.TaskReply, error) {
+	p.mu.Lock()
+	if _, ok := p.started[r.GetJob()]; !ok {
+		p.started[r.GetJob()] = time.Now()
+	}
+	p.mu.Unlock()
 	return p.running(r)
 }
 
--- a/test/galena-capacity/measure/all.go
+++ b/test/galena-capacity/measure/all.go
@@ -23,6 +23,7 @@
 	idleWindow  = 8 * time.Second
 	pacedWindow = 3 * changePeriod
 	burstSize   = 200
+	urgentJobs  = 20
 	// renewInterval is far above a window where renewals are not measured.
 	renewInterval = time.Minute
 )
@@ -69,7 +70,7 @@
 	for _, n := range []int{1000, 4000, 16_000} {
 		size := InTwoYears
 		size.VMs = n
-		c, err := r.Control(ctx, Spec{Entries: 12, Size: size, Renew: renewInterval, Idle: idleWindow, Burst: burstSize / 4})
+		c, err := r.Control(ctx, Spec{Entries: 12, Size: size, Renew: renewInterval, Idle: idleWindow, Burst: burstSize / 4, Urgent: urgentJobs})
 		if err != nil {
 			return err
 		}
@@ -78,7 +79,7 @@
 	for _, n := range []int{250, 1000} {
 		size := InTwoYears
 		size.VMs, size.Jobs = n, n
-		c, err := r.Control(ctx, Spec{Entries: 12, Size: size, Renew: time.Second, Idle: idleWindow})
+		c, err := r.Control(ctx, Spec{Entries: 12, Size: size, Renew: time.Second, Idle: idleWindow, Urgent: urgentJobs})
 		if err != nil {
 			return err
 		}
--- a/test/galena-capacity/measure/control.go
+++ b/test/galena-capacity/measure/control.go
@@ -39,6 +39,8 @@
 	Idle, Paced time.Duration
 	// Burst is the number of changes sent one after the other.
 	Burst int
+	// Urgent is the number of urgent jobs submitted one after the other.
+	Urgent int
 }
 
 // Daemon is what one daemon uses in a window.
@@ -89,6 +91,9 @@
 	// acceptance, like the roll-out time that the daemon reports.
 	PacedInForce time.Duration
 	Burst        Burst
+	// UrgentStart is the longest time from the submission of an urgent job until
+	// the platform is asked to start its task.
+	UrgentStart time.Duration
 }
 
 // Runner takes measurements with the programs in Bin below Dir.
@@ -162,6 +167,9 @@
 			return err
 		}
 	}
+	if err := m.urgent(ctx, spec.Urgent); err != nil {
+		return err
+	}
 	return m.checkLeader(ctx)
 }
 
@@ -249,15 +257,17 @@
 	submitted, accepted time.Time
 }
 
-// change sends the next change and waits for its acceptance.
+// change sets a setting and waits for the acceptance.
 func (m *controlRun) change(ctx context.Context) (change, error) {
+	return m.apply(ctx, &galenapb.ApplyRequest{Change: &galenapb.ApplyRequest_SettingSet{SettingSet: &galenapb.Setting{
+		Key: fmt.Sprint("key-", m.seq%50), Value: fmt.Sprint("value-", m.seq),
+	}}})
+}
+
+func (m *controlRun) apply(ctx context.Context, req *galenapb.ApplyRequest) (change, error) {
 	c := change{submitted: time.Now()}
-	r, err := m.client.Apply(ctx, &galenapb.ApplyRequest{
-		RequestId: fmt.Sprintf("018f3a2b-7c4d-7e8f-9b0b-%012d", m.seq), BaseRevision: m.seq, Operator: "operator",
-		Change: &galenapb.ApplyRequest_SettingSet{SettingSet: &galenapb.Setting{
-			Key: fmt.Sprint("key-", m.seq%50), Value: fmt.Sprint("value-", m.seq),
-		}},
-	})
+	req.RequestId, req.BaseRevision, req.Operator = fmt.Sprintf("018f3a2b-7c4d-7e8f-9b0b-%012d", m.seq), m.seq, "operator"
+	r, err := m.client.Apply(ctx, req)
 	if err != nil {
 		return c, eris.Wrap(err, "apply a change")
 	}
@@ -266,6 +276,27 @@
 	return c, nil
 }
 
+// urgent submits urgent jobs and waits until each is started.
+func (m *controlRun) urgent(ctx context.Context, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
+	defer cancel()
+	for i := range n {
+		job := fleet.UrgentJob(i)
+		c, err := m.apply(ctx, &galenapb.ApplyRequest{Change: &galenapb.ApplyRequest_JobSubmit{JobSubmit: job}})
+		if err != nil {
+			return err
+		}
+		at, ok := m.f.Started(job.GetId())
+		for ; !ok; at, ok = m.f.Started(job.GetId()) {
+			if err := sleep(ctx, time.Millisecond); err != nil {
+				return eris.Wrap(err, "an urgent job was not started")
+			}
+		}
+		m.out.UrgentStart = max(m.out.UrgentStart, at.Sub(c.submitted))
+	}
+	return nil
+}
+
 // inForce waits until every entry holds the revision and returns since when.
 func (m *controlRun) inForce(ctx context.Context, rev galenahead.Revision) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
--- a/test/galena-capacity/measure/markdown.go
+++ b/test/galena-capacity/measure/markdown.go
@@ -63,23 +63,23 @@
 
 func (r *Report) writeVMs(p *printer) {
 	p.line("\nControl daemons by VMs and running jobs (12 entries, %d services, %d teams, renewals every second), idle:\n", InTwoYears.Services, InTwoYears.Teams)
-	p.line("| VMs | jobs | renewals/s | leader CPU %% | follower CPU %% | leader RSS MB | anonymous | peak | follower RSS MB |")
-	p.line("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	p.line("| VMs | jobs | renewals/s | leader CPU %% | follower CPU %% | leader RSS MB | anonymous | peak | follower RSS MB | urgent job to its start, longest of %d |", urgentJobs)
+	p.line("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
 	for _, list := range [][]Control{r.VMs, r.Jobs} {
 		for _, c := range list {
 			w := c.Idle
-			p.line("| %d | %d | %.0f | %.2f | %.2f | %.1f | %.1f | %.1f | %.1f |", c.Spec.Size.VMs, c.Spec.Size.Jobs, w.Renewals,
-				100*w.Leader.CPU, 100*w.Follower.CPU, w.Leader.RSS/megabyte, w.Leader.Anon/megabyte, w.Leader.Peak/megabyte, w.Follower.RSS/megabyte)
+			p.line("| %d | %d | %.0f | %.2f | %.2f | %.1f | %.1f | %.1f | %.1f | %s |", c.Spec.Size.VMs, c.Spec.Size.Jobs, w.Renewals,
+				100*w.Leader.CPU, 100*w.Follower.CPU, w.Leader.RSS/megabyte, w.Leader.Anon/megabyte, w.Leader.Peak/megabyte, w.Follower.RSS/megabyte, ms(c.UrgentStart))
 		}
 	}
 }
 
 func (r *Report) writeState(p *printer) {
 	p.line("\nGrowth of the control state by one record, bytes:\n")
-	p.line("| record | snapshot | heap | an entry's whole configuration (JSON) |")
-	p.line("| --- | ---: | ---: | ---: |")
+	p.line("| record | snapshot | heap of a replica | whole configuration (JSON) | heap of an entry |")
+	p.line("| --- | ---: | ---: | ---: | ---: |")
 	for _, g := range r.Growth {
-		p.line("| %s | %.0f | %.0f | %.0f |", g.Kind, g.Snapshot, g.Heap, g.Config)
+		p.line("| %s | %.0f | %.0f | %.0f | %.0f |", g.Kind, g.Snapshot, g.Heap, g.Config, g.EntryHeap)
 	}
 	p.line("\nRestart:\n")
 	p.line("| VMs | changes | start to answer | CPU until then | peak MB | start of all to a leader |")
--- a/test/galena-capacity/measure/state.go
+++ b/test/galena-capacity/measure/state.go
@@ -17,8 +17,9 @@
 type Growth struct {
 	Kind string
 	// Snapshot is in the snapshot, Heap in the memory of a restored state
-	// machine, Config in the whole configuration of an entry.
-	Snapshot, Heap, Config float64
+	// machine, Config in the whole configuration in JSON, EntryHeap in the memory
+	// of an entry that holds it.
+	Snapshot, Heap, Config, EntryHeap float64
 }
 
 // growthBase is larger than the limits of the history and of the list of
@@ -38,6 +39,7 @@
 		{"VM", func(s *fleet.Size) { s.VMs += growthStep }},
 		{"team", func(s *fleet.Size) { s.Teams += growthStep }},
 		{"service", func(s *fleet.Size) { s.Services += growthStep }},
+		{"running job", func(s *fleet.Size) { s.VMs, s.Jobs = s.VMs+growthStep, s.Jobs+growthStep }},
 	}
 	base, err := stateSize(growthBase)
 	if err != nil {
@@ -56,6 +58,10 @@
 			// The change that added the record left a request id.
 			g = g.since(out[0])
 		}
+		if k.name == "running job" {
+			// It came with a VM, which left a request id of its own.
+			g = g.since(out[1]).since(out[0])
+		}
 		g.Kind = k.name
 		out = append(out, g)
 	}
@@ -87,14 +93,34 @@
 	runtime.KeepAlive(snapshot)
 	runtime.KeepAlive(config)
 	runtime.KeepAlive(m)
+	entry, err := entryHeap(config)
 	return Growth{
-		Snapshot: float64(len(snapshot)) / growthStep, Heap: (after - before) / growthStep, Config: float64(len(config)) / growthStep,
-	}, nil
+		Snapshot: float64(len(snapshot)) / growthStep, Heap: (after - before) / growthStep,
+		Config: float64(len(config)) / growthStep, EntryHeap: entry / growthStep,
+	}, err
+}
+
+// entryHeap returns what an entry takes that holds the configuration.
+func entryHeap(config []byte) (float64, error) {
+	before := heap()
+	var d galenastate.Delta
+	if err := json.Unmarshal(config, &d); err != nil {
+		return 0, eris.Wrap(err, "decode the configuration")
+	}
+	c, _ := galenastate.Config{}.With(d)
+	d = galenastate.Delta{}
+	after := heap()
+	runtime.KeepAlive(config)
+	runtime.KeepAlive(&d)
+	runtime.KeepAlive(c)
+	return after - before, nil
 }
 
 // since returns what g has more than o.
 func (g Growth) since(o Growth) Growth {
-	return Growth{Snapshot: g.Snapshot - o.Snapshot, Heap: g.Heap - o.Heap, Config: g.Config - o.Config}
+	return Growth{
+		Snapshot: g.Snapshot - o.Snapshot, Heap: g.Heap - o.Heap, Config: g.Config - o.Config, EntryHeap: g.EntryHeap - o.EntryHeap,
+	}
 }
 
 // heap returns the live bytes. What a sync.Pool holds is freed by the second
