--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -1,6 +1,7 @@
 // Command knownred reads the output of "go test -json" and fails unless every
 // failing test is listed in KNOWN-RED.txt. It prints the listed tests and a
-// closing line with the counts.
+// closing line with the counts. With "checks" as first argument it reads the
+// lines "met <name>: ..." and "UNMET <name>: ..." of a benchmark check instead.
 package main
 
 import (
@@ -32,11 +33,16 @@
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "checks" {
+		runChecks(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: go test -json ... | knownred KNOWN-RED.txt")
+		fmt.Fprintln(os.Stderr, "       <check> | knownred checks <program> KNOWN-RED.txt")
 		os.Exit(2)
 	}
-	known, err := readKnown(os.Args[1])
+	known, err := readKnown(os.Args[1], "test: ")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
@@ -51,9 +57,48 @@
 	}
 }
 
-// readKnown returns the tests listed as "test: <package> <name>" lines. A
-// missing file lists none.
-func readKnown(path string) (map[string]bool, error) {
+// runChecks fails unless every unmet goal of program is listed as
+// "check: <program> <name>".
+func runChecks(program, path string) {
+	known, err := readKnown(path, "check: ")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if !checkGoals(os.Stdin, os.Stdout, program, known) {
+		os.Exit(1)
+	}
+}
+
+// checkGoals copies the lines of a check and reports whether there was any goal
+// and every unmet one is known.
+func checkGoals(in io.Reader, out io.Writer, program string, known map[string]bool) bool {
+	goals, unexpected := 0, 0
+	sc := bufio.NewScanner(in)
+	for sc.Scan() {
+		state, rest, _ := strings.Cut(sc.Text(), " ")
+		name, _, ok := strings.Cut(rest, ":")
+		if !ok || (state != "met" && state != "UNMET") {
+			fmt.Fprintln(out, sc.Text())
+			continue
+		}
+		goals++
+		mark := ""
+		if state == "UNMET" {
+			mark = "KNOWN-RED "
+			if !known[program+" "+name] {
+				mark = "FAIL "
+				unexpected++
+			}
+		}
+		fmt.Fprintln(out, mark+sc.Text())
+	}
+	return sc.Err() == nil && goals > 0 && unexpected == 0
+}
+
+// readKnown returns what is listed in lines with the prefix. A missing file
+// lists nothing.
+func readKnown(path, prefix string) (map[string]bool, error) {
 	known := make(map[string]bool)
 	data, err := os.ReadFile(path)
 	if os.IsNotExist(err) {
@@ -63,7 +108,7 @@
 		return nil, err
 	}
 	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(strings.TrimSpace(line), "test: "); ok {
+		if rest, ok := strings.CutPrefix(strings.TrimSpace(line), prefix); ok {
 			known[strings.Join(strings.Fields(rest), " ")] = true
 		}
 	}
