--- a/galenabudget/budget.go
+++ b/galenabudget/budget.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -58,7 +59,10 @@
 // Tracker counts requests. Every service is a shard with its own lock. The zero
 // value has the default configuration.
 type Tracker struct {
-	cfg    Config
+	cfg Config
+	// targets replaces those of cfg once it is set.
+	targets atomic.Pointer[map[galenahead.ServiceName]float64]
+
 	mu     sync.RWMutex
 	shards map[galenahead.ServiceName]*shard
 }
@@ -80,6 +84,19 @@
 // New returns a Tracker without counts.
 func New(cfg Config) *Tracker { return &Tracker{cfg: cfg} }
 
+// SetTargets replaces the targets, as a new configuration does. The map must
+// not be changed afterwards.
+func (t *Tracker) SetTargets(targets map[galenahead.ServiceName]float64) {
+	t.targets.Store(&targets)
+}
+
+func (t *Tracker) target(service galenahead.ServiceName) float64 {
+	if m := t.targets.Load(); m != nil {
+		return (*m)[service]
+	}
+	return t.cfg.Targets[service]
+}
+
 // Count counts one request that ended at now.
 func (t *Tracker) Count(now time.Time, service galenahead.ServiceName, caller galenahead.CallerName, k Kind) {
 	s := t.shard(service)
@@ -147,7 +164,7 @@
 }
 
 func (t *Tracker) report(service galenahead.ServiceName, caller galenahead.CallerName, n counts) Report {
-	target := t.cfg.Targets[service]
+	target := t.target(service)
 	if target <= 0 || target >= 1 {
 		target = defaultTarget
 	}
--- a/galenabudget/budget_test.go
+++ b/galenabudget/budget_test.go
@@ -90,3 +90,19 @@
 	is.Equal(len(all), 5)
 	is.Equal(b.Report(epoch, "s", OtherCallers).OnTime, int64(996))
 }
+
+// Guards against a budget that keeps its former target after a configuration
+// change.
+func TestSetTargets(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := New(Config{Targets: map[galenahead.ServiceName]float64{"s": 0.9}})
+	for range 99 {
+		b.Count(now, "s", "c", OnTime)
+	}
+	b.Count(now, "s", "c", Refused)
+	is.True(b.Report(now, "s", "c").Remaining > 0.89)
+	b.SetTargets(map[galenahead.ServiceName]float64{"s": 0.98})
+	left := b.Report(now, "s", "c").Remaining
+	is.True(left > 0.49 && left < 0.51)
+}
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -32,6 +32,8 @@
 	stopTimeout = maxDeadline + lateLimit
 	// claimBytes is the memory of one claimed key, in bytes.
 	claimBytes = 175
+	// ppm is the number of parts of a whole in budget_ppm.
+	ppm = 1e6
 	// maxAnnouncement is the largest announcement, in bytes.
 	maxAnnouncement = 16 << 10
 )
@@ -143,10 +145,13 @@
 	d.broker.SetDrained(drained)
 	names := make([]galenahead.ServiceName, 0, len(c.Services))
 	services := make([]Service, 0, len(c.Services))
+	targets := make(map[galenahead.ServiceName]float64, len(c.Services))
 	for _, s := range c.Services {
 		names = append(names, s.Name)
+		targets[s.Name] = 1 - float64(s.BudgetPPM)/ppm
 		services = append(services, serviceOf(s))
 	}
+	d.recorder.budgets.SetTargets(targets)
 	d.broker.SetServices(names)
 	d.server.SetServices(d.work, services)
 }
