--- a/errors.go
+++ b/errors.go
@@ -29,8 +29,6 @@
 	ErrQueueFull = eris.New("queue is full")
 	// ErrDeadline reports a request that cannot finish before its deadline.
 	ErrDeadline = eris.New("deadline cannot be met")
-	// ErrNoUpstream reports a service without a usable instance.
-	ErrNoUpstream = eris.New("no upstream available")
 	// ErrNotReady reports an entry that must not serve.
 	ErrNotReady = eris.New("entry is not ready")
 	// ErrCorrupt reports damage in a stored file before its last record.
--- a/request.go
+++ b/request.go
@@ -31,18 +31,6 @@
 	Body        []byte
 }
 
-// WithDeadline returns a copy of r with deadline t.
-func (r Request) WithDeadline(t time.Time) Request {
-	r.Deadline = t
-	return r
-}
-
-// WithKey returns a copy of r with key k.
-func (r Request) WithKey(k RequestKey) Request {
-	r.Key = k
-	return r
-}
-
 // Answer is the outcome of one request. It is immutable.
 type Answer struct {
 	Outcome Outcome `json:"outcome"`
@@ -54,12 +42,6 @@
 	Body        []byte `json:"body,omitempty"`
 }
 
-// WithReason returns a copy of a with the reason.
-func (a Answer) WithReason(reason string) Answer {
-	a.Reason = reason
-	return a
-}
-
 // NotRun returns the answer for a request of which no byte was sent.
 func NotRun(reason string) Answer {
 	return Answer{Outcome: OutcomeNotRun, Reason: reason}
