Lift a throttle once its worker has room again

Cause: the driver throttled deferrable tasks for urgent ones and never lifted the throttle.

Ruled out: keeping the throttled tasks in the control state (a change for each throttle); a new leader leaves tasks throttled that its predecessor throttled.

Before: TestThrottleIsLifted finds 25 percent after the urgent task ended.

Conclusion: throttles end with their cause, except across a change of leader.

--- a/galenacontrol/jobs.go
+++ b/galenacontrol/jobs.go
@@ -31,6 +31,8 @@
 	renewed map[galenahead.JobID]time.Time
 	// since is when this replica began to lead.
 	since time.Time
+	// throttled holds the tasks that this replica throttled.
+	throttled map[galenahead.JobID]bool
 
 	mu sync.Mutex
 	// refused holds workers that refused to start a task, until they may be
@@ -40,7 +42,8 @@
 
 func newJobs(d *Driver) *jobs {
 	return &jobs{
-		driver: d, index: newWorkerIndex(), renewed: make(map[galenahead.JobID]time.Time), refused: make(map[galenahead.VMName]time.Time), since: d.Timers.Now(),
+		driver: d, index: newWorkerIndex(), renewed: make(map[galenahead.JobID]time.Time), refused: make(map[galenahead.VMName]time.Time),
+		throttled: make(map[galenahead.JobID]bool), since: d.Timers.Now(),
 	}
 }
 
@@ -56,6 +59,7 @@
 	for _, j := range queued[:min(len(queued), placementsPerStep)] {
 		s.place(ctx, v, *j, now)
 	}
+	s.unthrottle(ctx, v, now)
 	s.advance(ctx, v, now)
 }
 
--- a/galenacontrol/place.go
+++ b/galenacontrol/place.go
@@ -96,6 +96,7 @@
 		if j, ok := v.Job(id); ok {
 			// An unthrottled task only slows the urgent one down.
 			_, _ = s.driver.Platform.Throttle(ctx, task{job: j, lease: s.lease()}, galenaplace.ThrottlePercent())
+			s.throttled[id] = true
 		}
 	}
 	return true
@@ -112,3 +113,27 @@
 	}})
 	return err == nil
 }
+
+// unthrottle gives throttled tasks their processors back where their workers
+// have room again.
+func (s *jobs) unthrottle(ctx context.Context, v *galenastate.View, now time.Time) {
+	for id := range s.throttled {
+		j, ok := v.Job(id)
+		if !ok || j.Worker == "" {
+			delete(s.throttled, id)
+			continue
+		}
+		if !s.index.placer.Unthrottle(id, now) {
+			continue
+		}
+		if _, err := s.driver.Platform.Throttle(ctx, task{job: j, lease: s.lease()}, wholePercent); err != nil {
+			// The room is taken again until the platform answers.
+			s.index.placer.Throttle(id, now)
+			continue
+		}
+		delete(s.throttled, id)
+	}
+}
+
+// wholePercent lifts a throttle.
+const wholePercent = 100
