Make the initial settings before operators' changes

Cause: the leader sets the weights that nobody has set yet.

Ruled out: a change without a revision for the weights (entries and operators must see them); repeating the operator's change in the client (a conflict must stay visible).

Before: galena-capacity check ends with a conflict.

Conclusion: the first change of an operator meets no unknown rival.

--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -92,17 +92,18 @@
 	for _, c := range d.settings.Control {
 		addresses[c.Name] = c.Operator.String()
 	}
+	weights := map[string]float64{
+		galenastate.SettingBufferCost:  d.settings.Weights.BufferCost,
+		galenastate.SettingRolloutTime: d.settings.Weights.RolloutTime,
+	}
 	d.operator = &Operator{
 		Store: d.store, Publisher: publisher, Timers: d.timers, Addresses: addresses,
-		PeerAddress: d.settings.Listen.Peer.String(), RolledOut: d.rolledOut,
+		PeerAddress: d.settings.Listen.Peer.String(), RolledOut: d.rolledOut, Initial: weights,
 	}
 	d.driver = &Driver{
 		Store: d.store, Reports: reports, Timers: d.timers, Log: d.log, Metrics: &d.metrics,
 		Platform: &Platform{Address: d.settings.Platform.Worker.String()}, RenewInterval: d.settings.Platform.RenewInterval,
-		Weights: map[string]float64{
-			galenastate.SettingBufferCost:  d.settings.Weights.BufferCost,
-			galenastate.SettingRolloutTime: d.settings.Weights.RolloutTime,
-		},
+		Weights: weights,
 	}
 }
 
--- a/galenacontrol/jobs_test.go
+++ b/galenacontrol/jobs_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenapb"
@@ -180,3 +182,20 @@
 	d.stepJobs(t.Context())
 	is.Equal(p.percent["j"], int32(100))
 }
+
+// Guards against an operator's first change that loses against the initial
+// settings of the leader.
+func TestInitialSettingsComeFirst(t *testing.T) {
+	is := is.New(t)
+	d, _, _ := newJobFixture(t)
+	d.Weights = map[string]float64{"buffer_cost": 5, "rollout_time": 1}
+	o := &Operator{Store: d.Store, Initial: d.Weights}
+	for range len(d.Weights) {
+		_, err := o.Get(t.Context(), &galenapb.GetRequest{Kind: "settings"})
+		is.Equal(status.Code(err), codes.Unavailable)
+		d.setWeights(t.Context(), d.Store.View())
+	}
+	r, err := o.Get(t.Context(), &galenapb.GetRequest{Kind: "settings"})
+	is.NoErr(err)
+	is.Equal(len(r.GetSettings()), 2)
+}
--- a/galenacontrol/operator.go
+++ b/galenacontrol/operator.go
@@ -33,6 +33,9 @@
 	Addresses map[galenahead.ReplicaName]string
 	// PeerAddress is where the other replicas reach this one.
 	PeerAddress string
+	// Initial lists the settings that the leader sets before operators' changes.
+	// Until then their base revisions would soon be stale.
+	Initial map[string]float64
 	// RolledOut is called with the roll-out time of each change whose effect
 	// was awaited. It may be nil.
 	RolledOut func(time.Duration)
@@ -102,8 +105,8 @@
 	if err != nil {
 		return nil, o.status(err)
 	}
-	if err := o.Store.Log.ReadBarrier(ctx); err != nil {
-		return nil, o.status(err)
+	if _, err := o.current(ctx); err != nil {
+		return nil, err
 	}
 	if !o.Publisher.MajorityLive() {
 		return nil, status.Error(codes.Unavailable, "not accepted: fewer than half of the entries are connected to the control leader; start them or check the network")
@@ -186,12 +189,34 @@
 	return reply, nil
 }
 
-// Get returns the control state.
-func (o *Operator) Get(ctx context.Context, req *galenapb.GetRequest) (*galenapb.GetReply, error) {
+// current returns the state once the initial settings are in it, or a status.
+func (o *Operator) current(ctx context.Context) (*galenastate.View, error) {
 	v, err := o.Store.Current(ctx)
 	if err != nil {
 		return nil, o.status(err)
 	}
+	if !initialised(v, o.Initial) {
+		return nil, status.Error(codes.Unavailable, "the leader is still making the initial settings; try again")
+	}
+	return v, nil
+}
+
+// initialised tells whether every initial setting has a value.
+func initialised(v *galenastate.View, initial map[string]float64) bool {
+	for key := range initial {
+		if _, ok := v.Setting(key); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Get returns the control state.
+func (o *Operator) Get(ctx context.Context, req *galenapb.GetRequest) (*galenapb.GetReply, error) {
+	v, err := o.current(ctx)
+	if err != nil {
+		return nil, err
+	}
 	reply, err := stateOf(v, req.GetKind())
 	if err != nil {
 		return nil, o.status(err)
--- a/test/galena-capacity/fleet/seed.go
+++ b/test/galena-capacity/fleet/seed.go
@@ -31,6 +31,8 @@
 	settingKeys = 50
 )
 
+var weightKeys = []string{galenastate.SettingBufferCost, galenastate.SettingRolloutTime}
+
 // Seed is a prepared control state: a state machine and its log.
 type Seed struct {
 	Machine galenastate.Machine
@@ -46,6 +48,10 @@
 		n      int
 		change func(int) galenastate.Change
 	}{
+		// The first leader of a cluster sets the weights.
+		{len(weightKeys), func(i int) galenastate.Change {
+			return galenastate.Change{SettingSet: &galenastate.Setting{Key: weightKeys[i], Value: "1"}}
+		}},
 		{s.Pools, seedPool},
 		{s.Teams, seedTeam},
 		{s.VMs, func(i int) galenastate.Change { return seedVM(i, s.Pools) }},
