Measure the request path with the slots that its upstream announces

Cause: an entry now bounds announced slots by the service's own, so the measurement waited for 64 slots that the service did not allow.

Ruled out: taking the bound back (what an instance declares may be far off).

--- a/test/galena-path/fleet/fleet.go
+++ b/test/galena-path/fleet/fleet.go
@@ -69,7 +69,7 @@
 	for _, c := range []string{
 		"pool set counter",
 		"vm add counter-1 --pool counter --data-centre sapporo --rack r1 --cores 64 --memory-mb 131072",
-		"service set counter --pool counter",
+		fmt.Sprintf("service set counter --pool counter --slots %d --connections %d", slots, entries*slots),
 	} {
 		if err := f.ctl(ctx, strings.Fields(c)); err != nil {
 			return err
