Decide the claim before a stopping entry refuses a request

Ruled out: taking the reason out of the test (the answer can be certain); closing the listener first (kept-alive connections would still bring requests).

After: the claim filter runs in front of the refusal, so a resend gets its recorded result, or not_run under a granted claim.

Conclusion: a planned stop leaves no outcome open.

--- a/galenaentry/accept.go
+++ b/galenaentry/accept.go
@@ -22,15 +22,18 @@
 
 // acceptor turns HTTP requests into exchanges and their answers into HTTP.
 type acceptor struct {
-	name     galenahead.EntryName
-	started  time.Time
-	gate     Gate
-	timers   galenahead.Timers
-	handle   Handler
-	observer Observer
-	inFlight atomic.Int64
-	sequence atomic.Uint64
-	stopping atomic.Bool
+	name    galenahead.EntryName
+	started time.Time
+	gate    Gate
+	timers  galenahead.Timers
+	handle  Handler
+	// refuseStopping answers while the entry stops. It decides the claim first,
+	// so that a resend gets its recorded result or a certain not_run.
+	refuseStopping Handler
+	observer       Observer
+	inFlight       atomic.Int64
+	sequence       atomic.Uint64
+	stopping       atomic.Bool
 }
 
 // serve handles one HTTP request of a caller.
@@ -55,7 +58,7 @@
 // through the filters otherwise.
 func (a *acceptor) answer(x *Exchange) galenahead.Answer {
 	if a.stopping.Load() {
-		return refuse(x, ReasonShuttingDown)
+		return a.refuseStopping(context.Background(), x)
 	}
 	if err := a.gate.Serving(); err != nil {
 		return refuse(x, ReasonNotReady)
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -68,6 +68,9 @@
 	s.attempts = &attempts{sender: sender, timers: cfg.Timers}
 	s.accept = &acceptor{
 		name: cfg.Name, started: cfg.Timers.Now(), gate: cfg.Gate, timers: cfg.Timers, observer: cfg.Observer,
+		refuseStopping: Chain(func(context.Context, *Exchange) galenahead.Answer {
+			return galenahead.NotRun(ReasonShuttingDown)
+		}, claimFilter(s.claims)),
 		handle: Chain(s.attempts.handle,
 			claimFilter(s.claims),
 			retryFilter(&galenaretry.Budgets{}, cfg.Timers),
