--- /dev/null
+++ b/cmd/galenactl/cli/change.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead/cmd/galenactl/client"
+	"github.com/galenahead/galenahead/galenapb"
+)
+
+// changeHeader names the columns of a change's result.
+var changeHeader = []string{"REVISION", "IN FORCE", "ROLL-OUT MS"}
+
+// Change sends one change and prints its result.
+func (f *Factory) Change(ctx context.Context, req *galenapb.ApplyRequest) error {
+	return f.Changes(ctx, []*galenapb.ApplyRequest{req}, 0)
+}
+
+// Changes sends changes in order, each based on the one before, waits for the
+// last one to be in force for at most wait, and prints its result. With more
+// than one change, each gets its own request id that follows from --request-id,
+// so that a repeated command changes nothing twice. It fails with a UsageError
+// when wait is not shorter than --timeout.
+func (f *Factory) Changes(ctx context.Context, reqs []*galenapb.ApplyRequest, wait time.Duration) error {
+	if wait >= f.Flags.Timeout {
+		return Usagef("--wait %s is not shorter than --timeout %s", wait, f.Flags.Timeout)
+	}
+	return f.Query(ctx, func(ctx context.Context, c *client.Client) error {
+		id := f.requestID()
+		base, err := f.baseRevision(ctx, c)
+		if err != nil {
+			return err
+		}
+		reqs[len(reqs)-1].WaitMs = wait.Milliseconds()
+		first := base
+		var r *galenapb.ChangeReply
+		for i, req := range reqs {
+			req.RequestId = changeID(id, i, len(reqs))
+			req.Operator = f.Operator
+			req.BaseRevision = base
+			if r, err = c.Apply(ctx, req); err != nil {
+				return resendHint(err, id, first)
+			}
+			base = r.GetRevision()
+		}
+		return f.printChange(r, wait)
+	})
+}
+
+func (f *Factory) requestID() string {
+	if f.Flags.RequestID != "" {
+		return f.Flags.RequestID
+	}
+	return f.NewID()
+}
+
+func changeID(id string, i, n int) string {
+	if n == 1 {
+		return id
+	}
+	return fmt.Sprintf("%s.%d", id, i+1)
+}
+
+// baseRevision returns --base-revision or the latest revision. It asks for the
+// pools because they are the smallest part of the state.
+func (f *Factory) baseRevision(ctx context.Context, c *client.Client) (uint64, error) {
+	if f.Flags.BaseRevision != 0 {
+		return f.Flags.BaseRevision, nil
+	}
+	r, err := c.Get(ctx, "pools")
+	return r.GetRevision(), err
+}
+
+// resendHint tells how to repeat a change whose outcome is not known.
+func resendHint(err error, id string, base uint64) error {
+	if !errors.Is(err, client.ErrNoLeader) {
+		return err
+	}
+	return eris.Wrapf(err, "outcome unknown; repeat with --request-id %s --base-revision %d", id, base)
+}
+
+func (f *Factory) printChange(r *galenapb.ChangeReply, wait time.Duration) error {
+	row := []any{r.GetRevision(), r.GetInForce(), r.GetRolloutMs()}
+	if err := f.Print(r, changeHeader, [][]any{row}); err != nil {
+		return err
+	}
+	if wait > 0 && !r.GetInForce() {
+		return eris.Errorf("revision %d is accepted but not in force after %s; see galenactl cluster status",
+			r.GetRevision(), wait)
+	}
+	return nil
+}
+
+// ChangeMember changes one replica and prints the result.
+func (f *Factory) ChangeMember(ctx context.Context, req *galenapb.ChangeMemberRequest) error {
+	return f.Query(ctx, func(ctx context.Context, c *client.Client) error {
+		r, err := c.ChangeMember(ctx, req)
+		if err != nil {
+			return err
+		}
+		return f.printChange(r, 0)
+	})
+}
--- /dev/null
+++ b/cmd/galenactl/cli/command.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/galenahead/galenahead/cmd/galenactl/client"
+	"github.com/galenahead/galenahead/galenapb"
+)
+
+// NewGroup returns a command that only holds subcommands.
+func NewGroup(use, short string, subs ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   use + " <command>",
+		Short: short,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return Usagef("unknown command %q; see %s --help", args[0], cmd.CommandPath())
+			}
+			return Usagef("no command; see %s --help", cmd.CommandPath())
+		},
+	}
+	cmd.AddCommand(subs...)
+	return cmd
+}
+
+// ListOptions are the options of a list command.
+type ListOptions struct {
+	Factory *Factory
+	// Kind is the part of the control state to read.
+	Kind   string
+	Header []string
+	// Select returns the rows, and may drop messages from the reply.
+	Select func(*galenapb.GetReply) [][]any
+}
+
+// Run reads and prints the list.
+func (o *ListOptions) Run(ctx context.Context) error {
+	return o.Factory.Query(ctx, func(ctx context.Context, c *client.Client) error {
+		r, err := c.Get(ctx, o.Kind)
+		if err != nil {
+			return err
+		}
+		rows := o.Select(r)
+		return o.Factory.Print(r, o.Header, rows, "revision", o.Kind)
+	})
+}
+
+// NewCmdList returns a command that prints one part of the control state.
+func NewCmdList(o *ListOptions, short string, runF func(context.Context, *ListOptions) error) *cobra.Command {
+	if runF == nil {
+		runF = func(ctx context.Context, o *ListOptions) error { return o.Run(ctx) }
+	}
+	return &cobra.Command{
+		Use:   "list",
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runF(cmd.Context(), o)
+		},
+	}
+}
+
+// Rows returns one row for each message.
+func Rows[T proto.Message](ms []T, row func(T) []any) [][]any {
+	rows := make([][]any, len(ms))
+	for i, m := range ms {
+		rows[i] = row(m)
+	}
+	return rows
+}
+
+// Require fails with a UsageError when a named flag was not set.
+func Require(cmd *cobra.Command, names ...string) error {
+	for _, n := range names {
+		if !cmd.Flags().Changed(n) {
+			return Usagef("--%s is missing: %s", n, cmd.Flags().Lookup(n).Usage)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/galenactl/cli/print.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// Print writes a message as JSON with --json, and otherwise its rows as a
+// table on a terminal and as tab-separated lines without header elsewhere. The
+// JSON holds only the named fields of the message, or all without names.
+func (f *Factory) Print(m proto.Message, header []string, rows [][]any, fields ...string) error {
+	if f.Flags.JSON {
+		return f.printJSON(m, fields)
+	}
+	if f.IO.Terminal {
+		return f.printTable(header, rows)
+	}
+	return f.printPlain(rows)
+}
+
+// printJSON encodes the message again because the output of protojson is not
+// stable between builds. 64-bit numbers are strings, as in protojson.
+func (f *Factory) printJSON(m proto.Message, fields []string) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "encode JSON")
+	}
+	var v map[string]any
+	if err := json.Unmarshal(data, &v); err != nil {
+		return eris.Wrap(err, "encode JSON")
+	}
+	if len(fields) > 0 {
+		maps.DeleteFunc(v, func(name string, _ any) bool { return !slices.Contains(fields, name) })
+	}
+	enc := json.NewEncoder(f.IO.Out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (f *Factory) printTable(header []string, rows [][]any) error {
+	w := tabwriter.NewWriter(f.IO.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(header, "\t"))
+	for _, r := range rows {
+		fmt.Fprintln(w, line(r))
+	}
+	return w.Flush()
+}
+
+func (f *Factory) printPlain(rows [][]any) error {
+	for _, r := range rows {
+		if _, err := fmt.Fprintln(f.IO.Out, line(r)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// line joins cells by tabs. Control characters in a cell become spaces so that
+// text of other operators cannot break columns or drive the terminal.
+func line(cells []any) string {
+	texts := make([]string, len(cells))
+	for i, c := range cells {
+		texts[i] = strings.Map(printable, fmt.Sprint(c))
+	}
+	return strings.Join(texts, "\t")
+}
+
+func printable(r rune) rune {
+	if unicode.IsControl(r) {
+		return ' '
+	}
+	return r
+}
--- /dev/null
+++ b/cmd/galenactl/cli/streams.go
@@ -0,0 +1,36 @@
+// Package cli holds what all commands of galenactl share: streams, global
+// flags, output and errors.
+package cli
+
+import (
+	"bytes"
+	"io"
+	"os"
+
+	"golang.org/x/term"
+)
+
+// IOStreams are the streams of a command.
+type IOStreams struct {
+	In     io.Reader
+	Out    io.Writer
+	ErrOut io.Writer
+	// Terminal tells whether Out is a terminal.
+	Terminal bool
+}
+
+// SystemStreams returns the streams of the process.
+func SystemStreams() *IOStreams {
+	return &IOStreams{
+		In:       os.Stdin,
+		Out:      os.Stdout,
+		ErrOut:   os.Stderr,
+		Terminal: term.IsTerminal(int(os.Stdout.Fd())),
+	}
+}
+
+// TestStreams returns streams to buffers.
+func TestStreams(terminal bool) (s *IOStreams, out, errOut *bytes.Buffer) {
+	out, errOut = &bytes.Buffer{}, &bytes.Buffer{}
+	return &IOStreams{In: &bytes.Buffer{}, Out: out, ErrOut: errOut, Terminal: terminal}, out, errOut
+}
--- /dev/null
+++ b/cmd/galenactl/cluster/member.go
@@ -0,0 +1,76 @@
+package cluster
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/spf13/cobra"
+
+	"github.com/galenahead/galenahead/cmd/galenactl/cli"
+	"github.com/galenahead/galenahead/galenapb"
+)
+
+// MemberOptions are the options of cluster member add, promote and remove.
+type MemberOptions struct {
+	Factory *cli.Factory
+	Request *galenapb.ChangeMemberRequest
+}
+
+// NewCmdMember returns the command group for replicas.
+func NewCmdMember(f *cli.Factory) *cobra.Command {
+	return cli.NewGroup("member", "Add, promote and remove replicas",
+		NewCmdAdd(f, nil), NewCmdPromote(f, nil), NewCmdRemove(f, nil))
+}
+
+// NewCmdAdd returns the command that adds a replica as a learner.
+func NewCmdAdd(f *cli.Factory, runF func(context.Context, *MemberOptions) error) *cobra.Command {
+	o := newOptions(f, galenapb.ChangeMemberRequest_ACTION_ADD_LEARNER)
+	cmd := newCmd(o, "add <name>", "Add a replica as a learner", runF)
+	flags := cmd.Flags()
+	flags.StringVar(&o.Request.Member.Address, "address", "", "peer address of the replica (ip:port)")
+	flags.Uint64Var(&o.Request.Member.Incarnation, "incarnation", 0,
+		"random number that the replica stored at its first start, 0 if unknown (number)")
+	cmd.PreRunE = func(*cobra.Command, []string) error {
+		if _, err := netip.ParseAddrPort(o.Request.Member.Address); err != nil {
+			return cli.Usagef("--address %q is not ip:port", o.Request.Member.Address)
+		}
+		return nil
+	}
+	return cmd
+}
+
+// NewCmdPromote returns the command that makes a learner a voter.
+func NewCmdPromote(f *cli.Factory, runF func(context.Context, *MemberOptions) error) *cobra.Command {
+	o := newOptions(f, galenapb.ChangeMemberRequest_ACTION_PROMOTE)
+	return newCmd(o, "promote <name>", "Make a learner a voter once it has caught up", runF)
+}
+
+// NewCmdRemove returns the command that removes a replica.
+func NewCmdRemove(f *cli.Factory, runF func(context.Context, *MemberOptions) error) *cobra.Command {
+	o := newOptions(f, galenapb.ChangeMemberRequest_ACTION_REMOVE)
+	return newCmd(o, "remove <name>", "Remove a replica", runF)
+}
+
+func newOptions(f *cli.Factory, action galenapb.ChangeMemberRequest_Action) *MemberOptions {
+	req := &galenapb.ChangeMemberRequest{Action: action, Member: &galenapb.Member{}}
+	return &MemberOptions{Factory: f, Request: req}
+}
+
+func newCmd(o *MemberOptions, use, short string, runF func(context.Context, *MemberOptions) error) *cobra.Command {
+	if runF == nil {
+		runF = runMember
+	}
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			o.Request.Member.Name = args[0]
+			return runF(cmd.Context(), o)
+		},
+	}
+}
+
+func runMember(ctx context.Context, o *MemberOptions) error {
+	return o.Factory.ChangeMember(ctx, o.Request)
+}
--- /dev/null
+++ b/cmd/galenactl/root/root_test.go
@@ -0,0 +1,168 @@
+package root
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/galenahead/galenahead/cmd/galenactl/cli"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+const here = "127.0.0.1:1"
+
+// Guards against a flag that does not reach its field, changed output formats
+// and wrong exit codes.
+func TestCommandsGolden(t *testing.T) {
+	lines, err := os.ReadFile("testdata/commands.txt")
+	is.New(t).NoErr(err)
+	var b strings.Builder
+	for line := range strings.Lines(string(lines)) {
+		args := strings.Fields(line)
+		terminal := args[0] == "tty"
+		d := &daemon{}
+		code, out, errOut := run(t, map[string]*daemon{here: d}, terminal, args[1:]...)
+		fmt.Fprintf(&b, "$ %s\n%s", strings.TrimSpace(line), out)
+		for _, r := range d.applied {
+			fmt.Fprintf(&b, "request %s\n", compact(t, r))
+		}
+		for _, r := range d.members {
+			fmt.Fprintf(&b, "request %s\n", compact(t, r))
+		}
+		for _, r := range d.boots {
+			fmt.Fprintf(&b, "request %s\n", compact(t, r))
+		}
+		if code != 0 {
+			fmt.Fprintf(&b, "exit %d: %s\n", code, errOut)
+		}
+	}
+	golden(t, "testdata/commands.golden", b.String())
+}
+
+func compact(t *testing.T, m proto.Message) string {
+	t.Helper()
+	data, err := protojson.Marshal(m)
+	is.New(t).NoErr(err)
+	var v any
+	is.New(t).NoErr(json.Unmarshal(data, &v))
+	data, err = json.Marshal(v)
+	is.New(t).NoErr(err)
+	return string(data)
+}
+
+func golden(t *testing.T, path, got string) {
+	t.Helper()
+	is := is.New(t)
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
+
+// Guards against a client that gives up at a follower or applies the change
+// there.
+func TestLeaderRedirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		follower := &daemon{leader: "127.0.0.2:2"}
+		leader := &daemon{}
+		code, out, errOut := run(t, map[string]*daemon{here: follower, "127.0.0.2:2": leader}, false, "pool", "set", "p")
+		is.Equal(errOut, "")
+		is.Equal(code, cli.ExitOK)
+		is.Equal(out, "42\tfalse\t0\n")
+		is.Equal(len(follower.applied), 0)
+		is.Equal(len(leader.applied), 1)
+	})
+}
+
+// Guards against a change that is applied twice, or lost, when the answer to
+// it is lost on a closed or on a silent connection.
+func TestLostAnswerIsResentUnderTheSameID(t *testing.T) {
+	for name, broken := range map[string]*daemon{
+		"closed": {fail: status.Error(codes.Unavailable, "connection closed")},
+		"silent": {silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				other := &daemon{}
+				daemons := map[string]*daemon{here: broken, "127.0.0.2:2": other}
+				code, out, _ := run(t, daemons, false, "config", "apply", "trace", "on", "--control", here+",127.0.0.2:2")
+				is.Equal(code, cli.ExitOK)
+				is.Equal(out, "42\ttrue\t850\n")
+				is.Equal(len(broken.applied), 1)
+				is.Equal(len(other.applied), 1)
+				is.True(proto.Equal(broken.applied[0], other.applied[0])) // id, base and content are the same
+			})
+		})
+	}
+}
+
+// Guards against an outcome that is reported as a failure when it is unknown.
+func TestUnknownOutcomeNamesTheRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		code, _, errOut := run(t, map[string]*daemon{here: {silent: true}}, false, "pool", "set", "p")
+		is.Equal(code, cli.ExitNoLeader)
+		is.True(strings.Contains(errOut, "--request-id 00000000-0000-4000-8000-000000000001 --base-revision 41"))
+		code, _, errOut = run(t, nil, false, "pool", "list")
+		is.Equal(code, cli.ExitNoLeader)
+		is.True(strings.Contains(errOut, "check --control"))
+	})
+}
+
+// Guards against a lost race that looks like success or like a plain failure.
+func TestConflict(t *testing.T) {
+	is := is.New(t)
+	d := &daemon{fail: status.Error(codes.Aborted, "revision 42 set trace to off")}
+	code, _, errOut := run(t, map[string]*daemon{here: d}, false, "config", "apply", "trace", "on")
+	is.Equal(code, cli.ExitConflict)
+	is.Equal(errOut, "galenactl: conflict: revision 42 set trace to off; read the latest state and apply again")
+	is.Equal(len(d.applied), 1)
+}
+
+// Guards against a second blank cluster after a lost answer to bootstrap.
+func TestBootstrapIsNotResent(t *testing.T) {
+	is := is.New(t)
+	broken := &daemon{fail: status.Error(codes.Unavailable, "connection closed")}
+	other := &daemon{}
+	code, _, _ := run(t, map[string]*daemon{here: broken, "127.0.0.2:2": other}, false,
+		"cluster", "bootstrap", "--member", "c1=127.0.0.1:8090", "--control", here+",127.0.0.2:2")
+	is.Equal(code, cli.ExitNoLeader)
+	is.Equal(len(broken.boots), 1)
+	is.Equal(len(other.boots), 0)
+}
+
+// Guards against a flag whose help does not state a unit or form.
+func TestFlagsStateTheirUnit(t *testing.T) {
+	unit := regexp.MustCompile(`\([^)]+\)$`)
+	streams, _, _ := cli.TestStreams(false)
+	var walk func(*cobra.Command)
+	walk = func(cmd *cobra.Command) {
+		cmd.LocalFlags().VisitAll(func(f *pflag.Flag) {
+			if !unit.MatchString(f.Usage) {
+				t.Errorf("%s --%s: no unit at the end of %q", cmd.CommandPath(), f.Name, f.Usage)
+			}
+		})
+		for _, sub := range cmd.Commands() {
+			walk(sub)
+		}
+	}
+	walk(NewCmdRoot(&cli.Factory{IO: streams}))
+}
