--- /dev/null
+++ b/cmd/galena-fleet/command/control.go
@@ -0,0 +1,177 @@
+package command
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenajob"
+	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenaraft"
+	"github.com/galenahead/galenahead/galenarpc"
+	"github.com/galenahead/galenahead/galenasettings"
+	"github.com/galenahead/galenahead/galenatimer"
+	"github.com/galenahead/galenahead/platform"
+)
+
+// control keeps a replica of the fleet's state and owns the fleet while it
+// leads.
+type control struct {
+	daemon
+	node   *galenaraft.Node
+	owner  *galenafleet.Owner
+	keeper *galenafleet.Keeper
+	server *galenarpc.Server
+}
+
+// Timing of the log. An instance's lease outlives the change of a leader.
+const (
+	heartbeat          = 150 * time.Millisecond
+	lease              = 700 * time.Millisecond
+	minElectionTimeout = 900 * time.Millisecond
+	maxElectionTimeout = 1500 * time.Millisecond
+	callTimeout        = 500 * time.Millisecond
+)
+
+// instanceLease is how long an order lets an instance work; longer than the
+// change of a leader takes, and as short as possible, since work on an instance
+// that is lost restarts only after it.
+const instanceLease = 5 * time.Second
+
+func runControl(_ context.Context, path string, f galenasettings.Fleet, load loader, log *galenadaemon.Log) (galenadaemon.Runner, error) {
+	timers := &galenatimer.Steady{}
+	caller := &galenarpc.Client{}
+	state := &galenafleet.State{}
+	node, err := galenaraft.Open(galenaraft.Config{
+		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, Caller: caller, Timers: timers, Log: log.Logger,
+		Heartbeat: heartbeat, Lease: lease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
+		CallTimeout: callTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &control{node: node, server: &galenarpc.Server{Mux: &galenarpc.Mux{}}}
+	directory := &galenafleet.Directory{Caller: caller, Timers: timers, Logger: log.Logger, Self: c.whereabouts}
+	directory.SetSeeds(f.Control.SeedPeers())
+	c.daemon = daemon{
+		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
+		gateway: &galenafleet.Gateway{Directory: directory, Caller: caller, Logger: log.Logger},
+	}
+	client := &platform.Client{}
+	metrics := &galenametric.Metrics{}
+	metrics.Publish("galena")
+	c.owner = &galenafleet.Owner{
+		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
+		Instances:    &platform.Instances{Client: client},
+		Advisor:      &platform.Advisor{Client: client, Address: f.Platform.Advisor.String()},
+		Machines:     &platform.Machines{Client: client, Address: f.Platform.Machines.String()},
+		Params:       params(f),
+		MachineLease: f.Instances.MachineLease, Keep: f.Instances.KeepFinal,
+	}
+	c.keeper = &galenafleet.Keeper{
+		Self: c.member(), Log: node, Directory: directory, Timers: timers, Logger: log.Logger,
+		Bootstrap: f.Control.Bootstrap, Seeds: f.Control.SeedPeers(), Voters: 2*f.Control.Losses + 1,
+	}
+	node.Register(c.server.Mux)
+	directory.Register(c.server.Mux)
+	c.owner.Register(c.server.Mux)
+	return c, nil
+}
+
+// params returns the bounds of the scheduler.
+func params(f galenasettings.Fleet) galenajob.Params {
+	return galenajob.Params{
+		Lease:         min(instanceLease, f.Instances.MaxLease*9/10),
+		Silence:       900 * time.Millisecond,
+		Resend:        150 * time.Millisecond,
+		Suspicion:     1500 * time.Millisecond,
+		Restart:       50 * time.Millisecond,
+		DrainPatience: 1500 * time.Millisecond,
+		GoneAfter:     12 * time.Second,
+		StopTimeout:   f.Instances.StopTimeout,
+		AdviceWait:    500 * time.Millisecond,
+	}
+}
+
+func (c *control) member() galenahead.Member {
+	return galenahead.Member{
+		Name: c.settings.Replica(), Address: c.settings.Listen.Peer.String(), Incarnation: c.node.Status().Incarnation,
+	}
+}
+
+// whereabouts is what other daemons may know.
+func (c *control) whereabouts() galenafleet.Whereabouts {
+	st := c.node.Status()
+	w := galenafleet.Whereabouts{
+		Self: c.member(), Blank: st.Role == string(galenaraft.RoleBlank), Term: st.Term, Members: st.Members,
+	}
+	for _, m := range st.Members {
+		if m.Name == st.Leader {
+			w.Leader = m.Address
+		}
+	}
+	return w
+}
+
+// leaderHost returns the host of the daemon that leads.
+func (c *control) leaderHost() (string, bool) {
+	addr, ok := c.directory.Leader()
+	if !ok {
+		return "", false
+	}
+	host, _, err := net.SplitHostPort(addr)
+	return host, err == nil
+}
+
+// stopTimeout bounds the handing over of the lead at a stop.
+const stopTimeout = time.Second
+
+// Run serves until ctx ends; it then hands over the lead and finishes what has
+// begun.
+func (c *control) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	ln, err := galenadaemon.Listen(c.settings.Listen.Peer)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return c.server.Serve(serving, ln) })
+	operator := &platform.Control{
+		Fleet: c.gateway, Logger: c.log.Logger, Leader: c.leaderHost, Port: int(c.settings.Listen.Operator.Port()),
+	}
+	closing := func() bool { return ctx.Err() != nil }
+	if err := serveHTTP(serving, &group, platform.NewServer(operator.Handle, closing), c.settings.Listen.Operator); err != nil {
+		return err
+	}
+	if err := serveHTTP(serving, &group, platform.NewStatus(func() error { return nil }), c.settings.Listen.Status); err != nil {
+		return err
+	}
+	group.Go(func() error { return c.node.Run(serving) })
+	group.Go(func() error { return c.directory.Run(serving) })
+	group.Go(func() error { return c.keeper.Run(serving) })
+	group.Go(func() error { return c.owner.Run(serving) })
+	group.Go(func() error { return c.watchSettings(serving) })
+	<-ctx.Done()
+	c.log.Info("control daemon stops")
+	c.handOver()
+	stop()
+	return group.Wait()
+}
+
+// handOver gives the lead to another replica.
+func (c *control) handOver() {
+	if !c.node.HoldsLease() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := c.node.TransferLeadership(ctx); err != nil {
+		c.log.WithError(err).Warn("lead not handed over")
+	}
+}
--- a/galenadaemon/daemon.go
+++ b/galenadaemon/daemon.go
@@ -27,10 +27,18 @@
 	file   io.Closer
 }
 
-// OpenLog opens the log at path, or on standard error for "-".
+// StandardOutput is the path that stands for standard output.
+const StandardOutput = "stdout"
+
+// OpenLog opens the log at path, on standard error for "-", or on standard
+// output for StandardOutput.
 func OpenLog(path string, level logrus.Level) (*Log, error) {
 	out, closer := io.Writer(os.Stderr), io.Closer(nil)
-	if path != "-" {
+	switch path {
+	case "-":
+	case StandardOutput:
+		out = os.Stdout
+	default:
 		f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 		if err != nil {
 			return nil, eris.Wrap(err, "open log_file")
@@ -74,15 +82,16 @@
 
 // Serve serves until ctx ends.
 func (s *Status) Serve(ctx context.Context, ln net.Listener) error {
-	srv := &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second}
+	srv := &fasthttp.Server{Handler: s.Handle, NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second}
 	return ServeHTTP(ctx, srv, ln)
 }
 
-func (s *Status) handle(c *fasthttp.RequestCtx) {
+// Handle answers one request.
+func (s *Status) Handle(c *fasthttp.RequestCtx) {
 	path := string(c.Path())
 	switch path {
 	case "/ready":
-		s.ready(c)
+		s.AnswerReady(c)
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(c)
 	default:
@@ -94,7 +103,8 @@
 	}
 }
 
-func (s *Status) ready(c *fasthttp.RequestCtx) {
+// AnswerReady answers whether the balancer may send requests here.
+func (s *Status) AnswerReady(c *fasthttp.RequestCtx) {
 	if err := s.Ready(); err != nil {
 		c.Error(err.Error()+"\n", fasthttp.StatusServiceUnavailable)
 		return
--- /dev/null
+++ b/galenafleet/committer.go
@@ -0,0 +1,141 @@
+package galenafleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+)
+
+const (
+	// commitTimeout bounds one proposal; an owner whose log does not answer for
+	// that long gives up its office.
+	commitTimeout = 2 * time.Second
+	// maxBatchOps and maxBatchBytes bound the operations of one log entry, well
+	// below the longest command.
+	maxBatchOps   = 512
+	maxBatchBytes = 512 << 10
+	// commitQueue bounds the operations that wait.
+	commitQueue = 4096
+)
+
+// committer proposes operations, several in one entry of the log, so that they
+// share a sync.
+type committer struct {
+	log   galenahead.ReplicatedLog
+	queue chan proposal
+	// failed ends the office after a proposal whose outcome is not known.
+	failed context.CancelCauseFunc
+}
+
+type proposal struct {
+	ops  []Op
+	size int
+	done chan<- []Result
+}
+
+func newCommitter(log galenahead.ReplicatedLog, failed context.CancelCauseFunc) *committer {
+	return &committer{log: log, queue: make(chan proposal, commitQueue), failed: failed}
+}
+
+// commit returns the results of ops once they are durable and applied. With an
+// error their outcome is not known.
+func (c *committer) commit(ctx context.Context, ops ...Op) ([]Result, error) {
+	size := 0
+	for i := range ops {
+		size += sizeOf(&ops[i])
+	}
+	done := make(chan []Result, 1)
+	select {
+	case c.queue <- proposal{ops, size, done}:
+	case <-ctx.Done():
+		return nil, eris.Wrap(galenahead.ErrNotLeader, "commit was not begun")
+	}
+	select {
+	case r := <-done:
+		return r, nil
+	case <-ctx.Done():
+		return nil, eris.Wrap(galenahead.ErrNoQuorum, "commit")
+	}
+}
+
+// sizeOf estimates the encoded size of op.
+func sizeOf(op *Op) int {
+	const base = 256
+	switch {
+	case op.Config != nil:
+		return base + 2*len(op.Config.Source) + 128*len(op.Config.Queues)
+	case op.Submit != nil:
+		return base + len(op.Submit.Spec.Payload) + 128*len(op.Submit.Spec.Steps)
+	}
+	return base
+}
+
+// loop proposes what waits until ctx ends.
+func (c *committer) loop(ctx context.Context) error {
+	var held *proposal
+	for {
+		var batch []proposal
+		size := 0
+		if held != nil {
+			batch, size, held = append(batch, *held), held.size, nil
+		} else {
+			select {
+			case p := <-c.queue:
+				batch, size = append(batch, p), p.size
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		ops := len(batch[0].ops)
+	more:
+		for {
+			select {
+			case p := <-c.queue:
+				if ops+len(p.ops) > maxBatchOps || size+p.size > maxBatchBytes {
+					held = &p
+					break more
+				}
+				batch, size, ops = append(batch, p), size+p.size, ops+len(p.ops)
+			default:
+				break more
+			}
+		}
+		if err := c.propose(ctx, batch); err != nil {
+			c.failed(err)
+			return nil
+		}
+	}
+}
+
+func (c *committer) propose(ctx context.Context, batch []proposal) error {
+	var ops []Op
+	for _, p := range batch {
+		ops = append(ops, p.ops...)
+	}
+	b, err := encodeCommand(ops)
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	out, err := c.log.Propose(call, b)
+	if err != nil {
+		return err
+	}
+	var results []Result
+	if err := cbor.Unmarshal(out, &results); err != nil {
+		return eris.Wrap(err, "decode results")
+	}
+	if len(results) != len(ops) {
+		return eris.Errorf("%d results for %d operations", len(results), len(ops))
+	}
+	for _, p := range batch {
+		p.done <- results[:len(p.ops):len(p.ops)]
+		results = results[len(p.ops):]
+	}
+	return nil
+}
--- /dev/null
+++ b/galenafleet/lines.go
@@ -0,0 +1,88 @@
+package galenafleet
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+	"github.com/galenahead/galenahead/galenalog"
+)
+
+// orderLine is the log line of an order to an instance.
+type orderLine struct {
+	action  galenajob.Action
+	outcome galenajob.Outcome
+	took    time.Duration
+	err     error
+}
+
+// AppendFields implements galenalog.Line.
+func (l orderLine) AppendFields(b []byte) []byte {
+	a := l.action
+	b = galenalog.AppendString(b, "order", string(a.Kind))
+	b = appendItem(b, a.Item)
+	b = galenalog.AppendInt(b, "run", a.Run)
+	b = galenalog.AppendString(b, "instance", string(a.Instance.ID))
+	b = galenalog.AppendInt(b, "fence", a.Fence)
+	b = galenalog.AppendString(b, "reason", a.Reason)
+	if a.Kind == galenajob.ActStart {
+		b = galenalog.AppendInt(b, "waited_ms", a.Waited.Milliseconds())
+		b = galenalog.AppendInt(b, "free_milli_cpu", a.Free.MilliCPU)
+		b = galenalog.AppendInt(b, "deadline", a.Deadline)
+	}
+	if a.Kind == galenajob.ActPace {
+		b = galenalog.AppendInt(b, "percent", int64(a.Percent))
+	}
+	b = galenalog.AppendInt(b, "took_us", l.took.Microseconds())
+	if l.err != nil {
+		b = galenalog.AppendString(b, "error", l.err.Error())
+	}
+	return galenalog.AppendString(b, "outcome", l.outcome.String())
+}
+
+func appendItem(b []byte, id galenajob.ItemID) []byte {
+	b = galenalog.AppendString(b, "job", string(id.Job))
+	k := id.Item
+	item := strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
+	return galenalog.AppendString(b, "item", item)
+}
+
+// endLine is the log line of a recorded end.
+type endLine struct {
+	end      galenajob.End
+	instance galenahead.InstanceID
+	state    galenajob.State
+}
+
+// AppendFields implements galenalog.Line.
+func (l endLine) AppendFields(b []byte) []byte {
+	b = appendItem(b, l.end.Item)
+	b = galenalog.AppendInt(b, "run", l.end.Number)
+	b = galenalog.AppendString(b, "instance", string(l.instance))
+	b = galenalog.AppendString(b, "how", string(l.end.How))
+	return galenalog.AppendString(b, "job_state", string(l.state))
+}
+
+// requestLine is the log line of a caller's request.
+type requestLine struct {
+	request Request
+	reply   Reply
+	took    time.Duration
+	epoch   uint64
+}
+
+// AppendFields implements galenalog.Line.
+func (l requestLine) AppendFields(b []byte) []byte {
+	b = galenalog.AppendString(b, "kind", string(l.request.Kind))
+	b = galenalog.AppendString(b, "path", l.request.Path)
+	b = galenalog.AppendInt(b, "epoch", int64(l.epoch))
+	b = galenalog.AppendString(b, "outcome", string(l.reply.Outcome))
+	if l.reply.State != "" {
+		b = galenalog.AppendString(b, "state", string(l.reply.State))
+	}
+	if l.reply.Reason != "" {
+		b = galenalog.AppendString(b, "reason", l.reply.Reason)
+	}
+	return galenalog.AppendInt(b, "took_us", l.took.Microseconds())
+}
--- /dev/null
+++ b/galenafleet/state.go
@@ -0,0 +1,403 @@
+package galenafleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+// State is the replicated state. It implements galenahead.StateMachine and is
+// safe for concurrent use. Its zero value is ready to use.
+type State struct {
+	mu        sync.RWMutex
+	epoch     uint64
+	config    *Config
+	jobs      map[galenahead.JobID]*galenajob.Job
+	lastRun   map[galenajob.ItemID]int64
+	instances map[galenahead.InstanceID]galenajob.Instance
+	waves     map[int64]*Wave
+}
+
+var _ galenahead.StateMachine = (*State)(nil)
+
+func (s *State) init() {
+	if s.jobs == nil {
+		s.jobs = map[galenahead.JobID]*galenajob.Job{}
+		s.lastRun = map[galenajob.ItemID]int64{}
+		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
+		s.waves = map[int64]*Wave{}
+	}
+}
+
+// Apply implements galenahead.StateMachine.
+func (s *State) Apply(_ uint64, command []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	var c Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		// Every replica gets the same bytes, so all skip it alike; the proposer
+		// gets no results and gives up its office.
+		return nil
+	}
+	results := make([]Result, len(c.Ops))
+	for i := range c.Ops {
+		results[i] = s.apply(&c.Ops[i])
+	}
+	b, err := encoding.Marshal(results)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func (s *State) apply(op *Op) Result {
+	switch {
+	case op.Office != nil:
+		s.epoch++
+		return Result{Code: CodeDone, Epoch: s.epoch}
+	case op.Config != nil:
+		return s.applyConfig(op.Config)
+	case op.Submit != nil:
+		return s.applySubmit(op.Submit)
+	case op.Cancel != nil:
+		return s.applyCancel(op.Cancel)
+	case op.End != nil:
+		return s.applyEnd(op.End)
+	case op.Instance != nil:
+		s.instances[op.Instance.ID] = *op.Instance
+		return Result{Code: CodeDone}
+	case op.Remove != nil:
+		delete(s.instances, *op.Remove)
+		return Result{Code: CodeDone}
+	case op.Wave != nil:
+		return s.applyWave(op.Wave)
+	case op.WaveStep != nil:
+		return s.applyWaveStep(op.WaveStep)
+	case op.Expire != nil:
+		s.expire(*op.Expire)
+		return Result{Code: CodeDone}
+	}
+	return Result{Code: CodeNotFound}
+}
+
+func (s *State) applyConfig(c *Config) Result {
+	if s.config != nil && c.Version <= s.config.Version {
+		return Result{Code: CodeKept}
+	}
+	s.config = c
+	return Result{Code: CodeDone}
+}
+
+func (s *State) applySubmit(j *galenajob.Job) Result {
+	if old, ok := s.jobs[j.ID]; ok {
+		return Result{Code: CodeKept, JobState: old.State}
+	}
+	n := 0
+	for i := range j.Spec.Steps {
+		n += j.Spec.Steps[i].Count
+	}
+	j.Left = n * j.Spec.Occurrences()
+	j.State = galenajob.StateQueued
+	j.Items = map[galenajob.ItemKey]galenajob.ItemFacts{}
+	s.jobs[j.ID] = j
+	return Result{Code: CodeDone, JobState: j.State}
+}
+
+func (s *State) applyCancel(c *CancelOp) Result {
+	j, ok := s.jobs[c.Job]
+	if !ok {
+		return Result{Code: CodeNotFound}
+	}
+	if j.State.Final() {
+		return Result{Code: CodeKept, JobState: j.State}
+	}
+	s.close(j, galenajob.StateCancelled, c.At)
+	return Result{Code: CodeDone, JobState: j.State}
+}
+
+// close makes a job final. What is recorded of its work items is not needed
+// any more.
+func (s *State) close(j *galenajob.Job, state galenajob.State, at time.Time) {
+	j.State, j.Ended = state, at
+	for k := range j.Items {
+		delete(s.lastRun, galenajob.ItemID{Job: j.ID, Item: k})
+	}
+	j.Items = nil
+	j.Spec = galenajob.Spec{}
+}
+
+func (s *State) applyEnd(e *EndOp) Result {
+	j, ok := s.jobs[e.Job]
+	if !ok {
+		return Result{Code: CodeNotFound}
+	}
+	if j.State.Final() || e.Item.Step < 0 || e.Item.Step >= len(j.Spec.Steps) {
+		return Result{Code: CodeKept, JobState: j.State}
+	}
+	id := galenajob.ItemID{Job: e.Job, Item: e.Item}
+	if e.Run <= s.lastRun[id] {
+		return Result{Code: CodeKept, JobState: j.State}
+	}
+	s.lastRun[id] = e.Run
+	j.State = galenajob.StateRunning
+	if step := &j.Spec.Steps[e.Item.Step]; !step.LongRunning {
+		s.count(j, step, e)
+	}
+	return Result{Code: CodeDone, JobState: j.State}
+}
+
+// count adds the end of a run to what is known of its work item, or of its
+// whole gang when it stands for all members.
+func (s *State) count(j *galenajob.Job, step *galenajob.Step, e *EndOp) {
+	if e.How == galenajob.EndFailed {
+		f := j.Items[e.Item]
+		f.Failed++
+		j.Items[e.Item] = f
+		if !f.Done && f.Failed >= max(1, j.MaxAttempts) {
+			s.close(j, galenajob.StateFailed, e.At)
+		}
+		return
+	}
+	first, last := e.Item.Index, e.Item.Index
+	if step.Gang {
+		first, last = 0, step.Count-1
+	}
+	for i := first; i <= last; i++ {
+		k := galenajob.ItemKey{Occurrence: e.Item.Occurrence, Step: e.Item.Step, Index: i}
+		f := j.Items[k]
+		if f.Done {
+			continue
+		}
+		f.Done = true
+		j.Items[k] = f
+		j.Left--
+	}
+	if j.Left == 0 {
+		s.close(j, galenajob.StateCompleted, e.At)
+	}
+}
+
+func (s *State) applyWave(w *Wave) Result {
+	if _, ok := s.waves[w.ID]; ok {
+		return Result{Code: CodeKept}
+	}
+	w.Steps = map[galenahead.VMName]StepState{}
+	s.waves[w.ID] = w
+	return Result{Code: CodeDone}
+}
+
+func (s *State) applyWaveStep(o *WaveStepOp) Result {
+	w, ok := s.waves[o.Wave]
+	if !ok {
+		return Result{Code: CodeNotFound}
+	}
+	w.Steps[o.Machine] = o.State
+	return Result{Code: CodeDone}
+}
+
+// expire forgets the jobs that became final before t.
+func (s *State) expire(t time.Time) {
+	maps.DeleteFunc(s.jobs, func(_ galenahead.JobID, j *galenajob.Job) bool {
+		return j.State.Final() && j.Ended.Before(t)
+	})
+}
+
+// snapshot is the stored form of a State.
+type snapshot struct {
+	Epoch     uint64               `cbor:"1,keyasint"`
+	Config    *Config              `cbor:"2,keyasint"`
+	Jobs      []storedJob          `cbor:"3,keyasint"`
+	Instances []galenajob.Instance `cbor:"4,keyasint"`
+	Waves     []*Wave              `cbor:"5,keyasint"`
+}
+
+type storedJob struct {
+	Job   *galenajob.Job `cbor:"1,keyasint"`
+	Items []storedItem   `cbor:"2,keyasint"`
+}
+
+type storedItem struct {
+	Key   galenajob.ItemKey   `cbor:"1,keyasint"`
+	Facts galenajob.ItemFacts `cbor:"2,keyasint"`
+	Run   int64               `cbor:"3,keyasint"`
+}
+
+// Snapshot implements galenahead.StateMachine.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := snapshot{Epoch: s.epoch, Config: s.config}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		out.Jobs = append(out.Jobs, s.store(s.jobs[id]))
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.instances)) {
+		out.Instances = append(out.Instances, s.instances[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.waves)) {
+		out.Waves = append(out.Waves, s.waves[id])
+	}
+	b, err := encoding.Marshal(out)
+	return b, eris.Wrap(err, "encode the fleet's state")
+}
+
+func (s *State) store(j *galenajob.Job) storedJob {
+	out := storedJob{Job: j}
+	keys := map[galenajob.ItemKey]bool{}
+	for k := range j.Items {
+		keys[k] = true
+	}
+	if !j.State.Final() {
+		for id := range s.lastRun {
+			if id.Job == j.ID {
+				keys[id.Item] = true
+			}
+		}
+	}
+	for k := range keys {
+		out.Items = append(out.Items, storedItem{k, j.Items[k], s.lastRun[galenajob.ItemID{Job: j.ID, Item: k}]})
+	}
+	slices.SortFunc(out.Items, func(a, b storedItem) int {
+		return slices.Compare([]int{a.Key.Occurrence, a.Key.Step, a.Key.Index}, []int{b.Key.Occurrence, b.Key.Step, b.Key.Index})
+	})
+	return out
+}
+
+// Restore implements galenahead.StateMachine.
+func (s *State) Restore(b []byte) error {
+	var in snapshot
+	if err := cbor.Unmarshal(b, &in); err != nil {
+		return eris.Wrap(err, "decode the fleet's state")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch, s.config = in.Epoch, in.Config
+	s.jobs = nil
+	s.init()
+	for _, r := range in.Jobs {
+		j := r.Job
+		j.Items = map[galenajob.ItemKey]galenajob.ItemFacts{}
+		for _, it := range r.Items {
+			j.Items[it.Key] = it.Facts
+			s.lastRun[galenajob.ItemID{Job: j.ID, Item: it.Key}] = it.Run
+		}
+		s.jobs[j.ID] = j
+	}
+	for _, in := range in.Instances {
+		s.instances[in.ID] = in
+	}
+	for _, w := range in.Waves {
+		if w.Steps == nil {
+			w.Steps = map[galenahead.VMName]StepState{}
+		}
+		s.waves[w.ID] = w
+	}
+	return nil
+}
+
+// Config returns the configuration in force, or nil.
+func (s *State) Config() *Config {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.config
+}
+
+// Match returns the queue of a request and the rest of its path.
+func (c *Config) Match(host, path string) (QueueRule, string, bool) {
+	host = strings.ToLower(host)
+	best := -1
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if strings.ToLower(q.Host) == host && strings.HasPrefix(path, q.Prefix) &&
+			(best < 0 || len(q.Prefix) > len(c.Queues[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return QueueRule{}, "", false
+	}
+	return c.Queues[best], path[len(c.Queues[best].Prefix):], true
+}
+
+// JobState returns the state of a job.
+func (s *State) JobState(id galenahead.JobID) (queue string, service galenahead.ServiceName, state galenajob.State, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j, ok := s.jobs[id]
+	if !ok {
+		return "", "", "", false
+	}
+	return j.Queue, j.Service, j.State, true
+}
+
+// Wave returns a copy of a wave, or nil.
+func (s *State) Wave(id int64) *Wave {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return cloneWave(s.waves[id])
+}
+
+// OpenWaves returns copies of the waves that are not completed, oldest first.
+func (s *State) OpenWaves() []*Wave {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var ws []*Wave
+	for _, w := range s.waves {
+		if !w.Completed() {
+			ws = append(ws, cloneWave(w))
+		}
+	}
+	slices.SortFunc(ws, func(a, b *Wave) int { return a.Accepted.Compare(b.Accepted) })
+	return ws
+}
+
+func cloneWave(w *Wave) *Wave {
+	if w == nil {
+		return nil
+	}
+	c := *w
+	c.Steps = maps.Clone(w.Steps)
+	return &c
+}
+
+// active returns copies of the jobs that are not final.
+func (s *State) active() []*galenajob.Job {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var js []*galenajob.Job
+	for _, j := range s.jobs {
+		if !j.State.Final() {
+			js = append(js, cloneJob(j))
+		}
+	}
+	return js
+}
+
+func cloneJob(j *galenajob.Job) *galenajob.Job {
+	c := *j
+	c.Items = maps.Clone(j.Items)
+	return &c
+}
+
+// known returns the registered instances.
+func (s *State) known() []galenajob.Instance {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Values(s.instances))
+}
+
+// instance returns what is registered of an instance.
+func (s *State) instance(id galenahead.InstanceID) (galenajob.Instance, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	in, ok := s.instances[id]
+	return in, ok
+}
