Keep a work item from starting while its end waits to be recorded

A new owner read ends of runs that the last one had started, did not note them on the work item since nothing occupied an instance for it, counted the instance as resolved and started the item again before the end was recorded.

Ruled out: lost ends (they were recorded 10 ms later), fencing (the second run was stopped at once).

The cursor of a last end is now also sent when nothing runs any more.

Conclusion: an end that was read blocks its work item, whoever started it.

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -258,7 +258,7 @@
 		return lookRetry
 	}
 	sh.office.Metrics.Counters.Add("looks", 1)
-	a.Fence, a.Sent = o.Fence, sent
+	a.Fence, a.Cursor, a.Sent = o.Fence, o.Cursor, sent
 	var ends []galenajob.End
 	sh.with(func(now time.Time, s *galenajob.Scheduler) { ends = s.Held(now, id, a) })
 	if len(ends) > 0 {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -138,7 +138,7 @@
 	n.fence++
 	n.fenced = false
 	n.Draining, n.drainedAt = false, time.Time{}
-	n.clock, n.clockAt, n.deadline, n.seen, n.cursor, n.recording = 0, now, 0, 0, 0, false
+	n.clock, n.clockAt, n.deadline, n.seen, n.cursor, n.acked, n.recording = 0, now, 0, 0, 0, 0, false
 	for _, it := range n.items {
 		it.phase, it.inFlight = phaseStale, false
 	}
@@ -277,7 +277,7 @@
 // Hold returns the next look at an instance, and false when none is needed.
 func (s *Scheduler) Hold(now time.Time, id galenahead.InstanceID) (HoldOrder, bool) {
 	n := s.instances[id]
-	if n == nil || (n.fenced && len(n.items) == 0 && n.cursor == n.seen) {
+	if n == nil || (n.fenced && len(n.items) == 0 && n.acked >= n.seen) {
 		return HoldOrder{}, false
 	}
 	o := HoldOrder{Instance: n.Instance, Fence: n.fence, Cursor: n.cursor, Wait: n.fenced && len(n.items) > 0}
@@ -292,6 +292,8 @@
 	Fence int64
 	Clock int64
 	Born  int64
+	// Cursor is the cursor that the look carried.
+	Cursor int64
 	// Sent is when the look was sent.
 	Sent time.Time
 	Runs []Run
@@ -312,9 +314,8 @@
 		return nil
 	}
 	s.heard(now, n, a.Clock)
-	if !n.fenced {
-		n.fenced = true
-	}
+	n.fenced = true
+	n.acked = max(n.acked, a.Cursor)
 	record := s.takeEnds(now, n, a.Ends)
 	s.takeRuns(now, n, a)
 	if n.unresolved {
@@ -346,9 +347,12 @@
 		}
 		ours := it.on == n && it.run == e.Number
 		if e.How == EndDone || e.How == EndFailed {
-			if ours {
+			// No other run may start until the end is recorded, also when an earlier
+			// owner started this one.
+			if ours || it.on == nil {
 				it.ended = true
 			}
+			it.run = max(it.run, e.Number)
 			record = append(record, e)
 			continue
 		}
@@ -458,7 +462,9 @@
 	if it == nil {
 		return
 	}
-	if it.on != nil && it.on.ID == instanceID(n) && it.run == e.Number {
+	if it.on == nil {
+		it.ended = false
+	} else if it.on.ID == instanceID(n) && it.run == e.Number {
 		it.ended = false
 		it.release(now)
 	}
--- /dev/null
+++ b/galenajob/scheduler_test.go
@@ -0,0 +1,82 @@
+package galenajob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
+)
+
+func testParams() Params {
+	return Params{
+		Lease: 5 * time.Second, Silence: time.Second, Resend: 100 * time.Millisecond, Suspicion: time.Second,
+		Restart: 50 * time.Millisecond, DrainPatience: time.Second, GoneAfter: 10 * time.Second,
+		StopTimeout: 200 * time.Millisecond, AdviceWait: 500 * time.Millisecond,
+	}
+}
+
+var t0 = time.Unix(1000, 0)
+
+func testInstance(id string) Instance {
+	return Instance{
+		ID: galenahead.InstanceID(id), Born: 1, Service: "counter", Address: "10.0.0.1:1",
+		Capacity: Resources{MilliCPU: 4000, MemoryMB: 4000},
+	}
+}
+
+func testJob(id string, count int) *Job {
+	return &Job{
+		ID: galenahead.JobID(id), Queue: "q", Service: "counter", MaxAttempts: 2, State: StateQueued,
+		Spec:  Spec{Payload: "p", Steps: []Step{{Count: count, Need: Resources{MilliCPU: 1000, MemoryMB: 1000}, Estimate: time.Second}}},
+		Items: map[ItemKey]ItemFacts{}, Left: count,
+	}
+}
+
+// starts returns the start actions.
+func starts(as []Action) []Action {
+	var out []Action
+	for _, a := range as {
+		if a.Kind == ActStart {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// fenced returns a scheduler with fenced instances.
+func fenced(ids ...string) *Scheduler {
+	s := NewScheduler("counter", 1, testParams())
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2, Stretch: 1.6, TargetLatency: 600 * time.Millisecond})
+	for _, id := range ids {
+		s.AddInstance(t0, testInstance(id))
+		o, _ := s.Hold(t0, galenahead.InstanceID(id))
+		s.Held(t0, galenahead.InstanceID(id), HoldAnswer{Fence: o.Fence, Clock: 1000, Born: 1, Sent: t0})
+	}
+	return s
+}
+
+// Guards against a second run of a work item whose first run, started by the
+// previous owner, has ended but is not recorded yet.
+func TestEndOfEarlierOwnerKeepsItemFromStarting(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler("counter", 2, testParams())
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
+	s.AddKnownInstance(t0, testInstance("a"), t0.Add(time.Minute))
+	s.AddJob(t0, testJob("j", 1), time.Second, true)
+	is.Equal(len(starts(s.Plan(t0, t0))), 0) // the instance may run the work item
+
+	o, ok := s.Hold(t0, "a")
+	is.True(ok)
+	end := End{Sequence: 1, Item: ItemID{Job: "j"}, Number: 1001, How: EndDone}
+	record := s.Held(t0, "a", HoldAnswer{Fence: o.Fence, Clock: 1000, Born: 1, Sent: t0, Ends: []End{end}})
+	is.Equal(record, []End{end})
+	is.Equal(len(starts(s.Plan(t0, t0))), 0) // its end waits to be recorded
+
+	s.Recorded(t0, "a", 1, record)
+	is.Equal(len(starts(s.Plan(t0, t0))), 0) // it is done
+	o, ok = s.Hold(t0, "a")
+	is.True(ok)
+	is.Equal(o.Cursor, int64(1)) // the instance may forget the end
+}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -198,8 +198,8 @@
 	// deadline is the highest deadline given, on the instance's clock.
 	deadline int64
 	// seen is the sequence of the last end that was read, cursor of the last one
-	// that is dealt with.
-	seen, cursor int64
+	// that is dealt with, acked of the last one that the instance may forget.
+	seen, cursor, acked int64
 	// recording tells that ends up to seen wait to be recorded.
 	recording bool
 	answered  time.Time
