Move idle machines to the pools that lack some, switch off the others

Ruled out: a bigger share by better packing inside one pool (the pool was full).

Conclusion: pools follow demand; the time until a peak is noticed is next.

--- a/galenafleet/lines.go
+++ b/galenafleet/lines.go
@@ -86,3 +86,23 @@
 	}
 	return galenalog.AppendInt(b, "took_us", l.took.Microseconds())
 }
+
+// poolLine is the log line of the use of a pool.
+type poolLine struct {
+	use      poolUse
+	arriving int
+}
+
+// AppendFields implements galenalog.Line.
+func (l poolLine) AppendFields(b []byte) []byte {
+	u := &l.use.usage
+	b = galenalog.AppendString(b, "service", string(l.use.service))
+	b = galenalog.AppendInt(b, "instances", int64(u.Instances))
+	b = galenalog.AppendInt(b, "idle", int64(len(u.Idle)))
+	b = galenalog.AppendInt(b, "arriving", int64(l.arriving))
+	b = galenalog.AppendInt(b, "capacity_milli_cpu", u.Capacity.MilliCPU)
+	b = galenalog.AppendInt(b, "used_milli_cpu", u.Used.MilliCPU)
+	b = galenalog.AppendInt(b, "waiting_milli_cpu", u.Demand.MilliCPU)
+	b = galenalog.AppendInt(b, "waiting_memory_mb", u.Demand.MemoryMB)
+	return galenalog.AppendInt(b, "lacking", int64(l.use.lacking))
+}
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -13,30 +13,42 @@
 	machineTick = 200 * time.Millisecond
 	// listInterval is the shortest time between two readings of the machines,
 	// each of which is paid for.
-	listInterval = time.Second
+	listInterval = 500 * time.Millisecond
 	// evacuationsAhead is how many machines are emptied while others are down.
 	evacuationsAhead = 2
 )
 
-// machinist carries out the waves of an office.
+// machinist carries out the waves of an office and moves machines between
+// pools.
 type machinist struct {
 	*office
 	machines map[galenahead.VMName]Machine
 	listedAt time.Time
 	leaving  map[galenahead.VMName]galenahead.InstanceID
-	// ordered holds since when an upkeep is under way, by machine.
-	began map[galenahead.VMName]time.Time
+	// transfers holds the machines on their way to another pool.
+	transfers map[galenahead.VMName]*transfer
+	answers   chan moved
+	// listed holds when each machine was last in the list.
+	listed map[galenahead.VMName]time.Time
 }
 
+// answerQueue bounds the answers to moves that wait.
+const answerQueue = 256
+
 // loop advances the waves until the office ends.
 func (m *machinist) loop() error {
 	m.leaving = map[galenahead.VMName]galenahead.InstanceID{}
-	m.began = map[galenahead.VMName]time.Time{}
+	m.transfers = map[galenahead.VMName]*transfer{}
+	m.answers = make(chan moved, answerQueue)
+	m.listed = map[galenahead.VMName]time.Time{}
 	ticks := m.Timers.Subscribe(m.ctx, "machines", machineTick)
 	for {
 		select {
 		case <-m.ctx.Done():
 			return nil
+		case a := <-m.answers:
+			m.takeMoved(a)
+			continue
 		case <-ticks:
 		}
 		// An earlier owner's orders must not alternate with this one's.
@@ -46,6 +58,7 @@
 		for _, w := range m.State.OpenWaves() {
 			m.advance(w)
 		}
+		m.balance()
 	}
 }
 
@@ -63,11 +76,35 @@
 	m.machines = make(map[galenahead.VMName]Machine, len(ms))
 	for _, v := range ms {
 		m.machines[v.Name] = v
+		m.listed[v.Name] = now
 	}
 	m.listedAt = now
 	return true
 }
 
+// leftAfter is how long a machine must be missing from the list to count as
+// having left the fleet.
+const leftAfter = 5 * time.Second
+
+// left tells whether a machine has left the fleet.
+func (m *machinist) left(name galenahead.VMName) bool {
+	now := m.Timers.Now()
+	if _, ok := m.listed[name]; !ok {
+		m.listed[name] = now
+	}
+	return now.Sub(m.listed[name]) > leftAfter
+}
+
+// taken notes that a machine is not up any more, until the list is read again.
+func (m *machinist) taken(name galenahead.VMName, state MachineState) {
+	v, ok := m.machines[name]
+	if ok {
+		v.State, v.Instance = state, ""
+		m.machines[name] = v
+	}
+	m.listedAt = time.Time{}
+}
+
 // advance takes the next steps of a wave.
 func (m *machinist) advance(w *Wave) {
 	if !m.list() {
@@ -92,11 +129,12 @@
 		}
 		v, ok := m.machines[name]
 		if !ok {
-			// The machine has left the fleet.
-			m.step(w, name, StepDone)
+			if m.left(name) {
+				m.step(w, name, StepDone)
+			}
 			continue
 		}
-		if v.State != MachineUp || ahead >= w.MaxDown+evacuationsAhead {
+		if v.State != MachineUp || m.transfers[name] != nil || ahead >= w.MaxDown+evacuationsAhead {
 			continue
 		}
 		ahead++
@@ -139,11 +177,12 @@
 	switch {
 	case err == nil:
 		log.Info("upkeep begun")
-		m.began[name] = m.Timers.Now()
-		delete(m.machines, name)
-		m.listedAt = time.Time{}
+		m.taken(name, MachineMaintenance)
 		m.step(w, name, StepBegun)
-		m.forget(name)
+		if id, ok := m.leaving[name]; ok {
+			delete(m.leaving, name)
+			m.drop(id)
+		}
 	case errors.Is(err, ErrFenced):
 		m.resign(err)
 	case errors.Is(err, ErrRejected):
@@ -155,22 +194,6 @@
 	}
 }
 
-// forget drops the instance whose machine went down.
-func (m *machinist) forget(name galenahead.VMName) {
-	id, ok := m.leaving[name]
-	if !ok {
-		return
-	}
-	delete(m.leaving, name)
-	in, known := m.State.instance(id)
-	if !known {
-		return
-	}
-	if _, err := m.commits.commit(m.ctx, Op{Remove: &id}); err == nil {
-		m.of(in.Service).remove(id)
-	}
-}
-
 // release lets an instance take work again.
 func (m *machinist) release(name galenahead.VMName) {
 	id, ok := m.leaving[name]
@@ -178,9 +201,7 @@
 		return
 	}
 	delete(m.leaving, name)
-	if in, known := m.State.instance(id); known {
-		m.of(in.Service).with(func(now time.Time, s *galenajob.Scheduler) { s.Leave(now, id, false) })
-	}
+	m.reopen(id)
 }
 
 // finished tells whether a machine's upkeep is over, and records that.
@@ -189,7 +210,7 @@
 		return false
 	}
 	v, ok := m.machines[name]
-	if ok && v.State != MachineUp {
+	if ok && v.State != MachineUp || !ok && !m.left(name) {
 		return false
 	}
 	return m.step(w, name, StepDone)
--- /dev/null
+++ b/galenafleet/pools.go
@@ -0,0 +1,297 @@
+package galenafleet
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+	"github.com/galenahead/galenahead/galenalog"
+)
+
+const (
+	// idleBeforeMove is how long an instance must have been idle to leave for a
+	// pool that lacks machines, and idleBeforeSpare to be switched off.
+	idleBeforeMove  = 200 * time.Millisecond
+	idleBeforeSpare = 1500 * time.Millisecond
+	// arrivalTimeout is how long a moved machine counts for its new pool before
+	// its instance has registered.
+	arrivalTimeout = 5 * time.Second
+)
+
+// transfer is a machine on its way to another pool.
+type transfer struct {
+	pool      galenahead.ServiceName
+	instance  galenahead.InstanceID
+	confirmed bool
+	since    time.Time
+	inFlight bool
+}
+
+// poolUse is the use of one pool.
+type poolUse struct {
+	service galenahead.ServiceName
+	usage   galenajob.Usage
+	// lacking is how many machines the pool lacks.
+	lacking int
+	spare   bool
+}
+
+// balance moves idle machines to the pools that lack some, and switches off
+// those that none needs.
+func (m *machinist) balance() {
+	cfg := m.State.Config()
+	if cfg == nil || !m.list() {
+		return
+	}
+	now := m.Timers.Now()
+	m.settle(now)
+	pools, spare := m.uses(cfg, now)
+	if spare == "" {
+		return
+	}
+	byInstance := map[galenahead.InstanceID]Machine{}
+	var off []Machine
+	for _, v := range m.machines {
+		if m.reserved(v.Name) || v.State != MachineUp {
+			continue
+		}
+		if v.Pool == spare {
+			off = append(off, v)
+		} else if v.Instance != "" {
+			byInstance[v.Instance] = v
+		}
+	}
+	slices.SortFunc(off, func(a, b Machine) int { return compareNames(a.Name, b.Name) })
+	for i := range pools {
+		to := &pools[i]
+		for to.lacking > 0 {
+			v, ok := m.donor(pools, to, byInstance, now)
+			if !ok && len(off) > 0 {
+				v, off, ok = off[0], off[1:], true
+			}
+			if !ok {
+				break
+			}
+			m.send(v, to.service, now)
+			to.lacking--
+		}
+	}
+	for i := range pools {
+		for _, idle := range pools[i].usage.Idle {
+			v, ok := byInstance[idle.ID]
+			if ok && now.Sub(idle.Since) > idleBeforeSpare && !m.reserved(v.Name) {
+				m.send(v, spare, now)
+			}
+		}
+	}
+}
+
+func compareNames(a, b galenahead.VMName) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// uses returns the use of every pool, the one that lacks most first, and the
+// spare pool.
+func (m *machinist) uses(cfg *Config, now time.Time) (pools []poolUse, spare galenahead.ServiceName) {
+	for _, svc := range cfg.Services {
+		if svc.Spare {
+			spare = svc.Name
+			continue
+		}
+		p := poolUse{service: svc.Name}
+		m.of(svc.Name).with(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
+		p.lacking = m.lacking(p.usage) - m.arriving(svc.Name)
+		pools = append(pools, p)
+		galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(svc.Name)})
+	}
+	slices.SortFunc(pools, func(a, b poolUse) int { return b.lacking - a.lacking })
+	return pools, spare
+}
+
+// lacking returns how many machines would hold what waits.
+func (m *machinist) lacking(u galenajob.Usage) int {
+	if u.Demand == (galenajob.Resources{}) {
+		return 0
+	}
+	size := m.machineSize()
+	n := 0
+	for _, pair := range [][2]int64{
+		{u.Demand.MilliCPU, size.MilliCPU}, {u.Demand.MemoryMB, size.MemoryMB}, {u.Demand.GPU, size.GPU},
+	} {
+		if pair[1] > 0 {
+			n = max(n, int((pair[0]+pair[1]-1)/pair[1]))
+		}
+	}
+	return n
+}
+
+// machineSize returns the capacity of a usual machine.
+func (m *machinist) machineSize() galenajob.Resources {
+	var sum galenajob.Resources
+	n := int64(0)
+	for _, v := range m.machines {
+		sum = sum.Add(v.Capacity)
+		n++
+	}
+	if n == 0 {
+		return sum
+	}
+	return galenajob.Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, GPU: sum.GPU / n}
+}
+
+// donor returns a machine that idles in another pool.
+func (m *machinist) donor(pools []poolUse, to *poolUse, byInstance map[galenahead.InstanceID]Machine, now time.Time) (Machine, bool) {
+	for i := range pools {
+		from := &pools[i]
+		if from.service == to.service || from.lacking > 0 {
+			continue
+		}
+		for _, idle := range from.usage.Idle {
+			v, ok := byInstance[idle.ID]
+			if ok && !m.reserved(v.Name) && now.Sub(idle.Since) >= idleBeforeMove {
+				return v, true
+			}
+		}
+	}
+	return Machine{}, false
+}
+
+// reserved tells whether a machine is on its way or due for upkeep now.
+func (m *machinist) reserved(name galenahead.VMName) bool {
+	_, leaving := m.leaving[name]
+	return m.transfers[name] != nil || leaving
+}
+
+// arriving counts the machines on their way to a pool.
+func (m *machinist) arriving(pool galenahead.ServiceName) int {
+	n := 0
+	for _, t := range m.transfers {
+		if t.pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// send orders the move of an idle machine.
+func (m *machinist) send(v Machine, pool galenahead.ServiceName, now time.Time) {
+	t := &transfer{pool: pool, instance: v.Instance, since: now}
+	if v.Instance != "" && !m.vacate(v.Instance) {
+		return
+	}
+	m.transfers[v.Name] = t
+	m.move(v.Name, t)
+}
+
+// vacate closes an instance to new work, if it is idle.
+func (m *machinist) vacate(id galenahead.InstanceID) bool {
+	in, known := m.State.instance(id)
+	if !known {
+		return true
+	}
+	idle := false
+	m.of(in.Service).with(func(now time.Time, s *galenajob.Scheduler) {
+		if _, idle = s.Idle(id); idle {
+			s.Leave(now, id, true)
+		}
+	})
+	return idle
+}
+
+// reopen lets an instance take work again.
+func (m *machinist) reopen(id galenahead.InstanceID) {
+	if in, known := m.State.instance(id); known {
+		m.of(in.Service).with(func(now time.Time, s *galenajob.Scheduler) { s.Leave(now, id, false) })
+	}
+}
+
+// moved is the answer to a move.
+type moved struct {
+	name galenahead.VMName
+	err  error
+}
+
+// move sends the order to move a machine.
+func (m *machinist) move(name galenahead.VMName, t *transfer) {
+	if !m.leads() {
+		return
+	}
+	t.inFlight = true
+	m.group.Go(func() error {
+		err := m.Machines.Move(m.ctx, name, t.pool, string(m.Name), m.epoch)
+		select {
+		case m.answers <- moved{name, err}:
+		case <-m.ctx.Done():
+		}
+		return nil
+	})
+}
+
+// takeMoved takes over the answer to a move.
+func (m *machinist) takeMoved(a moved) {
+	t := m.transfers[a.name]
+	if t == nil {
+		return
+	}
+	t.inFlight = false
+	log := m.Logger.WithField("machine", a.name).WithField("to_pool", t.pool).WithField("epoch", m.epoch)
+	switch {
+	case a.err == nil:
+		log.Info("machine moves")
+		m.office.Metrics.Moves.Add(1)
+		t.confirmed, t.since = true, m.Timers.Now()
+		m.drop(t.instance)
+		m.taken(a.name, MachineMoving)
+	case errors.Is(a.err, ErrFenced):
+		m.resign(a.err)
+	case errors.Is(a.err, ErrBusy), errors.Is(a.err, ErrRejected):
+		log.WithError(a.err).Info("machine does not move")
+		delete(m.transfers, a.name)
+		m.reopen(t.instance)
+	default:
+		// The order may be carried out late; it is repeated until that is known.
+		log.WithError(a.err).Info("move not confirmed")
+	}
+}
+
+// drop forgets an instance whose machine has been taken.
+func (m *machinist) drop(id galenahead.InstanceID) {
+	in, known := m.State.instance(id)
+	if !known {
+		return
+	}
+	if _, err := m.commits.commit(m.ctx, Op{Remove: &id}); err == nil {
+		m.of(in.Service).remove(id)
+	}
+}
+
+// settle ends the transfers of machines that have arrived, and repeats orders
+// without an answer.
+func (m *machinist) settle(now time.Time) {
+	for name, t := range m.transfers {
+		switch {
+		case t.inFlight:
+		case !t.confirmed:
+			m.move(name, t)
+		case now.Sub(t.since) > arrivalTimeout:
+			delete(m.transfers, name)
+		default:
+			v, ok := m.machines[name]
+			if !ok || v.State != MachineUp || v.Pool != t.pool {
+				continue
+			}
+			_, registered := m.State.instance(v.Instance)
+			if registered || v.Instance == "" {
+				delete(m.transfers, name)
+			}
+		}
+	}
+}
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -360,15 +360,12 @@
 	weightApart = 2
 )
 
-// score rates n for it; higher is better. Batch work is packed, so that other
-// instances stay empty and can leave the pool; serving work is spread.
+// score rates n for it; higher is better. Work is packed, so that other instances stay
+// empty and can leave the pool.
 func (s *Scheduler) score(n *instance, it *item) float64 {
 	step := it.set.step
 	used := share(n.used, n.Capacity)
 	score := used
-	if step.LongRunning {
-		score = -used
-	}
 	if step.DataRack != "" && string(step.DataRack) == n.rack() {
 		score += weightDataRack
 	}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -655,65 +655,6 @@
 	return g
 }
 
-// Usage sums capacity and use of the instances that take work, and the demand
-// of work items that could start now.
-type Usage struct {
-	Instances int
-	Capacity  Resources
-	Used      Resources
-	Demand    Resources
-	// Idle lists the instances on which nothing runs, longest idle first.
-	Idle []IdleInstance
-}
-
-// IdleInstance is an instance on which nothing runs.
-type IdleInstance struct {
-	ID    galenahead.InstanceID
-	Since time.Time
-}
-
-// Usage returns the present use of the service's instances.
-func (s *Scheduler) Usage(now time.Time) Usage {
-	var u Usage
-	for _, n := range s.instances {
-		if n.Draining || n.leaving {
-			continue
-		}
-		if s.silent(now, n) {
-			continue
-		}
-		u.Instances++
-		u.Capacity = u.Capacity.Add(n.Capacity)
-		u.Used = u.Used.Add(n.used)
-		if len(n.items) == 0 && !n.unresolved && n.fenced {
-			u.Idle = append(u.Idle, IdleInstance{n.ID, n.idleSince})
-		}
-	}
-	slices.SortFunc(u.Idle, func(a, b IdleInstance) int { return a.Since.Compare(b.Since) })
-	for _, j := range s.jobs {
-		for _, sets := range j.sets {
-			for _, st := range sets {
-				u.Demand = u.Demand.Add(st.demand())
-			}
-		}
-	}
-	return u
-}
-
-// demand sums the claims of the work items that wait for an instance.
-func (st *itemSet) demand() Resources {
-	var d Resources
-	if st.left == 0 || !st.open() {
-		return d
-	}
-	for i := range st.items {
-		if it := &st.items[i]; it.phase == phasePending && !it.done {
-			d = d.Add(st.step.claim())
-		}
-	}
-	return d
-}
-
 // Instances returns the ids of all instances.
 func (s *Scheduler) Instances() []galenahead.InstanceID {
 	ids := make([]galenahead.InstanceID, 0, len(s.instances))
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -57,7 +57,10 @@
 }
 
 // atWork tells whether a long-running item serves now.
-func (it *item) atWork() bool { return it.phase == phaseRunning && it.percent >= 100 }
+// An instance that leaves calls unanswered may have crashed.
+func (it *item) atWork() bool {
+	return it.phase == phaseRunning && it.percent >= 100 && it.on.silentSince.IsZero()
+}
 
 // itemSet is one occurrence of one step.
 type itemSet struct {
