Keep the unavailability budget of a silent instance

After one call without an answer none of the instance's work items counted as at work, so all of them were taken as away already and stopped at once.

Ruled out: the upkeep order itself (it came after the stops).

Conclusion: an item whose state is not certain is neither at work for the others nor free to take.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -148,10 +148,12 @@
 // mayTake tells whether one more work item of the step of it may be taken off
 // its instance, and has somewhere else to go.
 func (s *Scheduler) mayTake(it *item) bool {
+	away := it.set.unavailable()
 	if !it.atWork() {
-		return true
+		// Whether it really is away is not certain, so it is not taken for granted.
+		away--
 	}
-	if it.set.unavailable() >= it.set.step.MaxUnavailable {
+	if away >= it.set.step.MaxUnavailable {
 		return false
 	}
 	for _, n := range s.instances {
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -80,3 +80,36 @@
 	is.True(ok)
 	is.Equal(o.Cursor, int64(1)) // the instance may forget the end
 }
+
+// stops returns the stop actions.
+func stops(as []Action) []Action {
+	var out []Action
+	for _, a := range as {
+		if a.Kind == ActStop {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Guards against emptying an instance of all work items of a long-running step
+// at once, because a call to it just failed and none counted as at work.
+func TestSilentInstanceKeepsItsUnavailabilityBudget(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a", "b")
+	j := testJob("j", 4)
+	j.Spec.Steps[0].LongRunning, j.Spec.Steps[0].MaxUnavailable = true, 1
+	s.AddJob(t0, j, 0, false)
+	for _, a := range starts(s.Plan(t0, t0)) {
+		s.Ordered(t0, a, OutcomeDone, 1000, t0)
+	}
+	o, _ := s.Hold(t0, "a")
+	var runs []Run
+	for i := range 4 {
+		runs = append(runs, Run{Item: ItemID{Job: "j", Item: ItemKey{Index: i}}, Number: 1001, Percent: 100})
+	}
+	s.Held(t0, "a", HoldAnswer{Fence: o.Fence, Clock: 1000, Born: 1, Sent: t0, Runs: runs})
+	s.Unanswered("a", t0.Add(time.Millisecond))
+	s.Leave(t0, "a", true)
+	is.Equal(len(stops(s.Plan(t0.Add(2*time.Millisecond), t0))), 0)
+}
