Record orders to machines instead of waiting after each change of owner

Ruled out: shortening the wait (orders of two owners must not alternate).

Conclusion: only machines with a recent order of another owner wait.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -34,6 +34,7 @@
 	Wave     *Wave                  `cbor:"8,keyasint,omitempty"`
 	WaveStep *WaveStepOp            `cbor:"9,keyasint,omitempty"`
 	Expire   *time.Time             `cbor:"10,keyasint,omitempty"`
+	Order    *MachineOrder          `cbor:"11,keyasint,omitempty"`
 }
 
 // OfficeOp begins the office of an owner. Its result carries the epoch.
@@ -78,6 +79,14 @@
 	State   StepState         `cbor:"3,keyasint"`
 }
 
+// MachineOrder records that an owner is about to give an order to a machine, so
+// that its successor waits before it gives one to the same machine.
+type MachineOrder struct {
+	Machine galenahead.VMName `cbor:"1,keyasint"`
+	Epoch   uint64            `cbor:"2,keyasint"`
+	At      time.Time         `cbor:"3,keyasint"`
+}
+
 // Code is the result of an operation.
 type Code string
 
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -9,13 +9,20 @@
 )
 
 const (
-	// machineTick is how often waves advance.
+	// machineTick is how often waves and pools advance.
 	machineTick = 200 * time.Millisecond
 	// listInterval is the shortest time between two readings of the machines,
 	// each of which is paid for.
 	listInterval = 500 * time.Millisecond
 	// evacuationsAhead is how many machines are emptied while others are down.
 	evacuationsAhead = 2
+	// answerQueue bounds the answers of the machines' service that wait.
+	answerQueue = 256
+	// leftAfter is how long a machine must be missing from the list to count as
+	// having left the fleet.
+	leftAfter = 5 * time.Second
+	// clockSkew is how far the clocks of two daemons may be apart.
+	clockSkew = 500 * time.Millisecond
 )
 
 // machinist carries out the waves of an office and moves machines between
@@ -24,35 +31,49 @@
 	*office
 	machines map[galenahead.VMName]Machine
 	listedAt time.Time
-	leaving  map[galenahead.VMName]galenahead.InstanceID
-	// transfers holds the machines on their way to another pool.
-	transfers map[galenahead.VMName]*transfer
-	answers   chan moved
 	// listed holds when each machine was last in the list.
 	listed map[galenahead.VMName]time.Time
+	// leaving holds the instances that are emptied for an upkeep.
+	leaving map[galenahead.VMName]galenahead.InstanceID
+	// transfers holds the machines on their way to another pool.
+	transfers map[galenahead.VMName]*transfer
+	// calling holds the machines to which an order is on its way.
+	calling map[galenahead.VMName]bool
+	answers chan machineAnswer
 }
 
-// answerQueue bounds the answers to moves that wait.
-const answerQueue = 256
+// machineAnswer is the answer to an order to a machine; wave is zero for a
+// move.
+type machineAnswer struct {
+	name galenahead.VMName
+	wave int64
+	err  error
+}
+
+func newMachinist(f *office) *machinist {
+	return &machinist{
+		office:    f,
+		listed:    map[galenahead.VMName]time.Time{},
+		leaving:   map[galenahead.VMName]galenahead.InstanceID{},
+		transfers: map[galenahead.VMName]*transfer{},
+		calling:   map[galenahead.VMName]bool{},
+		answers:   make(chan machineAnswer, answerQueue),
+	}
+}
 
-// loop advances the waves until the office ends.
+// loop advances waves and pools until the office ends.
 func (m *machinist) loop() error {
-	m.leaving = map[galenahead.VMName]galenahead.InstanceID{}
-	m.transfers = map[galenahead.VMName]*transfer{}
-	m.answers = make(chan moved, answerQueue)
-	m.listed = map[galenahead.VMName]time.Time{}
 	ticks := m.Timers.Subscribe(m.ctx, "machines", machineTick)
 	for {
 		select {
 		case <-m.ctx.Done():
 			return nil
 		case a := <-m.answers:
-			m.takeMoved(a)
+			m.take(a)
 			continue
 		case <-ticks:
 		}
-		// An earlier owner's orders must not alternate with this one's.
-		if m.Timers.Now().Sub(m.office.began) < m.MachineLease {
+		if !m.list() {
 			continue
 		}
 		for _, w := range m.State.OpenWaves() {
@@ -82,10 +103,6 @@
 	return true
 }
 
-// leftAfter is how long a machine must be missing from the list to count as
-// having left the fleet.
-const leftAfter = 5 * time.Second
-
 // left tells whether a machine has left the fleet.
 func (m *machinist) left(name galenahead.VMName) bool {
 	now := m.Timers.Now()
@@ -105,17 +122,26 @@
 	m.listedAt = time.Time{}
 }
 
+// mayOrder tells whether an order to a machine now would not alternate with
+// those of an earlier owner.
+func (m *machinist) mayOrder(name galenahead.VMName) bool {
+	o, ok := m.State.lastOrder(name)
+	return !ok || o.Epoch == m.epoch || time.Since(o.At) > m.MachineLease+clockSkew
+}
+
+// intend returns the record of an order to a machine.
+func (m *machinist) intend(name galenahead.VMName) Op {
+	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0)}}
+}
+
 // advance takes the next steps of a wave.
 func (m *machinist) advance(w *Wave) {
-	if !m.list() {
-		return
-	}
 	down := 0
 	for _, name := range w.Machines {
 		switch w.Steps[name] {
 		case StepOrdered:
 			down++
-			m.order(w, name)
+			m.maintain(w.ID, name)
 		case StepBegun:
 			if !m.finished(w, name) {
 				down++
@@ -134,20 +160,28 @@
 			}
 			continue
 		}
+		m.prepare(v)
 		if v.State != MachineUp || m.transfers[name] != nil || ahead >= w.MaxDown+evacuationsAhead {
 			continue
 		}
 		ahead++
-		if !m.emptied(v) || down >= w.MaxDown {
+		if !m.emptied(v) || down >= w.MaxDown || !m.mayOrder(name) {
 			continue
 		}
 		if m.step(w, name, StepOrdered) {
 			down++
-			m.order(w, name)
+			m.maintain(w.ID, name)
 		}
 	}
 }
 
+// prepare keeps lasting work off a machine that is due.
+func (m *machinist) prepare(v Machine) {
+	if in, ok := m.State.instance(v.Instance); ok {
+		m.of(in.Service).with(func(_ time.Time, s *galenajob.Scheduler) { s.Due(in.ID) })
+	}
+}
+
 // emptied takes the work off a machine and tells whether nothing is left.
 func (m *machinist) emptied(v Machine) bool {
 	if v.Instance == "" {
@@ -166,31 +200,61 @@
 	return idle
 }
 
-// order orders the upkeep of a machine and repeats an order that had no clear
-// answer; the platform carries it out once.
-func (m *machinist) order(w *Wave, name galenahead.VMName) {
-	if !m.leads() {
+// maintain orders the upkeep of a machine and repeats an order that had no
+// clear answer; the platform carries it out once.
+func (m *machinist) maintain(wave int64, name galenahead.VMName) {
+	if m.calling[name] || !m.leads() || !m.mayOrder(name) {
+		return
+	}
+	m.calling[name] = true
+	m.group.Go(func() error {
+		a := machineAnswer{name: name, wave: wave}
+		if _, err := m.commits.commit(m.ctx, m.intend(name)); err != nil {
+			return nil
+		}
+		a.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), m.epoch)
+		m.report(a)
+		return nil
+	})
+}
+
+// report hands an answer to the loop.
+func (m *machinist) report(a machineAnswer) {
+	select {
+	case m.answers <- a:
+	case <-m.ctx.Done():
+	}
+}
+
+// take takes over the answer to an order.
+func (m *machinist) take(a machineAnswer) {
+	delete(m.calling, a.name)
+	if errors.Is(a.err, ErrFenced) {
+		m.resign(a.err)
 		return
 	}
-	err := m.Machines.Maintain(m.ctx, name, w.ID, string(m.Name), m.epoch)
-	log := m.Logger.WithField("wave", w.ID).WithField("machine", name).WithField("epoch", m.epoch)
+	if a.wave == 0 {
+		m.takeMoved(a)
+		return
+	}
+	w := m.State.Wave(a.wave)
+	log := m.Logger.WithField("wave", a.wave).WithField("machine", a.name).WithField("epoch", m.epoch)
 	switch {
-	case err == nil:
+	case w == nil:
+	case a.err == nil:
 		log.Info("upkeep begun")
-		m.taken(name, MachineMaintenance)
-		m.step(w, name, StepBegun)
-		if id, ok := m.leaving[name]; ok {
-			delete(m.leaving, name)
+		m.taken(a.name, MachineMaintenance)
+		m.step(w, a.name, StepBegun)
+		if id, ok := m.leaving[a.name]; ok {
+			delete(m.leaving, a.name)
 			m.drop(id)
 		}
-	case errors.Is(err, ErrFenced):
-		m.resign(err)
-	case errors.Is(err, ErrRejected):
-		log.WithError(err).Warn("upkeep rejected")
-		m.step(w, name, StepDone)
-		m.release(name)
+	case errors.Is(a.err, ErrRejected):
+		log.WithError(a.err).Warn("upkeep rejected")
+		m.step(w, a.name, StepDone)
+		m.release(a.name)
 	default:
-		log.WithError(err).Info("upkeep not confirmed")
+		log.WithError(a.err).Info("upkeep not confirmed")
 	}
 }
 
@@ -206,9 +270,6 @@
 
 // finished tells whether a machine's upkeep is over, and records that.
 func (m *machinist) finished(w *Wave, name galenahead.VMName) bool {
-	if !m.list() {
-		return false
-	}
 	v, ok := m.machines[name]
 	if ok && v.State != MachineUp || !ok && !m.left(name) {
 		return false
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -127,7 +127,7 @@
 func (f *office) run() error {
 	ticks := f.Timers.Subscribe(f.ctx, "office", officeTick)
 	f.group.Go(func() error { return f.expireLoop() })
-	f.group.Go(func() error { return (&machinist{office: f}).loop() })
+	f.group.Go(func() error { return newMachinist(f).loop() })
 	for {
 		select {
 		case <-f.ctx.Done():
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -25,8 +25,8 @@
 	pool      galenahead.ServiceName
 	instance  galenahead.InstanceID
 	confirmed bool
-	since    time.Time
-	inFlight bool
+	since     time.Time
+	inFlight  bool
 }
 
 // poolUse is the use of one pool.
@@ -42,7 +42,7 @@
 // those that none needs.
 func (m *machinist) balance() {
 	cfg := m.State.Config()
-	if cfg == nil || !m.list() {
+	if cfg == nil {
 		return
 	}
 	now := m.Timers.Now()
@@ -54,7 +54,7 @@
 	byInstance := map[galenahead.InstanceID]Machine{}
 	var off []Machine
 	for _, v := range m.machines {
-		if m.reserved(v.Name) || v.State != MachineUp {
+		if m.reserved(v.Name) || v.State != MachineUp || !m.mayOrder(v.Name) {
 			continue
 		}
 		if v.Pool == spare {
@@ -167,7 +167,7 @@
 // reserved tells whether a machine is on its way or due for upkeep now.
 func (m *machinist) reserved(name galenahead.VMName) bool {
 	_, leaving := m.leaving[name]
-	return m.transfers[name] != nil || leaving
+	return m.transfers[name] != nil || leaving || m.calling[name]
 }
 
 // arriving counts the machines on their way to a pool.
@@ -213,35 +213,28 @@
 	}
 }
 
-// moved is the answer to a move.
-type moved struct {
-	name galenahead.VMName
-	err  error
-}
-
 // move sends the order to move a machine.
 func (m *machinist) move(name galenahead.VMName, t *transfer) {
-	if !m.leads() {
+	if m.calling[name] || !m.leads() {
 		return
 	}
-	t.inFlight = true
+	m.calling[name] = true
+	pool := t.pool
 	m.group.Go(func() error {
-		err := m.Machines.Move(m.ctx, name, t.pool, string(m.Name), m.epoch)
-		select {
-		case m.answers <- moved{name, err}:
-		case <-m.ctx.Done():
+		if _, err := m.commits.commit(m.ctx, m.intend(name)); err != nil {
+			return nil
 		}
+		m.report(machineAnswer{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), m.epoch)})
 		return nil
 	})
 }
 
 // takeMoved takes over the answer to a move.
-func (m *machinist) takeMoved(a moved) {
+func (m *machinist) takeMoved(a machineAnswer) {
 	t := m.transfers[a.name]
 	if t == nil {
 		return
 	}
-	t.inFlight = false
 	log := m.Logger.WithField("machine", a.name).WithField("to_pool", t.pool).WithField("epoch", m.epoch)
 	switch {
 	case a.err == nil:
@@ -250,8 +243,6 @@
 		t.confirmed, t.since = true, m.Timers.Now()
 		m.drop(t.instance)
 		m.taken(a.name, MachineMoving)
-	case errors.Is(a.err, ErrFenced):
-		m.resign(a.err)
 	case errors.Is(a.err, ErrBusy), errors.Is(a.err, ErrRejected):
 		log.WithError(a.err).Info("machine does not move")
 		delete(m.transfers, a.name)
@@ -278,7 +269,6 @@
 func (m *machinist) settle(now time.Time) {
 	for name, t := range m.transfers {
 		switch {
-		case t.inFlight:
 		case !t.confirmed:
 			m.move(name, t)
 		case now.Sub(t.since) > arrivalTimeout:
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -24,6 +24,7 @@
 	lastRun   map[galenajob.ItemID]int64
 	instances map[galenahead.InstanceID]galenajob.Instance
 	waves     map[int64]*Wave
+	orders    map[galenahead.VMName]MachineOrder
 }
 
 var _ galenahead.StateMachine = (*State)(nil)
@@ -34,6 +35,7 @@
 		s.lastRun = map[galenajob.ItemID]int64{}
 		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
 		s.waves = map[int64]*Wave{}
+		s.orders = map[galenahead.VMName]MachineOrder{}
 	}
 }
 
@@ -82,6 +84,9 @@
 		return s.applyWave(op.Wave)
 	case op.WaveStep != nil:
 		return s.applyWaveStep(op.WaveStep)
+	case op.Order != nil:
+		s.orders[op.Order.Machine] = *op.Order
+		return Result{Code: CodeDone}
 	case op.Expire != nil:
 		s.expire(*op.Expire)
 		return Result{Code: CodeDone}
@@ -218,6 +223,7 @@
 	Jobs      []storedJob          `cbor:"3,keyasint"`
 	Instances []galenajob.Instance `cbor:"4,keyasint"`
 	Waves     []*Wave              `cbor:"5,keyasint"`
+	Orders    []MachineOrder       `cbor:"6,keyasint"`
 }
 
 type storedJob struct {
@@ -245,6 +251,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.waves)) {
 		out.Waves = append(out.Waves, s.waves[id])
 	}
+	for _, name := range slices.Sorted(maps.Keys(s.orders)) {
+		out.Orders = append(out.Orders, s.orders[name])
+	}
 	b, err := encoding.Marshal(out)
 	return b, eris.Wrap(err, "encode the fleet's state")
 }
@@ -294,6 +303,9 @@
 	for _, in := range in.Instances {
 		s.instances[in.ID] = in
 	}
+	for _, o := range in.Orders {
+		s.orders[o.Machine] = o
+	}
 	for _, w := range in.Waves {
 		if w.Steps == nil {
 			w.Steps = map[galenahead.VMName]StepState{}
@@ -401,3 +413,11 @@
 	in, ok := s.instances[id]
 	return in, ok
 }
+
+// lastOrder returns the last order to a machine.
+func (s *State) lastOrder(name galenahead.VMName) (MachineOrder, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	o, ok := s.orders[name]
+	return o, ok
+}
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -358,6 +358,7 @@
 	weightDataRack = 4
 	weightSameRack = 2
 	weightAvoid    = 3
+	weightDue      = 2
 	// weightApart keeps serving and filling work items off each other.
 	weightApart = 2
 )
@@ -371,6 +372,9 @@
 	if step.DataRack != "" && string(step.DataRack) == n.rack() {
 		score += weightDataRack
 	}
+	if n.due && step.LongRunning {
+		score -= weightDue
+	}
 	if n.ID == it.avoid {
 		score -= weightAvoid
 	}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -196,6 +196,14 @@
 	n.leaveSoon = now.Add(s.params.DrainPatience)
 }
 
+// Due marks an instance that is to leave for an upkeep later; lasting work goes
+// elsewhere where it can.
+func (s *Scheduler) Due(id galenahead.InstanceID) {
+	if n := s.instances[id]; n != nil {
+		n.due = true
+	}
+}
+
 // Idle tells whether nothing runs or may run on the instance, or it is not
 // known, and since when.
 func (s *Scheduler) Idle(id galenahead.InstanceID) (since time.Time, idle bool) {
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -214,7 +214,9 @@
 	strikes     int
 	strikeJob   galenahead.JobID
 	// leaving is a planned move or upkeep.
-	leaving   bool
+	leaving bool
+	// due is a planned upkeep later on.
+	due       bool
 	leaveSoon time.Time
 	drainedAt time.Time
 	idleSince time.Time
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -14,7 +14,8 @@
 	Instances int
 	Capacity  Resources
 	Used      Resources
-	// Demand sums what waits for room, of jobs that are still worth it.
+	// Demand sums what waits for room, of jobs that are still worth it, and the
+	// lasting work that has to leave its instance.
 	Demand Resources
 	// Idle lists the instances on which nothing runs, longest idle first.
 	Idle []IdleInstance
@@ -30,6 +31,9 @@
 func (s *Scheduler) Usage(now time.Time) Usage {
 	var u Usage
 	for _, n := range s.instances {
+		if n.Draining || n.leaving {
+			u.Demand = u.Demand.Add(n.lasting())
+		}
 		if n.Draining || n.leaving || s.silent(now, n) {
 			continue
 		}
@@ -68,3 +72,14 @@
 	}
 	return d
 }
+
+// lasting sums the claims of the long-running work items on n.
+func (n *instance) lasting() Resources {
+	var d Resources
+	for _, it := range n.items {
+		if it.set.step.LongRunning {
+			d = d.Add(it.set.step.claim())
+		}
+	}
+	return d
+}
