Count an end once, also when it is listed again

A failed run whose end was recorded by one owner and listed again to the next counted twice in the scheduler and once in the state, so the work item had no attempts left in the one and some in the other. The state also dropped the end of an earlier run that came late.

Conclusion: failed runs are recorded by their numbers.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -31,11 +31,12 @@
 
 // Timing of the log. An instance's lease outlives the change of a leader.
 const (
-	heartbeat          = 150 * time.Millisecond
-	lease              = 700 * time.Millisecond
-	minElectionTimeout = 900 * time.Millisecond
-	maxElectionTimeout = 1500 * time.Millisecond
-	callTimeout        = 500 * time.Millisecond
+	logTick            = 25 * time.Millisecond
+	heartbeat          = 120 * time.Millisecond
+	lease              = 500 * time.Millisecond
+	minElectionTimeout = 650 * time.Millisecond
+	maxElectionTimeout = 1100 * time.Millisecond
+	callTimeout        = 400 * time.Millisecond
 )
 
 // instanceLease is how long an order lets an instance work; longer than the
@@ -49,7 +50,7 @@
 	state := &galenafleet.State{}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, Caller: caller, Timers: timers, Log: log.Logger,
-		Heartbeat: heartbeat, Lease: lease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
+		Tick: logTick, Heartbeat: heartbeat, Lease: lease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
 		CallTimeout: callTimeout,
 	})
 	if err != nil {
--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -50,11 +50,10 @@
 
 // EndOp records the end of a run of a work item.
 type EndOp struct {
-	Job        galenahead.JobID  `cbor:"1,keyasint"`
-	Item       galenajob.ItemKey `cbor:"2,keyasint"`
-	How        galenajob.Ending  `cbor:"3,keyasint"`
-	Checkpoint string            `cbor:"4,keyasint,omitempty"`
-	At         time.Time         `cbor:"5,keyasint"`
+	Job  galenahead.JobID  `cbor:"1,keyasint"`
+	Item galenajob.ItemKey `cbor:"2,keyasint"`
+	How  galenajob.Ending  `cbor:"3,keyasint"`
+	At   time.Time         `cbor:"5,keyasint"`
 	// Run keeps an end that is recorded twice from counting twice.
 	Run int64 `cbor:"6,keyasint"`
 }
--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -54,8 +54,8 @@
 const (
 	// searchInterval is how often the daemons are asked while the leader is
 	// doubted, idleInterval otherwise.
-	searchInterval = 150 * time.Millisecond
-	idleInterval   = 2 * time.Second
+	searchInterval = 100 * time.Millisecond
+	idleInterval   = time.Second
 	// whereTimeout bounds one question.
 	whereTimeout = 500 * time.Millisecond
 	// forgetAfter drops daemons that have not answered for that long and are
--- a/galenafleet/gateway.go
+++ b/galenafleet/gateway.go
@@ -47,9 +47,9 @@
 const (
 	// attemptTimeout bounds one call to the owner: a commit takes milliseconds,
 	// so a call without an answer for that long meets a silent connection.
-	attemptTimeout = 1200 * time.Millisecond
+	attemptTimeout = 600 * time.Millisecond
 	// attemptPause separates attempts while the owner is not known.
-	attemptPause = 100 * time.Millisecond
+	attemptPause = 50 * time.Millisecond
 )
 
 // call calls the owner until it answers or ctx ends. sent tells whether an
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -45,7 +45,7 @@
 
 const (
 	// officeTick is how often the owner checks whether it leads.
-	officeTick = 50 * time.Millisecond
+	officeTick = 20 * time.Millisecond
 	// takeTimeout bounds the attempt to take office.
 	takeTimeout = 3 * time.Second
 	// expireInterval is how often final jobs are forgotten.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -272,14 +272,18 @@
 	at := time.Now().Round(0)
 	ops := make([]Op, len(ends))
 	for i, e := range ends {
-		ops[i] = Op{End: &EndOp{Job: e.Item.Job, Item: e.Item.Item, How: e.How, Checkpoint: e.Checkpoint, At: at, Run: e.Number}}
+		ops[i] = Op{End: &EndOp{Job: e.Item.Job, Item: e.Item.Item, How: e.How, At: at, Run: e.Number}}
 	}
 	results, err := sh.office.commits.commit(ctx, ops...)
 	if err != nil {
 		return
 	}
 	sh.with(func(now time.Time, s *galenajob.Scheduler) {
-		s.Recorded(now, id, born, ends)
+		fresh := make([]bool, len(ends))
+		for i, r := range results {
+			fresh[i] = r.Code == CodeDone
+		}
+		s.Recorded(now, id, born, ends, fresh)
 		for i, r := range results {
 			if r.JobState.Final() {
 				s.Finish(now, ends[i].Item.Job)
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -21,7 +21,6 @@
 	epoch     uint64
 	config    *Config
 	jobs      map[galenahead.JobID]*galenajob.Job
-	lastRun   map[galenajob.ItemID]int64
 	instances map[galenahead.InstanceID]galenajob.Instance
 	waves     map[int64]*Wave
 	orders    map[galenahead.VMName]MachineOrder
@@ -32,7 +31,6 @@
 func (s *State) init() {
 	if s.jobs == nil {
 		s.jobs = map[galenahead.JobID]*galenajob.Job{}
-		s.lastRun = map[galenajob.ItemID]int64{}
 		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
 		s.waves = map[int64]*Wave{}
 		s.orders = map[galenahead.VMName]MachineOrder{}
@@ -133,9 +131,6 @@
 // any more.
 func (s *State) close(j *galenajob.Job, state galenajob.State, at time.Time) {
 	j.State, j.Ended = state, at
-	for k := range j.Items {
-		delete(s.lastRun, galenajob.ItemID{Job: j.ID, Item: k})
-	}
 	j.Items = nil
 	j.Spec = galenajob.Spec{}
 }
@@ -148,11 +143,10 @@
 	if j.State.Final() || e.Item.Step < 0 || e.Item.Step >= len(j.Spec.Steps) {
 		return Result{Code: CodeKept, JobState: j.State}
 	}
-	id := galenajob.ItemID{Job: e.Job, Item: e.Item}
-	if e.Run <= s.lastRun[id] {
+	f := j.Items[e.Item]
+	if f.Done || slices.Contains(f.Failed, e.Run) {
 		return Result{Code: CodeKept, JobState: j.State}
 	}
-	s.lastRun[id] = e.Run
 	j.State = galenajob.StateRunning
 	if step := &j.Spec.Steps[e.Item.Step]; !step.LongRunning {
 		s.count(j, step, e)
@@ -165,9 +159,9 @@
 func (s *State) count(j *galenajob.Job, step *galenajob.Step, e *EndOp) {
 	if e.How == galenajob.EndFailed {
 		f := j.Items[e.Item]
-		f.Failed++
+		f.Failed = append(slices.Clone(f.Failed), e.Run)
 		j.Items[e.Item] = f
-		if !f.Done && f.Failed >= max(1, j.MaxAttempts) {
+		if len(f.Failed) >= max(1, j.MaxAttempts) {
 			s.close(j, galenajob.StateFailed, e.At)
 		}
 		return
@@ -234,7 +228,6 @@
 type storedItem struct {
 	Key   galenajob.ItemKey   `cbor:"1,keyasint"`
 	Facts galenajob.ItemFacts `cbor:"2,keyasint"`
-	Run   int64               `cbor:"3,keyasint"`
 }
 
 // Snapshot implements galenahead.StateMachine.
@@ -260,19 +253,8 @@
 
 func (s *State) store(j *galenajob.Job) storedJob {
 	out := storedJob{Job: j}
-	keys := map[galenajob.ItemKey]bool{}
-	for k := range j.Items {
-		keys[k] = true
-	}
-	if !j.State.Final() {
-		for id := range s.lastRun {
-			if id.Job == j.ID {
-				keys[id.Item] = true
-			}
-		}
-	}
-	for k := range keys {
-		out.Items = append(out.Items, storedItem{k, j.Items[k], s.lastRun[galenajob.ItemID{Job: j.ID, Item: k}]})
+	for k, f := range j.Items {
+		out.Items = append(out.Items, storedItem{k, f})
 	}
 	slices.SortFunc(out.Items, func(a, b storedItem) int {
 		return slices.Compare([]int{a.Key.Occurrence, a.Key.Step, a.Key.Index}, []int{b.Key.Occurrence, b.Key.Step, b.Key.Index})
@@ -296,7 +278,6 @@
 		j.Items = map[galenajob.ItemKey]galenajob.ItemFacts{}
 		for _, it := range r.Items {
 			j.Items[it.Key] = it.Facts
-			s.lastRun[galenajob.ItemID{Job: j.ID, Item: it.Key}] = it.Run
 		}
 		s.jobs[j.ID] = j
 	}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -444,11 +444,12 @@
 }
 
 // Recorded tells that the ends that Held returned for the instance are durable,
-// and lets the cursor pass them.
-func (s *Scheduler) Recorded(now time.Time, id galenahead.InstanceID, born int64, ends []End) {
+// and lets the cursor pass them. fresh tells for each whether it was not
+// recorded before.
+func (s *Scheduler) Recorded(now time.Time, id galenahead.InstanceID, born int64, ends []End, fresh []bool) {
 	n := s.instances[id]
-	for _, e := range ends {
-		s.settle(now, n, e)
+	for i, e := range ends {
+		s.settle(now, n, e, fresh[i])
 	}
 	if n != nil && n.Born == born && len(ends) > 0 {
 		n.recording = false
@@ -457,7 +458,7 @@
 }
 
 // settle applies a recorded end.
-func (s *Scheduler) settle(now time.Time, n *instance, e End) {
+func (s *Scheduler) settle(now time.Time, n *instance, e End, fresh bool) {
 	var it *item
 	if n != nil {
 		it = n.items[e.Item]
@@ -476,11 +477,13 @@
 		it.ended = false
 		it.release(now)
 	}
-	if e.How == EndDone {
+	switch {
+	case !fresh:
+	case e.How == EndDone:
 		s.done(now, n, it)
-		return
+	default:
+		s.failed(now, n, it)
 	}
-	s.failed(now, n, it)
 }
 
 func instanceID(n *instance) galenahead.InstanceID {
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -74,7 +74,7 @@
 	is.Equal(record, []End{end})
 	is.Equal(len(starts(s.Plan(t0, t0))), 0) // its end waits to be recorded
 
-	s.Recorded(t0, "a", 1, record)
+	s.Recorded(t0, "a", 1, record, []bool{true})
 	is.Equal(len(starts(s.Plan(t0, t0))), 0) // it is done
 	o, ok = s.Hold(t0, "a")
 	is.True(ok)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -142,7 +142,7 @@
 			if !ok {
 				continue
 			}
-			it.done, it.failed, it.checkpoint = f.Done, f.Failed, f.Checkpoint
+			it.done, it.failed = f.Done, len(f.Failed)
 			if f.Done {
 				st.left--
 			}
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -178,9 +178,10 @@
 
 // ItemFacts is what is durable of a work item.
 type ItemFacts struct {
-	Done       bool   `cbor:"1,keyasint,omitempty"`
-	Failed     int    `cbor:"2,keyasint,omitempty"`
-	Checkpoint string `cbor:"3,keyasint,omitempty"`
+	Done bool `cbor:"1,keyasint,omitempty"`
+	// Failed lists the runs that failed, so that an end that is listed again
+	// after a change of owner counts once.
+	Failed []int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Queue is what the configuration says of a queue.
