Serve the job with the least work left first

Cause: in a peak the backlog exceeds the room for seconds; by the earliest due time every job is served when it is nearly late, and all of them are.

Ruled out: other orders were not tried; jobs that cannot be on time still come after all that can.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -59,7 +59,9 @@
 type sortKey struct {
 	class    int
 	priority int
-	due      time.Time
+	// work is the estimated processor time left, in milliseconds of a core.
+	work int64
+	due  time.Time
 }
 
 // Plan advances everything that depends on time and returns the actions that
@@ -178,6 +180,7 @@
 		return cmp.Or(
 			cmp.Compare(a.key.class, b.key.class),
 			cmp.Compare(a.key.priority, b.key.priority),
+			cmp.Compare(a.key.work, b.key.work),
 			a.key.due.Compare(b.key.due),
 			cmp.Compare(a.ID, b.ID),
 		)
@@ -187,15 +190,15 @@
 
 func (s *Scheduler) rank(now time.Time, j *job) sortKey {
 	if j.Spec.LongRunning() {
-		return sortKey{classLasting, j.queue.Priority, j.since}
+		return sortKey{class: classLasting, priority: j.queue.Priority, due: j.since}
 	}
 	objective := j.objective()
 	if j.Spec.Repetitions > 0 {
-		return sortKey{classOnTime, j.queue.Priority, j.since.Add(objective)}
+		return sortKey{class: classOnTime, priority: j.queue.Priority, due: j.since.Add(objective)}
 	}
 	left := j.remaining()
 	spent := now.Sub(j.since)
-	k := sortKey{classHopeless, j.queue.Priority, j.since.Add(objective)}
+	k := sortKey{classHopeless, j.queue.Priority, j.workLeft(), j.since.Add(objective)}
 	switch {
 	case spent+left <= objective:
 		k.class = classOnTime
@@ -230,6 +233,16 @@
 	return longest
 }
 
+// workLeft returns the estimated processor time of the work items that are not
+// done, in milliseconds of a core.
+func (j *job) workLeft() int64 {
+	var sum int64
+	for _, st := range j.occurrence(0) {
+		sum += int64(st.left) * st.step.Need.MilliCPU * st.step.Estimate.Milliseconds() / 1000
+	}
+	return sum
+}
+
 // ready returns the item sets of j whose turn has come.
 func (s *Scheduler) ready(j *job) []*itemSet {
 	for j.nextDue < j.Spec.Occurrences() && !s.wall.Before(j.Spec.Due(j.nextDue)) {
