Forecast peaks by turns; machines stay until the first peak

Cause: a peak is noticed when work already waits, and a move takes 1.5 s, so the first two seconds of each peak are late.

Now peaks follow each other at the median gap of the last ones, the service that waited longest is next, and only machines that no waiting work wants are sent ahead.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -35,6 +35,7 @@
 	WaveStep *WaveStepOp            `cbor:"9,keyasint,omitempty"`
 	Expire   *time.Time             `cbor:"10,keyasint,omitempty"`
 	Order    *MachineOrder          `cbor:"11,keyasint,omitempty"`
+	Onset    *Onset                 `cbor:"12,keyasint,omitempty"`
 }
 
 // OfficeOp begins the office of an owner. Its result carries the epoch.
--- /dev/null
+++ b/galenafleet/forecast.go
@@ -0,0 +1,201 @@
+package galenafleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+const (
+	// peakMachines is the least load, in machines beyond lasting work, that
+	// counts as a peak.
+	peakMachines = 3
+	// riseShare and calmShare are the parts of a service's highest load above
+	// which a peak begins and below which the service is calm again.
+	riseShare = 0.35
+	calmShare = 0.2
+	// calmTime is how long a service must be calm before a peak can begin.
+	calmTime = time.Second
+	// moveAhead is how long before a forecast peak machines are on their way: a
+	// move takes about that long until the instance is ready.
+	moveAhead = 2200 * time.Millisecond
+	// peakGrace is how long the machines wait for a peak that is late.
+	peakGrace = 1200 * time.Millisecond
+	// minTurn and maxTurn bound the time between the beginnings of two peaks.
+	minTurn = 2 * time.Second
+	maxTurn = 10 * time.Minute
+	// minOnsets is how many peaks a forecast needs, and onsetsUsed how many of the
+	// last it looks at.
+	minOnsets  = 4
+	onsetsUsed = 5
+	// onsetsKept bounds the onsets that are kept for each service.
+	onsetsKept = 4
+)
+
+// Onset is the beginning of a peak of a service's demand.
+type Onset struct {
+	Service galenahead.ServiceName `cbor:"1,keyasint"`
+	At      time.Time              `cbor:"2,keyasint"`
+	// Machines is how many machines the peak kept busy.
+	Machines int `cbor:"3,keyasint"`
+}
+
+// forecaster notes the peaks of each service and expects them to recur: the
+// queues' demand rises and falls by turns.
+type forecaster struct {
+	services map[galenahead.ServiceName]*demandCurve
+}
+
+// demandCurve is the demand of one service.
+type demandCurve struct {
+	onsets []Onset
+	high   bool
+	// highest is the highest load seen, in machines.
+	highest   float64
+	calmSince time.Time
+}
+
+func newForecaster(past []Onset, now time.Time) *forecaster {
+	f := &forecaster{services: map[galenahead.ServiceName]*demandCurve{}}
+	for _, o := range past {
+		c := f.curve(o.Service, now)
+		c.onsets = append(c.onsets, o)
+		c.highest = max(c.highest, float64(o.Machines))
+	}
+	return f
+}
+
+func (f *forecaster) curve(service galenahead.ServiceName, now time.Time) *demandCurve {
+	c, ok := f.services[service]
+	if !ok {
+		c = &demandCurve{calmSince: now}
+		f.services[service] = c
+	}
+	return c
+}
+
+// observe notes the load of a service, in machines. It returns the onset that
+// begins or has grown, if any, which should be kept for a successor.
+func (f *forecaster) observe(service galenahead.ServiceName, load float64, busy int, now time.Time) *Onset {
+	c := f.curve(service, now)
+	c.highest = max(c.highest, load)
+	switch {
+	case load < max(1, calmShare*c.highest):
+		if c.calmSince.IsZero() {
+			c.calmSince = now
+		}
+		if c.high && now.Sub(c.calmSince) >= calmTime {
+			c.high = false
+			return &c.onsets[len(c.onsets)-1]
+		}
+	case !c.high && load >= max(peakMachines, riseShare*c.highest):
+		if c.calmSince.IsZero() || now.Sub(c.calmSince) < calmTime {
+			break
+		}
+		c.calmSince, c.high = time.Time{}, true
+		c.onsets = append(c.onsets, Onset{Service: service, At: now, Machines: busy})
+		if len(c.onsets) > onsetsKept {
+			c.onsets = slices.Delete(c.onsets, 0, 1)
+		}
+		return &c.onsets[len(c.onsets)-1]
+	default:
+		if !c.high {
+			break
+		}
+		c.calmSince = time.Time{}
+	}
+	if c.high {
+		last := &c.onsets[len(c.onsets)-1]
+		last.Machines = max(last.Machines, busy)
+	}
+	return nil
+}
+
+// expected returns how many machines a forecast peak of the service wants now.
+// Peaks follow each other in turns, and the service whose last peak is longest
+// ago is next.
+func (f *forecaster) expected(service galenahead.ServiceName, now time.Time) int {
+	last, turn, ok := f.turn()
+	if !ok || f.next() != service {
+		return 0
+	}
+	begin := last.Add(turn)
+	if now.Before(begin.Add(-moveAhead)) || now.After(begin.Add(peakGrace)) {
+		return 0
+	}
+	c := f.services[service]
+	return c.onsets[len(c.onsets)-1].Machines
+}
+
+// turn returns when the last peak began and the usual time between the
+// beginnings of two peaks.
+func (f *forecaster) turn() (last time.Time, turn time.Duration, ok bool) {
+	var begins []time.Time
+	for _, c := range f.services {
+		for _, o := range c.onsets {
+			begins = append(begins, o.At)
+		}
+	}
+	slices.SortFunc(begins, func(a, b time.Time) int { return a.Compare(b) })
+	if len(begins) < minOnsets {
+		return last, 0, false
+	}
+	begins = begins[max(0, len(begins)-onsetsUsed):]
+	gaps := make([]time.Duration, 0, len(begins))
+	for i := range begins[1:] {
+		gaps = append(gaps, begins[i+1].Sub(begins[i]))
+	}
+	slices.Sort(gaps)
+	turn = gaps[len(gaps)/2]
+	spread := gaps[len(gaps)-1] - gaps[0]
+	return begins[len(begins)-1], turn, turn >= minTurn && turn <= maxTurn && spread <= turn/2
+}
+
+// next returns the service whose turn comes, among those that have had one.
+func (f *forecaster) next() galenahead.ServiceName {
+	var best galenahead.ServiceName
+	var oldest time.Time
+	for _, name := range sortedNames(f.services) {
+		c := f.services[name]
+		if len(c.onsets) == 0 {
+			continue
+		}
+		at := c.onsets[len(c.onsets)-1].At
+		if best == "" || at.Before(oldest) {
+			best, oldest = name, at
+		}
+	}
+	return best
+}
+
+// seen tells whether any peak was noted.
+func (f *forecaster) seen() bool {
+	for _, c := range f.services {
+		if len(c.onsets) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedNames(m map[galenahead.ServiceName]*demandCurve) []galenahead.ServiceName {
+	names := make([]galenahead.ServiceName, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// machinesFor returns how many machines of a size hold r, as a fraction.
+func machinesFor(r, size galenajob.Resources) float64 {
+	n := 0.0
+	for _, pair := range [][2]int64{{r.MilliCPU, size.MilliCPU}, {r.MemoryMB, size.MemoryMB}, {r.GPU, size.GPU}} {
+		if pair[1] > 0 {
+			n = max(n, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/galenafleet/forecast_test.go
@@ -0,0 +1,60 @@
+package galenafleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// play runs two services whose peaks of 4 s follow each other.
+func play(f *forecaster, from, until time.Duration) {
+	for d := from; d < until; d += 200 * time.Millisecond {
+		load := [2]float64{0.2, 0.2}
+		if k := int(d / (4 * time.Second)); k > 0 {
+			load[k%2] = 12
+		}
+		f.observe("a", load[0], int(load[0]), at.Add(d))
+		f.observe("b", load[1], int(load[1]), at.Add(d))
+	}
+}
+
+// Guards against missing a recurring peak, and against keeping machines for it
+// all the time.
+func TestRecurringPeakIsExpected(t *testing.T) {
+	is := is.New(t)
+	f := newForecaster(nil, at)
+	play(f, 0, 18*time.Second) // b from 4 s and 12 s, a from 8 s and 16 s
+	is.True(f.seen())
+	next := at.Add(20 * time.Second)
+	is.Equal(f.expected("b", next.Add(-moveAhead-time.Second)), 0)
+	is.Equal(f.expected("b", next.Add(-moveAhead+100*time.Millisecond)), 12)
+	is.Equal(f.expected("a", next.Add(-moveAhead+100*time.Millisecond)), 0)
+	is.Equal(f.expected("b", next.Add(peakGrace+time.Second)), 0) // it did not come
+}
+
+// Guards against forecasts from peaks that come at no regular time.
+func TestIrregularPeaksAreNotExpected(t *testing.T) {
+	is := is.New(t)
+	var past []Onset
+	for _, s := range []int{0, 3, 20, 22} {
+		past = append(past, Onset{"a", at.Add(time.Duration(s) * time.Second), 9})
+	}
+	f := newForecaster(past, at)
+	for d := 22; d < 60; d++ {
+		is.Equal(f.expected("a", at.Add(time.Duration(d)*time.Second)), 0)
+	}
+}
+
+// Guards against forgetting the peaks at a change of owner.
+func TestSuccessorExpectsThePeak(t *testing.T) {
+	is := is.New(t)
+	f := newForecaster(nil, at)
+	play(f, 0, 18*time.Second)
+	var past []Onset
+	for _, name := range sortedNames(f.services) {
+		past = append(past, f.services[name].onsets...)
+	}
+	g := newForecaster(past, at.Add(18*time.Second))
+	is.Equal(g.expected("b", at.Add(19*time.Second)), 12)
+}
--- a/galenafleet/lines.go
+++ b/galenafleet/lines.go
@@ -104,5 +104,6 @@
 	b = galenalog.AppendInt(b, "used_milli_cpu", u.Used.MilliCPU)
 	b = galenalog.AppendInt(b, "waiting_milli_cpu", u.Demand.MilliCPU)
 	b = galenalog.AppendInt(b, "waiting_memory_mb", u.Demand.MemoryMB)
+	b = galenalog.AppendInt(b, "expected_machines", int64(l.use.expected))
 	return galenalog.AppendInt(b, "lacking", int64(l.use.lacking))
 }
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -40,6 +40,7 @@
 	// calling holds the machines to which an order is on its way.
 	calling map[galenahead.VMName]bool
 	answers chan machineAnswer
+	peaks   *forecaster
 }
 
 // machineAnswer is the answer to an order to a machine; wave is zero for a
@@ -58,6 +59,7 @@
 		transfers: map[galenahead.VMName]*transfer{},
 		calling:   map[galenahead.VMName]bool{},
 		answers:   make(chan machineAnswer, answerQueue),
+		peaks:     newForecaster(f.State.peaks(), time.Now().Round(0)),
 	}
 }
 
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -11,9 +12,8 @@
 )
 
 const (
-	// idleBeforeMove is how long an instance must have been idle to leave for a
-	// pool that lacks machines, and idleBeforeSpare to be switched off.
-	idleBeforeMove  = 200 * time.Millisecond
+	// idleBeforeSpare is how long an instance must have been idle to be switched
+	// off.
 	idleBeforeSpare = 1500 * time.Millisecond
 	// arrivalTimeout is how long a moved machine counts for its new pool before
 	// its instance has registered.
@@ -33,9 +33,11 @@
 type poolUse struct {
 	service galenahead.ServiceName
 	usage   galenajob.Usage
-	// lacking is how many machines the pool lacks.
-	lacking int
-	spare   bool
+	// lacking is how many machines the pool lacks, and sent how many were sent
+	// there since.
+	lacking, sent int
+	// expected is how many a forecast peak wants.
+	expected int
 }
 
 // balance moves idle machines to the pools that lack some, and switches off
@@ -64,23 +66,37 @@
 		}
 	}
 	slices.SortFunc(off, func(a, b Machine) int { return compareNames(a.Name, b.Name) })
-	for i := range pools {
-		to := &pools[i]
-		for to.lacking > 0 {
-			v, ok := m.donor(pools, to, byInstance, now)
+	supply := func(to *poolUse, n int) {
+		for ; n > 0; n-- {
+			v, ok := m.donor(pools, to, byInstance)
 			if !ok && len(off) > 0 {
 				v, off, ok = off[0], off[1:], true
 			}
 			if !ok {
-				break
+				return
 			}
 			m.send(v, to.service, now)
-			to.lacking--
+			to.sent++
 		}
 	}
 	for i := range pools {
-		for _, idle := range pools[i].usage.Idle {
+		supply(&pools[i], pools[i].lacking)
+	}
+	// What waits already comes before what is only expected.
+	for i := range pools {
+		p := &pools[i]
+		supply(p, p.expected-p.usage.Instances-m.arriving(p.service))
+	}
+	if !m.peaks.seen() {
+		// Before the first peak nothing is known of the demand.
+		return
+	}
+	for i := range pools {
+		for k, idle := range pools[i].usage.Idle {
 			v, ok := byInstance[idle.ID]
+			if len(pools[i].usage.Idle)-k <= pools[i].keep() {
+				break
+			}
 			if ok && now.Sub(idle.Since) > idleBeforeSpare && !m.reserved(v.Name) {
 				m.send(v, spare, now)
 			}
@@ -108,7 +124,7 @@
 		}
 		p := poolUse{service: svc.Name}
 		m.of(svc.Name).with(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
-		p.lacking = m.lacking(p.usage) - m.arriving(svc.Name)
+		m.forecast(&p)
 		pools = append(pools, p)
 		galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(svc.Name)})
 	}
@@ -116,21 +132,26 @@
 	return pools, spare
 }
 
-// lacking returns how many machines would hold what waits.
-func (m *machinist) lacking(u galenajob.Usage) int {
-	if u.Demand == (galenajob.Resources{}) {
-		return 0
-	}
+// forecast sets how many machines a pool lacks for what waits and for the peak
+// that is expected.
+func (m *machinist) forecast(p *poolUse) {
+	wall := time.Now().Round(0)
 	size := m.machineSize()
-	n := 0
-	for _, pair := range [][2]int64{
-		{u.Demand.MilliCPU, size.MilliCPU}, {u.Demand.MemoryMB, size.MemoryMB}, {u.Demand.GPU, size.GPU},
-	} {
-		if pair[1] > 0 {
-			n = max(n, int((pair[0]+pair[1]-1)/pair[1]))
-		}
+	if o := m.peaks.observe(p.service, machinesFor(p.usage.Batch, size), p.usage.Busy, wall); o != nil {
+		onset := *o
+		m.group.Go(func() error {
+			// Lost with the office, it only costs the next owner a forecast.
+			_, _ = m.commits.commit(m.ctx, Op{Onset: &onset})
+			return nil
+		})
 	}
-	return n
+	p.lacking = int(math.Ceil(machinesFor(p.usage.Demand, size))) - m.arriving(p.service)
+	p.expected = m.peaks.expected(p.service, wall)
+}
+
+// keep is how many of the idle machines wait for a forecast peak.
+func (p *poolUse) keep() int {
+	return max(0, p.expected-(p.usage.Instances-len(p.usage.Idle)))
 }
 
 // machineSize returns the capacity of a usual machine.
@@ -148,15 +169,17 @@
 }
 
 // donor returns a machine that idles in another pool.
-func (m *machinist) donor(pools []poolUse, to *poolUse, byInstance map[galenahead.InstanceID]Machine, now time.Time) (Machine, bool) {
+func (m *machinist) donor(pools []poolUse, to *poolUse, byInstance map[galenahead.InstanceID]Machine) (Machine, bool) {
 	for i := range pools {
 		from := &pools[i]
 		if from.service == to.service || from.lacking > 0 {
 			continue
 		}
-		for _, idle := range from.usage.Idle {
-			v, ok := byInstance[idle.ID]
-			if ok && !m.reserved(v.Name) && now.Sub(idle.Since) >= idleBeforeMove {
+		for k, idle := range from.usage.Idle {
+			if to.lacking <= to.sent && len(from.usage.Idle)-k <= from.keep() {
+				break
+			}
+			if v, ok := byInstance[idle.ID]; ok && !m.reserved(v.Name) {
 				return v, true
 			}
 		}
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -24,6 +24,8 @@
 	instances map[galenahead.InstanceID]galenajob.Instance
 	waves     map[int64]*Wave
 	orders    map[galenahead.VMName]MachineOrder
+	// onsets holds the last peaks of demand, oldest first.
+	onsets []Onset
 }
 
 var _ galenahead.StateMachine = (*State)(nil)
@@ -85,6 +87,9 @@
 	case op.Order != nil:
 		s.orders[op.Order.Machine] = *op.Order
 		return Result{Code: CodeDone}
+	case op.Onset != nil:
+		s.applyOnset(*op.Onset)
+		return Result{Code: CodeDone}
 	case op.Expire != nil:
 		s.expire(*op.Expire)
 		return Result{Code: CodeDone}
@@ -218,6 +223,7 @@
 	Instances []galenajob.Instance `cbor:"4,keyasint"`
 	Waves     []*Wave              `cbor:"5,keyasint"`
 	Orders    []MachineOrder       `cbor:"6,keyasint"`
+	Onsets    []Onset              `cbor:"7,keyasint"`
 }
 
 type storedJob struct {
@@ -234,7 +240,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := snapshot{Epoch: s.epoch, Config: s.config}
+	out := snapshot{Epoch: s.epoch, Config: s.config, Onsets: s.onsets}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		out.Jobs = append(out.Jobs, s.store(s.jobs[id]))
 	}
@@ -270,7 +276,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.epoch, s.config = in.Epoch, in.Config
+	s.epoch, s.config, s.onsets = in.Epoch, in.Config, in.Onsets
 	s.jobs = nil
 	s.init()
 	for _, r := range in.Jobs {
@@ -402,3 +408,27 @@
 	o, ok := s.orders[name]
 	return o, ok
 }
+
+// maxOnsets bounds the onsets that are kept, over all services.
+const maxOnsets = 64
+
+// applyOnset adds a peak, or replaces what is known of it.
+func (s *State) applyOnset(o Onset) {
+	for i := range s.onsets {
+		if s.onsets[i].Service == o.Service && s.onsets[i].At.Equal(o.At) {
+			s.onsets[i] = o
+			return
+		}
+	}
+	s.onsets = append(s.onsets, o)
+	if len(s.onsets) > maxOnsets {
+		s.onsets = slices.Delete(s.onsets, 0, 1)
+	}
+}
+
+// peaks returns the last peaks of demand, oldest first.
+func (s *State) peaks() []Onset {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.onsets)
+}
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -17,6 +17,10 @@
 	// Demand sums what waits for room, of jobs that are still worth it, and the
 	// lasting work that has to leave its instance.
 	Demand Resources
+	// Batch sums what runs or waits of jobs that end by themselves, and Busy
+	// counts the instances that run some.
+	Batch Resources
+	Busy  int
 	// Idle lists the instances on which nothing runs, longest idle first.
 	Idle []IdleInstance
 }
@@ -40,6 +44,11 @@
 		u.Instances++
 		u.Capacity = u.Capacity.Add(n.Capacity)
 		u.Used = u.Used.Add(n.used)
+		batch := n.used.Sub(n.lasting())
+		u.Batch = u.Batch.Add(batch)
+		if batch != (Resources{}) {
+			u.Busy++
+		}
 		if len(n.items) == 0 && !n.unresolved && n.fenced {
 			u.Idle = append(u.Idle, IdleInstance{n.ID, n.idleSince})
 		}
@@ -51,7 +60,11 @@
 		}
 		for _, sets := range j.sets {
 			for _, st := range sets {
-				u.Demand = u.Demand.Add(st.demand(now))
+				d := st.demand(now)
+				u.Demand = u.Demand.Add(d)
+				if !st.step.LongRunning {
+					u.Batch = u.Batch.Add(d)
+				}
 			}
 		}
 	}
