Pace waves by their end, take the machines that are missed least first

Cause: a wave took nine machines at once in the middle of a peak though its duration was enough for three at a time.

Ruled out: a fixed share of the fleet (a short wave would miss its end).

A peak now also needs half of the highest load to count as one.

--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -14,7 +14,7 @@
 	peakMachines = 3
 	// riseShare and calmShare are the parts of a service's highest load above
 	// which a peak begins and below which the service is calm again.
-	riseShare = 0.35
+	riseShare = 0.5
 	calmShare = 0.2
 	// calmTime is how long a service must be calm before a peak can begin.
 	calmTime = time.Second
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -1,7 +1,9 @@
 package galenafleet
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -150,7 +152,54 @@
 			}
 		}
 	}
+	allowed := m.pace(w, down)
 	ahead := 0
+	for _, v := range m.due(w) {
+		m.prepare(v)
+		if ahead >= allowed+evacuationsAhead {
+			continue
+		}
+		ahead++
+		if !m.emptied(v) || down >= allowed || !m.mayOrder(v.Name) {
+			continue
+		}
+		if m.step(w, v.Name, StepOrdered) {
+			down++
+			m.maintain(w.ID, v.Name)
+		}
+	}
+}
+
+const (
+	// upkeepTime is about how long a machine is away for an upkeep, with the time
+	// until its end is seen.
+	upkeepTime = 3500 * time.Millisecond
+	// waveMargin is how long before its end a wave should be done.
+	waveMargin = 7 * time.Second
+)
+
+// pace returns how many machines of a wave should be down at once: so few that
+// the wave just ends in time, since they are missed meanwhile.
+func (m *machinist) pace(w *Wave, down int) int {
+	left := time.Until(w.Accepted.Add(w.Duration)) - waveMargin
+	if left <= upkeepTime {
+		return w.MaxDown
+	}
+	open := down
+	for _, name := range w.Machines {
+		if w.Steps[name] == "" {
+			open++
+		}
+	}
+	rounds := int(left / upkeepTime)
+	return min(w.MaxDown, (open+rounds-1)/rounds)
+}
+
+// due returns the machines of a wave whose upkeep has not begun and may begin:
+// first those that are being emptied already, then those that are missed least.
+func (m *machinist) due(w *Wave) []Machine {
+	var out []Machine
+	rank := map[galenahead.VMName]int64{}
 	for _, name := range w.Machines {
 		if w.Steps[name] != "" {
 			continue
@@ -162,19 +211,31 @@
 			}
 			continue
 		}
-		m.prepare(v)
-		if v.State != MachineUp || m.transfers[name] != nil || ahead >= w.MaxDown+evacuationsAhead {
+		if v.State != MachineUp || m.transfers[name] != nil {
 			continue
 		}
-		ahead++
-		if !m.emptied(v) || down >= w.MaxDown || !m.mayOrder(name) {
-			continue
-		}
-		if m.step(w, name, StepOrdered) {
-			down++
-			m.maintain(w.ID, name)
-		}
+		rank[name] = m.load(v)
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b Machine) int {
+		return cmp.Or(cmp.Compare(rank[a.Name], rank[b.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// load ranks how much a machine would be missed; machines that are being
+// emptied come first.
+func (m *machinist) load(v Machine) int64 {
+	if _, ok := m.leaving[v.Name]; ok {
+		return -1
+	}
+	in, ok := m.State.instance(v.Instance)
+	if !ok {
+		return 0
 	}
+	var used int64
+	m.of(in.Service).with(func(_ time.Time, s *galenajob.Scheduler) { used = s.UsedOn(in.ID).MilliCPU })
+	return used
 }
 
 // prepare keeps lasting work off a machine that is due.
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -1,6 +1,7 @@
 package galenafleet
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"slices"
@@ -65,7 +66,7 @@
 			byInstance[v.Instance] = v
 		}
 	}
-	slices.SortFunc(off, func(a, b Machine) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(off, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
 	supply := func(to *poolUse, n int) {
 		for ; n > 0; n-- {
 			v, ok := m.donor(pools, to, byInstance)
@@ -104,16 +105,6 @@
 	}
 }
 
-func compareNames(a, b galenahead.VMName) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // uses returns the use of every pool, the one that lacks most first, and the
 // spare pool.
 func (m *machinist) uses(cfg *Config, now time.Time) (pools []poolUse, spare galenahead.ServiceName) {
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -71,6 +71,14 @@
 	return u
 }
 
+// UsedOn returns what is used of an instance.
+func (s *Scheduler) UsedOn(id galenahead.InstanceID) Resources {
+	if n := s.instances[id]; n != nil {
+		return n.used
+	}
+	return Resources{}
+}
+
 // demand sums the claims of the work items that wait for an instance.
 func (st *itemSet) demand(now time.Time) Resources {
 	var d Resources
