Start a control daemon anew when its disk fails

Ruled out: going on without the disk (a replica whose write failed does not know what it has promised).

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
@@ -27,6 +28,8 @@
 	owner  *galenafleet.Owner
 	keeper *galenafleet.Keeper
 	server *galenarpc.Server
+	// failed is closed when the replica's disk has failed.
+	failed chan struct{}
 }
 
 // Timing of the log. An instance's lease outlives the change of a leader.
@@ -44,19 +47,70 @@
 // that is lost restarts only after it.
 const instanceLease = 5 * time.Second
 
-func runControl(_ context.Context, path string, f galenasettings.Fleet, load loader, log *galenadaemon.Log) (galenadaemon.Runner, error) {
+// supervisor runs a control daemon, and starts it anew within the process when
+// its disk fails: a full or faulty disk may recover, and meanwhile the others
+// go on.
+type supervisor struct {
+	path    string
+	load    loader
+	log     *galenadaemon.Log
+	metrics *galenametric.Metrics
+}
+
+// diskRetry is the pause before a replica whose disk failed is opened again.
+const diskRetry = time.Second
+
+func runControl(_ context.Context, path string, _ galenasettings.Fleet, load loader, log *galenadaemon.Log) (galenadaemon.Runner, error) {
+	s := &supervisor{path: path, load: load, log: log, metrics: &galenametric.Metrics{}}
+	s.metrics.Publish("galena")
+	return s, nil
+}
+
+// Run runs control daemons until ctx ends.
+func (s *supervisor) Run(ctx context.Context) error {
+	for {
+		err := s.runOnce(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			return eris.New("the control daemon ended without a cause")
+		}
+		s.log.WithError(err).Error("control daemon failed; it starts again")
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(diskRetry):
+		}
+	}
+}
+
+func (s *supervisor) runOnce(ctx context.Context) error {
+	f, err := s.load(s.path)
+	if err != nil {
+		return err
+	}
+	c, err := newControl(s.path, f, s.load, s.log, s.metrics)
+	if err != nil {
+		return err
+	}
+	return c.Run(ctx)
+}
+
+func newControl(path string, f galenasettings.Fleet, load loader, log *galenadaemon.Log, metrics *galenametric.Metrics) (*control, error) {
 	timers := &galenatimer.Steady{}
 	caller := &galenarpc.Client{}
 	state := &galenafleet.State{}
+	c := &control{server: &galenarpc.Server{Mux: &galenarpc.Mux{}}, failed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, Caller: caller, Timers: timers, Log: log.Logger,
 		Tick: logTick, Heartbeat: heartbeat, Lease: lease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
-		CallTimeout: callTimeout,
+		CallTimeout: callTimeout, Fatal: func(error) { close(c.failed) },
 	})
 	if err != nil {
 		return nil, err
 	}
-	c := &control{node: node, server: &galenarpc.Server{Mux: &galenarpc.Mux{}}}
+	c.node = node
 	directory := &galenafleet.Directory{Caller: caller, Timers: timers, Logger: log.Logger, Self: c.whereabouts}
 	directory.SetSeeds(f.Control.SeedPeers())
 	c.daemon = daemon{
@@ -64,8 +118,6 @@
 		gateway: &galenafleet.Gateway{Directory: directory, Caller: caller, Logger: log.Logger},
 	}
 	client := &platform.Client{}
-	metrics := &galenametric.Metrics{}
-	metrics.Publish("galena")
 	c.owner = &galenafleet.Owner{
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Instances:    &platform.Instances{Client: client},
@@ -158,9 +210,12 @@
 	group.Go(func() error { return c.keeper.Run(serving) })
 	group.Go(func() error { return c.owner.Run(serving) })
 	group.Go(func() error { return c.watchSettings(serving) })
-	<-ctx.Done()
-	c.log.Info("control daemon stops")
-	c.handOver()
+	select {
+	case <-ctx.Done():
+		c.log.Info("control daemon stops")
+		c.handOver()
+	case <-c.failed:
+	}
 	stop()
 	return group.Wait()
 }
