--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -15,7 +15,7 @@
 const (
 	// idleBeforeSpare is how long an instance must have been idle to be switched
 	// off.
-	idleBeforeSpare = 1500 * time.Millisecond
+	idleBeforeSpare = 700 * time.Millisecond
 	// arrivalTimeout is how long a moved machine counts for its new pool before
 	// its instance has registered.
 	arrivalTimeout = 5 * time.Second
@@ -27,7 +27,6 @@
 	instance  galenahead.InstanceID
 	confirmed bool
 	since     time.Time
-	inFlight  bool
 }
 
 // poolUse is the use of one pool.
@@ -50,7 +49,7 @@
 	}
 	now := m.Timers.Now()
 	m.settle(now)
-	pools, spare := m.uses(cfg, now)
+	pools, spare := m.uses(cfg)
 	if spare == "" {
 		return
 	}
@@ -107,7 +106,7 @@
 
 // uses returns the use of every pool, the one that lacks most first, and the
 // spare pool.
-func (m *machinist) uses(cfg *Config, now time.Time) (pools []poolUse, spare galenahead.ServiceName) {
+func (m *machinist) uses(cfg *Config) (pools []poolUse, spare galenahead.ServiceName) {
 	for _, svc := range cfg.Services {
 		if svc.Spare {
 			spare = svc.Name
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -72,8 +72,7 @@
 	left       int
 	tickets    map[galenahead.InstanceID]ticket
 	// asked is when the advisor was last asked, or zero.
-	asked   time.Time
-	advised bool
+	asked time.Time
 }
 
 // ticket allows the work items of one step to start on an instance.
