--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -28,8 +28,10 @@
 	maxTurn = 10 * time.Minute
 	// minOnsets is how many peaks a forecast needs, and onsetsUsed how many of the
 	// last it looks at.
-	minOnsets  = 4
+	minOnsets  = 2
 	onsetsUsed = 5
+	// mostAhead bounds the machines that are sent ahead of a peak.
+	mostAhead = 20
 	// onsetsKept bounds the onsets that are kept for each service.
 	onsetsKept = 4
 )
@@ -114,19 +116,31 @@
 }
 
 // expected returns how many machines a forecast peak of the service wants now.
-// Peaks follow each other in turns, and the service whose last peak is longest
-// ago is next.
+// Peaks follow each other in turns: the services that had none yet are next, or
+// the one whose last peak is longest ago.
 func (f *forecaster) expected(service galenahead.ServiceName, now time.Time) int {
 	last, turn, ok := f.turn()
-	if !ok || f.next() != service {
+	if !ok {
 		return 0
 	}
 	begin := last.Add(turn)
 	if now.Before(begin.Add(-moveAhead)) || now.After(begin.Add(peakGrace)) {
 		return 0
 	}
-	c := f.services[service]
-	return c.onsets[len(c.onsets)-1].Machines
+	next := f.next()
+	if !slices.Contains(next, service) {
+		return 0
+	}
+	machines := 0
+	for _, c := range f.services {
+		if n := len(c.onsets); n > 0 {
+			machines = max(machines, c.onsets[n-1].Machines)
+		}
+	}
+	if c := f.services[service]; len(c.onsets) > 0 {
+		machines = c.onsets[len(c.onsets)-1].Machines
+	}
+	return min(machines, mostAhead) / len(next)
 }
 
 // turn returns when the last peak began and the usual time between the
@@ -153,13 +167,15 @@
 	return begins[len(begins)-1], turn, turn >= minTurn && turn <= maxTurn && spread <= turn/2
 }
 
-// next returns the service whose turn comes, among those that have had one.
-func (f *forecaster) next() galenahead.ServiceName {
+// next returns the services of which one has its turn next.
+func (f *forecaster) next() []galenahead.ServiceName {
+	var fresh []galenahead.ServiceName
 	var best galenahead.ServiceName
 	var oldest time.Time
 	for _, name := range sortedNames(f.services) {
 		c := f.services[name]
 		if len(c.onsets) == 0 {
+			fresh = append(fresh, name)
 			continue
 		}
 		at := c.onsets[len(c.onsets)-1].At
@@ -167,7 +183,10 @@
 			best, oldest = name, at
 		}
 	}
-	return best
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return []galenahead.ServiceName{best}
 }
 
 // seen tells whether any peak was noted.
