--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -12,7 +12,7 @@
 
 const (
 	// machineTick is how often waves and pools advance.
-	machineTick = 200 * time.Millisecond
+	machineTick = 100 * time.Millisecond
 	// listInterval is the shortest time between two readings of the machines,
 	// each of which is paid for.
 	listInterval = 500 * time.Millisecond
@@ -43,6 +43,8 @@
 	calling map[galenahead.VMName]bool
 	answers chan machineAnswer
 	peaks   *forecaster
+	// logged is what the last log line of each pool said.
+	logged map[galenahead.ServiceName][4]int
 }
 
 // machineAnswer is the answer to an order to a machine; wave is zero for a
@@ -60,6 +62,7 @@
 		leaving:   map[galenahead.VMName]galenahead.InstanceID{},
 		transfers: map[galenahead.VMName]*transfer{},
 		calling:   map[galenahead.VMName]bool{},
+		logged:    map[galenahead.ServiceName][4]int{},
 		answers:   make(chan machineAnswer, answerQueue),
 		peaks:     newForecaster(f.State.peaks(), time.Now().Round(0)),
 	}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -116,12 +116,22 @@
 		m.of(svc.Name).with(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
 		m.forecast(&p)
 		pools = append(pools, p)
-		galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(svc.Name)})
+		m.logPool(p)
 	}
 	slices.SortFunc(pools, func(a, b poolUse) int { return b.lacking - a.lacking })
 	return pools, spare
 }
 
+// logPool logs the use of a pool when what follows from it changes.
+func (m *machinist) logPool(p poolUse) {
+	seen := [4]int{p.usage.Instances, p.lacking, p.expected, m.arriving(p.service)}
+	if m.logged[p.service] == seen {
+		return
+	}
+	m.logged[p.service] = seen
+	galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(p.service)})
+}
+
 // forecast sets how many machines a pool lacks for what waits and for the peak
 // that is expected.
 func (m *machinist) forecast(p *poolUse) {
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -43,9 +43,9 @@
 
 const (
 	// arrivalWindow is the time over which arrivals are counted.
-	arrivalWindow = 600 * time.Millisecond
+	arrivalWindow = 400 * time.Millisecond
 	// minArrivals is how many arrivals tell a rate; a few large jobs do not.
-	minArrivals = 8
+	minArrivals = 6
 )
 
 // rate returns the processor use that the arrivals of the window want.
