--- a/errors.go
+++ b/errors.go
@@ -31,6 +31,9 @@
 	ErrDeadline = eris.New("deadline cannot be met")
 	// ErrNotReady reports an entry that must not serve.
 	ErrNotReady = eris.New("entry is not ready")
+	// ErrUnreachable reports a call that was not sent, since no connection could
+	// be opened.
+	ErrUnreachable = eris.New("peer is unreachable")
 	// ErrCorrupt reports damage in a stored file before its last record.
 	ErrCorrupt = eris.New("stored data is corrupt")
 	// ErrQuota reports a job beyond its team's quota.
--- a/galenafleet/gateway.go
+++ b/galenafleet/gateway.go
@@ -69,7 +69,7 @@
 			if final(err) {
 				return r, sent, err
 			}
-			if !errors.Is(err, galenahead.ErrNotLeader) {
+			if !errors.Is(err, galenahead.ErrNotLeader) && !errors.Is(err, galenahead.ErrUnreachable) {
 				sent = true
 			}
 			g.note(false, addr)
--- a/galenarpc/client.go
+++ b/galenarpc/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
 )
 
 const (
@@ -111,7 +113,7 @@
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.failedAt = time.Now()
-		p.dialErr = eris.Wrapf(err, "connect to %s", addr)
+		p.dialErr = eris.Wrapf(galenahead.ErrUnreachable, "connect to %s: %v", addr, err)
 		return nil, p.dialErr
 	}
 	p.dialErr = nil
