Take a peak that lasts through a change of owner for one peak

Cause: after a change of owner no forecast came any more: the new owner noted the running peak as a second one, and the gaps between peaks became irregular.

--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -59,20 +59,22 @@
 	calmSince time.Time
 }
 
-func newForecaster(past []Onset, now time.Time) *forecaster {
+func newForecaster(past []Onset) *forecaster {
 	f := &forecaster{services: map[galenahead.ServiceName]*demandCurve{}}
 	for _, o := range past {
-		c := f.curve(o.Service, now)
+		c := f.curve(o.Service)
+		// The peak may still last; a calm span ends it otherwise.
+		c.high = true
 		c.onsets = append(c.onsets, o)
 		c.highest = max(c.highest, float64(o.Machines))
 	}
 	return f
 }
 
-func (f *forecaster) curve(service galenahead.ServiceName, now time.Time) *demandCurve {
+func (f *forecaster) curve(service galenahead.ServiceName) *demandCurve {
 	c, ok := f.services[service]
 	if !ok {
-		c = &demandCurve{calmSince: now}
+		c = &demandCurve{}
 		f.services[service] = c
 	}
 	return c
@@ -81,7 +83,7 @@
 // observe notes the load of a service, in machines. It returns the onset that
 // begins or has grown, if any, which should be kept for a successor.
 func (f *forecaster) observe(service galenahead.ServiceName, load float64, busy int, now time.Time) *Onset {
-	c := f.curve(service, now)
+	c := f.curve(service)
 	c.highest = max(c.highest, load)
 	switch {
 	case load < max(1, calmShare*c.highest):
--- a/galenafleet/forecast_test.go
+++ b/galenafleet/forecast_test.go
@@ -23,7 +23,7 @@
 // all the time.
 func TestRecurringPeakIsExpected(t *testing.T) {
 	is := is.New(t)
-	f := newForecaster(nil, at)
+	f := newForecaster(nil)
 	play(f, 0, 18*time.Second) // b from 4 s and 12 s, a from 8 s and 16 s
 	is.True(f.seen())
 	next := at.Add(20 * time.Second)
@@ -40,7 +40,7 @@
 	for _, s := range []int{0, 3, 20, 22} {
 		past = append(past, Onset{"a", at.Add(time.Duration(s) * time.Second), 9})
 	}
-	f := newForecaster(past, at)
+	f := newForecaster(past)
 	for d := 22; d < 60; d++ {
 		is.Equal(f.expected("a", at.Add(time.Duration(d)*time.Second)), 0)
 	}
@@ -49,12 +49,23 @@
 // Guards against forgetting the peaks at a change of owner.
 func TestSuccessorExpectsThePeak(t *testing.T) {
 	is := is.New(t)
-	f := newForecaster(nil, at)
+	f := newForecaster(nil)
 	play(f, 0, 18*time.Second)
 	var past []Onset
 	for _, name := range sortedNames(f.services) {
 		past = append(past, f.services[name].onsets...)
 	}
-	g := newForecaster(past, at.Add(18*time.Second))
+	g := newForecaster(past)
 	is.Equal(g.expected("b", at.Add(19*time.Second)), 12)
 }
+
+// Guards against taking a peak that goes on through a change of owner for a
+// second one.
+func TestPeakThatGoesOnIsOnePeak(t *testing.T) {
+	is := is.New(t)
+	g := newForecaster([]Onset{{"a", at, 12}})
+	for d := time.Second; d < 4*time.Second; d += 100 * time.Millisecond {
+		g.observe("a", 12, 12, at.Add(d))
+	}
+	is.Equal(len(g.services["a"].onsets), 1)
+}
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -64,7 +64,7 @@
 		calling:   map[galenahead.VMName]bool{},
 		logged:    map[galenahead.ServiceName][4]int{},
 		answers:   make(chan machineAnswer, answerQueue),
-		peaks:     newForecaster(f.State.peaks(), time.Now().Round(0)),
+		peaks:     newForecaster(f.State.peaks()),
 	}
 }
 
