Log and count what an entry answers without an owner

Cause: a request that no owner answered left no line with its id.

The gateway logs these answers and counts all by outcome, with their latency; an owner's answers are logged where they are given.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -115,7 +115,7 @@
 	directory.SetSeeds(f.Control.SeedPeers())
 	c.daemon = daemon{
 		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
-		gateway: &galenafleet.Gateway{Directory: directory, Caller: caller, Logger: log.Logger},
+		gateway: &galenafleet.Gateway{Directory: directory, Caller: caller, Logger: log.Logger, Metrics: metrics},
 	}
 	client := &platform.Client{}
 	c.owner = &galenafleet.Owner{
--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenahead/galenahead/galenadaemon"
 	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenasettings"
 	"github.com/galenahead/galenahead/galenatimer"
@@ -27,9 +28,11 @@
 	caller := &galenarpc.Client{}
 	directory := &galenafleet.Directory{Caller: caller, Timers: timers, Logger: log.Logger}
 	directory.SetSeeds(f.Control.SeedPeers())
+	metrics := &galenametric.Metrics{}
+	metrics.Publish("galena")
 	return &entry{daemon: daemon{
 		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
-		gateway: &galenafleet.Gateway{Directory: directory, Caller: caller, Logger: log.Logger},
+		gateway: &galenafleet.Gateway{Directory: directory, Caller: caller, Logger: log.Logger, Metrics: metrics},
 	}}, nil
 }
 
--- a/galenafleet/gateway.go
+++ b/galenafleet/gateway.go
@@ -9,6 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenalog"
+	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenarpc"
 )
 
@@ -39,6 +41,8 @@
 	Directory *Directory
 	Caller    galenahead.Caller
 	Logger    *logrus.Logger
+	// Metrics counts the answers to callers by outcome and keeps their latency.
+	Metrics *galenametric.Metrics
 
 	mu   sync.Mutex
 	lost bool
@@ -107,14 +111,23 @@
 
 // Do answers a caller's request, at the latest when ctx ends.
 func (g *Gateway) Do(ctx context.Context, r Request) Reply {
+	began := time.Now()
 	reply, sent, err := call[Request, Reply](ctx, g, MethodDo, r)
 	switch {
 	case err == nil:
-		return reply
 	case sent && (r.Kind == RequestSubmit || r.Kind == RequestCancel):
-		return Reply{Outcome: OutcomeUncertain, Reason: err.Error()}
+		reply = Reply{Outcome: OutcomeUncertain, Reason: err.Error()}
+	default:
+		reply = unready(err.Error())
 	}
-	return unready(err.Error())
+	took := time.Since(began)
+	g.Metrics.Latency.Record(string(r.Kind), took)
+	g.Metrics.Counters.Add("answer_"+string(reply.Outcome), 1)
+	if err != nil {
+		// The owner logs what it answers; this is the only trace of the others.
+		galenalog.Info(g.Logger, "request", requestLine{request: r, reply: reply, took: took})
+	}
+	return reply
 }
 
 // Heartbeat passes a heartbeat on.
--- a/galenafleet/gateway_test.go
+++ b/galenafleet/gateway_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenatimer"
 )
 
@@ -27,7 +28,7 @@
 	log.SetOutput(io.Discard)
 	d := &Directory{Caller: f, Timers: &galenatimer.Service{}, Logger: log}
 	d.SetSeeds([]string{"a:1"})
-	return &Gateway{Directory: d, Caller: f, Logger: log}
+	return &Gateway{Directory: d, Caller: f, Logger: log, Metrics: &galenametric.Metrics{}}
 }
 
 // ask runs the directory beside one request that is given up after a second.
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -307,7 +307,7 @@
 			}
 			return
 		}
-		n.place(it, run, now)
+		n.place(it, run)
 		it.phase = phaseStarting
 	}
 	for i := range st.items {
@@ -430,7 +430,7 @@
 
 // start begins a run of it on n.
 func (s *Scheduler) start(now time.Time, it *item, n *instance, run int64) {
-	n.place(it, run, now)
+	n.place(it, run)
 	it.phase = phaseStarting
 	s.orderStart(now, it, "room")
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -443,7 +443,7 @@
 // adopt takes over a run that an earlier owner started, or one that was
 // started by a delayed order.
 func (s *Scheduler) adopt(now time.Time, n *instance, it *item, r Run) {
-	n.place(it, r.Number, now)
+	n.place(it, r.Number)
 	it.phase, it.confirmed = phaseRunning, now
 	s.confirm(now, it, r)
 }
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -284,7 +284,7 @@
 func (n *instance) has(label string) bool { return label == "" || slices.Contains(n.Labels, label) }
 
 // place puts a run of it on n.
-func (n *instance) place(it *item, run int64, now time.Time) {
+func (n *instance) place(it *item, run int64) {
 	n.placed++
 	it.on, it.run, it.order = n, run, n.placed
 	it.confirmed, it.percent, it.usage, it.pace = time.Time{}, 0, 0, 100
