Start stopped work elsewhere at once; wait for orders by the replica's own clock

Cause: a test of draining showed that a stopped work item waited 0.35 s more, the time until its stop would have been repeated.

Tests for draining, gangs, occurrences, tickets, pace, waves and orders of two owners.

--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -23,8 +23,8 @@
 	// leftAfter is how long a machine must be missing from the list to count as
 	// having left the fleet.
 	leftAfter = 5 * time.Second
-	// clockSkew is how far the clocks of two daemons may be apart.
-	clockSkew = 500 * time.Millisecond
+	// orderMargin is how much later than its record an order may be sent.
+	orderMargin = 200 * time.Millisecond
 )
 
 // machinist carries out the waves of an office and moves machines between
@@ -132,13 +132,13 @@
 // mayOrder tells whether an order to a machine now would not alternate with
 // those of an earlier owner.
 func (m *machinist) mayOrder(name galenahead.VMName) bool {
-	o, ok := m.State.lastOrder(name)
-	return !ok || o.Epoch == m.epoch || time.Since(o.At) > m.MachineLease+clockSkew
+	epoch, noted, ok := m.State.lastOrder(name)
+	return !ok || epoch == m.epoch || m.Timers.Now().Sub(noted) > m.MachineLease+orderMargin
 }
 
 // intend returns the record of an order to a machine.
 func (m *machinist) intend(name galenahead.VMName) Op {
-	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0)}}
+	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch}}
 }
 
 // advance takes the next steps of a wave.
--- /dev/null
+++ b/galenafleet/machinist_test.go
@@ -0,0 +1,76 @@
+package galenafleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenatimer"
+)
+
+func testMachinist(s *State, epoch uint64) *machinist {
+	o := &Owner{State: s, Timers: s.Timers, MachineLease: 3 * time.Second}
+	return newMachinist(&office{Owner: o, epoch: epoch})
+}
+
+// Guards against orders of two owners to one machine that alternate within the
+// lease, also when their times of day differ.
+func TestSuccessorWaitsForOrdersOfTheLastOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &State{Timers: &galenatimer.Service{}}
+		apply(t, s, Op{Order: &MachineOrder{"m", 1}})
+		is.True(testMachinist(s, 1).mayOrder("m"))
+		is.True(!testMachinist(s, 2).mayOrder("m"))
+		is.True(testMachinist(s, 2).mayOrder("other"))
+		time.Sleep(2900 * time.Millisecond)
+		is.True(!testMachinist(s, 2).mayOrder("m"))
+		time.Sleep(time.Second)
+		is.True(testMachinist(s, 2).mayOrder("m"))
+
+		b, err := s.Snapshot()
+		is.NoErr(err)
+		r := &State{Timers: &galenatimer.Service{}}
+		is.NoErr(r.Restore(b))
+		is.True(!testMachinist(r, 2).mayOrder("m")) // when it was given is not known here
+	})
+}
+
+// Guards against waves that are late, or take more machines at once than they
+// need to.
+func TestPaceOfWaves(t *testing.T) {
+	is := is.New(t)
+	m := testMachinist(&State{Timers: &galenatimer.Service{}}, 1)
+	w := &Wave{MaxDown: 9, Duration: 28 * time.Second, Accepted: time.Now(), Steps: map[galenahead.VMName]StepState{}}
+	for i := range 20 {
+		w.Machines = append(w.Machines, galenahead.VMName(rune('a'+i)))
+	}
+	is.Equal(m.pace(w, 0), 4) // six rounds of 3.5 s before the margin
+	w.Accepted = time.Now().Add(-20 * time.Second)
+	is.Equal(m.pace(w, 0), 9) // late: as many as allowed
+	w.Accepted = time.Now()
+	for _, name := range w.Machines[1:] {
+		w.Steps[name] = StepDone
+	}
+	is.Equal(m.pace(w, 0), 1)
+	is.True(!w.Completed())
+	w.Steps[w.Machines[0]] = StepDone
+	is.True(w.Completed())
+}
+
+// Guards against a wave that counts a machine as gone because one list lacked
+// it.
+func TestMachineMissingFromOneListStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := testMachinist(&State{Timers: &galenatimer.Service{}}, 1)
+		is.True(!m.left("m"))
+		time.Sleep(leftAfter / 2)
+		is.True(!m.left("m"))
+		time.Sleep(leftAfter)
+		is.True(m.left("m"))
+	})
+}
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -17,6 +17,9 @@
 // State is the replicated state. It implements galenahead.StateMachine and is
 // safe for concurrent use. Its zero value is ready to use.
 type State struct {
+	// Timers is the clock of noted; optional.
+	Timers galenahead.Timers
+
 	mu        sync.RWMutex
 	epoch     uint64
 	config    *Config
@@ -24,6 +27,8 @@
 	instances map[galenahead.InstanceID]galenajob.Instance
 	waves     map[int64]*Wave
 	orders    map[galenahead.VMName]MachineOrder
+	// noted holds when this replica learned of each order, on its own clock.
+	noted map[galenahead.VMName]time.Time
 	// onsets holds the last peaks of demand, oldest first.
 	onsets []Onset
 }
@@ -36,6 +41,7 @@
 		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
 		s.waves = map[int64]*Wave{}
 		s.orders = map[galenahead.VMName]MachineOrder{}
+		s.noted = map[galenahead.VMName]time.Time{}
 	}
 }
 
@@ -85,7 +91,7 @@
 	case op.WaveStep != nil:
 		return s.applyWaveStep(op.WaveStep)
 	case op.Order != nil:
-		s.orders[op.Order.Machine] = *op.Order
+		s.note(*op.Order)
 		return Result{Code: CodeDone}
 	case op.Onset != nil:
 		s.applyOnset(*op.Onset)
@@ -291,7 +297,7 @@
 		s.instances[in.ID] = in
 	}
 	for _, o := range in.Orders {
-		s.orders[o.Machine] = o
+		s.note(o)
 	}
 	for _, w := range in.Waves {
 		if w.Steps == nil {
@@ -401,12 +407,21 @@
 	return in, ok
 }
 
-// lastOrder returns the last order to a machine.
-func (s *State) lastOrder(name galenahead.VMName) (MachineOrder, bool) {
+// note takes over an order to a machine.
+func (s *State) note(o MachineOrder) {
+	s.orders[o.Machine] = o
+	if s.Timers != nil {
+		s.noted[o.Machine] = s.Timers.Now()
+	}
+}
+
+// lastOrder returns the epoch of the last order to a machine, and when this
+// replica learned of it, which does not depend on the daemons' times of day.
+func (s *State) lastOrder(name galenahead.VMName) (epoch uint64, noted time.Time, ok bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	o, ok := s.orders[name]
-	return o, ok
+	return o.Epoch, s.noted[name], ok
 }
 
 // maxOnsets bounds the onsets that are kept, over all services.
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -113,3 +113,127 @@
 	s.Leave(t0, "a", true)
 	is.Equal(len(stops(s.Plan(t0.Add(2*time.Millisecond), t0))), 0)
 }
+
+// Guards against new work on an instance that drains or is to leave.
+func TestLeavingInstanceGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a", "b")
+	s.Drain(t0, "a")
+	s.AddJob(t0, testJob("j", 8), 0, false)
+	as := starts(s.Plan(t0, t0))
+	is.Equal(len(as), 4) // as many as b holds
+	for _, a := range as {
+		is.Equal(a.Instance.ID, galenahead.InstanceID("b"))
+	}
+	s.Leave(t0, "b", true)
+	is.Equal(len(starts(s.Plan(t0.Add(time.Second), t0))), 0)
+	_, idle := s.Idle("b")
+	is.True(!idle)
+}
+
+// Guards against forgetting that lasting work leaves a draining instance, and
+// against starting it elsewhere while it may still run.
+func TestLastingWorkLeavesADrainingInstance(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a")
+	j := testJob("j", 1)
+	j.Spec.Steps[0].LongRunning = true
+	s.AddJob(t0, j, 0, false)
+	first := starts(s.Plan(t0, t0))[0]
+	s.Ordered(t0, first, OutcomeDone, 1000, t0)
+	s.AddInstance(t0, testInstance("b"))
+	o, _ := s.Hold(t0, "b")
+	s.Held(t0, "b", HoldAnswer{Fence: o.Fence, Clock: 1000, Born: 1, Sent: t0})
+
+	s.Drain(t0, "a")
+	as := s.Plan(t0, t0)
+	is.Equal(len(starts(as)), 0)
+	is.Equal(len(stops(as)), 1)
+	s.Ordered(t0, stops(as)[0], OutcomeDone, 1000, t0)
+	is.Equal(len(starts(s.Plan(t0, t0))), 0) // its end is not listed yet
+	o, _ = s.Hold(t0, "a")
+	s.Held(t0, "a", HoldAnswer{Fence: o.Fence, Clock: 1100, Born: 1, Sent: t0, Ends: []End{{Sequence: 1, Item: first.Item, Number: first.Run, How: EndStopped}}})
+	as = starts(s.Plan(t0, t0))
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Instance.ID, galenahead.InstanceID("b"))
+	is.True(as[0].Run > first.Run)
+}
+
+// Guards against a gang that starts without all of its members.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a")
+	j := testJob("j", 5)
+	j.Spec.Steps[0].Gang = true
+	s.AddJob(t0, j, 0, false)
+	is.Equal(len(starts(s.Plan(t0, t0))), 0) // room for four of five
+	s.AddInstance(t0, testInstance("b"))
+	o, _ := s.Hold(t0, "b")
+	s.Held(t0, "b", HoldAnswer{Fence: o.Fence, Clock: 1000, Born: 1, Sent: t0})
+	as := starts(s.Plan(t0, t0))
+	is.Equal(len(as), 5)
+	for _, a := range as {
+		is.Equal(a.Run, as[0].Run)
+	}
+}
+
+// Guards against occurrences that start before they are due.
+func TestOccurrencesWaitForTheirTime(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a")
+	j := testJob("j", 1)
+	j.Spec.Repetitions, j.Spec.StartAt, j.Spec.Interval = 2, t0.Add(time.Second), time.Second
+	s.AddJob(t0, j, 0, false)
+	is.Equal(len(starts(s.Plan(t0, t0))), 0)
+	as := starts(s.Plan(t0, t0.Add(1100*time.Millisecond)))
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Item.Item.Occurrence, 0)
+	is.Equal(starts(s.Plan(t0, t0.Add(2*time.Second)))[0].Item.Item.Occurrence, 1)
+}
+
+// Guards against starts without the advisor's ticket.
+func TestAdvisedQueueStartsWithTickets(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a", "b")
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2, Advised: true})
+	s.AddJob(t0, testJob("j", 1), 0, false)
+	as := s.Plan(t0, t0)
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Kind, ActAdvise)
+	is.Equal(len(as[0].Candidates), 2)
+	s.Advised(t0, as[0], map[galenahead.InstanceID]string{"b": "t-1"}, time.Second)
+	as = starts(s.Plan(t0, t0))
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Instance.ID, galenahead.InstanceID("b"))
+	is.Equal(as[0].Ticket, "t-1")
+}
+
+// Guards against filling work that keeps a serving one beside it over its
+// target.
+func TestFillingWorkIsSlowedDown(t *testing.T) {
+	is := is.New(t)
+	s := fenced("a")
+	j := testJob("j", 1)
+	j.Spec.Steps[0].LongRunning, j.Spec.Steps[0].TargetLatency = true, 100*time.Millisecond
+	j.Spec.Steps = append(j.Spec.Steps, Step{Count: 1, Need: Resources{MilliCPU: 1000}, LongRunning: true, Filling: true})
+	s.AddJob(t0, j, 0, false)
+	as := starts(s.Plan(t0, t0))
+	is.Equal(len(as), 2)
+	var runs []Run
+	for _, a := range as {
+		s.Ordered(t0, a, OutcomeDone, 1000, t0)
+		r := Run{Item: a.Item, Number: a.Run, Percent: 100}
+		if a.Item.Item.Step == 0 {
+			r.Usage = 150
+		}
+		runs = append(runs, r)
+	}
+	now := t0.Add(time.Second)
+	o, _ := s.Hold(now, "a")
+	s.Held(now, "a", HoldAnswer{Fence: o.Fence, Clock: 2000, Born: 1, Sent: now, Runs: runs})
+	as = s.Plan(now, t0)
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Kind, ActPace)
+	is.Equal(as[0].Item.Item.Step, 1)
+	is.Equal(as[0].Percent, 0)
+}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -305,5 +305,5 @@
 		n.idleSince = now
 	}
 	it.on, it.phase, it.confirmed, it.inFlight = nil, phasePending, time.Time{}, false
-	it.percent, it.usage = 0, 0
+	it.percent, it.usage, it.notBefore = 0, 0, time.Time{}
 }
