Do not wait for orders from before the start of the process

Cause: after a restart of all daemons every replica learned of all earlier orders at once and waited 3.2 s for each machine.

Ruled out: the time of day of the order alone (clocks may be apart); an owner that has just started is no rival of the one before it.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -100,7 +100,7 @@
 func newControl(path string, f galenasettings.Fleet, load loader, log *galenadaemon.Log, metrics *galenametric.Metrics) (*control, error) {
 	timers := &galenatimer.Steady{}
 	caller := &galenarpc.Client{}
-	state := &galenafleet.State{Timers: timers}
+	state := &galenafleet.State{Timers: timers, Started: time.Now().Round(0)}
 	c := &control{server: &galenarpc.Server{Mux: &galenarpc.Mux{}}, failed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, Caller: caller, Timers: timers, Log: log.Logger,
--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -84,6 +84,7 @@
 type MachineOrder struct {
 	Machine galenahead.VMName `cbor:"1,keyasint"`
 	Epoch   uint64            `cbor:"2,keyasint"`
+	At      time.Time         `cbor:"3,keyasint"`
 }
 
 // Code is the result of an operation.
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -138,7 +138,7 @@
 
 // intend returns the record of an order to a machine.
 func (m *machinist) intend(name galenahead.VMName) Op {
-	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch}}
+	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0)}}
 }
 
 // advance takes the next steps of a wave.
--- a/galenafleet/machinist_test.go
+++ b/galenafleet/machinist_test.go
@@ -22,7 +22,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &State{Timers: &galenatimer.Service{}}
-		apply(t, s, Op{Order: &MachineOrder{"m", 1}})
+		apply(t, s, Op{Order: &MachineOrder{"m", 1, time.Now().Round(0)}})
 		is.True(testMachinist(s, 1).mayOrder("m"))
 		is.True(!testMachinist(s, 2).mayOrder("m"))
 		is.True(testMachinist(s, 2).mayOrder("other"))
@@ -36,6 +36,9 @@
 		r := &State{Timers: &galenatimer.Service{}}
 		is.NoErr(r.Restore(b))
 		is.True(!testMachinist(r, 2).mayOrder("m")) // when it was given is not known here
+		r = &State{Timers: &galenatimer.Service{}, Started: time.Now()}
+		is.NoErr(r.Restore(b))
+		is.True(testMachinist(r, 2).mayOrder("m")) // it was given before this process started
 	})
 }
 
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -19,6 +19,9 @@
 type State struct {
 	// Timers is the clock of noted; optional.
 	Timers galenahead.Timers
+	// Started is the time of day at which this process started. Orders from
+	// before it are over: it was not an owner's rival then.
+	Started time.Time
 
 	mu        sync.RWMutex
 	epoch     uint64
@@ -410,13 +413,16 @@
 // note takes over an order to a machine.
 func (s *State) note(o MachineOrder) {
 	s.orders[o.Machine] = o
-	if s.Timers != nil {
-		s.noted[o.Machine] = s.Timers.Now()
+	if o.At.Before(s.Started) || s.Timers == nil {
+		delete(s.noted, o.Machine)
+		return
 	}
+	s.noted[o.Machine] = s.Timers.Now()
 }
 
 // lastOrder returns the epoch of the last order to a machine, and when this
-// replica learned of it, which does not depend on the daemons' times of day.
+// replica learned of it on its own clock; the zero time for an order from
+// before it started.
 func (s *State) lastOrder(name galenahead.VMName) (epoch uint64, noted time.Time, ok bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
