End an office cleanly; test the owner from acceptance to completion

Cause: a call that came as an office ended could start a goroutine while the office waited for its last ones, and a commit that was queued then waited for the caller's time-out.

Ruled out: nothing else waits on an ended office.

The owner's tests run a job from acceptance to completion, and show that an owner without lease or quorum does not answer.

--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -29,6 +29,8 @@
 	queue chan proposal
 	// failed ends the office after a proposal whose outcome is not known.
 	failed context.CancelCauseFunc
+	// ended is closed when the office has ended.
+	ended <-chan struct{}
 }
 
 type proposal struct {
@@ -37,8 +39,8 @@
 	done chan<- []Result
 }
 
-func newCommitter(log galenahead.ReplicatedLog, failed context.CancelCauseFunc) *committer {
-	return &committer{log: log, queue: make(chan proposal, commitQueue), failed: failed}
+func newCommitter(log galenahead.ReplicatedLog, ended <-chan struct{}, failed context.CancelCauseFunc) *committer {
+	return &committer{log: log, queue: make(chan proposal, commitQueue), failed: failed, ended: ended}
 }
 
 // commit returns the results of ops once they are durable and applied. With an
@@ -51,15 +53,18 @@
 	done := make(chan []Result, 1)
 	select {
 	case c.queue <- proposal{ops, size, done}:
+	case <-c.ended:
+		return nil, eris.Wrap(galenahead.ErrNotLeader, "commit was not begun")
 	case <-ctx.Done():
 		return nil, eris.Wrap(galenahead.ErrNotLeader, "commit was not begun")
 	}
 	select {
 	case r := <-done:
 		return r, nil
+	case <-c.ended:
 	case <-ctx.Done():
-		return nil, eris.Wrap(galenahead.ErrNoQuorum, "commit")
 	}
+	return nil, eris.Wrap(galenahead.ErrNoQuorum, "commit")
 }
 
 // sizeOf estimates the encoded size of op.
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -273,7 +273,7 @@
 		return
 	}
 	m.calling[name] = true
-	m.group.Go(func() error {
+	m.spawn(func() error {
 		a := machineAnswer{name: name, wave: wave}
 		if _, err := m.commits.commit(m.ctx, m.intend(name)); err != nil {
 			return nil
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -93,11 +93,12 @@
 	}
 	officeCtx, resign := context.WithCancelCause(ctx)
 	f := &office{Owner: o, ctx: officeCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}}
-	f.commits = newCommitter(o.Log, resign)
-	f.group.Go(func() error { return f.commits.loop(officeCtx) })
+	f.commits = newCommitter(o.Log, officeCtx.Done(), resign)
+	f.spawn(func() error { return f.commits.loop(officeCtx) })
 	r, err := f.commits.commit(call, Op{Office: &OfficeOp{o.Name}})
 	if err != nil {
 		resign(err)
+		f.wait()
 		return nil, err
 	}
 	f.epoch = r[0].Epoch
@@ -113,9 +114,13 @@
 	began   time.Time
 	ctx     context.Context
 	resign  context.CancelCauseFunc
-	group   errgroup.Group
 	commits *committer
 
+	spawnMu sync.Mutex
+	group   errgroup.Group
+	// closed tells that run waits for the group, which must not grow any more.
+	closed bool
+
 	mu     sync.Mutex
 	shards map[galenahead.ServiceName]*shard
 	beats  map[galenahead.InstanceID]lastBeat
@@ -126,12 +131,12 @@
 // run serves until the lease is lost, a commit fails or ctx ends.
 func (f *office) run() error {
 	ticks := f.Timers.Subscribe(f.ctx, "office", officeTick)
-	f.group.Go(func() error { return f.expireLoop() })
-	f.group.Go(func() error { return newMachinist(f).loop() })
+	f.spawn(func() error { return f.expireLoop() })
+	f.spawn(func() error { return newMachinist(f).loop() })
 	for {
 		select {
 		case <-f.ctx.Done():
-			_ = f.group.Wait()
+			f.wait()
 			return context.Cause(f.ctx)
 		case <-ticks:
 			if !f.Log.HoldsLease() {
@@ -141,6 +146,24 @@
 	}
 }
 
+// spawn runs fn beside the office, unless that has ended.
+func (f *office) spawn(fn func() error) {
+	f.spawnMu.Lock()
+	defer f.spawnMu.Unlock()
+	if !f.closed {
+		f.group.Go(fn)
+	}
+}
+
+// wait ends with everything that spawn began.
+func (f *office) wait() {
+	f.spawnMu.Lock()
+	f.closed = true
+	f.spawnMu.Unlock()
+	// The functions return no errors; what fails ends the office by its context.
+	_ = f.group.Wait()
+}
+
 // load builds the schedulers from the replicated state.
 func (f *office) load() {
 	f.mu.Lock()
@@ -167,7 +190,7 @@
 			sh.sched.SetQueue(c.Queues[i].queue())
 		}
 	}
-	f.group.Go(func() error { return sh.loop(f.ctx) })
+	f.spawn(func() error { return sh.loop(f.ctx) })
 	return sh
 }
 
--- /dev/null
+++ b/galenafleet/owner_test.go
@@ -0,0 +1,163 @@
+package galenafleet
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenatimer"
+)
+
+// fakeLog is a log of one replica that can lose its lease and its quorum.
+type fakeLog struct {
+	galenahead.ReplicatedLog
+	state *State
+	leads, stuck atomic.Bool
+	index        uint64
+}
+
+func (l *fakeLog) HoldsLease() bool                  { return l.leads.Load() }
+func (l *fakeLog) ReadBarrier(context.Context) error { return nil }
+func (l *fakeLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if l.stuck.Load() {
+		<-ctx.Done()
+		return nil, galenahead.ErrNoQuorum
+	}
+	l.index++
+	return l.state.Apply(l.index, command), nil
+}
+
+// fakeInstances accepts every order and ends what it is asked about.
+type fakeInstances struct {
+	mu      sync.Mutex
+	running map[galenajob.ItemID]int64
+	ends    []galenajob.End
+}
+
+func (f *fakeInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[a.Item] = a.Run
+	return galenajob.OutcomeDone, 1000, nil
+}
+
+func (f *fakeInstances) Stop(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+	return galenajob.OutcomeDone, 1000, nil
+}
+
+func (f *fakeInstances) Pace(context.Context, galenajob.Action) error { return nil }
+
+func (f *fakeInstances) Hold(_ context.Context, o galenajob.HoldOrder, wait time.Duration) (galenajob.HoldAnswer, error) {
+	time.Sleep(wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for item, run := range f.running {
+		f.ends = append(f.ends, galenajob.End{Sequence: int64(len(f.ends) + 1), Item: item, Number: run, How: galenajob.EndDone})
+		delete(f.running, item)
+	}
+	return galenajob.HoldAnswer{Clock: 1000, Born: o.Instance.Born, Ends: slices.Clone(f.ends)}, nil
+}
+
+// fakeMachines has no machines.
+type fakeMachines struct{ Machines }
+
+func (fakeMachines) List(context.Context) ([]Machine, error) { return nil, eris.New("no list") }
+
+func testOwner() (*Owner, *fakeLog) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := &State{Timers: &galenatimer.Service{}}
+	l := &fakeLog{state: s}
+	l.leads.Store(true)
+	return &Owner{
+		Name: "a", Log: l, State: s, Instances: &fakeInstances{running: map[galenajob.ItemID]int64{}}, Machines: fakeMachines{},
+		Timers: s.Timers, Logger: logger, Metrics: &galenametric.Metrics{}, Keep: time.Minute,
+		Params: galenajob.Params{
+			Lease: 4 * time.Second, Silence: time.Second, Resend: 100 * time.Millisecond, Suspicion: time.Second,
+			Restart: 50 * time.Millisecond, DrainPatience: time.Second, GoneAfter: 10 * time.Second,
+		},
+	}, l
+}
+
+var testConfig = Config{
+	Version: 1, Services: []Service{{Name: "counter"}},
+	Queues: []QueueRule{{Name: "q", Host: "h", Prefix: "/q/", Service: "counter", MaxAttempts: 2, Stretch: 1.6}},
+}
+
+// Guards against a path from acceptance to completion that breaks anywhere.
+func TestJobRunsFromAcceptanceToCompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		submit := Request{Kind: RequestSubmit, Host: "h", Path: "/q/j1", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 2}, {Count: 1, After: []int{0}}}}}
+
+		r, err := o.Do(ctx, submit)
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeUnready) // no configuration yet
+		_, err = o.Configure(ctx, testConfig)
+		is.NoErr(err)
+		beat := Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000}}}
+		_, err = o.Heartbeat(ctx, beat)
+		is.NoErr(err)
+		for range 2 {
+			r, err = o.Do(ctx, submit)
+			is.NoErr(err)
+			is.Equal(r.Outcome, OutcomeAccepted) // also when it is sent again
+		}
+		time.Sleep(5 * time.Second)
+		r, err = o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/j1"})
+		is.NoErr(err)
+		is.Equal(r.State, galenajob.StateCompleted)
+		r, err = o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/j2"})
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeNoJob)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against answers of an owner whose lease or quorum is lost.
+func TestOwnerWithoutLeaseDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, l := testOwner()
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err := o.Configure(ctx, testConfig)
+		is.NoErr(err)
+
+		l.leads.Store(false)
+		_, err = o.Configuration(ctx, Done{})
+		is.True(eris.Is(err, galenahead.ErrNotLeader))
+		time.Sleep(time.Second)
+		l.leads.Store(true)
+		time.Sleep(time.Second)
+		d, err := o.Configuration(ctx, Done{})
+		is.NoErr(err)
+		is.Equal(d.Version, uint64(1))
+
+		l.stuck.Store(true)
+		began := time.Now()
+		_, err = o.Configure(ctx, Config{Version: 2})
+		is.True(eris.Is(err, galenahead.ErrNoQuorum))
+		is.True(time.Since(began) <= commitTimeout+time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -139,7 +139,7 @@
 	size := m.machineSize()
 	if o := m.peaks.observe(p.service, machinesFor(p.usage.Batch, size), p.usage.Busy, wall); o != nil {
 		onset := *o
-		m.group.Go(func() error {
+		m.spawn(func() error {
 			// Lost with the office, it only costs the next owner a forecast.
 			_, _ = m.commits.commit(m.ctx, Op{Onset: &onset})
 			return nil
@@ -248,7 +248,7 @@
 	}
 	m.calling[name] = true
 	pool := t.pool
-	m.group.Go(func() error {
+	m.spawn(func() error {
 		if _, err := m.commits.commit(m.ctx, m.intend(name)); err != nil {
 			return nil
 		}
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -119,12 +119,12 @@
 	ctx, cancel := context.WithCancel(sh.office.ctx)
 	l := &look{poke: make(chan struct{}, 1), cancel: cancel}
 	sh.looks[id] = l
-	sh.office.group.Go(func() error { return sh.lookLoop(ctx, id, l) })
+	sh.office.spawn(func() error { return sh.lookLoop(ctx, id, l) })
 }
 
 // loop plans and hands out what follows.
 func (sh *shard) loop(ctx context.Context) error {
-	sh.office.group.Go(func() error { return sh.adviseLoop(ctx) })
+	sh.office.spawn(func() error { return sh.adviseLoop(ctx) })
 	ticks := sh.office.Timers.Subscribe(ctx, "plan", planTick)
 	for {
 		select {
@@ -173,7 +173,7 @@
 		}
 		return
 	}
-	sh.office.group.Go(func() error { sh.order(ctx, a); return nil })
+	sh.office.spawn(func() error { sh.order(ctx, a); return nil })
 }
 
 // order sends one order and takes over its answer.
