Drop fields that no decision uses

Cause: the steps' images and the mark of speculative work were decoded and stored, and nothing looked at them.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -23,7 +23,7 @@
 // fakeLog is a log of one replica that can lose its lease and its quorum.
 type fakeLog struct {
 	galenahead.ReplicatedLog
-	state *State
+	state        *State
 	leads, stuck atomic.Bool
 	index        uint64
 }
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -92,7 +92,7 @@
 			s.resolve(n)
 		}
 		if len(n.items) > 0 && s.silent(now, n) && n.lapsed(now) {
-			for _, it := range n.items {
+			for _, it := range n.sorted() {
 				if it.phase != phaseStale && !it.ended {
 					s.lose(now, it)
 				}
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -55,11 +55,8 @@
 	// DataRack is the rack on which a work item takes the least time.
 	DataRack       galenahead.RackName `cbor:"9,keyasint,omitempty"`
 	MaxPerInstance int                 `cbor:"10,keyasint,omitempty"`
-	// Speculative work items may run in several copies.
-	Speculative bool `cbor:"11,keyasint,omitempty"`
 	// LongRunning work items run until the job is cancelled.
-	LongRunning bool   `cbor:"12,keyasint,omitempty"`
-	Image       string `cbor:"13,keyasint,omitempty"`
+	LongRunning bool `cbor:"12,keyasint,omitempty"`
 	// TargetLatency bounds the tail latency of a work item that serves users of
 	// its own.
 	TargetLatency time.Duration `cbor:"14,keyasint,omitempty"`
