--- a/cmd/galenactl/root/fake_test.go
+++ b/cmd/galenactl/root/fake_test.go
@@ -50,7 +50,9 @@
 	d.applied = append(d.applied, r)
 	d.mu.Unlock()
 	if d.silent {
+		// A reply at the very deadline could still overtake it.
 		<-ctx.Done()
+		return nil, status.FromContextError(ctx.Err()).Err()
 	}
 	if d.fail != nil {
 		return nil, d.fail
