Tell the rate of a few large jobs

Cause: the pools learned a peak from the rate of arrivals, which needed six arrivals within 0.4 s. Ruled out: the forecast (no peak had been seen), the price of moves, a lack of machines (40 idled or were off until 5 s).

--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -55,7 +55,8 @@
 	// blocked counts the instances that may run work of an earlier owner.
 	blocked int
 	wall    time.Time
-	// arrivals holds the jobs that came within arrivalWindow, oldest first.
+	// arrivals holds the jobs that came within the longest of arrivalWindows,
+	// oldest first.
 	arrivals []arrival
 }
 
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -41,24 +41,41 @@
 	work int64
 }
 
-const (
-	// arrivalWindow is the time over which arrivals are counted.
-	arrivalWindow = 400 * time.Millisecond
-	// minArrivals is how many arrivals tell a rate; a few large jobs do not.
-	minArrivals = 6
-)
+// arrivalWindows are the times over which arrivals are counted, shortest first.
+// Fewer arrivals than the least tell no rate: the short window needs more of
+// them, the long one also tells the rate of a few large jobs.
+var arrivalWindows = []struct {
+	window time.Duration
+	least  int
+}{
+	{400 * time.Millisecond, 6},
+	{time.Second, 3},
+}
 
-// rate returns the processor use that the arrivals of the window want.
+// rateSpan is the shortest time over which a window's arrivals are spread, so
+// that a few at nearly the same moment are no high rate.
+const rateSpan = 400 * time.Millisecond
+
+// rate returns the processor use that the present arrivals will want: the
+// highest that a window tells.
 func (s *Scheduler) rate(now time.Time) int64 {
-	s.arrivals = slices.DeleteFunc(s.arrivals, func(a arrival) bool { return now.Sub(a.at) > arrivalWindow })
-	if len(s.arrivals) < minArrivals {
-		return 0
-	}
-	var work int64
-	for _, a := range s.arrivals {
-		work += a.work
+	longest := arrivalWindows[len(arrivalWindows)-1].window
+	s.arrivals = slices.DeleteFunc(s.arrivals, func(a arrival) bool { return now.Sub(a.at) > longest })
+	var highest int64
+	for _, w := range arrivalWindows {
+		first := slices.IndexFunc(s.arrivals, func(a arrival) bool { return now.Sub(a.at) <= w.window })
+		if first < 0 || len(s.arrivals)-first < w.least {
+			continue
+		}
+		var work int64
+		for _, a := range s.arrivals[first:] {
+			work += a.work
+		}
+		// A rate that has just begun is not spread over the whole window.
+		span := max(rateSpan, now.Sub(s.arrivals[first].at))
+		highest = max(highest, work*int64(time.Second/time.Millisecond)/span.Milliseconds())
 	}
-	return work * int64(time.Second/time.Millisecond) / arrivalWindow.Milliseconds()
+	return highest
 }
 
 // Usage returns the present use of the service's instances.
