Let pools with idle machines give them away

That pool counted as lacking one, since a long-running work item waited for its turn to leave an instance, and a pool that lacks machines gave none away. Ruled out: the forecast (none was due), the wave (4 to 6 machines down), the order of donors. The machines were neither reserved nor leaving. The test fails without the change. Instances that are suspected do not count, since what waits cannot start there.

--- a/galenafleet/machinist_test.go
+++ b/galenafleet/machinist_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenatimer"
 )
 
@@ -77,3 +78,20 @@
 		is.True(m.left("m"))
 	})
 }
+
+// Guards against a pool that keeps its idle machines from others, since one
+// work item waits there for something else than room.
+func TestPoolWithIdleMachinesLacksNone(t *testing.T) {
+	is := is.New(t)
+	m := testMachinist(&State{Timers: &galenatimer.Service{}}, 1)
+	size := galenajob.Resources{MilliCPU: 1000}
+	m.machines = map[galenahead.VMName]Machine{"m": {Name: "m", Pool: "counter", State: MachineUp, Instance: "i", Capacity: size}}
+	lacking := func(idle ...galenajob.IdleInstance) int {
+		p := poolUse{service: "counter", usage: galenajob.Usage{Instances: 3, Demand: galenajob.Resources{MilliCPU: 900}, Idle: idle}}
+		m.forecast(&p)
+		return p.lacking
+	}
+	is.Equal(lacking(), 1)
+	is.Equal(lacking(galenajob.IdleInstance{ID: "i"}), 1) // work must not start there now
+	is.Equal(lacking(galenajob.IdleInstance{ID: "i", Usable: true}), 0)
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -145,7 +145,7 @@
 			return nil
 		})
 	}
-	waiting := int(math.Ceil(machinesFor(p.usage.Demand, size)))
+	waiting := int(math.Ceil(machinesFor(p.usage.Demand, size))) - p.usable()
 	coming := 0
 	if rate := (galenajob.Resources{MilliCPU: p.usage.Rate}); p.usage.Rate > 0 {
 		coming = int(math.Ceil(machinesFor(rate, size))) - p.usage.Instances
@@ -154,6 +154,18 @@
 	p.expected = m.peaks.expected(p.service, wall)
 }
 
+// usable counts the idle machines that work may start on. What waits beside them
+// waits for something else: its turn to leave an instance, say.
+func (p *poolUse) usable() int {
+	n := 0
+	for _, idle := range p.usage.Idle {
+		if idle.Usable {
+			n++
+		}
+	}
+	return n
+}
+
 // keep is how many of the idle machines wait for a forecast peak.
 func (p *poolUse) keep() int {
 	return max(0, p.expected-(p.usage.Instances-len(p.usage.Idle)))
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -32,6 +32,8 @@
 type IdleInstance struct {
 	ID    galenahead.InstanceID
 	Since time.Time
+	// Usable tells that work may start there now.
+	Usable bool
 }
 
 // arrival is the acceptance of a job.
@@ -97,7 +99,7 @@
 			u.Busy++
 		}
 		if len(n.items) == 0 && !n.unresolved && n.fenced {
-			u.Idle = append(u.Idle, IdleInstance{n.ID, n.idleSince})
+			u.Idle = append(u.Idle, IdleInstance{n.ID, n.idleSince, n.silentSince.IsZero() && !now.Before(n.suspectTill)})
 		}
 	}
 	slices.SortFunc(u.Idle, func(a, b IdleInstance) int { return a.Since.Compare(b.Since) })
