Keep machines on while a peak rises

Cause: until the first peak no machine is switched off; once one was noted, all idle machines of the other pools went off at once, at the moment when the peak wanted them, and needed two moves to come back. Ruled out: the rate of arrivals (it told the peak), donors. The test fails without the change.

--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -191,14 +191,14 @@
 	return []galenahead.ServiceName{best}
 }
 
-// seen tells whether any peak was noted.
-func (f *forecaster) seen() bool {
+// last returns when the last peak began, if any was noted.
+func (f *forecaster) last() (at time.Time, ok bool) {
 	for _, c := range f.services {
-		if len(c.onsets) > 0 {
-			return true
+		if n := len(c.onsets); n > 0 && c.onsets[n-1].At.After(at) {
+			at, ok = c.onsets[n-1].At, true
 		}
 	}
-	return false
+	return at, ok
 }
 
 func sortedNames(m map[galenahead.ServiceName]*demandCurve) []galenahead.ServiceName {
--- a/galenafleet/forecast_test.go
+++ b/galenafleet/forecast_test.go
@@ -25,7 +25,8 @@
 	is := is.New(t)
 	f := newForecaster(nil)
 	play(f, 0, 18*time.Second) // b from 4 s and 12 s, a from 8 s and 16 s
-	is.True(f.seen())
+	_, began := f.last()
+	is.True(began)
 	next := at.Add(20 * time.Second)
 	is.Equal(f.expected("b", next.Add(-moveAhead-time.Second)), 0)
 	is.Equal(f.expected("b", next.Add(-moveAhead+100*time.Millisecond)), 12)
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -16,6 +16,10 @@
 	// idleBeforeSpare is how long an instance must have been idle to be switched
 	// off.
 	idleBeforeSpare = 700 * time.Millisecond
+	// peakSettle is how long after the beginning of a peak no machine is switched
+	// off: its rate is told within a second, and a machine that was switched off
+	// takes two moves of 1.5 s to arrive.
+	peakSettle = 2500 * time.Millisecond
 	// arrivalTimeout is how long a moved machine counts for its new pool before
 	// its instance has registered.
 	arrivalTimeout = 5 * time.Second
@@ -47,7 +51,7 @@
 	if cfg == nil {
 		return
 	}
-	now := m.Timers.Now()
+	now, wall := m.Timers.Now(), time.Now().Round(0)
 	m.settle(now)
 	pools, spare := m.uses(cfg)
 	if spare == "" {
@@ -87,8 +91,8 @@
 		p := &pools[i]
 		supply(p, p.expected-p.usage.Instances-m.arriving(p.service))
 	}
-	if !m.peaks.seen() {
-		// Before the first peak nothing is known of the demand.
+	if last, ok := m.peaks.last(); !ok || wall.Sub(last) < peakSettle {
+		// Nothing is known of the demand yet, or of how high it will rise.
 		return
 	}
 	for i := range pools {
--- /dev/null
+++ b/galenafleet/pools_test.go
@@ -0,0 +1,75 @@
+package galenafleet
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+// movedMachine lists one machine and notes where it is sent.
+type movedMachine struct {
+	Machines
+	mu   sync.Mutex
+	sent []galenahead.ServiceName
+}
+
+func (*movedMachine) List(context.Context) ([]Machine, error) {
+	return []Machine{{Name: "m", Pool: "counter", State: MachineUp, Instance: "i", Capacity: galenajob.Resources{MilliCPU: 1000}}}, nil
+}
+
+func (f *movedMachine) Move(_ context.Context, _ galenahead.VMName, pool galenahead.ServiceName, _ string, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = append(f.sent, pool)
+	return nil
+}
+
+// Guards against idle machines that are switched off just when a peak begins,
+// which costs them two moves on their way to it, and against keeping them on.
+func TestIdleMachineStaysOnWhileAPeakRises(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := &movedMachine{}
+		o.Machines = f
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		c := testConfig
+		c.Services = []Service{{Name: "counter"}, {Name: "courier"}, {Name: "other", Spare: true}}
+		_, err := o.Configure(ctx, c)
+		is.NoErr(err)
+		_, err = o.Heartbeat(ctx, Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{
+			ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000},
+		}})
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		is.Equal(len(f.sent), 0) // nothing is known of the demand
+		f.mu.Unlock()
+
+		// A successor learns of the peak from the replicated state.
+		apply(t, o.State, Op{Onset: &Onset{Service: "courier", At: time.Now().Round(0), Machines: 4}})
+		cancel()
+		synctest.Wait()
+		ctx, cancel = context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		time.Sleep(peakSettle - 200*time.Millisecond)
+		f.mu.Lock()
+		is.Equal(len(f.sent), 0)
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		f.mu.Lock()
+		is.Equal(f.sent, []galenahead.ServiceName{"other"})
+		f.mu.Unlock()
+		cancel()
+		synctest.Wait()
+	})
+}
