End a wave whose ordered machine left the fleet

Ruled out: a second owner with a lower fence (one office at a time in the logs), calls for the list. The new test fails without the change.

--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -23,6 +23,9 @@
 	// leftAfter is how long a machine must be missing from the list to count as
 	// having left the fleet.
 	leftAfter = 5 * time.Second
+	// orderPause follows an order that was not confirmed: what kept it from being
+	// carried out is seen at the next reading of the list, at the earliest.
+	orderPause = listInterval
 	// orderMargin is how much later than its record an order may be sent.
 	orderMargin = 200 * time.Millisecond
 )
@@ -41,8 +44,10 @@
 	transfers map[galenahead.VMName]*transfer
 	// calling holds the machines to which an order is on its way.
 	calling map[galenahead.VMName]bool
-	answers chan machineAnswer
-	peaks   *forecaster
+	// repeatAt holds when an order that was not confirmed may be repeated.
+	repeatAt map[galenahead.VMName]time.Time
+	answers  chan machineAnswer
+	peaks    *forecaster
 	// logged is what the last log line of each pool said.
 	logged map[galenahead.ServiceName][4]int
 }
@@ -62,6 +67,7 @@
 		leaving:   map[galenahead.VMName]galenahead.InstanceID{},
 		transfers: map[galenahead.VMName]*transfer{},
 		calling:   map[galenahead.VMName]bool{},
+		repeatAt:  map[galenahead.VMName]time.Time{},
 		logged:    map[galenahead.ServiceName][4]int{},
 		answers:   make(chan machineAnswer, answerQueue),
 		peaks:     newForecaster(f.State.peaks()),
@@ -111,7 +117,14 @@
 	return true
 }
 
-// left tells whether a machine has left the fleet.
+// gone tells whether a machine is missing from the list for so long that it has
+// left the fleet.
+func (m *machinist) gone(name galenahead.VMName) bool {
+	_, ok := m.machines[name]
+	return !ok && m.left(name)
+}
+
+// left tells whether a machine that is missing from the list has left the fleet.
 func (m *machinist) left(name galenahead.VMName) bool {
 	now := m.Timers.Now()
 	if _, ok := m.listed[name]; !ok {
@@ -148,6 +161,11 @@
 	for _, name := range w.Machines {
 		switch w.Steps[name] {
 		case StepOrdered:
+			if m.gone(name) {
+				m.step(w, name, StepDone)
+				m.release(name)
+				continue
+			}
 			down++
 			m.maintain(w.ID, name)
 		case StepBegun:
@@ -208,11 +226,12 @@
 		if w.Steps[name] != "" {
 			continue
 		}
+		if m.gone(name) {
+			m.step(w, name, StepDone)
+			continue
+		}
 		v, ok := m.machines[name]
 		if !ok {
-			if m.left(name) {
-				m.step(w, name, StepDone)
-			}
 			continue
 		}
 		if v.State != MachineUp || m.transfers[name] != nil {
@@ -270,7 +289,7 @@
 // maintain orders the upkeep of a machine and repeats an order that had no
 // clear answer; the platform carries it out once.
 func (m *machinist) maintain(wave int64, name galenahead.VMName) {
-	if m.calling[name] || !m.leads() || !m.mayOrder(name) {
+	if m.calling[name] || !m.mayRepeat(name) || !m.leads() || !m.mayOrder(name) {
 		return
 	}
 	m.calling[name] = true
@@ -285,6 +304,11 @@
 	})
 }
 
+// mayRepeat tells whether no order to the machine has failed just now.
+func (m *machinist) mayRepeat(name galenahead.VMName) bool {
+	return !m.Timers.Now().Before(m.repeatAt[name])
+}
+
 // report hands an answer to the loop.
 func (m *machinist) report(a machineAnswer) {
 	select {
@@ -300,6 +324,10 @@
 		m.resign(a.err)
 		return
 	}
+	delete(m.repeatAt, a.name)
+	if a.err != nil {
+		m.repeatAt[a.name] = m.Timers.Now().Add(orderPause)
+	}
 	if a.wave == 0 {
 		m.takeMoved(a)
 		return
@@ -337,8 +365,7 @@
 
 // finished tells whether a machine's upkeep is over, and records that.
 func (m *machinist) finished(w *Wave, name galenahead.VMName) bool {
-	v, ok := m.machines[name]
-	if ok && v.State != MachineUp || !ok && !m.left(name) {
+	if v, ok := m.machines[name]; (!ok || v.State != MachineUp) && !m.gone(name) {
 		return false
 	}
 	return m.step(w, name, StepDone)
--- a/galenafleet/machinist_test.go
+++ b/galenafleet/machinist_test.go
@@ -1,6 +1,8 @@
 package galenafleet
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,3 +97,67 @@
 	is.Equal(lacking(galenajob.IdleInstance{ID: "i"}), 1) // work must not start there now
 	is.Equal(lacking(galenajob.IdleInstance{ID: "i", Usable: true}), 0)
 }
+
+// leavingMachines lists two machines, of which one refuses its upkeep and leaves
+// the fleet.
+type leavingMachines struct {
+	Machines
+	mu    sync.Mutex
+	calls map[galenahead.VMName]int
+	gone  bool
+}
+
+func (l *leavingMachines) List(context.Context) ([]Machine, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := []Machine{{Name: "stays", Pool: "counter", State: MachineUp}, {Name: "leaves", Pool: "counter", State: MachineUp}}
+	if l.gone {
+		list = list[:1]
+	}
+	return list, nil
+}
+
+func (l *leavingMachines) Maintain(_ context.Context, name galenahead.VMName, _ int64, _ string, _ uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[name]++
+	if name == "leaves" {
+		return ErrBusy
+	}
+	return nil
+}
+
+// Guards against a wave that is never done, since one of its machines left the
+// fleet after its upkeep had been ordered, and against a stream of orders to a
+// machine that refuses them.
+func TestWaveEndsWhenAnOrderedMachineLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		l := &leavingMachines{calls: map[galenahead.VMName]int{}}
+		o.Machines = l
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err := o.Configure(ctx, testConfig)
+		is.NoErr(err)
+		_, err = o.BeginWave(ctx, Wave{ID: 1, Machines: []galenahead.VMName{"stays", "leaves"}, Duration: 20 * time.Second, MaxDown: 2})
+		is.NoErr(err)
+		time.Sleep(15 * time.Second)
+		w, err := o.Wave(ctx, WaveState{ID: 1})
+		is.NoErr(err)
+		is.True(!w.Completed) // the machine may still be up
+		l.mu.Lock()
+		l.gone = true
+		is.Equal(l.calls["stays"], 1)
+		is.True(l.calls["leaves"] > 1)
+		is.True(l.calls["leaves"] <= int(15*time.Second/orderPause)+1)
+		l.mu.Unlock()
+		time.Sleep(leftAfter + 2*time.Second)
+		w, err = o.Wave(ctx, WaveState{ID: 1})
+		is.NoErr(err)
+		is.True(w.Completed)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -60,7 +60,7 @@
 	byInstance := map[galenahead.InstanceID]Machine{}
 	var off []Machine
 	for _, v := range m.machines {
-		if m.reserved(v.Name) || v.State != MachineUp || !m.mayOrder(v.Name) {
+		if m.reserved(v.Name) || v.State != MachineUp || !m.mayOrder(v.Name) || !m.mayRepeat(v.Name) {
 			continue
 		}
 		if v.Pool == spare {
@@ -259,7 +259,7 @@
 
 // move sends the order to move a machine.
 func (m *machinist) move(name galenahead.VMName, t *transfer) {
-	if m.calling[name] || !m.leads() {
+	if m.calling[name] || !m.mayRepeat(name) || !m.leads() {
 		return
 	}
 	m.calling[name] = true
