Log silent instances; name the scheduler's bounds

An instance that stopped answering was logged at level debug only, Scheduler.Cancel was another name for Finish, the bounds of the scheduler had no line on where they come from, and an upkeep that is not confirmed did not say how its machine is listed, which hid the cause of waves that were never done. Before and after: no behaviour changes but the log lines; one line when an instance falls silent and one when it answers again.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -34,12 +34,20 @@
 
 // Timing of the log. An instance's lease outlives the change of a leader.
 const (
-	logTick            = 25 * time.Millisecond
-	heartbeat          = 120 * time.Millisecond
-	lease              = 500 * time.Millisecond
+	// logTick is the grain of the timers below.
+	logTick = 25 * time.Millisecond
+	// heartbeat is a quarter of the lease: three may be lost in a row.
+	heartbeat = 120 * time.Millisecond
+	// lease ends well before another replica may stand for election, also when
+	// the replicas' clocks run at rates 2% apart.
+	lease = 500 * time.Millisecond
+	// minElectionTimeout and maxElectionTimeout are apart by more than the time
+	// in which a candidate gets its votes (5 ms), so that rarely two stand at once.
 	minElectionTimeout = 650 * time.Millisecond
 	maxElectionTimeout = 1100 * time.Millisecond
-	callTimeout        = 400 * time.Millisecond
+	// callTimeout is above a call that waits for a sync of a loaded disk (9 ms),
+	// and below the lease.
+	callTimeout = 400 * time.Millisecond
 )
 
 // instanceLease is how long an order lets an instance work; longer than the
@@ -136,18 +144,44 @@
 	return c, nil
 }
 
+// Bounds of the scheduler.
+const (
+	// silence is six repetitions of an order.
+	silence = 900 * time.Millisecond
+	// resend is some fifty times the usual answer to an order (3 ms), so that only
+	// lost ones are repeated.
+	resend = 150 * time.Millisecond
+	// suspicion is about the time of one or two work items: a faulty instance
+	// spoils few, one that was suspected for another's fault is missed briefly.
+	suspicion = 1500 * time.Millisecond
+	// restart is short beside a work item (0.6 to 2.1 s).
+	restart = 50 * time.Millisecond
+	// drainPatience lets most work items end by themselves, below the 2 s that a
+	// draining instance serves on.
+	drainPatience = 1500 * time.Millisecond
+	// goneAfter is eight missed heartbeats of 1.5 s.
+	goneAfter = 12 * time.Second
+	// adviceWait lets the advisor weigh 100 instances at 5 ms each.
+	adviceWait = 500 * time.Millisecond
+)
+
+// leaseShare is the part of the longest lease that is used, so that the
+// instance does not shorten it.
+const leaseShare = 0.9
+
 // params returns the bounds of the scheduler.
 func params(f galenasettings.Fleet) galenajob.Params {
+	longest := time.Duration(leaseShare * float64(f.Instances.MaxLease))
 	return galenajob.Params{
-		Lease:         min(instanceLease, f.Instances.MaxLease*9/10),
-		Silence:       900 * time.Millisecond,
-		Resend:        150 * time.Millisecond,
-		Suspicion:     1500 * time.Millisecond,
-		Restart:       50 * time.Millisecond,
-		DrainPatience: 1500 * time.Millisecond,
-		GoneAfter:     12 * time.Second,
+		Lease:         min(instanceLease, longest),
+		Silence:       silence,
+		Resend:        resend,
+		Suspicion:     suspicion,
+		Restart:       restart,
+		DrainPatience: drainPatience,
+		GoneAfter:     goneAfter,
 		StopTimeout:   f.Instances.StopTimeout,
-		AdviceWait:    500 * time.Millisecond,
+		AdviceWait:    adviceWait,
 	}
 }
 
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -333,7 +333,8 @@
 		return
 	}
 	w := m.State.Wave(a.wave)
-	log := m.Logger.WithField("wave", a.wave).WithField("machine", a.name).WithField("epoch", m.epoch)
+	log := m.Logger.WithField("wave", a.wave).WithField("machine", a.name).WithField("epoch", m.epoch).
+		WithField("state", m.machines[a.name].State)
 	switch {
 	case w == nil:
 	case a.err == nil:
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	f.of(service).with(func(now time.Time, s *galenajob.Scheduler) { s.Cancel(now, id) })
+	f.of(service).with(func(now time.Time, s *galenajob.Scheduler) { s.Finish(now, id) })
 	return Reply{Outcome: OutcomeAccepted, State: r[0].JobState}, nil
 }
 
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
@@ -42,6 +44,21 @@
 type look struct {
 	poke   chan struct{}
 	cancel context.CancelFunc
+	// failed tells that the last look had no answer. Only the loop uses it.
+	failed bool
+}
+
+// note logs when the instance stops answering and when it answers again.
+func (l *look) note(log *logrus.Logger, id galenahead.InstanceID, err error) {
+	if l.failed == (err != nil) {
+		return
+	}
+	l.failed = err != nil
+	if l.failed {
+		log.WithError(err).WithField("instance", id).Info("instance does not answer")
+	} else {
+		log.WithField("instance", id).Info("instance answers again")
+	}
 }
 
 // advisorQueue bounds the questions of one service that wait.
@@ -220,7 +237,7 @@
 		sh.mu.Unlock()
 		pause := time.Duration(0)
 		if ok {
-			pause = sh.lookOnce(ctx, id, o)
+			pause = sh.lookOnce(ctx, id, l, o)
 		}
 		if !ok {
 			select {
@@ -238,7 +255,7 @@
 }
 
 // lookOnce looks once and returns the pause until the next look.
-func (sh *shard) lookOnce(ctx context.Context, id galenahead.InstanceID, o galenajob.HoldOrder) time.Duration {
+func (sh *shard) lookOnce(ctx context.Context, id galenahead.InstanceID, l *look, o galenajob.HoldOrder) time.Duration {
 	sent := sh.now()
 	wait := time.Duration(0)
 	if o.Wait {
@@ -253,10 +270,11 @@
 		return 0
 	case err != nil:
 		sh.office.Metrics.Counters.Add("looks_failed", 1)
-		sh.office.Logger.WithError(err).WithField("instance", id).Debug("look failed")
+		l.note(sh.office.Logger, id, err)
 		sh.with(func(_ time.Time, s *galenajob.Scheduler) { s.Unanswered(id, sent) })
 		return lookRetry
 	}
+	l.note(sh.office.Logger, id, nil)
 	sh.office.Metrics.Counters.Add("looks", 1)
 	a.Fence, a.Cursor, a.Sent = o.Fence, o.Cursor, sent
 	var ends []galenajob.End
--- a/galenajob/history_test.go
+++ b/galenajob/history_test.go
@@ -390,7 +390,7 @@
 		for _, jid := range h.jobs() {
 			if !h.ended[jid] && h.rand.IntN(8) == 0 {
 				h.ended[jid] = true
-				h.sched.Cancel(h.now, jid)
+				h.sched.Finish(h.now, jid)
 				break
 			}
 		}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -220,10 +220,8 @@
 	return n.idleSince, len(n.items) == 0 && !n.unresolved
 }
 
-// Cancel stops a job for good; its cancelling must be durable.
-func (s *Scheduler) Cancel(now time.Time, id galenahead.JobID) { s.Finish(now, id) }
-
-// Finish drops a job that has become final, and stops what still runs of it.
+// Finish drops a job that is completed, failed or cancelled, which must be
+// durable, and stops what still runs of it.
 func (s *Scheduler) Finish(now time.Time, id galenahead.JobID) {
 	j := s.jobs[id]
 	if j == nil {
