Forget silent instances after 6 s

Cause: a new owner waits up to 4.1 s for the lease of each registered instance that does not answer before it starts jobs of the last owner; instances that crashed stayed registered for 12 s. Ruled out: starting without the wait (the histories fail), places in the log (tried before this). An instance that answers again registers with its next heartbeat.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -159,8 +159,9 @@
 	// drainPatience lets most work items end by themselves, below the 2 s that a
 	// draining instance serves on.
 	drainPatience = 1500 * time.Millisecond
-	// goneAfter is eight missed heartbeats of 1.5 s.
-	goneAfter = 12 * time.Second
+	// goneAfter is four missed heartbeats of 1.5 s, and above the lease. A new owner
+	// waits for the lease of each instance that is not forgotten.
+	goneAfter = 6 * time.Second
 	// adviceWait lets the advisor weigh 100 instances at 5 ms each.
 	adviceWait = 500 * time.Millisecond
 )
