Note peaks that begin between two owners

Cause: a new owner took every known peak for one that still lasts, so a peak that began while no owner was in office was never noted. Ruled out: the length of a turn (regular), the bound on machines sent ahead. The end of a peak is recorded now, and a service without a past counts as calm. The test fails without the change.

--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -42,6 +42,8 @@
 	At      time.Time              `cbor:"2,keyasint"`
 	// Machines is how many machines the peak kept busy.
 	Machines int `cbor:"3,keyasint"`
+	// Over tells that the service has been calm since.
+	Over bool `cbor:"4,keyasint,omitempty"`
 }
 
 // forecaster notes the peaks of each service and expects them to recur: the
@@ -59,12 +61,19 @@
 	calmSince time.Time
 }
 
+// longAgo is since when a service is calm that is not known to be in a peak: the
+// last owner would have noted its beginning.
+var longAgo = time.Unix(0, 0)
+
 func newForecaster(past []Onset) *forecaster {
 	f := &forecaster{services: map[galenahead.ServiceName]*demandCurve{}}
 	for _, o := range past {
 		c := f.curve(o.Service)
-		// The peak may still last; a calm span ends it otherwise.
-		c.high = true
+		// A peak that was not over may still last; a calm span ends it otherwise.
+		c.high = !o.Over
+		if c.high {
+			c.calmSince = time.Time{}
+		}
 		c.onsets = append(c.onsets, o)
 		c.highest = max(c.highest, float64(o.Machines))
 	}
@@ -74,7 +83,7 @@
 func (f *forecaster) curve(service galenahead.ServiceName) *demandCurve {
 	c, ok := f.services[service]
 	if !ok {
-		c = &demandCurve{}
+		c = &demandCurve{calmSince: longAgo}
 		f.services[service] = c
 	}
 	return c
@@ -92,7 +101,9 @@
 		}
 		if c.high && now.Sub(c.calmSince) >= calmTime {
 			c.high = false
-			return &c.onsets[len(c.onsets)-1]
+			last := &c.onsets[len(c.onsets)-1]
+			last.Over = true
+			return last
 		}
 	case !c.high && load >= max(peakMachines, riseShare*c.highest):
 		if c.calmSince.IsZero() || now.Sub(c.calmSince) < calmTime {
--- a/galenafleet/forecast_test.go
+++ b/galenafleet/forecast_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
 )
 
 // play runs two services whose peaks of 4 s follow each other.
@@ -39,7 +41,7 @@
 	is := is.New(t)
 	var past []Onset
 	for _, s := range []int{0, 3, 20, 22} {
-		past = append(past, Onset{"a", at.Add(time.Duration(s) * time.Second), 9})
+		past = append(past, Onset{Service: "a", At: at.Add(time.Duration(s) * time.Second), Machines: 9})
 	}
 	f := newForecaster(past)
 	for d := 22; d < 60; d++ {
@@ -64,9 +66,28 @@
 // second one.
 func TestPeakThatGoesOnIsOnePeak(t *testing.T) {
 	is := is.New(t)
-	g := newForecaster([]Onset{{"a", at, 12}})
+	g := newForecaster([]Onset{{Service: "a", At: at, Machines: 12}})
 	for d := time.Second; d < 4*time.Second; d += 100 * time.Millisecond {
 		g.observe("a", 12, 12, at.Add(d))
 	}
 	is.Equal(len(g.services["a"].onsets), 1)
 }
+
+// Guards against missing a peak that begins while no owner is in office, which
+// would upset the order of turns.
+func TestPeakBetweenTwoOwnersIsNoted(t *testing.T) {
+	is := is.New(t)
+	f := newForecaster(nil)
+	play(f, 0, 18*time.Second)
+	var past []Onset
+	for _, name := range sortedNames(f.services) {
+		past = append(past, f.services[name].onsets...)
+	}
+	g := newForecaster(past) // b is calm since 16 s, a is in its peak
+	g.observe("a", 12, 12, at.Add(21*time.Second))
+	noted := g.observe("b", 12, 12, at.Add(21*time.Second))
+	is.True(noted != nil)
+	is.Equal(noted.Service, galenahead.ServiceName("b"))
+	is.True(g.observe("c", 12, 12, at.Add(21*time.Second)) != nil) // its first peak
+	is.Equal(len(g.services["a"].onsets), len(f.services["a"].onsets))
+}
