Note a peak by busy machines and by its rate

Cause: a peak was noted when the load rose above half of the highest one ever, which counted what waited, 60 machines and more after a slow first peak. Ruled out: the order of turns, the spread that is allowed between them. The threshold is a third of the most machines that were busy, and the rate of arrivals counts as load. The test fails without the change.

--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -12,9 +12,11 @@
 	// peakMachines is the least load, in machines beyond lasting work, that
 	// counts as a peak.
 	peakMachines = 3
-	// riseShare and calmShare are the parts of a service's highest load above
-	// which a peak begins and below which the service is calm again.
-	riseShare = 0.5
+	// riseShare and calmShare are the parts of the most machines that a service
+	// kept busy above which a peak begins and below which the service is calm
+	// again. Between peaks a service asks for a hundredth of a peak, or a few large
+	// jobs.
+	riseShare = 0.35
 	calmShare = 0.2
 	// calmTime is how long a service must be calm before a peak can begin.
 	calmTime = time.Second
@@ -56,7 +58,8 @@
 type demandCurve struct {
 	onsets []Onset
 	high   bool
-	// highest is the highest load seen, in machines.
+	// highest is the most machines that were busy. The load can be far above it
+	// while work waits.
 	highest   float64
 	calmSince time.Time
 }
@@ -93,7 +96,7 @@
 // begins or has grown, if any, which should be kept for a successor.
 func (f *forecaster) observe(service galenahead.ServiceName, load float64, busy int, now time.Time) *Onset {
 	c := f.curve(service)
-	c.highest = max(c.highest, load)
+	c.highest = max(c.highest, min(load, float64(busy)))
 	switch {
 	case load < max(1, calmShare*c.highest):
 		if c.calmSince.IsZero() {
--- a/galenafleet/forecast_test.go
+++ b/galenafleet/forecast_test.go
@@ -91,3 +91,16 @@
 	is.True(g.observe("c", 12, 12, at.Add(21*time.Second)) != nil) // its first peak
 	is.Equal(len(g.services["a"].onsets), len(f.services["a"].onsets))
 }
+
+// Guards against a peak that is noted late because work had piled up in an
+// earlier one.
+func TestBacklogOfAPeakDoesNotHideTheNext(t *testing.T) {
+	is := is.New(t)
+	f := newForecaster(nil)
+	is.True(f.observe("a", 60, 12, at) != nil) // much waits, twelve machines are busy
+	for d := time.Duration(0); d < 2*calmTime; d += 100 * time.Millisecond {
+		f.observe("a", 0.2, 0, at.Add(time.Second+d))
+	}
+	is.True(f.observe("a", 3, 3, at.Add(5*time.Second)) == nil) // a few jobs
+	is.True(f.observe("a", 6, 4, at.Add(6*time.Second)) != nil)
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -141,7 +141,9 @@
 func (m *machinist) forecast(p *poolUse) {
 	wall := time.Now().Round(0)
 	size := m.machineSize()
-	if o := m.peaks.observe(p.service, machinesFor(p.usage.Batch, size), p.usage.Busy, wall); o != nil {
+	rate := machinesFor(galenajob.Resources{MilliCPU: p.usage.Rate}, size)
+	load := max(machinesFor(p.usage.Batch, size), rate)
+	if o := m.peaks.observe(p.service, load, p.usage.Busy, wall); o != nil {
 		onset := *o
 		m.spawn(func() error {
 			// Lost with the office, it only costs the next owner a forecast.
@@ -150,11 +152,8 @@
 		})
 	}
 	waiting := int(math.Ceil(machinesFor(p.usage.Demand, size))) - p.usable()
-	coming := 0
-	if rate := (galenajob.Resources{MilliCPU: p.usage.Rate}); p.usage.Rate > 0 {
-		coming = int(math.Ceil(machinesFor(rate, size))) - p.usage.Instances
-	}
-	p.lacking = max(waiting, coming) - m.arriving(p.service)
+	coming := int(math.Ceil(rate)) - p.usage.Instances
+	p.lacking = max(0, waiting, coming) - m.arriving(p.service)
 	p.expected = m.peaks.expected(p.service, wall)
 }
 
