--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -17,9 +17,9 @@
 	// off.
 	idleBeforeSpare = 700 * time.Millisecond
 	// peakSettle is how long after the beginning of a peak no machine is switched
-	// off: its rate is told within a second, and a machine that was switched off
-	// takes two moves of 1.5 s to arrive.
-	peakSettle = 2500 * time.Millisecond
+	// off: half of a peak of 8 s, in which the rate of few large jobs swings; a
+	// machine that was switched off takes two moves of 1.5 s to arrive.
+	peakSettle = 4 * time.Second
 	// arrivalTimeout is how long a moved machine counts for its new pool before
 	// its instance has registered.
 	arrivalTimeout = 5 * time.Second
