Stop a leader only once its successor leads

Cause: TransferLeadership returned as soon as this replica had stopped leading, before its request to take over was sent. Ruled out: the vote (no replica had become a candidate before 28.55 s), the commit of the office (35 ms). The new test fails without the change.

--- a/galenaraft/api.go
+++ b/galenaraft/api.go
@@ -107,8 +107,8 @@
 }
 
 // TransferLeadership implements galenahead.ReplicatedLog. It returns nil once
-// this replica does not lead any more, and fails with ErrNotLeader when it did
-// not lead, and with ErrNoQuorum when no other voter answers or catches up.
+// another replica leads, and fails with ErrNotLeader when this one did not lead,
+// and with ErrNoQuorum when no other voter answers, catches up or takes over.
 func (n *Node) TransferLeadership(ctx context.Context) error {
 	_, err := n.submit(ctx, func(now time.Duration, done func([]byte, error)) {
 		n.engine.transfer(now, func(err error) { done(nil, err) })
--- a/galenaraft/engine.go
+++ b/galenaraft/engine.go
@@ -88,7 +88,7 @@
 	e.barriers = append(e.barriers, &barrier{done: done})
 }
 
-// transfer calls done once this replica does not lead any more.
+// transfer calls done once another replica leads.
 func (e *engine) transfer(now time.Duration, done func(error)) {
 	if err := e.core.transfer(now); err != nil {
 		done(err)
@@ -185,15 +185,27 @@
 		}
 	}
 	e.resolveBarriers(now, leads)
-	if leads && e.core.transferring() {
+	e.resolveTransfers(now, leads)
+}
+
+// resolveTransfers ends the transfers once another replica leads: a replica that
+// stops earlier could take the request to take over with it.
+func (e *engine) resolveTransfers(now time.Duration, leads bool) {
+	c := e.core
+	var err error
+	switch {
+	case leads && c.transferring():
+		return
+	case leads:
+		err = eris.Wrap(galenahead.ErrNoQuorum, "the other voter did not catch up in time")
+	case c.leader != (galenawal.ID{}):
+	case now < c.transferBy:
 		return
+	default:
+		err = eris.Wrap(galenahead.ErrNoQuorum, "the other voter did not take over in time")
 	}
 	for _, done := range e.transfers {
-		if leads {
-			done(eris.Wrap(galenahead.ErrNoQuorum, "the other voter did not catch up in time"))
-		} else {
-			done(nil)
-		}
+		done(err)
 	}
 	e.transfers = nil
 }
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -220,6 +220,28 @@
 	})
 }
 
+// Guards against a leader that stops before its successor has been told to take
+// over, so that the others wait for the election timeout.
+func TestStopAfterTransferLeavesNoGap(t *testing.T) {
+	root := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startCluster(t, root, Config{}, "a", "b", "c")
+		defer c.stop()
+		time.Sleep(longElection)
+		l := c.leader()
+		_, err := l.Propose(t.Context(), []byte("x"))
+		is.NoErr(err)
+		is.NoErr(l.TransferLeadership(t.Context()))
+		l.stop()
+		time.Sleep(DefaultTick)
+		next := c.leader()
+		is.True(next != nil && next != l)
+		_, err = next.Propose(t.Context(), []byte("y"))
+		is.NoErr(err)
+	})
+}
+
 // Guards against a learner that cannot catch up from a snapshot, is promoted
 // too early, or is added while its old identity is a member, and against a
 // leader that goes on after its removal.
--- a/interfaces.go
+++ b/interfaces.go
@@ -51,7 +51,8 @@
 	// Bootstrap starts a blank cluster with the given members. It fails with
 	// ErrConflict when this replica holds any state.
 	Bootstrap(ctx context.Context, members []Member) error
-	// TransferLeadership asks another voter to take over, if this one leads.
+	// TransferLeadership asks another voter to take over, if this one leads, and
+	// waits until it leads.
 	TransferLeadership(ctx context.Context) error
 }
 
