Supply the pool with the greatest shortage first

Pools were supplied by the number they lack. Ruled out: the wave (within its bounds), donors (none idled). Now the order is by what a pool lacks for each machine that it has or gets. The test fails with the old order.

--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// uses returns the use of every pool, the one that lacks most first, and the
-// spare pool.
+// uses returns the use of every pool, the one with the greatest shortage first,
+// and the spare pool.
 func (m *machinist) uses(cfg *Config) (pools []poolUse, spare galenahead.ServiceName) {
 	for _, svc := range cfg.Services {
 		if svc.Spare {
@@ -122,10 +122,17 @@
 		pools = append(pools, p)
 		m.logPool(p)
 	}
-	slices.SortFunc(pools, func(a, b poolUse) int { return b.lacking - a.lacking })
+	slices.SortFunc(pools, func(a, b poolUse) int { return cmp.Compare(m.shortage(&b), m.shortage(&a)) })
 	return pools, spare
 }
 
+// shortage is what a pool lacks for each machine that it has or gets. A pool
+// without any, whose long-running work waits, comes before the last machines of
+// a peak.
+func (m *machinist) shortage(p *poolUse) float64 {
+	return float64(p.lacking) / float64(p.usage.Instances+m.arriving(p.service)+1)
+}
+
 // logPool logs the use of a pool when what follows from it changes.
 func (m *machinist) logPool(p poolUse) {
 	seen := [4]int{p.usage.Instances, p.lacking, p.expected, m.arriving(p.service)}
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
+	"github.com/galenahead/galenahead/galenatimer"
 )
 
 // movedMachine lists one machine and notes where it is sent.
@@ -73,3 +74,18 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a pool that is left without a machine for its long-running work
+// while another one's peak takes all that come free.
+func TestPoolWithoutMachinesComesFirst(t *testing.T) {
+	is := is.New(t)
+	m := testMachinist(&State{Timers: &galenatimer.Service{}}, 1)
+	empty := poolUse{service: "empty", lacking: 1}
+	peak := poolUse{service: "peak", lacking: 11, usage: galenajob.Usage{Instances: 24}}
+	rising := poolUse{service: "rising", lacking: 20, usage: galenajob.Usage{Instances: 3}}
+	is.True(m.shortage(&empty) > m.shortage(&peak))
+	is.True(m.shortage(&rising) > m.shortage(&peak))
+	m.transfers["v"] = &transfer{pool: "empty"}
+	empty.lacking = 0
+	is.True(m.shortage(&empty) < m.shortage(&peak)) // its machine is on the way
+}
