Act on whatever is recorded, also without its caller

The commit of a submission ended with the request that asked for it. When the connection to the caller broke while the entry was being replicated, the job was recorded but not given to the scheduler, and its repetition was answered as a known job. Registrations of instances ended the same way, and the ends of runs when their instance left while they were being recorded. Ruled out: the load of a new owner (it reads all jobs after its own entry), two submissions at a time. A commit now ends only with its office. TestWhatIsRecordedIsActedOn fails without the change.

--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -44,8 +44,10 @@
 }
 
 // commit returns the results of ops once they are durable and applied. With an
-// error their outcome is not known.
-func (c *committer) commit(ctx context.Context, ops ...Op) ([]Result, error) {
+// error their outcome is not known, and the office has ended. It does not end
+// with the request that asked for it, since the owner must act on whatever is
+// recorded.
+func (c *committer) commit(ops ...Op) ([]Result, error) {
 	size := 0
 	for i := range ops {
 		size += sizeOf(&ops[i])
@@ -55,14 +57,11 @@
 	case c.queue <- proposal{ops, size, done}:
 	case <-c.ended:
 		return nil, eris.Wrap(galenahead.ErrNotLeader, "commit was not begun")
-	case <-ctx.Done():
-		return nil, eris.Wrap(galenahead.ErrNotLeader, "commit was not begun")
 	}
 	select {
 	case r := <-done:
 		return r, nil
 	case <-c.ended:
-	case <-ctx.Done():
 	}
 	return nil, eris.Wrap(galenahead.ErrNoQuorum, "commit")
 }
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -295,7 +295,7 @@
 	m.calling[name] = true
 	m.spawn(func() error {
 		a := machineAnswer{name: name, wave: wave}
-		if _, err := m.commits.commit(m.ctx, m.intend(name)); err != nil {
+		if _, err := m.commits.commit(m.intend(name)); err != nil {
 			return nil
 		}
 		a.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), m.epoch)
@@ -374,7 +374,7 @@
 
 // step records how far a machine is.
 func (m *machinist) step(w *Wave, name galenahead.VMName, state StepState) bool {
-	if _, err := m.commits.commit(m.ctx, Op{WaveStep: &WaveStepOp{w.ID, name, state}}); err != nil {
+	if _, err := m.commits.commit(Op{WaveStep: &WaveStepOp{w.ID, name, state}}); err != nil {
 		return false
 	}
 	w.Steps[name] = state
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -95,7 +95,7 @@
 	f := &office{Owner: o, ctx: officeCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}}
 	f.commits = newCommitter(o.Log, officeCtx.Done(), resign)
 	f.spawn(func() error { return f.commits.loop(officeCtx) })
-	r, err := f.commits.commit(call, Op{Office: &OfficeOp{o.Name}})
+	r, err := f.commits.commit(Op{Office: &OfficeOp{o.Name}})
 	if err != nil {
 		resign(err)
 		f.wait()
@@ -225,7 +225,7 @@
 		case <-ticks:
 		}
 		before := time.Now().Round(0).Add(-f.Keep)
-		if _, err := f.commits.commit(f.ctx, Op{Expire: &before}); err != nil {
+		if _, err := f.commits.commit(Op{Expire: &before}); err != nil {
 			return nil
 		}
 	}
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -25,7 +25,9 @@
 	galenahead.ReplicatedLog
 	state        *State
 	leads, stuck atomic.Bool
-	index        uint64
+	// delay is how long an entry takes until it is committed.
+	delay atomic.Int64
+	index uint64
 }
 
 func (l *fakeLog) HoldsLease() bool                  { return l.leads.Load() }
@@ -38,6 +40,11 @@
 		<-ctx.Done()
 		return nil, galenahead.ErrNoQuorum
 	}
+	select {
+	case <-ctx.Done():
+		return nil, galenahead.ErrNoQuorum
+	case <-time.After(time.Duration(l.delay.Load())):
+	}
 	l.index++
 	return l.state.Apply(l.index, command), nil
 }
@@ -47,6 +54,8 @@
 	mu      sync.Mutex
 	running map[galenajob.ItemID]int64
 	ends    []galenajob.End
+	// ended is called once, when ends are first listed.
+	ended func()
 }
 
 func (f *fakeInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
@@ -70,6 +79,10 @@
 		f.ends = append(f.ends, galenajob.End{Sequence: int64(len(f.ends) + 1), Item: item, Number: run, How: galenajob.EndDone})
 		delete(f.running, item)
 	}
+	if f.ended != nil && len(f.ends) > 0 {
+		f.ended()
+		f.ended = nil
+	}
 	return galenajob.HoldAnswer{Clock: 1000, Born: o.Instance.Born, Ends: slices.Clone(f.ends)}, nil
 }
 
@@ -164,3 +177,53 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a job, an instance or an end that is durable and that the owner
+// does not act on, since its caller hung up or the instance left while it was
+// being recorded.
+func TestWhatIsRecordedIsActedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, l := testOwner()
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = o.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err := o.Configure(ctx, testConfig)
+		is.NoErr(err)
+		l.delay.Store(int64(50 * time.Millisecond))
+		hangUp := func() context.Context {
+			c, stop := context.WithCancel(ctx)
+			time.AfterFunc(20*time.Millisecond, stop)
+			return c
+		}
+
+		beat := Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000}}}
+		_, _ = o.Heartbeat(hangUp(), beat)
+		beat.Sequence++
+		_, err = o.Heartbeat(ctx, beat)
+		is.NoErr(err)
+		submit := Request{Kind: RequestSubmit, Host: "h", Path: "/q/j1", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 2}, {Count: 1, After: []int{0}}}}}
+		_, _ = o.Do(hangUp(), submit)
+		r, err := o.Do(ctx, submit)
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeAccepted)
+
+		// The instance leaves while the ends of the first step are being recorded.
+		f := o.Instances.(*fakeInstances)
+		f.mu.Lock()
+		f.ended = func() {
+			go func() { _, _ = o.Leave(ctx, Leaving{ID: "i"}) }()
+		}
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		beat.Sequence, beat.Instance.ID = 1, "i2"
+		_, err = o.Heartbeat(ctx, beat)
+		is.NoErr(err)
+		time.Sleep(8 * time.Second)
+		r, err = o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/j1"})
+		is.NoErr(err)
+		is.Equal(r.State, galenajob.StateCompleted)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -154,7 +154,7 @@
 		onset := *o
 		m.spawn(func() error {
 			// Lost with the office, it only costs the next owner a forecast.
-			_, _ = m.commits.commit(m.ctx, Op{Onset: &onset})
+			_, _ = m.commits.commit(Op{Onset: &onset})
 			return nil
 		})
 	}
@@ -271,7 +271,7 @@
 	m.calling[name] = true
 	pool := t.pool
 	m.spawn(func() error {
-		if _, err := m.commits.commit(m.ctx, m.intend(name)); err != nil {
+		if _, err := m.commits.commit(m.intend(name)); err != nil {
 			return nil
 		}
 		m.report(machineAnswer{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), m.epoch)})
@@ -309,7 +309,7 @@
 	if !known {
 		return
 	}
-	if _, err := m.commits.commit(m.ctx, Op{Remove: &id}); err == nil {
+	if _, err := m.commits.commit(Op{Remove: &id}); err == nil {
 		m.of(in.Service).remove(id)
 	}
 }
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -70,13 +70,13 @@
 }
 
 // Do answers a caller's request.
-func (o *Owner) Do(ctx context.Context, r Request) (Reply, error) {
+func (o *Owner) Do(_ context.Context, r Request) (Reply, error) {
 	began := o.Timers.Now()
 	f := o.current.Load()
 	if f == nil || !f.leads() {
 		return Reply{}, galenahead.ErrNotLeader
 	}
-	reply, err := f.do(ctx, r)
+	reply, err := f.do(r)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -89,7 +89,7 @@
 	return reply, nil
 }
 
-func (f *office) do(ctx context.Context, r Request) (Reply, error) {
+func (f *office) do(r Request) (Reply, error) {
 	c := f.State.Config()
 	if c == nil {
 		return unready("no configuration yet"), nil
@@ -110,9 +110,9 @@
 	}
 	switch r.Kind {
 	case RequestSubmit:
-		return f.submit(ctx, q, id, r.Spec)
+		return f.submit(q, id, r.Spec)
 	case RequestCancel:
-		return f.cancel(ctx, id)
+		return f.cancel(id)
 	case RequestState:
 		return f.jobState(id), nil
 	}
@@ -126,7 +126,7 @@
 	return Reply{Outcome: OutcomeWaiting, Waiting: n}
 }
 
-func (f *office) submit(ctx context.Context, q QueueRule, id galenahead.JobID, spec *galenajob.Spec) (Reply, error) {
+func (f *office) submit(q QueueRule, id galenahead.JobID, spec *galenajob.Spec) (Reply, error) {
 	if spec == nil || len(spec.Steps) == 0 {
 		return Reply{Outcome: OutcomeInvalid, Reason: "a job needs steps"}, nil
 	}
@@ -137,7 +137,7 @@
 		ID: id, Queue: q.Name, Service: q.Service, Spec: *spec,
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
 	}
-	r, err := f.commits.commit(ctx, Op{Submit: j})
+	r, err := f.commits.commit(Op{Submit: j})
 	if err != nil {
 		return Reply{}, err
 	}
@@ -149,12 +149,12 @@
 	return Reply{Outcome: OutcomeAccepted}, nil
 }
 
-func (f *office) cancel(ctx context.Context, id galenahead.JobID) (Reply, error) {
+func (f *office) cancel(id galenahead.JobID) (Reply, error) {
 	_, service, _, known := f.State.JobState(id)
 	if !known {
 		return Reply{Outcome: OutcomeNoJob}, nil
 	}
-	r, err := f.commits.commit(ctx, Op{Cancel: &CancelOp{id, time.Now().Round(0)}})
+	r, err := f.commits.commit(Op{Cancel: &CancelOp{id, time.Now().Round(0)}})
 	if err != nil {
 		return Reply{}, err
 	}
@@ -195,15 +195,15 @@
 
 // Heartbeat takes over a heartbeat. It returns once what is new in it is
 // durable.
-func (o *Owner) Heartbeat(ctx context.Context, b Beat) (Done, error) {
+func (o *Owner) Heartbeat(_ context.Context, b Beat) (Done, error) {
 	f := o.current.Load()
 	if f == nil || !f.leads() {
 		return Done{}, galenahead.ErrNotLeader
 	}
-	return Done{}, f.heartbeat(ctx, b)
+	return Done{}, f.heartbeat(b)
 }
 
-func (f *office) heartbeat(ctx context.Context, b Beat) error {
+func (f *office) heartbeat(b Beat) error {
 	in := b.Instance
 	if !f.newer(in, b.Sequence) {
 		f.Logger.WithField("instance", in.ID).WithField("sequence", b.Sequence).Info("late heartbeat ignored")
@@ -218,7 +218,7 @@
 		in.Draining = true
 	}
 	if !ok || !same(known, in) {
-		if _, err := f.commits.commit(ctx, Op{Instance: &in}); err != nil {
+		if _, err := f.commits.commit(Op{Instance: &in}); err != nil {
 			return err
 		}
 		f.Logger.WithField("instance", in.ID).WithField("service", in.Service).WithField("born", in.Born).
@@ -270,7 +270,7 @@
 }
 
 // Leave takes over the end of an instance.
-func (o *Owner) Leave(ctx context.Context, l Leaving) (Done, error) {
+func (o *Owner) Leave(_ context.Context, l Leaving) (Done, error) {
 	f := o.current.Load()
 	if f == nil || !f.leads() {
 		return Done{}, galenahead.ErrNotLeader
@@ -279,7 +279,7 @@
 	if !ok || (l.Born != 0 && l.Born < known.Born) {
 		return Done{}, nil
 	}
-	if _, err := f.commits.commit(ctx, Op{Remove: &l.ID}); err != nil {
+	if _, err := f.commits.commit(Op{Remove: &l.ID}); err != nil {
 		return Done{}, err
 	}
 	f.Logger.WithField("instance", l.ID).Info("instance left")
@@ -288,12 +288,12 @@
 }
 
 // Configure puts a valid configuration in force, unless a newer one is.
-func (o *Owner) Configure(ctx context.Context, c Config) (Done, error) {
+func (o *Owner) Configure(_ context.Context, c Config) (Done, error) {
 	f := o.current.Load()
 	if f == nil || !f.leads() {
 		return Done{}, galenahead.ErrNotLeader
 	}
-	r, err := f.commits.commit(ctx, Op{Config: &c})
+	r, err := f.commits.commit(Op{Config: &c})
 	if err != nil {
 		return Done{}, err
 	}
@@ -335,13 +335,13 @@
 }
 
 // BeginWave accepts a maintenance wave.
-func (o *Owner) BeginWave(ctx context.Context, w Wave) (Done, error) {
+func (o *Owner) BeginWave(_ context.Context, w Wave) (Done, error) {
 	f := o.current.Load()
 	if f == nil || !f.leads() {
 		return Done{}, galenahead.ErrNotLeader
 	}
 	w.Accepted = time.Now().Round(0)
-	r, err := f.commits.commit(ctx, Op{Wave: &w})
+	r, err := f.commits.commit(Op{Wave: &w})
 	if err != nil {
 		return Done{}, err
 	}
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -168,13 +168,13 @@
 		sh.dispatch(ctx, a)
 	}
 	for _, id := range gone {
-		sh.giveUp(ctx, id)
+		sh.giveUp(id)
 	}
 }
 
 // giveUp forgets an instance that is not heard of any more.
-func (sh *shard) giveUp(ctx context.Context, id galenahead.InstanceID) {
-	if _, err := sh.office.commits.commit(ctx, Op{Remove: &id}); err != nil {
+func (sh *shard) giveUp(id galenahead.InstanceID) {
+	if _, err := sh.office.commits.commit(Op{Remove: &id}); err != nil {
 		return
 	}
 	sh.office.Logger.WithField("instance", id).WithField("service", sh.service).Info("instance is gone")
@@ -280,19 +280,19 @@
 	var ends []galenajob.End
 	sh.with(func(now time.Time, s *galenajob.Scheduler) { ends = s.Held(now, id, a) })
 	if len(ends) > 0 {
-		sh.recordEnds(ctx, id, o.Instance.Born, ends)
+		sh.recordEnds(id, o.Instance.Born, ends)
 	}
 	return lookPause
 }
 
 // recordEnds makes ends durable and lets the schedule go on.
-func (sh *shard) recordEnds(ctx context.Context, id galenahead.InstanceID, born int64, ends []galenajob.End) {
+func (sh *shard) recordEnds(id galenahead.InstanceID, born int64, ends []galenajob.End) {
 	at := time.Now().Round(0)
 	ops := make([]Op, len(ends))
 	for i, e := range ends {
 		ops[i] = Op{End: &EndOp{Job: e.Item.Job, Item: e.Item.Item, How: e.How, At: at, Run: e.Number}}
 	}
-	results, err := sh.office.commits.commit(ctx, ops...)
+	results, err := sh.office.commits.commit(ops...)
 	if err != nil {
 		return
 	}
