--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
@@ -59,19 +60,25 @@
 // its disk fails: a full or faulty disk may recover, and meanwhile the others
 // go on.
 type supervisor struct {
-	path    string
-	load    loader
-	log     *galenadaemon.Log
-	metrics *galenametric.Metrics
+	// open prepares a control daemon with the settings of now.
+	open func() (galenadaemon.Runner, error)
+	log  *logrus.Logger
 }
 
 // diskRetry is the pause before a replica whose disk failed is opened again.
 const diskRetry = time.Second
 
 func runControl(_ context.Context, path string, _ galenasettings.Fleet, load loader, log *galenadaemon.Log) (galenadaemon.Runner, error) {
-	s := &supervisor{path: path, load: load, log: log, metrics: &galenametric.Metrics{}}
-	s.metrics.Publish("galena")
-	return s, nil
+	metrics := &galenametric.Metrics{}
+	metrics.Publish("galena")
+	open := func() (galenadaemon.Runner, error) {
+		f, err := load(path)
+		if err != nil {
+			return nil, err
+		}
+		return newControl(path, f, load, log, metrics)
+	}
+	return &supervisor{open: open, log: log.Logger}, nil
 }
 
 // Run runs control daemons until ctx ends.
@@ -94,11 +101,7 @@
 }
 
 func (s *supervisor) runOnce(ctx context.Context) error {
-	f, err := s.load(s.path)
-	if err != nil {
-		return err
-	}
-	c, err := newControl(s.path, f, s.load, s.log, s.metrics)
+	c, err := s.open()
 	if err != nil {
 		return err
 	}
