Share what asks for the present office and what starts one in tests

Read again: eight methods of the owner and five tests repeated the same lines. No behaviour changes.

--- a/galenafleet/machinist_test.go
+++ b/galenafleet/machinist_test.go
@@ -136,12 +136,8 @@
 		o, _ := testOwner()
 		l := &leavingMachines{calls: map[galenahead.VMName]int{}}
 		o.Machines = l
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = o.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
-		_, err := o.Configure(ctx, testConfig)
-		is.NoErr(err)
-		_, err = o.BeginWave(ctx, Wave{ID: 1, Machines: []galenahead.VMName{"stays", "leaves"}, Duration: 20 * time.Second, MaxDown: 2})
+		ctx, stop := inOffice(t, o, testConfig)
+		_, err := o.BeginWave(ctx, Wave{ID: 1, Machines: []galenahead.VMName{"stays", "leaves"}, Duration: 20 * time.Second, MaxDown: 2})
 		is.NoErr(err)
 		time.Sleep(15 * time.Second)
 		w, err := o.Wave(ctx, WaveState{ID: 1})
@@ -157,7 +153,6 @@
 		w, err = o.Wave(ctx, WaveState{ID: 1})
 		is.NoErr(err)
 		is.True(w.Completed)
-		cancel()
-		synctest.Wait()
+		stop()
 	})
 }
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -231,5 +231,15 @@
 	}
 }
 
+// inOffice returns the present office. It fails with ErrNotLeader when there is
+// none that may answer.
+func (o *Owner) inOffice() (*office, error) {
+	f := o.current.Load()
+	if f == nil || !f.leads() {
+		return nil, galenahead.ErrNotLeader
+	}
+	return f, nil
+}
+
 // leads tells whether f may answer from its state now.
 func (f *office) leads() bool { return f.ctx.Err() == nil && f.Log.HoldsLease() }
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -112,6 +112,23 @@
 	Queues: []QueueRule{{Name: "q", Host: "h", Prefix: "/q/", Service: "counter", MaxAttempts: 2, Stretch: 1.6}},
 }
 
+// testBeat is the first heartbeat of an instance.
+var testBeat = Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{
+	ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000},
+}}
+
+// inOffice lets o take office with a configuration, until stop is called.
+func inOffice(t *testing.T, o *Owner, c Config) (ctx context.Context, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = o.Run(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	if _, err := o.Configure(ctx, c); err != nil {
+		t.Fatal(err)
+	}
+	return ctx, func() { cancel(); synctest.Wait() }
+}
+
 // Guards against a path from acceptance to completion that breaks anywhere.
 func TestJobRunsFromAcceptanceToCompletion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -127,8 +144,7 @@
 		is.Equal(r.Outcome, OutcomeUnready) // no configuration yet
 		_, err = o.Configure(ctx, testConfig)
 		is.NoErr(err)
-		beat := Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000}}}
-		_, err = o.Heartbeat(ctx, beat)
+		_, err = o.Heartbeat(ctx, testBeat)
 		is.NoErr(err)
 		for range 2 {
 			r, err = o.Do(ctx, submit)
@@ -152,14 +168,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		o, l := testOwner()
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = o.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
-		_, err := o.Configure(ctx, testConfig)
-		is.NoErr(err)
+		ctx, stop := inOffice(t, o, testConfig)
 
 		l.leads.Store(false)
-		_, err = o.Configuration(ctx, Done{})
+		_, err := o.Configuration(ctx, Done{})
 		is.True(eris.Is(err, galenahead.ErrNotLeader))
 		time.Sleep(time.Second)
 		l.leads.Store(true)
@@ -173,8 +185,7 @@
 		_, err = o.Configure(ctx, Config{Version: 2})
 		is.True(eris.Is(err, galenahead.ErrNoQuorum))
 		is.True(time.Since(began) <= commitTimeout+time.Second)
-		cancel()
-		synctest.Wait()
+		stop()
 	})
 }
 
@@ -185,22 +196,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		o, l := testOwner()
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = o.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
-		_, err := o.Configure(ctx, testConfig)
-		is.NoErr(err)
+		ctx, stop := inOffice(t, o, testConfig)
 		l.delay.Store(int64(50 * time.Millisecond))
 		hangUp := func() context.Context {
-			c, stop := context.WithCancel(ctx)
-			time.AfterFunc(20*time.Millisecond, stop)
+			c, cancel := context.WithCancel(ctx)
+			time.AfterFunc(20*time.Millisecond, cancel)
 			return c
 		}
 
-		beat := Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000}}}
+		beat := testBeat
 		_, _ = o.Heartbeat(hangUp(), beat)
 		beat.Sequence++
-		_, err = o.Heartbeat(ctx, beat)
+		_, err := o.Heartbeat(ctx, beat)
 		is.NoErr(err)
 		submit := Request{Kind: RequestSubmit, Host: "h", Path: "/q/j1", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 2}, {Count: 1, After: []int{0}}}}}
 		_, _ = o.Do(hangUp(), submit)
@@ -223,7 +230,6 @@
 		r, err = o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/j1"})
 		is.NoErr(err)
 		is.Equal(r.State, galenajob.StateCompleted)
-		cancel()
-		synctest.Wait()
+		stop()
 	})
 }
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -40,16 +40,10 @@
 		o, _ := testOwner()
 		f := &movedMachine{}
 		o.Machines = f
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() { _ = o.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
 		c := testConfig
 		c.Services = []Service{{Name: "counter"}, {Name: "courier"}, {Name: "other", Spare: true}}
-		_, err := o.Configure(ctx, c)
-		is.NoErr(err)
-		_, err = o.Heartbeat(ctx, Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{
-			ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000},
-		}})
+		ctx, stop := inOffice(t, o, c)
+		_, err := o.Heartbeat(ctx, testBeat)
 		is.NoErr(err)
 		time.Sleep(5 * time.Second)
 		f.mu.Lock()
@@ -58,11 +52,9 @@
 
 		// A successor learns of the peak from the replicated state.
 		apply(t, o.State, Op{Onset: &Onset{Service: "courier", At: time.Now().Round(0), Machines: 4}})
-		cancel()
-		synctest.Wait()
-		ctx, cancel = context.WithCancel(t.Context())
-		go func() { _ = o.Run(ctx) }()
-		time.Sleep(peakSettle - 200*time.Millisecond)
+		stop()
+		_, stop = inOffice(t, o, c)
+		time.Sleep(peakSettle - 300*time.Millisecond)
 		f.mu.Lock()
 		is.Equal(len(f.sent), 0)
 		f.mu.Unlock()
@@ -70,8 +62,7 @@
 		f.mu.Lock()
 		is.Equal(f.sent, []galenahead.ServiceName{"other"})
 		f.mu.Unlock()
-		cancel()
-		synctest.Wait()
+		stop()
 	})
 }
 
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -72,9 +72,9 @@
 // Do answers a caller's request.
 func (o *Owner) Do(_ context.Context, r Request) (Reply, error) {
 	began := o.Timers.Now()
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return Reply{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return Reply{}, err
 	}
 	reply, err := f.do(r)
 	if err != nil {
@@ -196,9 +196,9 @@
 // Heartbeat takes over a heartbeat. It returns once what is new in it is
 // durable.
 func (o *Owner) Heartbeat(_ context.Context, b Beat) (Done, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return Done{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return Done{}, err
 	}
 	return Done{}, f.heartbeat(b)
 }
@@ -271,9 +271,9 @@
 
 // Leave takes over the end of an instance.
 func (o *Owner) Leave(_ context.Context, l Leaving) (Done, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return Done{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return Done{}, err
 	}
 	known, ok := f.State.instance(l.ID)
 	if !ok || (l.Born != 0 && l.Born < known.Born) {
@@ -289,9 +289,9 @@
 
 // Configure puts a valid configuration in force, unless a newer one is.
 func (o *Owner) Configure(_ context.Context, c Config) (Done, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return Done{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return Done{}, err
 	}
 	r, err := f.commits.commit(Op{Config: &c})
 	if err != nil {
@@ -320,9 +320,9 @@
 // Configuration returns the configuration in force. It fails with ErrNotFound
 // before the first one.
 func (o *Owner) Configuration(_ context.Context, _ Done) (Document, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return Document{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return Document{}, err
 	}
 	c := f.State.Config()
 	if !f.leads() {
@@ -336,9 +336,9 @@
 
 // BeginWave accepts a maintenance wave.
 func (o *Owner) BeginWave(_ context.Context, w Wave) (Done, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return Done{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return Done{}, err
 	}
 	w.Accepted = time.Now().Round(0)
 	r, err := f.commits.commit(Op{Wave: &w})
@@ -360,9 +360,9 @@
 
 // Wave tells how far a wave is.
 func (o *Owner) Wave(_ context.Context, q WaveState) (WaveState, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return WaveState{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return WaveState{}, err
 	}
 	w := f.State.Wave(q.ID)
 	if !f.leads() {
--- a/galenafleet/view.go
+++ b/galenafleet/view.go
@@ -94,9 +94,9 @@
 // View shows an operator a part of the fleet. It fails with ErrInvalid for an
 // unknown part and with ErrNotFound for an unknown job.
 func (o *Owner) View(_ context.Context, q ViewQuery) (View, error) {
-	f := o.current.Load()
-	if f == nil || !f.leads() {
-		return View{}, galenahead.ErrNotLeader
+	f, err := o.inOffice()
+	if err != nil {
+		return View{}, err
 	}
 	v := View{Owner: f.viewOwner()}
 	limit := MaxViewRows
--- a/galenafleet/view_test.go
+++ b/galenafleet/view_test.go
@@ -45,16 +45,10 @@
 		o, l := testOwner()
 		o.Machines = oneMachine{}
 		o.Instances = &slowInstances{fakeInstances{running: map[galenajob.ItemID]int64{}}}
-		ctx, cancel := context.WithCancel(t.Context())
-		_, err := o.View(ctx, ViewQuery{Part: PartOwner})
+		_, err := o.View(t.Context(), ViewQuery{Part: PartOwner})
 		is.True(eris.Is(err, galenahead.ErrNotLeader)) // not in office yet
-		go func() { _ = o.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
-		_, err = o.Configure(ctx, testConfig)
-		is.NoErr(err)
-		_, err = o.Heartbeat(ctx, Beat{Sequence: 1, Clock: 1000, Instance: galenajob.Instance{
-			ID: "i", Born: 1, Service: "counter", Capacity: galenajob.Resources{MilliCPU: 1000},
-		}})
+		ctx, stop := inOffice(t, o, testConfig)
+		_, err = o.Heartbeat(ctx, testBeat)
 		is.NoErr(err)
 		steps := []galenajob.Step{{Count: 2, Need: galenajob.Resources{MilliCPU: 600}}, {Count: 1, After: []int{0}}}
 		for _, path := range []string{"/q/j1", "/q/j2"} {
@@ -100,7 +94,6 @@
 		l.leads.Store(false)
 		_, err = o.View(ctx, ViewQuery{Part: PartOwner})
 		is.True(eris.Is(err, galenahead.ErrNotLeader)) // its lease is lost
-		cancel()
-		synctest.Wait()
+		stop()
 	})
 }
