--- a/cmd/galena-fleet/command/control_test.go
+++ b/cmd/galena-fleet/command/control_test.go
@@ -53,6 +53,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- s.Run(ctx) }()
 		time.Sleep(time.Hour)
+		synctest.Wait() // orders the reads below after the supervisor's writes
 		is.Equal(len(opened), 3)
 		is.Equal(opened[1].Sub(opened[0]), time.Minute+diskRetry)
 		is.Equal(opened[2].Sub(opened[1]), diskRetry)
