Schedule an instance that registered while it was given up

An instance that registers again between the record of its removal and its removal from the scheduler is known to the state and to no scheduler; its later heartbeats changed nothing, so it got no work until the next owner. Before: TestRegisteredInstanceIsScheduled fails. After: a heartbeat of a registered instance that the scheduler does not know adds it.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -233,3 +233,27 @@
 		stop()
 	})
 }
+
+// Guards against an instance that is registered and never gets work, since it
+// registered again while it was being given up.
+func TestRegisteredInstanceIsScheduled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		ctx, stop := inOffice(t, o, testConfig)
+		beat := testBeat
+		_, err := o.Heartbeat(ctx, beat)
+		is.NoErr(err)
+		o.current.Load().of("counter").remove("i")
+		beat.Sequence++
+		_, err = o.Heartbeat(ctx, beat)
+		is.NoErr(err)
+		_, err = o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j1", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}})
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		r, err := o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/j1"})
+		is.NoErr(err)
+		is.Equal(r.State, galenajob.StateCompleted)
+		stop()
+	})
+}
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -229,7 +229,12 @@
 		sh.addInstance(in, b.Clock)
 		return nil
 	}
-	sh.with(func(now time.Time, s *galenajob.Scheduler) { s.Beat(now, in.ID, b.Clock) })
+	scheduled := false
+	sh.with(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Beat(now, in.ID, b.Clock) })
+	if !scheduled {
+		// It registered while it was being given up for its silence.
+		sh.addInstance(in, b.Clock)
+	}
 	return nil
 }
 
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -150,12 +150,16 @@
 	}
 }
 
-// Beat notes a sign of life and a reading of the instance's clock.
-func (s *Scheduler) Beat(now time.Time, id galenahead.InstanceID, clock int64) {
-	if n := s.instances[id]; n != nil {
-		n.beat = now
-		n.noteClock(now, clock)
+// Beat notes a sign of life and a reading of the clock of an instance, and tells
+// whether that is known.
+func (s *Scheduler) Beat(now time.Time, id galenahead.InstanceID, clock int64) (known bool) {
+	n := s.instances[id]
+	if n == nil {
+		return false
 	}
+	n.beat = now
+	n.noteClock(now, clock)
+	return true
 }
 
 // Drain notes that an instance leaves. It gets no new work from now on.
