Answer calls of the log after its state is published

Answers now wait, like those to other replicas, until the state is published; what a failed write should have made durable is not answered.

--- a/galenaraft/api.go
+++ b/galenaraft/api.go
@@ -20,7 +20,10 @@
 // the wait ended early.
 func (n *Node) submit(ctx context.Context, start func(now time.Duration, done func([]byte, error))) ([]byte, error) {
 	answer := make(chan outcome, 1)
-	done := func(result []byte, err error) { answer <- outcome{result, err} }
+	// Whoever waits must see the state that the answer belongs to.
+	done := func(result []byte, err error) {
+		n.held = append(n.held, func() { answer <- outcome{result, err} })
+	}
 	err := n.do(ctx, func(now time.Duration) error {
 		if ctx.Err() != nil {
 			done(nil, galenahead.ErrNotLeader)
@@ -100,8 +103,7 @@
 // replica as a voter, and each needs its incarnation.
 func (n *Node) Bootstrap(ctx context.Context, members []galenahead.Member) error {
 	_, err := n.submit(ctx, func(now time.Duration, done func([]byte, error)) {
-		err := n.engine.core.bootstrap(now, members)
-		n.held = append(n.held, func() { done(nil, err) })
+		done(nil, n.engine.core.bootstrap(now, members))
 	})
 	return err
 }
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -132,8 +132,11 @@
 	if err != nil {
 		n.cfg.Fatal(err)
 	}
+	// What a failed write should have made durable is not answered.
+	n.held = nil
 	n.engine.stop(n.now())
 	n.publish(n.now())
+	n.release()
 	close(n.stopped)
 	_ = n.group.Wait()
 	_ = n.engine.wal.Close()
@@ -181,16 +184,21 @@
 		return err
 	}
 	n.publish(n.now())
-	for _, f := range n.held {
-		f()
-	}
-	n.held = nil
+	n.release()
 	for _, m := range out {
 		n.post(ctx, m)
 	}
 	return nil
 }
 
+// release gives the answers that waited for files and for what is published.
+func (n *Node) release() {
+	for _, f := range n.held {
+		f()
+	}
+	n.held = nil
+}
+
 // post hands a request to the sender for its replica. Responses were returned
 // to their calls already.
 func (n *Node) post(ctx context.Context, m Message) {
