Let the last leader of the log lead again at once after a start

Each replica waits out its election timeout after a start, since it may have promised a lease that it does not remember. Ruled out: reading the state (7 ms) and finding peers (below 10 ms). The first entry of a term now names its leader. A candidate that led the term of the replica that it asks gets its vote at once: it leads no more, leases of earlier terms ended before it led, and no later leader has this replica's word. A replica that was the last leader when it started asks with each heartbeat.

The histories got spans without proposals, cuts between two replicas, quick restarts of the leader and losses of power of all, and a check that nobody is elected while another replica holds a lease: without them a vote for just any candidate after a start was not noticed.

--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -38,6 +38,7 @@
 	ignoreIncarnation bool
 	noLeaseCheck      bool
 	promoteEarly      bool
+	releaseAnyone     bool
 }
 
 // progress is what a leader knows of another replica.
@@ -76,6 +77,12 @@
 	commit    uint64
 	// sets holds the member lists from the snapshot on; the last one counts.
 	sets []memberSet
+	// led is the newest term whose leader the log has told, and ledBy that leader.
+	led   uint64
+	ledBy galenawal.ID
+	// eagerUntil is until when this replica, which was the last leader when it
+	// started, campaigns with each heartbeat.
+	eagerUntil time.Duration
 
 	role   Role
 	leader galenawal.ID
@@ -124,8 +131,13 @@
 		if err := c.noteMembers(e); err != nil {
 			return nil, err
 		}
+		c.noteLeader(e)
 	}
 	c.resetDeadline(now)
+	if c.ledLast(c.id) {
+		c.eagerUntil = now + t.minElection
+		c.deadline = now
+	}
 	return c, nil
 }
 
@@ -138,6 +150,24 @@
 	c.deadline = now + c.timing.minElection + time.Duration(c.rand.Int64N(int64(spread)))
 }
 
+// noteLeader records who leads the term of e, if e tells that.
+func (c *core) noteLeader(e galenawal.Entry) {
+	if e.Kind != galenawal.EntryNoop || e.Term <= c.led {
+		return
+	}
+	// Entries of earlier versions do not name the leader.
+	if id, ok := decodeLeader(e.Data); ok {
+		c.led, c.ledBy = e.Term, id
+	}
+}
+
+// ledLast tells whether id leads or has led the present term. Nobody else holds
+// a lease in that case: one of an earlier term ended before this term had a
+// leader, and this replica has promised nothing to a later one.
+func (c *core) ledLast(id galenawal.ID) bool {
+	return c.hard.Term > 0 && c.led == c.hard.Term && c.ledBy == id
+}
+
 // noteMembers records the member list of e, if it carries one.
 func (c *core) noteMembers(e galenawal.Entry) error {
 	if e.Kind != galenawal.EntryMembers || e.Index <= c.members().index {
@@ -158,6 +188,7 @@
 	}
 	c.sets = slices.DeleteFunc(c.sets, func(s memberSet) bool { return s.index >= e.Index })
 	c.log.put(e)
+	c.noteLeader(e)
 	return c.noteMembers(e)
 }
 
@@ -316,6 +347,10 @@
 func (c *core) preCampaign(now time.Duration) error {
 	c.follow(now, c.hard.Term, galenawal.ID{})
 	c.resetDeadline(now)
+	if now < c.eagerUntil {
+		// The others may not listen yet.
+		c.deadline = now + c.timing.heartbeat
+	}
 	c.role = RolePreCandidate
 	c.votes = map[galenawal.ID]bool{c.id: true}
 	if c.won() {
@@ -349,11 +384,15 @@
 	}
 }
 
-// bound tells whether this replica must not help to elect another leader yet.
-func (c *core) bound(now time.Duration) bool {
+// bound tells whether this replica must not help to elect the candidate yet. A
+// candidate that led the present term has given up the only lease there can be.
+func (c *core) bound(now time.Duration, candidate galenawal.ID) bool {
 	if c.role == RoleLeader {
 		return c.holdsLease(now)
 	}
+	if c.ledLast(candidate) || c.mut.releaseAnyone {
+		return false
+	}
 	return now < c.contact+c.timing.minElection
 }
 
@@ -367,7 +406,7 @@
 
 func (c *core) stepPreVote(now time.Duration, m Message) {
 	r := Message{Kind: KindPreVoteResponse, To: m.From, Term: m.Term}
-	if m.Term <= c.hard.Term || c.bound(now) || !c.current(m) {
+	if m.Term <= c.hard.Term || c.bound(now, m.From) || !c.current(m) {
 		r.Reject = true
 		r.Term = c.hard.Term
 	}
@@ -375,7 +414,7 @@
 }
 
 func (c *core) stepVote(now time.Duration, m Message) {
-	if !m.Transfer && c.bound(now) {
+	if !m.Transfer && c.bound(now, m.From) {
 		return
 	}
 	if m.Term > c.hard.Term {
@@ -406,6 +445,7 @@
 	r := Message{Kind: kind, To: m.From, Sent: m.Sent}
 	c.follow(now, m.Term, m.From)
 	c.contact = now
+	c.eagerUntil = 0
 	c.resetDeadline(now)
 	r.Term = m.Term
 	var err error
--- a/galenaraft/doc.go
+++ b/galenaraft/doc.go
@@ -12,4 +12,9 @@
 // leader counts its lease from when it sent the messages that a majority
 // acknowledged. A leader that hands over gives up its lease for good before
 // the other replica may campaign, because that campaign passes the first rule.
+//
+// The first entry of a term names its leader. A candidate that led the term of
+// the replica it asks passes the first rule as well: it leads no more, and there
+// is no other lease. So after a loss of power the last leader leads again as
+// soon as a majority listens.
 package galenaraft
--- a/galenaraft/history_test.go
+++ b/galenaraft/history_test.go
@@ -95,6 +95,7 @@
 		{"vote under the old identity after a lost disk", faults{mut: mutations{ignoreIncarnation: true}}, lost},
 		{"skip sync", faults{skipSync: true}, append(lost, "promoted")},
 		{"no lease check", faults{mut: mutations{noLeaseCheck: true}}, []string{"served a read"}},
+		{"vote for any candidate right after a start", faults{mut: mutations{releaseAnyone: true}}, []string{"served a read", "holds a lease"}},
 		{"promote a learner that lags behind", faults{mut: mutations{promoteEarly: true}}, []string{"promoted"}},
 	}
 	for _, tt := range tests {
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -31,7 +31,11 @@
 	c.progress = make(map[galenawal.ID]*progress)
 	c.syncProgress()
 	c.first = c.log.last() + 1
-	if err := c.append(galenawal.EntryNoop, nil); err != nil {
+	data, err := encodeLeader(c.id)
+	if err != nil {
+		return err
+	}
+	if err := c.append(galenawal.EntryNoop, data); err != nil {
 		return err
 	}
 	c.nextBeat = now + c.timing.heartbeat
--- a/galenaraft/members.go
+++ b/galenaraft/members.go
@@ -123,3 +123,16 @@
 	err := cbor.Unmarshal(b, &ms)
 	return ms, eris.Wrap(err, "decode members")
 }
+
+// encodeLeader encodes who leads the term of an entry.
+func encodeLeader(id galenawal.ID) ([]byte, error) {
+	b, err := cbor.Marshal(id)
+	return b, eris.Wrap(err, "encode leader")
+}
+
+// decodeLeader returns who leads the term of an entry, if the entry tells it.
+func decodeLeader(b []byte) (galenawal.ID, bool) {
+	var id galenawal.ID
+	err := cbor.Unmarshal(b, &id)
+	return id, err == nil && id.Name != ""
+}
--- a/galenaraft/sim_test.go
+++ b/galenaraft/sim_test.go
@@ -215,6 +215,8 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, galenawal.ErrFailed):
+		// What it committed before its disk failed may be in its snapshot.
+		r.sim.inspectCommitted(r.engine.core, r)
 		r.crash(0)
 	default:
 		r.sim.fail("%s: %v", r.name, err)
@@ -424,6 +426,11 @@
 }
 
 func (s *simulation) inspectElected(c *core, r *replica) {
+	for _, o := range s.replicas {
+		if o != r && o.engine != nil && o.clock() < o.engine.core.leaseEnd(o.clock()) {
+			s.fail("%s leads term %d while %s holds a lease", r.name, c.hard.Term, o.name)
+		}
+	}
 	index := uint64(len(s.committed)) - 1
 	if index <= c.log.base || s.committed[index].Term >= c.hard.Term {
 		return
@@ -488,12 +495,21 @@
 	}
 }
 
+// calmSpan is the length of the spans of a history that take turns: with
+// proposals, and with reads alone, in which the logs of replicas that are cut
+// off stay as new as the others'.
+const calmSpan = 4 * time.Second
+
+func (s *simulation) calm() bool { return (s.now/calmSpan)%2 == 1 }
+
 func (s *simulation) act(r *replica) {
 	ms := func(n int) time.Duration { return time.Duration(s.rand.IntN(n)) * time.Millisecond }
 	switch p := s.rand.IntN(1000); {
 	case p < 200:
 		for range 1 + s.rand.IntN(4) {
-			r.propose()
+			if !s.calm() {
+				r.propose()
+			}
 		}
 	case p < 350:
 		r.read()
@@ -502,21 +518,32 @@
 	case p < 506:
 		o := s.replicas[s.rand.IntN(len(s.replicas))]
 		r.cut[o.name] = s.now + ms(4000)
-	case p < 512:
+	case p < 510:
+		// The two no longer hear each other, but both hear the rest.
+		o := s.replicas[s.rand.IntN(len(s.replicas))]
+		r.cut[o.name] = s.now + ms(4000)
+		o.cut[r.name] = r.cut[o.name]
+	case p < 516:
 		for _, o := range s.replicas {
 			r.cut[o.name] = s.now + ms(5000)
 			o.cut[r.name] = s.now + ms(5000)
 		}
-	case p < 518:
+	case p < 520:
 		r.frozen = s.now + ms(4000)
-	case p < 522:
+	case p < 524:
 		r.crash(0)
 	case p < 530:
 		r.disk.crashIn = 1 + s.rand.IntN(8)
+	case p < 532:
+		if l := s.leader(); l != nil {
+			l.crash(simStep + ms(100))
+		}
 	case p < 534:
+		s.crashAll(simStep + ms(1000))
+	case p < 538:
 		r.engine.transfer(r.clock(), func(error) {})
 		r.flush()
-	case p < 542:
+	case p < 546:
 		// One disk at a time: the next may fail once the repair is committed.
 		for _, o := range s.replicas {
 			if o.wiped {
@@ -526,7 +553,9 @@
 		r.wipe()
 	default:
 		if l := s.leader(); l != nil {
-			l.propose()
+			if !s.calm() {
+				l.propose()
+			}
 			l.read()
 		}
 	}
--- a/galenawal/types.go
+++ b/galenawal/types.go
@@ -16,8 +16,8 @@
 const (
 	// EntryCommand carries a command of the state machine.
 	EntryCommand EntryKind = iota
-	// EntryNoop carries nothing; a new leader appends it to commit the entries
-	// of earlier terms.
+	// EntryNoop carries the new leader, who appends it to commit the entries of
+	// earlier terms.
 	EntryNoop
 	// EntryMembers carries the members from this entry on.
 	EntryMembers
