Show requests with an unknown outcome at the end of a failed process test

What is kept of that run is the end of its output, which held control daemons' logs alone: neither the assertion nor the counts of the load. The cause is not known, so the finding stays open. After: a failed test ends with the log lines of such requests at every entry and the summary of the load (tried with a check that always fails).

--- a/test/galena-local/fleet_test.go
+++ b/test/galena-local/fleet_test.go
@@ -51,6 +51,7 @@
 	ctx       context.Context
 	upstreams []string
 	processes []*deployment.Process
+	loads     []*runningLoad
 }
 
 // startFleet starts a deployment with the service counter on four VMs.
@@ -96,6 +97,27 @@
 	for _, c := range f.Controls() {
 		f.t.Logf("%s:\n%s", c.Name, lastLines(c.Log()))
 	}
+	// A report that shows the end of the output alone still tells what failed.
+	for _, e := range f.Entries() {
+		if lines := linesWith(e.Log(), `"outcome":"unknown"`); lines != "" {
+			f.t.Logf("%s, requests with an unknown outcome:\n%s", e.Name, lastLines(lines))
+		}
+	}
+	for _, l := range f.loads {
+		<-l.done // the test's context has ended, and with it the load
+		f.t.Logf("load: %+v, error %v", l.sum, l.err)
+	}
+}
+
+// linesWith returns the lines of s that contain part.
+func linesWith(s, part string) string {
+	var out strings.Builder
+	for line := range strings.Lines(s) {
+		if strings.Contains(line, part) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
 }
 
 func lastLines(s string) string {
@@ -209,6 +231,7 @@
 
 func (f *fleet) startLoad(args ...string) *runningLoad {
 	l := &runningLoad{fleet: f, args: args, done: make(chan struct{})}
+	f.loads = append(f.loads, l)
 	go l.run()
 	return l
 }
