Send machines by the rate of arrivals only while a peak rises

Ruled out: the loop of the machinist (0.1 s between two turns, 0.28 s at most) and the calls of moves (14 ms). Work that waits still sends machines at any time. TestRateSendsMachinesToARisingPeakOnly fails without it.

--- a/galenafleet/forecast.go
+++ b/galenafleet/forecast.go
@@ -205,6 +205,12 @@
 	return []galenahead.ServiceName{best}
 }
 
+// falling tells whether the service is in a peak that has risen for its time.
+func (f *forecaster) falling(service galenahead.ServiceName, now time.Time) bool {
+	c := f.services[service]
+	return c != nil && c.high && now.Sub(c.onsets[len(c.onsets)-1].At) > peakRise
+}
+
 // last returns when the last peak began, if any was noted.
 func (f *forecaster) last() (at time.Time, ok bool) {
 	for _, c := range f.services {
--- a/galenafleet/machinist_test.go
+++ b/galenafleet/machinist_test.go
@@ -14,9 +14,12 @@
 	"github.com/galenahead/galenahead/galenatimer"
 )
 
+// testMachinist returns the machinist of an office that commits nothing more.
 func testMachinist(s *State, epoch uint64) *machinist {
 	o := &Owner{State: s, Timers: s.Timers, MachineLease: 3 * time.Second}
-	return newMachinist(&office{Owner: o, epoch: epoch})
+	ended := make(chan struct{})
+	close(ended)
+	return newMachinist(&office{Owner: o, epoch: epoch, commits: newCommitter(nil, ended, nil)})
 }
 
 // Guards against orders of two owners to one machine that alternate within the
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -16,10 +16,11 @@
 	// idleBeforeSpare is how long an instance must have been idle to be switched
 	// off.
 	idleBeforeSpare = 700 * time.Millisecond
-	// peakSettle is how long after the beginning of a peak no machine is switched
-	// off: half of a peak of 8 s, in which the rate of few large jobs swings; a
-	// machine that was switched off takes two moves of 1.5 s to arrive.
-	peakSettle = 4 * time.Second
+	// peakRise is how long a peak rises: half of a peak of 8 s. So long no machine
+	// is switched off, since one that was takes two moves of 1.5 s to arrive, and
+	// the rate of arrivals sends machines ahead of the work. Later only work that
+	// waits does: the rate of few large jobs swings by half.
+	peakRise = 4 * time.Second
 	// arrivalTimeout is how long a moved machine counts for its new pool before
 	// its instance has registered.
 	arrivalTimeout = 5 * time.Second
@@ -91,7 +92,7 @@
 		p := &pools[i]
 		supply(p, p.expected-p.usage.Instances-m.arriving(p.service))
 	}
-	if last, ok := m.peaks.last(); !ok || wall.Sub(last) < peakSettle {
+	if last, ok := m.peaks.last(); !ok || wall.Sub(last) < peakRise {
 		// Nothing is known of the demand yet, or of how high it will rise.
 		return
 	}
@@ -159,7 +160,10 @@
 		})
 	}
 	waiting := int(math.Ceil(machinesFor(p.usage.Demand, size))) - p.usable()
-	coming := int(math.Ceil(rate)) - p.usage.Instances
+	coming := 0
+	if !m.peaks.falling(p.service, wall) {
+		coming = int(math.Ceil(rate)) - p.usage.Instances
+	}
 	p.lacking = max(0, waiting, coming) - m.arriving(p.service)
 	p.expected = m.peaks.expected(p.service, wall)
 }
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -54,7 +54,7 @@
 		apply(t, o.State, Op{Onset: &Onset{Service: "courier", At: time.Now().Round(0), Machines: 4}})
 		stop()
 		_, stop = inOffice(t, o, c)
-		time.Sleep(peakSettle - 300*time.Millisecond)
+		time.Sleep(peakRise - 300*time.Millisecond)
 		f.mu.Lock()
 		is.Equal(len(f.sent), 0)
 		f.mu.Unlock()
@@ -80,3 +80,28 @@
 	empty.lacking = 0
 	is.True(m.shortage(&empty) < m.shortage(&peak)) // its machine is on the way
 }
+
+// Guards against machines that the swinging rate of few large jobs sends to a
+// peak that is about to end, while the next pool lacks them.
+func TestRateSendsMachinesToARisingPeakOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := testMachinist(&State{Timers: &galenatimer.Service{}}, 1)
+		size := galenajob.Resources{MilliCPU: 1000}
+		m.machines = map[galenahead.VMName]Machine{"m": {Name: "m", Pool: "counter", State: MachineUp, Instance: "i", Capacity: size}}
+		lacking := func(waiting int64) int {
+			p := poolUse{service: "counter", usage: galenajob.Usage{
+				Instances: 3, Busy: 3, Rate: 8000, Batch: galenajob.Resources{MilliCPU: 3000 + waiting},
+				Demand: galenajob.Resources{MilliCPU: waiting},
+			}}
+			m.forecast(&p)
+			return p.lacking
+		}
+		is.Equal(lacking(0), 5)
+		time.Sleep(peakRise - time.Second)
+		is.Equal(lacking(0), 5)
+		time.Sleep(2 * time.Second)
+		is.Equal(lacking(0), 0)
+		is.Equal(lacking(2500), 3) // what waits still counts
+	})
+}
