Let one Rows serve the lists of messages and of a fleet

Cause: galenactl fleet had its own copy, since cli.Rows asked for protobuf messages without using that. No change of output: the golden files are the same.

--- a/cmd/galenactl/cli/command.go
+++ b/cmd/galenactl/cli/command.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/spf13/cobra"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/galenahead/galenahead/cmd/galenactl/client"
 	"github.com/galenahead/galenahead/galenapb"
@@ -63,10 +62,10 @@
 	}
 }
 
-// Rows returns one row for each message.
-func Rows[T proto.Message](ms []T, row func(T) []any) [][]any {
-	rows := make([][]any, len(ms))
-	for i, m := range ms {
+// Rows returns one row for each element.
+func Rows[T any](list []T, row func(T) []any) [][]any {
+	rows := make([][]any, len(list))
+	for i, m := range list {
 		rows[i] = row(m)
 	}
 	return rows
--- a/cmd/galenactl/fleet/views.go
+++ b/cmd/galenactl/fleet/views.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/cmd/galenactl/cli"
 	"github.com/galenahead/galenahead/galenafleet"
 	"github.com/galenahead/galenahead/galenajob"
 )
@@ -13,8 +15,7 @@
 	header: []string{"REPLICA", "ADDRESS", "VOTER", "OWNER", "EPOCH", "TERM", "IN OFFICE", "CONFIG"},
 	rows: func(v galenafleet.View) [][]any {
 		o := &v.Owner
-		return rows(o.Members, func(i int) []any {
-			m := &o.Members[i]
+		return cli.Rows(o.Members, func(m galenahead.Member) []any {
 			if m.Name != o.Name {
 				return []any{m.Name, m.Address, m.Voter, false, "", "", "", ""}
 			}
@@ -28,8 +29,7 @@
 	short:  "List the queues with their jobs",
 	header: []string{"QUEUE", "SERVICE", "PRIORITY", "JOBS", "WAITING", "HOPELESS", "OLDEST"},
 	rows: func(v galenafleet.View) [][]any {
-		return rows(v.Queues, func(i int) []any {
-			q := &v.Queues[i]
+		return cli.Rows(v.Queues, func(q galenajob.QueueView) []any {
 			return []any{q.Queue, q.Service, q.Priority, q.Jobs, q.Waiting, q.Hopeless, age(q.OldestMS)}
 		})
 	},
@@ -40,8 +40,7 @@
 	short:  "List the jobs that are not final, oldest first",
 	header: []string{"JOB", "QUEUE", "SERVICE", "STATE", "CLASS", "AGE", "OBJECTIVE", "DONE", "PLACED", "ITEMS"},
 	rows: func(v galenafleet.View) [][]any {
-		return rows(v.Jobs, func(i int) []any {
-			j := &v.Jobs[i]
+		return cli.Rows(v.Jobs, func(j galenajob.JobView) []any {
 			done, placed, items := 0, 0, 0
 			for _, s := range j.Steps {
 				done, placed, items = done+s.Done, placed+s.Placed, items+s.Items
@@ -95,8 +94,7 @@
 	short:  "List the instances with what they hold",
 	header: []string{"INSTANCE", "SERVICE", "ZONE", "ADDRESS", "STATE", "ITEMS", "CPU", "OF", "MEMORY MB", "OF", "ANSWERED"},
 	rows: func(v galenafleet.View) [][]any {
-		return rows(v.Instances, func(i int) []any {
-			n := &v.Instances[i]
+		return cli.Rows(v.Instances, func(n galenajob.InstanceView) []any {
 			return []any{n.ID, n.Service, n.Zone, n.Address, n.State, n.Items, n.Used.MilliCPU, n.Capacity.MilliCPU,
 				n.Used.MemoryMB, n.Capacity.MemoryMB, age(n.AnsweredMS) + " ago"}
 		})
@@ -108,8 +106,7 @@
 	short:  "List the machines with their pools",
 	header: []string{"MACHINE", "POOL", "STATE", "INSTANCE", "PLAN", "READ"},
 	rows: func(v galenafleet.View) [][]any {
-		return rows(v.Machines, func(i int) []any {
-			m := &v.Machines[i]
+		return cli.Rows(v.Machines, func(m galenafleet.MachineView) []any {
 			return []any{m.Name, m.Pool, m.State, m.Instance, m.Plan, age(m.ReadMS) + " ago"}
 		})
 	},
@@ -120,18 +117,8 @@
 	short:  "List the maintenance waves",
 	header: []string{"WAVE", "MACHINES", "DOWN", "MAX DOWN", "DONE", "COMPLETED", "LEFT"},
 	rows: func(v galenafleet.View) [][]any {
-		return rows(v.Waves, func(i int) []any {
-			w := &v.Waves[i]
+		return cli.Rows(v.Waves, func(w galenafleet.WaveView) []any {
 			return []any{w.ID, w.Machines, w.Down, w.MaxDown, w.Done, w.Completed, age(w.LeftMS)}
 		})
 	},
 }
-
-// rows returns a row for each element.
-func rows[T any](list []T, row func(int) []any) [][]any {
-	out := make([][]any, len(list))
-	for i := range list {
-		out[i] = row(i)
-	}
-	return out
-}
