--- a/test/galena-capacity/measure/check.go
+++ b/test/galena-capacity/measure/check.go
@@ -26,13 +26,13 @@
 // Met tells whether the figure is within the limit.
 func (b Bound) Met() bool { return b.Value <= b.Limit }
 
-// String returns one line of text that begins with ok or UNMET.
+// String returns one line of text that begins with met or UNMET and the name.
 func (b Bound) String() string {
-	state := "ok   "
+	state := "met"
 	if !b.Met() {
 		state = "UNMET"
 	}
-	return fmt.Sprintf("%s %-46s %8.3f of at most %g %s", state, b.Name, b.Value, b.Limit, b.Unit)
+	return fmt.Sprintf("%s %s: %.3f of at most %g %s", state, b.Name, b.Value, b.Limit, b.Unit)
 }
 
 // Unmet counts the bounds that are not met.
@@ -64,18 +64,18 @@
 		Window
 	}{{"idle", c.Idle}, {"17,000 changes a day", c.Paced}} {
 		out = append(out,
-			Bound{w.name + ": leader processor time", 100 * w.Leader.CPU, 100 * maxCPU, "% of a core"},
-			Bound{w.name + ": follower processor time", 100 * w.Follower.CPU, 100 * maxCPU, "% of a core"},
-			Bound{w.name + ": leader resident memory", w.Leader.RSS / megabyte, maxMemory / megabyte, "MB"},
-			Bound{w.name + ": follower resident memory", w.Follower.RSS / megabyte, maxMemory / megabyte, "MB"},
-			Bound{w.name + ": leader traffic", w.Bytes() / kilobyte, maxTraffic / kilobyte, "KB/s"},
-			Bound{w.name + ": follower traffic", w.Log / 2 / kilobyte, maxTraffic / kilobyte, "KB/s"},
+			Bound{w.name + ", leader processor time", 100 * w.Leader.CPU, 100 * maxCPU, "% of a core"},
+			Bound{w.name + ", follower processor time", 100 * w.Follower.CPU, 100 * maxCPU, "% of a core"},
+			Bound{w.name + ", leader resident memory", w.Leader.RSS / megabyte, maxMemory / megabyte, "MB"},
+			Bound{w.name + ", follower resident memory", w.Follower.RSS / megabyte, maxMemory / megabyte, "MB"},
+			Bound{w.name + ", leader traffic", w.Bytes() / kilobyte, maxTraffic / kilobyte, "KB/s"},
+			Bound{w.name + ", follower traffic", w.Log / 2 / kilobyte, maxTraffic / kilobyte, "KB/s"},
 		)
 	}
 	return append(out,
-		Bound{"17,000 changes a day: submitted to in force", c.PacedInForce.Seconds(), maxInForce.Seconds(), "s"},
+		Bound{"17,000 changes a day, submitted to in force", c.PacedInForce.Seconds(), maxInForce.Seconds(), "s"},
 		// The stricter reading of the target: the whole burst is in force in time.
-		Bound{fmt.Sprintf("burst of %d: first submitted to all in force", c.Burst.Changes), c.Burst.Took.Seconds(), maxInForce.Seconds(), "s"},
-		Bound{fmt.Sprintf("burst of %d: leader resident memory, peak", c.Burst.Changes), c.Burst.LeaderPeak / megabyte, maxMemory / megabyte, "MB"},
+		Bound{fmt.Sprintf("burst of %d, first submitted to all in force", c.Burst.Changes), c.Burst.Took.Seconds(), maxInForce.Seconds(), "s"},
+		Bound{fmt.Sprintf("burst of %d, leader resident memory, peak", c.Burst.Changes), c.Burst.LeaderPeak / megabyte, maxMemory / megabyte, "MB"},
 	)
 }
