Forget instances whose machines the last owner has taken

A new owner starts nothing that an earlier one accepted while an instance may still run some of it. Moves that were ordered right before a change of owner end instances whose removal is not in the log any more; their addresses refuse connections, which proves nothing (a cut may refuse as well), so 314 cores of work waited 4 s beside idle instances. Ruled out: the looks at the other instances (answered within 0.1 s). The record of an order to a machine now names the life that it ends. A machine that is listed as moving, in upkeep or with another instance proves that end.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -85,6 +85,10 @@
 	Machine galenahead.VMName `cbor:"1,keyasint"`
 	Epoch   uint64            `cbor:"2,keyasint"`
 	At      time.Time         `cbor:"3,keyasint"`
+	// Instance and Born name the life of the machine's instance that the order
+	// ends.
+	Instance galenahead.InstanceID `cbor:"4,keyasint,omitempty"`
+	Born     int64                 `cbor:"5,keyasint,omitempty"`
 }
 
 // Code is the result of an operation.
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -113,6 +113,7 @@
 		m.listed[v.Name] = now
 	}
 	m.listedAt = now
+	m.bury()
 	m.show()
 	return true
 }
@@ -150,9 +151,32 @@
 	return !ok || epoch == m.epoch || m.Timers.Now().Sub(noted) > m.MachineLease+orderMargin
 }
 
-// intend returns the record of an order to a machine.
-func (m *machinist) intend(name galenahead.VMName) Op {
-	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0)}}
+// intend returns the record of an order to a machine, which ends the life of the
+// instance there, if there is one.
+func (m *machinist) intend(name galenahead.VMName, id galenahead.InstanceID) Op {
+	in, _ := m.State.instance(id)
+	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born}}
+}
+
+// bury forgets the instances whose machines an earlier owner has taken without
+// recording it any more. Until then the work that an earlier owner accepted would
+// wait for their leases to lapse.
+func (m *machinist) bury() {
+	if m.Timers.Now().Sub(m.began) > 2*m.Params.Lease {
+		// Nothing waits for them any more.
+		return
+	}
+	for _, o := range m.State.machineOrders() {
+		v, listed := m.machines[o.Machine]
+		in, known := m.State.instance(o.Instance)
+		if o.Epoch == m.epoch || !listed || !known || in.Born != o.Born {
+			continue
+		}
+		taken := v.State == MachineMoving || v.State == MachineMaintenance
+		if taken || (v.Instance != "" && v.Instance != o.Instance) {
+			m.drop(o.Instance)
+		}
+	}
 }
 
 // advance takes the next steps of a wave.
@@ -293,9 +317,10 @@
 		return
 	}
 	m.calling[name] = true
+	intent := m.intend(name, m.leaving[name])
 	m.spawn(func() error {
 		a := machineAnswer{name: name, wave: wave}
-		if _, err := m.commits.commit(m.intend(name)); err != nil {
+		if _, err := m.commits.commit(intent); err != nil {
 			return nil
 		}
 		a.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), m.epoch)
--- a/galenafleet/machinist_test.go
+++ b/galenafleet/machinist_test.go
@@ -28,7 +28,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &State{Timers: &galenatimer.Service{}}
-		apply(t, s, Op{Order: &MachineOrder{"m", 1, time.Now().Round(0)}})
+		apply(t, s, Op{Order: &MachineOrder{Machine: "m", Epoch: 1, At: time.Now().Round(0)}})
 		is.True(testMachinist(s, 1).mayOrder("m"))
 		is.True(!testMachinist(s, 2).mayOrder("m"))
 		is.True(testMachinist(s, 2).mayOrder("other"))
@@ -159,3 +159,54 @@
 		stop()
 	})
 }
+
+// Guards against work of an earlier owner that waits until the lease of an
+// instance has lapsed, although the move that the earlier owner ordered has ended
+// its life; and against forgetting an instance whose machine is still up.
+func TestInstanceOfATakenMachineIsNotWaitedFor(t *testing.T) {
+	tests := []struct {
+		name string
+		list Machine
+		born int64
+		gone bool
+	}{
+		{"moving", Machine{Name: "m", Pool: "other", State: MachineMoving}, 1, true},
+		{"in upkeep", Machine{Name: "m", Pool: "counter", State: MachineMaintenance}, 1, true},
+		{"up with a later instance", Machine{Name: "m", Pool: "other", State: MachineUp, Instance: "later"}, 1, true},
+		{"in upkeep, instance of a later life", Machine{Name: "m", Pool: "counter", State: MachineMaintenance}, 2, false},
+		{"up as before", Machine{Name: "m", Pool: "counter", State: MachineUp, Instance: "i"}, 1, false},
+		{"up without a known instance", Machine{Name: "m", Pool: "counter", State: MachineUp}, 1, false},
+		{"down", Machine{Name: "m", Pool: "counter", State: MachineDown}, 1, false},
+		{"not listed", Machine{Name: "n", Pool: "counter", State: MachineUp}, 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o, _ := testOwner()
+				o.Machines = &listedMachines{list: []Machine{tt.list}}
+				in := testBeat.Instance
+				in.Born = tt.born
+				apply(t, o.State, Op{Office: &OfficeOp{"b"}}, Op{Instance: &in},
+					Op{Order: &MachineOrder{Machine: "m", Epoch: 1, At: time.Now().Round(0), Instance: "i", Born: 1}})
+				_, stop := inOffice(t, o, testConfig)
+				time.Sleep(500 * time.Millisecond)
+				_, known := o.State.instance("i")
+				is.Equal(known, !tt.gone)
+				stop()
+			})
+		})
+	}
+}
+
+// listedMachines is a fixed list of machines.
+type listedMachines struct {
+	Machines
+	list []Machine
+}
+
+func (l *listedMachines) List(context.Context) ([]Machine, error) { return l.list, nil }
+
+func (l *listedMachines) Move(context.Context, galenahead.VMName, galenahead.ServiceName, string, uint64) error {
+	return ErrBusy
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -273,9 +273,9 @@
 		return
 	}
 	m.calling[name] = true
-	pool := t.pool
+	pool, intent := t.pool, m.intend(name, t.instance)
 	m.spawn(func() error {
-		if _, err := m.commits.commit(m.intend(name)); err != nil {
+		if _, err := m.commits.commit(intent); err != nil {
 			return nil
 		}
 		m.report(machineAnswer{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), m.epoch)})
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -439,6 +439,13 @@
 	return o.Epoch, s.noted[name], ok
 }
 
+// machineOrders returns the last order to each machine.
+func (s *State) machineOrders() []MachineOrder {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Values(s.orders))
+}
+
 // maxOnsets bounds the onsets that are kept, over all services.
 const maxOnsets = 64
 
--- a/galenafleet/state_test.go
+++ b/galenafleet/state_test.go
@@ -65,7 +65,7 @@
 		Op{Config: &Config{Version: 7, Source: []byte("x")}},
 		Op{Instance: &galenajob.Instance{ID: "i", Born: 5, Labels: []string{"a"}}},
 		Op{Wave: &Wave{ID: 1, MaxDown: 1, Accepted: at}}, Op{WaveStep: &WaveStepOp{1, "m", StepBegun}},
-		Op{Order: &MachineOrder{"m", 1, at}}, Op{Onset: &Onset{Service: "counter", At: at, Machines: 5, Over: true}})
+		Op{Order: &MachineOrder{"m", 1, at, "i", 5}}, Op{Onset: &Onset{Service: "counter", At: at, Machines: 5, Over: true}})
 	b, err := s.Snapshot()
 	is.NoErr(err)
 	r := &State{}
