--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -21,6 +21,10 @@
 	// the rate of arrivals sends machines ahead of the work. Later only work that
 	// waits does: the rate of few large jobs swings by half.
 	peakRise = 4 * time.Second
+	// rateGrowth is by how much the arrivals of a peak that rises steadily grow
+	// while a machine is on its way to it for 1.7 s, if it is sent so long after the
+	// peak's beginning.
+	rateGrowth = 2
 	// arrivalTimeout is how long a moved machine counts for its new pool before
 	// its instance has registered.
 	arrivalTimeout = 5 * time.Second
@@ -162,7 +166,7 @@
 	waiting := int(math.Ceil(machinesFor(p.usage.Demand, size))) - p.usable()
 	coming := 0
 	if !m.peaks.falling(p.service, wall) {
-		coming = int(math.Ceil(rate)) - p.usage.Instances
+		coming = int(math.Ceil(rateGrowth*rate)) - p.usage.Instances
 	}
 	p.lacking = max(0, waiting, coming) - m.arriving(p.service)
 	p.expected = m.peaks.expected(p.service, wall)
