--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -113,7 +113,7 @@
 		m.listed[v.Name] = now
 	}
 	m.listedAt = now
-	m.bury()
+	m.forgetTaken()
 	m.show()
 	return true
 }
@@ -158,10 +158,10 @@
 	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born}}
 }
 
-// bury forgets the instances whose machines an earlier owner has taken without
+// forgetTaken forgets the instances whose machines an earlier owner has taken without
 // recording it any more. Until then the work that an earlier owner accepted would
 // wait for their leases to lapse.
-func (m *machinist) bury() {
+func (m *machinist) forgetTaken() {
 	if m.Timers.Now().Sub(m.began) > 2*m.Params.Lease {
 		// Nothing waits for them any more.
 		return
