--- a/cmd/galenactl/cli/factory.go
+++ b/cmd/galenactl/cli/factory.go
@@ -11,7 +11,9 @@
 	"github.com/google/uuid"
 	"github.com/spf13/pflag"
 
+	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/cmd/galenactl/client"
+	"github.com/galenahead/galenahead/galenarpc"
 )
 
 const (
@@ -22,8 +24,10 @@
 
 // Factory builds what commands need. Tests replace its fields.
 type Factory struct {
-	IO       *IOStreams
-	Dial     client.Dialer
+	IO   *IOStreams
+	Dial client.Dialer
+	// Caller calls the control daemons of a fleet.
+	Caller   galenahead.Caller
 	Getenv   func(string) string
 	NewID    func() string
 	Operator string
@@ -45,6 +49,7 @@
 	return &Factory{
 		IO:       SystemStreams(),
 		Dial:     client.Dial,
+		Caller:   &galenarpc.Client{},
 		Getenv:   os.Getenv,
 		NewID:    uuid.NewString,
 		Operator: operator(),
@@ -75,6 +80,25 @@
 // Client returns a client for the addresses of --control or the environment.
 // It fails with a UsageError.
 func (f *Factory) Client() (*client.Client, error) {
+	addresses, err := f.addresses()
+	if err != nil {
+		return nil, err
+	}
+	return client.New(addresses, f.Dial), nil
+}
+
+// Fleet returns a client for the control daemons of a fleet, of which --control
+// or the environment holds the peer addresses. It fails with a UsageError.
+func (f *Factory) Fleet() (*client.Fleet, error) {
+	addresses, err := f.addresses()
+	if err != nil {
+		return nil, err
+	}
+	return &client.Fleet{Addresses: addresses, Caller: f.Caller}, nil
+}
+
+// addresses returns the addresses of --control or the environment.
+func (f *Factory) addresses() ([]string, error) {
 	addresses := f.Flags.Control
 	if len(addresses) == 0 {
 		if v := f.Getenv(controlVariable); v != "" {
@@ -89,7 +113,7 @@
 			return nil, Usagef("control address %q is not ip:port", a)
 		}
 	}
-	return client.New(addresses, f.Dial), nil
+	return addresses, nil
 }
 
 // Query calls fn with a client and with the context of --timeout.
--- a/cmd/galenactl/cli/print.go
+++ b/cmd/galenactl/cli/print.go
@@ -19,17 +19,29 @@
 // JSON holds only the named fields of the message, or all without names.
 func (f *Factory) Print(m proto.Message, header []string, rows [][]any, fields ...string) error {
 	if f.Flags.JSON {
-		return f.printJSON(m, fields)
+		return f.printMessage(m, fields)
 	}
+	return f.printRows(header, rows)
+}
+
+// PrintValue is Print for a value that encoding/json encodes.
+func (f *Factory) PrintValue(v any, header []string, rows [][]any) error {
+	if f.Flags.JSON {
+		return f.printJSON(v)
+	}
+	return f.printRows(header, rows)
+}
+
+func (f *Factory) printRows(header []string, rows [][]any) error {
 	if f.IO.Terminal {
 		return f.printTable(header, rows)
 	}
 	return f.printPlain(rows)
 }
 
-// printJSON encodes the message again because the output of protojson is not
+// printMessage encodes the message again because the output of protojson is not
 // stable between builds. 64-bit numbers are strings, as in protojson.
-func (f *Factory) printJSON(m proto.Message, fields []string) error {
+func (f *Factory) printMessage(m proto.Message, fields []string) error {
 	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
 	if err != nil {
 		return eris.Wrap(err, "encode JSON")
@@ -41,6 +53,10 @@
 	if len(fields) > 0 {
 		maps.DeleteFunc(v, func(name string, _ any) bool { return !slices.Contains(fields, name) })
 	}
+	return f.printJSON(v)
+}
+
+func (f *Factory) printJSON(v any) error {
 	enc := json.NewEncoder(f.IO.Out)
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
--- /dev/null
+++ b/cmd/galenactl/fleet/views.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+var ownerView = view{
+	part:   galenafleet.PartOwner,
+	short:  "Show who owns the fleet and the members of its log",
+	header: []string{"REPLICA", "ADDRESS", "VOTER", "OWNER", "EPOCH", "TERM", "IN OFFICE", "CONFIG"},
+	rows: func(v galenafleet.View) [][]any {
+		o := &v.Owner
+		return rows(o.Members, func(i int) []any {
+			m := &o.Members[i]
+			if m.Name != o.Name {
+				return []any{m.Name, m.Address, m.Voter, false, "", "", "", ""}
+			}
+			return []any{m.Name, m.Address, m.Voter, true, o.Epoch, o.Term, age(o.OfficeMS), o.ConfigVersion}
+		})
+	},
+}
+
+var queuesView = view{
+	part:   galenafleet.PartQueues,
+	short:  "List the queues with their jobs",
+	header: []string{"QUEUE", "SERVICE", "PRIORITY", "JOBS", "WAITING", "HOPELESS", "OLDEST"},
+	rows: func(v galenafleet.View) [][]any {
+		return rows(v.Queues, func(i int) []any {
+			q := &v.Queues[i]
+			return []any{q.Queue, q.Service, q.Priority, q.Jobs, q.Waiting, q.Hopeless, age(q.OldestMS)}
+		})
+	},
+}
+
+var jobsView = view{
+	part:   galenafleet.PartJobs,
+	short:  "List the jobs that are not final, oldest first",
+	header: []string{"JOB", "QUEUE", "SERVICE", "STATE", "CLASS", "AGE", "OBJECTIVE", "DONE", "PLACED", "ITEMS"},
+	rows: func(v galenafleet.View) [][]any {
+		return rows(v.Jobs, func(i int) []any {
+			j := &v.Jobs[i]
+			done, placed, items := 0, 0, 0
+			for _, s := range j.Steps {
+				done, placed, items = done+s.Done, placed+s.Placed, items+s.Items
+			}
+			return []any{j.ID, j.Queue, j.Service, j.State, j.Class, age(j.AgeMS), age(j.ObjectiveMS), done, placed, items}
+		})
+	},
+}
+
+// jobView prints a line for the job, one for each step, and one for each run.
+var jobView = view{
+	part:   galenafleet.PartJob,
+	short:  "Show a job with its steps and runs",
+	header: []string{"WHAT", "STATE", "DONE", "PLACED", "ITEMS", "FAILED RUNS", "RUN", "INSTANCE", "PERCENT"},
+	rows: func(v galenafleet.View) [][]any {
+		var out [][]any
+		for i := range v.Jobs {
+			j := &v.Jobs[i]
+			out = append(out, []any{j.ID, j.State, "", "", "", "", "", "", ""})
+			for _, s := range j.Steps {
+				out = append(out, []any{stepName(s.Occurrence, s.Step), stepState(s), s.Done, s.Placed, s.Items, s.FailedRuns, "", "", ""})
+			}
+			for _, r := range j.Runs {
+				name := fmt.Sprintf("%s item %d", stepName(r.Item.Occurrence, r.Item.Step), r.Item.Index)
+				out = append(out, []any{name, r.Phase, "", "", "", r.FailedRuns, r.Run, r.Instance, r.Percent})
+			}
+		}
+		return out
+	},
+}
+
+func stepName(occurrence, step int) string {
+	if occurrence == 0 {
+		return fmt.Sprintf("step %d", step)
+	}
+	return fmt.Sprintf("occurrence %d step %d", occurrence, step)
+}
+
+func stepState(s galenajob.StepView) string {
+	switch {
+	case s.Done == s.Items:
+		return "done"
+	case s.Open:
+		return "open"
+	}
+	return "after others"
+}
+
+var instancesView = view{
+	part:   galenafleet.PartInstances,
+	short:  "List the instances with what they hold",
+	header: []string{"INSTANCE", "SERVICE", "ZONE", "ADDRESS", "STATE", "ITEMS", "CPU", "OF", "MEMORY MB", "OF", "ANSWERED"},
+	rows: func(v galenafleet.View) [][]any {
+		return rows(v.Instances, func(i int) []any {
+			n := &v.Instances[i]
+			return []any{n.ID, n.Service, n.Zone, n.Address, n.State, n.Items, n.Used.MilliCPU, n.Capacity.MilliCPU,
+				n.Used.MemoryMB, n.Capacity.MemoryMB, age(n.AnsweredMS) + " ago"}
+		})
+	},
+}
+
+var machinesView = view{
+	part:   galenafleet.PartMachines,
+	short:  "List the machines with their pools",
+	header: []string{"MACHINE", "POOL", "STATE", "INSTANCE", "PLAN", "READ"},
+	rows: func(v galenafleet.View) [][]any {
+		return rows(v.Machines, func(i int) []any {
+			m := &v.Machines[i]
+			return []any{m.Name, m.Pool, m.State, m.Instance, m.Plan, age(m.ReadMS) + " ago"}
+		})
+	},
+}
+
+var wavesView = view{
+	part:   galenafleet.PartWaves,
+	short:  "List the maintenance waves",
+	header: []string{"WAVE", "MACHINES", "DOWN", "MAX DOWN", "DONE", "COMPLETED", "LEFT"},
+	rows: func(v galenafleet.View) [][]any {
+		return rows(v.Waves, func(i int) []any {
+			w := &v.Waves[i]
+			return []any{w.ID, w.Machines, w.Down, w.MaxDown, w.Done, w.Completed, age(w.LeftMS)}
+		})
+	},
+}
+
+// rows returns a row for each element.
+func rows[T any](list []T, row func(int) []any) [][]any {
+	out := make([][]any, len(list))
+	for i := range list {
+		out[i] = row(i)
+	}
+	return out
+}
--- a/cmd/galenactl/root/root.go
+++ b/cmd/galenactl/root/root.go
@@ -11,6 +11,7 @@
 	"github.com/galenahead/galenahead/cmd/galenactl/cli"
 	"github.com/galenahead/galenahead/cmd/galenactl/cluster"
 	"github.com/galenahead/galenahead/cmd/galenactl/config"
+	"github.com/galenahead/galenahead/cmd/galenactl/fleet"
 	"github.com/galenahead/galenahead/cmd/galenactl/job"
 	"github.com/galenahead/galenahead/cmd/galenactl/pool"
 	"github.com/galenahead/galenahead/cmd/galenactl/service"
@@ -30,6 +31,7 @@
 		config.NewCmdConfig(f),
 		job.NewCmdJob(f),
 		cluster.NewCmdCluster(f),
+		fleet.NewCmdFleet(f),
 		check.NewCmdCheck(f, nil))
 	cmd.SilenceErrors = true
 	cmd.SilenceUsage = true
--- a/galenafleet/gateway.go
+++ b/galenafleet/gateway.go
@@ -23,6 +23,7 @@
 	MethodConfiguration = "fleet.configuration"
 	MethodBeginWave     = "fleet.begin_wave"
 	MethodWave          = "fleet.wave"
+	MethodView          = "fleet.view"
 )
 
 // Register adds the methods that the owner serves.
@@ -34,6 +35,7 @@
 	galenarpc.Handle(mux, MethodConfiguration, o.Configuration)
 	galenarpc.Handle(mux, MethodBeginWave, o.BeginWave)
 	galenarpc.Handle(mux, MethodWave, o.Wave)
+	galenarpc.Handle(mux, MethodView, o.View)
 }
 
 // Gateway carries calls of any daemon to the owner.
--- a/galenafleet/machinist.go
+++ b/galenafleet/machinist.go
@@ -107,6 +107,7 @@
 		m.listed[v.Name] = now
 	}
 	m.listedAt = now
+	m.show()
 	return true
 }
 
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -124,6 +124,9 @@
 	mu     sync.Mutex
 	shards map[galenahead.ServiceName]*shard
 	beats  map[galenahead.InstanceID]lastBeat
+
+	// machines is the machinist's last reading, for operators.
+	machines atomic.Pointer[machineReading]
 }
 
 var errLeaseLost = eris.New("lease of the log's leader is lost")
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -30,6 +30,9 @@
 
 func (l *fakeLog) HoldsLease() bool                  { return l.leads.Load() }
 func (l *fakeLog) ReadBarrier(context.Context) error { return nil }
+func (l *fakeLog) Status() galenahead.LogStatus {
+	return galenahead.LogStatus{Members: []galenahead.Member{{Name: "a", Voter: true}}}
+}
 func (l *fakeLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if l.stuck.Load() {
 		<-ctx.Done()
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -355,11 +355,20 @@
 
 // OpenWaves returns copies of the waves that are not completed, oldest first.
 func (s *State) OpenWaves() []*Wave {
+	return s.copyWaves(func(w *Wave) bool { return !w.Completed() })
+}
+
+// Waves returns copies of all waves that are known, oldest first.
+func (s *State) Waves() []*Wave {
+	return s.copyWaves(func(*Wave) bool { return true })
+}
+
+func (s *State) copyWaves(wanted func(*Wave) bool) []*Wave {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var ws []*Wave
 	for _, w := range s.waves {
-		if !w.Completed() {
+		if wanted(w) {
 			ws = append(ws, cloneWave(w))
 		}
 	}
--- /dev/null
+++ b/galenafleet/view.go
@@ -0,0 +1,249 @@
+package galenafleet
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+// Part is a part of the fleet that an operator may look at.
+type Part string
+
+// Parts of the fleet.
+const (
+	PartOwner     Part = "owner"
+	PartQueues    Part = "queues"
+	PartJobs      Part = "jobs"
+	PartJob       Part = "job"
+	PartInstances Part = "instances"
+	PartMachines  Part = "machines"
+	PartWaves     Part = "waves"
+)
+
+// ViewQuery asks the owner for a part of the fleet.
+type ViewQuery struct {
+	Part Part `json:"part"`
+	// Queue narrows the jobs to a queue.
+	Queue string `json:"queue,omitempty"`
+	// Job is the job that PartJob shows.
+	Job galenahead.JobID `json:"job,omitempty"`
+	// Limit bounds the rows; zero stands for MaxViewRows.
+	Limit int `json:"limit,omitempty"`
+}
+
+// MaxViewRows bounds an answer, so that a look at a large fleet holds up no
+// heartbeat on the same connection: about 300 bytes a row.
+const MaxViewRows = 2000
+
+// View is the answer to a ViewQuery: who owns the fleet, and the part that was
+// asked for.
+type View struct {
+	Owner OwnerView `json:"owner"`
+	// Total is how many rows there are; Limit may have left some out.
+	Total     int                      `json:"total"`
+	Queues    []galenajob.QueueView    `json:"queues,omitempty"`
+	Jobs      []galenajob.JobView      `json:"jobs,omitempty"`
+	Instances []galenajob.InstanceView `json:"instances,omitempty"`
+	Machines  []MachineView            `json:"machines,omitempty"`
+	Waves     []WaveView               `json:"waves,omitempty"`
+}
+
+// OwnerView is the owner with the members of its log.
+type OwnerView struct {
+	Name  galenahead.ReplicaName `json:"name"`
+	Epoch uint64                 `json:"epoch"`
+	// OfficeMS is how long the owner has been in office, in milliseconds.
+	OfficeMS int64 `json:"office_ms"`
+	// ConfigVersion is zero before the first configuration.
+	ConfigVersion uint64              `json:"config_version"`
+	Term          uint64              `json:"term"`
+	Members       []galenahead.Member `json:"members"`
+}
+
+// MachineView is a machine as the owner read it last.
+type MachineView struct {
+	Name     galenahead.VMName      `json:"name"`
+	Pool     galenahead.ServiceName `json:"pool"`
+	State    MachineState           `json:"state"`
+	Instance galenahead.InstanceID  `json:"instance,omitempty"`
+	// Plan is what the owner does with the machine: "move to" a pool, "empty for
+	// upkeep", or nothing.
+	Plan string `json:"plan,omitempty"`
+	// ReadMS is how long ago the list was read, in milliseconds.
+	ReadMS int64 `json:"read_ms"`
+}
+
+// WaveView is a maintenance wave. The counts are of its machines.
+type WaveView struct {
+	ID       int64 `json:"id"`
+	Machines int   `json:"machines"`
+	Down     int   `json:"down"`
+	Done     int   `json:"done"`
+	MaxDown  int   `json:"max_down"`
+	// LeftMS is the time until the wave should be done, negative when it is late.
+	LeftMS    int64 `json:"left_ms"`
+	Completed bool  `json:"completed"`
+}
+
+// View shows an operator a part of the fleet. It fails with ErrInvalid for an
+// unknown part and with ErrNotFound for an unknown job.
+func (o *Owner) View(_ context.Context, q ViewQuery) (View, error) {
+	f := o.current.Load()
+	if f == nil || !f.leads() {
+		return View{}, galenahead.ErrNotLeader
+	}
+	v := View{Owner: f.viewOwner()}
+	limit := MaxViewRows
+	if q.Limit > 0 {
+		limit = min(limit, q.Limit)
+	}
+	switch q.Part {
+	case PartOwner:
+	case PartQueues:
+		v.Queues, v.Total = first(f.viewQueues(), limit)
+	case PartJobs:
+		v.Jobs, v.Total = first(f.viewJobs(q.Queue), limit)
+	case PartJob:
+		j, err := f.viewJob(q.Job)
+		if err != nil {
+			return View{}, err
+		}
+		v.Jobs, v.Total = []galenajob.JobView{j}, 1
+	case PartInstances:
+		v.Instances, v.Total = first(f.viewInstances(), limit)
+	case PartMachines:
+		v.Machines, v.Total = first(f.viewMachines(), limit)
+	case PartWaves:
+		v.Waves, v.Total = first(f.viewWaves(), limit)
+	default:
+		return View{}, eris.Wrapf(galenahead.ErrInvalid, "unknown part %q", q.Part)
+	}
+	return v, nil
+}
+
+// first returns at most limit rows and how many there are.
+func first[T any](rows []T, limit int) ([]T, int) {
+	return rows[:min(limit, len(rows))], len(rows)
+}
+
+func (f *office) viewOwner() OwnerView {
+	st := f.Log.Status()
+	v := OwnerView{
+		Name: f.Name, Epoch: f.epoch, OfficeMS: f.Timers.Now().Sub(f.began).Milliseconds(), Term: st.Term, Members: st.Members,
+	}
+	if c := f.State.Config(); c != nil {
+		v.ConfigVersion = c.Version
+	}
+	return v
+}
+
+func (f *office) viewQueues() []galenajob.QueueView {
+	c := f.State.Config()
+	if c == nil {
+		return nil
+	}
+	out := make([]galenajob.QueueView, len(c.Queues))
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		f.of(q.Service).with(func(now time.Time, s *galenajob.Scheduler) { out[i] = s.ViewQueue(now, q.Name) })
+	}
+	return out
+}
+
+func (f *office) viewJobs(queue string) []galenajob.JobView {
+	var out []galenajob.JobView
+	for _, sh := range f.inOrder() {
+		sh.with(func(now time.Time, s *galenajob.Scheduler) { out = append(out, s.ViewJobs(now, queue)...) })
+	}
+	return out
+}
+
+func (f *office) viewJob(id galenahead.JobID) (galenajob.JobView, error) {
+	queue, service, state, ok := f.State.JobState(id)
+	if !ok {
+		return galenajob.JobView{}, eris.Wrapf(galenahead.ErrNotFound, "job %s is not known", id)
+	}
+	v := galenajob.JobView{}
+	active := false
+	f.of(service).with(func(now time.Time, s *galenajob.Scheduler) { v, active = s.ViewJob(now, id) })
+	if !active {
+		v = galenajob.JobView{ID: id, Queue: queue, Service: service, State: state}
+	}
+	return v, nil
+}
+
+func (f *office) viewInstances() []galenajob.InstanceView {
+	var out []galenajob.InstanceView
+	for _, sh := range f.inOrder() {
+		sh.with(func(now time.Time, s *galenajob.Scheduler) { out = append(out, s.ViewInstances(now)...) })
+	}
+	return out
+}
+
+// inOrder returns the shards by the names of their services.
+func (f *office) inOrder() []*shard {
+	shards := f.all()
+	slices.SortFunc(shards, func(a, b *shard) int { return cmp.Compare(a.service, b.service) })
+	return shards
+}
+
+func (f *office) viewMachines() []MachineView {
+	r := f.machines.Load()
+	if r == nil {
+		return nil
+	}
+	out := slices.Clone(r.machines)
+	age := f.Timers.Now().Sub(r.at).Milliseconds()
+	for i := range out {
+		out[i].ReadMS = age
+	}
+	return out
+}
+
+func (f *office) viewWaves() []WaveView {
+	var out []WaveView
+	for _, w := range f.State.Waves() {
+		v := WaveView{
+			ID: w.ID, Machines: len(w.Machines), MaxDown: w.MaxDown, Completed: w.Completed(),
+			LeftMS: time.Until(w.Accepted.Add(w.Duration)).Milliseconds(),
+		}
+		for _, m := range w.Machines {
+			switch w.Steps[m] {
+			case StepDone:
+				v.Done++
+			case StepOrdered, StepBegun:
+				v.Down++
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// machineReading is a reading of the list of machines.
+type machineReading struct {
+	at       time.Time
+	machines []MachineView
+}
+
+// show publishes the machines for operators.
+func (m *machinist) show() {
+	r := &machineReading{at: m.listedAt}
+	for _, v := range m.machines {
+		mv := MachineView{Name: v.Name, Pool: v.Pool, State: v.State, Instance: v.Instance}
+		if t := m.transfers[v.Name]; t != nil {
+			mv.Plan = "move to " + string(t.pool)
+		} else if _, ok := m.leaving[v.Name]; ok {
+			mv.Plan = "empty for upkeep"
+		}
+		r.machines = append(r.machines, mv)
+	}
+	slices.SortFunc(r.machines, func(a, b MachineView) int { return cmp.Compare(a.Name, b.Name) })
+	m.office.machines.Store(r)
+}
