Record results of machine orders together

Cause: the machine controller handled one result of an order at a time and waited for a log entry for each state change. While commits took 300 ms, three machines a second went through it; 49 machines that had been cordoned to be powered off were neither used nor moved, and their instances, stopped by the platform, stayed in the scheduler. Lines 'machine move started': 23 in 8 s, then 29 to 45 a second once commits were quick again.

All pending results are now handled before one commit, and each pass of a wave commits twice at most. TestWaveEndsInTimeWhileCommitsAreSlow fails before (the wave of 40 machines is not completed after 10 s with commits of 300 ms) and passes now.

--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -84,7 +84,7 @@
 		case <-m.ctx.Done():
 			return nil
 		case r := <-m.results:
-			m.handleResult(r)
+			m.handleResults(r)
 			continue
 		case <-ticks:
 		}
@@ -172,6 +172,7 @@
 		// The leases have expired, so that no work waits for these instances.
 		return
 	}
+	var changes []change
 	for _, o := range m.State.machineOrders() {
 		machine, listed := m.machines[o.Machine]
 		in, known := m.State.instance(o.Instance)
@@ -180,31 +181,68 @@
 		}
 		stopped := machine.State == MachineMoving || machine.State == MachineMaintenance
 		if stopped || (machine.Instance != "" && machine.Instance != o.Instance) {
-			m.removeInstance(o.Instance)
+			changes = append(changes, m.removalChange(o.Instance)...)
 		}
 	}
+	m.record(changes...)
+}
+
+// change is an operation of the controller, and what follows once it is recorded.
+type change struct {
+	op   Op
+	then func()
+}
+
+// record records changes together, so that they wait for one log entry, and then
+// carries out what follows. It reports whether that succeeded.
+func (m *machineController) record(changes ...change) bool {
+	if len(changes) == 0 {
+		return true
+	}
+	ops := make([]Op, len(changes))
+	for i, c := range changes {
+		ops[i] = c.op
+	}
+	if _, err := m.committer.commit(ops...); err != nil {
+		return false
+	}
+	for _, c := range changes {
+		c.then()
+	}
+	return true
 }
 
 // advanceWave starts evacuations and maintenance of the machines of a wave, as far
 // as its limits allow, and records what has finished.
 func (m *machineController) advanceWave(w *Wave) {
+	var changes []change
 	down := 0
 	for _, name := range w.Machines {
 		switch w.Steps[name] {
 		case StepOrdered:
 			if m.hasLeft(name) {
-				m.recordStep(w, name, StepDone)
 				m.cancelEvacuation(name)
+				changes = append(changes, m.stepChange(w, name, StepDone))
 				continue
 			}
 			down++
 			m.sendMaintenanceOrder(w.ID, name)
 		case StepStarted:
-			if !m.finishMaintenance(w, name) {
+			if !m.maintenanceEnded(name) {
 				down++
+				continue
+			}
+			changes = append(changes, m.stepChange(w, name, StepDone))
+		case "":
+			if m.hasLeft(name) {
+				changes = append(changes, m.stepChange(w, name, StepDone))
 			}
 		}
 	}
+	if !m.record(changes...) {
+		return
+	}
+	changes = nil
 	allowed := m.maintenanceLimit(w, down)
 	evacuations := 0
 	for _, v := range m.maintenanceCandidates(w) {
@@ -216,11 +254,13 @@
 		if !m.evacuate(v) || down >= allowed || !m.mayOrder(v.Name) {
 			continue
 		}
-		if m.recordStep(w, v.Name, StepOrdered) {
-			down++
-			m.sendMaintenanceOrder(w.ID, v.Name)
-		}
+		down++
+		c := m.stepChange(w, v.Name, StepOrdered)
+		set := c.then
+		c.then = func() { set(); m.sendMaintenanceOrder(w.ID, v.Name) }
+		changes = append(changes, c)
 	}
+	m.record(changes...)
 }
 
 const (
@@ -258,10 +298,6 @@
 		if w.Steps[name] != "" {
 			continue
 		}
-		if m.hasLeft(name) {
-			m.recordStep(w, name, StepDone)
-			continue
-		}
 		v, ok := m.machines[name]
 		if !ok {
 			continue
@@ -352,20 +388,35 @@
 	}
 }
 
-// handleResult processes the result of an order.
-func (m *machineController) handleResult(r orderResult) {
+// handleResults processes the result of an order and all others that are pending,
+// and records what they change together.
+func (m *machineController) handleResults(r orderResult) {
+	changes := m.handleResult(r)
+	for {
+		select {
+		case r := <-m.results:
+			changes = append(changes, m.handleResult(r)...)
+			continue
+		default:
+		}
+		m.record(changes...)
+		return
+	}
+}
+
+// handleResult processes the result of an order and returns the changes to record.
+func (m *machineController) handleResult(r orderResult) []change {
 	delete(m.inFlight, r.name)
 	if errors.Is(r.err, ErrFenced) {
 		m.resign(r.err)
-		return
+		return nil
 	}
 	delete(m.retryAt, r.name)
 	if r.err != nil {
 		m.retryAt[r.name] = m.Timers.Now().Add(orderRetryPause)
 	}
 	if r.wave == 0 {
-		m.handleMoveResult(r)
-		return
+		return m.handleMoveResult(r)
 	}
 	w := m.State.Wave(r.wave)
 	log := m.Logger.WithField("wave", r.wave).WithField("machine", r.name).WithField("epoch", m.epoch).
@@ -375,18 +426,20 @@
 	case r.err == nil:
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
-		m.recordStep(w, r.name, StepStarted)
+		changes := []change{m.stepChange(w, r.name, StepStarted)}
 		if id, ok := m.evacuating[r.name]; ok {
 			delete(m.evacuating, r.name)
-			m.removeInstance(id)
+			changes = append(changes, m.removalChange(id)...)
 		}
+		return changes
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
-		m.recordStep(w, r.name, StepDone)
 		m.cancelEvacuation(r.name)
+		return []change{m.stepChange(w, r.name, StepDone)}
 	default:
 		log.WithError(r.err).Info("maintenance order not confirmed")
 	}
+	return nil
 }
 
 // cancelEvacuation lets the instance of an evacuated machine take work again.
@@ -399,21 +452,24 @@
 	m.uncordon(id)
 }
 
-// finishMaintenance records the end of a machine's maintenance once the machine is
-// up again or has left the fleet. It reports whether that was recorded.
-func (m *machineController) finishMaintenance(w *Wave, name galenahead.VMName) bool {
-	if v, ok := m.machines[name]; (!ok || v.State != MachineUp) && !m.hasLeft(name) {
-		return false
-	}
-	return m.recordStep(w, name, StepDone)
+// maintenanceEnded reports whether a machine is up again after its maintenance, or
+// has left the fleet.
+func (m *machineController) maintenanceEnded(name galenahead.VMName) bool {
+	v, ok := m.machines[name]
+	return (ok && v.State == MachineUp) || m.hasLeft(name)
 }
 
-// recordStep records the maintenance state of a machine and reports whether that
-// succeeded.
-func (m *machineController) recordStep(w *Wave, name galenahead.VMName, state StepState) bool {
-	if _, err := m.committer.commit(Op{WaveStep: &WaveStepOp{w.ID, name, state}}); err != nil {
-		return false
+// stepChange returns the change of a machine's maintenance state.
+func (m *machineController) stepChange(w *Wave, name galenahead.VMName, state StepState) change {
+	return change{Op{WaveStep: &WaveStepOp{w.ID, name, state}}, func() { w.Steps[name] = state }}
+}
+
+// removalChange returns the removal of an instance that an order to its machine has
+// stopped, or nothing if the instance is unknown.
+func (m *machineController) removalChange(id galenahead.InstanceID) []change {
+	in, known := m.State.instance(id)
+	if !known {
+		return nil
 	}
-	w.Steps[name] = state
-	return true
+	return []change{{Op{Remove: &id}, func() { m.shardFor(in.Service).removeInstance(id) }}}
 }
--- a/galenafleet/machine_controller_test.go
+++ b/galenafleet/machine_controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -211,3 +212,68 @@
 func (l *fixedMachines) Move(context.Context, galenahead.VMName, galenahead.ServiceName, string, uint64) error {
 	return ErrBusy
 }
+
+// maintainedMachines lists machines that are up, each with an instance, and starts
+// their maintenance at once. They return with a new instance when the list is read
+// again.
+type maintainedMachines struct {
+	MachineClient
+	mu         sync.Mutex
+	maintained map[galenahead.VMName]bool
+	count      int
+}
+
+func (l *maintainedMachines) List(context.Context) ([]Machine, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]Machine, l.count)
+	for i := range list {
+		name := galenahead.VMName(fmt.Sprintf("m%02d", i))
+		list[i] = Machine{Name: name, Pool: "counter", State: MachineUp, Instance: galenahead.InstanceID("i-" + name)}
+		if l.maintained[name] {
+			list[i].Instance = galenahead.InstanceID("j-" + name)
+		}
+	}
+	return list, nil
+}
+
+func (l *maintainedMachines) Maintain(_ context.Context, name galenahead.VMName, _ int64, _ string, _ uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maintained[name] = true
+	return nil
+}
+
+// Guards against a wave that misses its deadline because each step of each machine
+// waits for a log entry of its own while commits are slow.
+func TestWaveEndsInTimeWhileCommitsAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		l := &maintainedMachines{maintained: map[galenahead.VMName]bool{}, count: 40}
+		o.Machines = l
+		ctx, stop := startOwner(t, o, testConfig)
+		w := Wave{ID: 1, Duration: 10 * time.Second, MaxDown: l.count}
+		list, err := l.List(ctx)
+		is.NoErr(err)
+		for _, v := range list {
+			in := testHeartbeat.Instance
+			in.ID = v.Instance
+			_, err := o.Heartbeat(ctx, Heartbeat{Instance: in, Sequence: 1, Clock: 1000})
+			is.NoErr(err)
+			w.Machines = append(w.Machines, v.Name)
+		}
+		log.delay.Store(int64(300 * time.Millisecond))
+		_, err = o.BeginWave(ctx, w)
+		is.NoErr(err)
+		time.Sleep(w.Duration)
+		status, err := o.Wave(ctx, WaveStatus{ID: w.ID})
+		is.NoErr(err)
+		is.True(status.Completed)
+		for _, v := range list {
+			_, known := o.State.instance(v.Instance)
+			is.True(!known) // the maintenance has stopped it
+		}
+		stop()
+	})
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -298,11 +298,12 @@
 	})
 }
 
-// handleMoveResult processes the result of a move order.
-func (m *machineController) handleMoveResult(r orderResult) {
+// handleMoveResult processes the result of a move order and returns the changes to
+// record.
+func (m *machineController) handleMoveResult(r orderResult) []change {
 	move := m.pendingMoves[r.name]
 	if move == nil {
-		return
+		return nil
 	}
 	log := m.Logger.WithField("machine", r.name).WithField("to_pool", move.pool).WithField("epoch", m.epoch)
 	switch {
@@ -310,8 +311,8 @@
 		log.Info("machine move started")
 		m.ownerSession.Metrics.Moves.Add(1)
 		move.confirmed, move.changedAt = true, m.Timers.Now()
-		m.removeInstance(move.instance)
 		m.markUnavailable(r.name, MachineMoving)
+		return m.removalChange(move.instance)
 	case errors.Is(r.err, ErrBusy), errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Info("machine move rejected")
 		delete(m.pendingMoves, r.name)
@@ -321,17 +322,7 @@
 		// known.
 		log.WithError(r.err).Info("machine move not confirmed")
 	}
-}
-
-// removeInstance removes an instance that an order to its machine has stopped.
-func (m *machineController) removeInstance(id galenahead.InstanceID) {
-	in, known := m.State.instance(id)
-	if !known {
-		return
-	}
-	if _, err := m.committer.commit(Op{Remove: &id}); err == nil {
-		m.shardFor(in.Service).removeInstance(id)
-	}
+	return nil
 }
 
 // updateMoves ends the pending moves of machines that have arrived or are overdue,
