Keep a shortage of descriptors from counting as silent instances

Cause: the owner opened up to 24 connections to each of 350 addresses and kept idle ones for 20 s, and the pools of addresses that were gone for a minute, against 4,100 descriptors. From 18.6 s on 4,708 orders and 518 polls failed with 'socket: too many open files'. Each counted as a call that the instance had left unanswered, so that 312 instances which sent heartbeats all the time were removed as unresponsive, and their work waited for leases to expire.

Two changes: all connections to instances share a bound, half of the new setting max_open_files; and a call that this process could not send for lack of a connection or descriptor has an outcome of its own, which says nothing about the instance.

Ruled out: instances that were gone, since their heartbeats went on and the error names this process's own limit.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -130,7 +130,7 @@
 		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
 		ownerClient: &galenafleet.OwnerClient{Directory: directory, RPCClient: rpcClient, Logger: log.Logger, Metrics: metrics},
 	}
-	client := &platform.Client{}
+	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
 	c.owner = &galenafleet.Owner{
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Instances:    &platform.InstanceClient{Client: client},
@@ -172,6 +172,11 @@
 	adviceTimeout = 500 * time.Millisecond
 )
 
+// instanceConnectionsPart is the part of the process's descriptors that connections
+// to instances may take. The others are for instances, callers and daemons that
+// connect to this one, and for files.
+const instanceConnectionsPart = 2
+
 // maxLeaseFraction is the fraction of the instances' maximum lease that is
 // requested, so that no instance shortens the lease.
 const maxLeaseFraction = 0.9
--- a/galenafleet/platform.go
+++ b/galenafleet/platform.go
@@ -19,6 +19,9 @@
 	ErrFenced = eris.New("an owner with a higher fencing token has sent orders")
 	// ErrBusy reports that a machine or the advisor cannot accept the request now.
 	ErrBusy = eris.New("busy")
+	// ErrExhausted reports that this process has no connection or descriptor left for
+	// a call. Nothing was sent, and nothing is known about the receiver.
+	ErrExhausted = eris.New("no connection left in this process")
 	// ErrRejected reports an order that the machine will never accept.
 	ErrRejected = eris.New("order rejected")
 )
@@ -33,8 +36,8 @@
 	// Pace sets the pace of a run, in percent.
 	Pace(ctx context.Context, a galenajob.Action) error
 	// RenewAndPoll renews the lease of an instance and returns its runs and ends of
-	// runs. It waits up to wait for an end. It fails with ErrOtherIncarnation or
-	// ErrFenced.
+	// runs. It waits up to wait for an end. It fails with ErrOtherIncarnation,
+	// ErrFenced or ErrExhausted.
 	RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error)
 }
 
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -281,6 +281,11 @@
 	case errors.Is(err, ErrFenced):
 		sh.session.resign(err)
 		return 0
+	case errors.Is(err, ErrExhausted):
+		// The instance may well be alive, so it does not count as unresponsive.
+		sh.session.Metrics.Counters.Add("looks_deferred", 1)
+		p.logReachability(sh.session.Logger, id, err)
+		return pollRetryPause
 	case err != nil:
 		sh.session.Metrics.Counters.Add("looks_failed", 1)
 		p.logReachability(sh.session.Logger, id, err)
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -31,8 +31,12 @@
 	OutcomeOtherIncarnation
 	// OutcomeInvalid means that the instance will never accept the command.
 	OutcomeInvalid
-	// OutcomeUnsent means that no part of this attempt was sent.
+	// OutcomeUnsent means that no part of this attempt was sent, because the instance
+	// did not accept a connection.
 	OutcomeUnsent
+	// OutcomeDeferred means that no part of this attempt was sent, for a reason that
+	// says nothing about the instance.
+	OutcomeDeferred
 )
 
 // HandleOutcome handles the outcome of a start or stop command that was sent at sent.
@@ -45,7 +49,7 @@
 	switch o {
 	case OutcomeUnknown, OutcomeUnsent:
 		s.HandleNoResponse(inst.ID, sent)
-	case OutcomeOtherIncarnation:
+	case OutcomeOtherIncarnation, OutcomeDeferred:
 	default:
 		s.noteResponse(now, inst, clock)
 	}
@@ -79,6 +83,11 @@
 			it.notBefore = now.Add(s.params.ResendInterval)
 			it.failedOn = inst.ID
 		}
+	case OutcomeDeferred:
+		if it.startsSent == 1 {
+			it.release(now)
+		}
+		it.notBefore = now.Add(s.params.ResendInterval)
 	case OutcomeUnknown, OutcomeFenced:
 		it.notBefore = now.Add(s.params.ResendInterval)
 	case OutcomeDeadlinePassed:
@@ -124,7 +133,7 @@
 
 // String returns the name of the outcome in logs and counters.
 func (o Outcome) String() string {
-	names := [...]string{"unknown", "done", "no_room", "no_ticket", "late", "busy", "old", "fenced", "other_life", "invalid", "unsent"}
+	names := [...]string{"unknown", "done", "no_room", "no_ticket", "late", "busy", "old", "fenced", "other_life", "invalid", "unsent", "deferred"}
 	if o < 0 || int(o) >= len(names) {
 		return "undefined"
 	}
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -239,3 +239,27 @@
 	is.Equal(as[0].Item.Item.Step, 1)
 	is.Equal(as[0].Percent, 0)
 }
+
+// Guards against an instance that counts as unresponsive, and against a work item that
+// waits for it, after commands that this process could not send.
+func TestDeferredCommandsSayNothingOfInstance(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.AddJob(t0, testJob("j", 2), 0, false)
+	first := starts(s.Plan(t0, t0))
+	is.Equal(len(first), 2)
+	now := t0
+	for range 20 {
+		for _, a := range first {
+			s.HandleOutcome(now, a, OutcomeDeferred, 0, now)
+		}
+		now = now.Add(s.params.ResendInterval)
+		first = starts(s.Plan(now, now))
+		is.Equal(len(first), 2) // nothing was sent, so the items may start
+	}
+	is.True(!s.unresponsive(now, s.instances["a"]))
+	for _, a := range first {
+		s.HandleOutcome(now, a, OutcomeDone, 1000, now)
+	}
+	is.Equal(len(starts(s.Plan(now, now))), 0)
+}
--- a/galenasettings/sections.go
+++ b/galenasettings/sections.go
@@ -15,6 +15,10 @@
 	defaultStopDelay = 2 * time.Second
 	maxStopDelay     = 5 * time.Minute
 	maxProcsLimit    = 1024
+	// defaultOpenFiles is the usual limit of a process.
+	defaultOpenFiles = 1024
+	minOpenFiles     = 64
+	openFilesLimit   = 1 << 20
 	maxBodyLimitKB   = 64 << 10
 	maxQueueLength   = 1_000_000
 	maxMemoryMB      = 64 << 10
@@ -37,6 +41,7 @@
 	p.StopDelay, _ = optional(r, section, "stop_delay", duration(0, maxStopDelay), defaultStopDelay)
 	p.LogLevel, _ = optional(r, section, "log_level", logLevel(), logrus.InfoLevel)
 	p.LogFile, _ = optional(r, section, "log_file", text("a path, or - for standard error"), "-")
+	p.MaxOpenFiles, _ = optional(r, section, "max_open_files", integer(minOpenFiles, openFilesLimit, "descriptors"), defaultOpenFiles)
 	p.MaxProcs, _ = optional(r, section, "max_procs", integer(0, maxProcsLimit, "cores, 0 for no limit"), 0)
 	return p
 }
--- a/galenasettings/settings.go
+++ b/galenasettings/settings.go
@@ -28,6 +28,9 @@
 	// LogFile is a path, "-" (the default) for standard error, or "stdout" for
 	// standard output.
 	LogFile string
+	// MaxOpenFiles is how many descriptors the process may have open. The default is
+	// 1024.
+	MaxOpenFiles int
 	// MaxProcs limits GOMAXPROCS; 0 (the default) sets no limit.
 	MaxProcs int
 }
