Bound the starts under way and plan only after changes

Cause: nothing bounded what the owner had under way. A plan sent all it could place: up to 375 starts at once in a peak, and 781 in one plan when the leases of an earlier owner had expired. Every one is a call that takes processor time, and the replica's own goroutines waited behind them until the lease of the log ended (9.45, 15.24, 35.98 and 39.94 s), which began the next such moment. Besides, each poll, heartbeat, answered command and even each request for a state woke a plan of its service.

A service now has at most 32 starts without a result, work that is too large for the room left is tried once in a plan, plans leave four fifths of the time to other work, and only what changes the schedule wakes one.

Evidence: with the bound off, TestInheritedBacklogStartsInSteps starts 76 work items in one plan in place of 8.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -170,6 +170,9 @@
 	goneAfter = 6 * time.Second
 	// adviceTimeout lets the advisor rate 100 instances at 5 ms each.
 	adviceTimeout = 500 * time.Millisecond
+	// maxStarting is a multiple of the starts that a service sends within the usual
+	// response time of a command, and takes the owner about 10 ms to send.
+	maxStarting = 32
 )
 
 // instanceConnectionsPart is the part of the process's descriptors that connections
@@ -195,6 +198,7 @@
 		GoneAfter:         goneAfter,
 		StopTimeout:       f.Instances.StopTimeout,
 		AdviceTimeout:     adviceTimeout,
+		MaxStarting:       maxStarting,
 	}
 }
 
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -325,7 +325,7 @@
 		return 0
 	}
 	var used int64
-	m.shardFor(in.Service).withScheduler(func(_ time.Time, s *galenajob.Scheduler) { used = s.UsedOn(in.ID).MilliCPU })
+	m.shardFor(in.Service).inspect(func(_ time.Time, s *galenajob.Scheduler) { used = s.UsedOn(in.ID).MilliCPU })
 	return used
 }
 
@@ -333,7 +333,7 @@
 // ahead, as far as other instances can take it.
 func (m *machineController) avoidLongRunningWork(v Machine) {
 	if in, ok := m.State.instance(v.Instance); ok {
-		m.shardFor(in.Service).withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.SetMaintenanceDue(in.ID) })
+		m.shardFor(in.Service).inspect(func(_ time.Time, s *galenajob.Scheduler) { s.SetMaintenanceDue(in.ID) })
 	}
 }
 
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		p := poolStatus{service: svc.Name}
-		m.shardFor(svc.Name).withScheduler(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
+		m.shardFor(svc.Name).inspect(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
 		m.estimateDemand(&p)
 		pools = append(pools, p)
 		m.logPool(p)
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -123,7 +123,7 @@
 func (sess *ownerSession) countWaiting(q QueueRule) Reply {
 	sh := sess.shardFor(q.Service)
 	n := 0
-	sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { n = s.CountWaiting(q.Name) })
+	sh.inspect(func(_ time.Time, s *galenajob.Scheduler) { n = s.CountWaiting(q.Name) })
 	return Reply{Outcome: OutcomeWaiting, Waiting: n}
 }
 
@@ -169,7 +169,7 @@
 		return Reply{Outcome: OutcomeNoJob}
 	}
 	if state == galenajob.StateQueued {
-		sess.shardFor(service).withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
+		sess.shardFor(service).inspect(func(_ time.Time, s *galenajob.Scheduler) {
 			if s.JobStarted(id) {
 				state = galenajob.StateRunning
 			}
@@ -231,7 +231,7 @@
 		return nil
 	}
 	scheduled := false
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
 	if !scheduled {
 		// The scheduler removed the instance for its missing heartbeats while this
 		// one arrived.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -19,6 +19,9 @@
 	// minPlanPause is the shortest time between two plans, so that events at nearly
 	// the same time share one plan.
 	minPlanPause = 2 * time.Millisecond
+	// planPauseFactor is how many times the duration of a plan the next one waits, so
+	// that planning leaves most of the processor to the calls that it causes.
+	planPauseFactor = 4
 	// pollWait is how long a poll waits for the end of a run. It is short enough
 	// that the polls renew the lease several times before it expires.
 	pollWait = time.Second
@@ -94,10 +97,16 @@
 
 // withScheduler runs f while it holds the shard's lock, and then requests a plan.
 func (sh *shard) withScheduler(f func(now time.Time, s *galenajob.Scheduler)) {
+	sh.inspect(f)
+	sh.requestPlan()
+}
+
+// inspect runs f while it holds the shard's lock. f must not change anything that
+// calls for a plan.
+func (sh *shard) inspect(f func(now time.Time, s *galenajob.Scheduler)) {
 	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	f(sh.now(), sh.scheduler)
-	sh.mu.Unlock()
-	sh.requestPlan()
 }
 
 func (sh *shard) addJob(j *galenajob.Job, age time.Duration, inherited bool) {
@@ -159,11 +168,13 @@
 		case <-ticks:
 		case <-sh.wake:
 		}
+		start := sh.now()
 		sh.plan(ctx)
+		pause := min(max(minPlanPause, planPauseFactor*sh.now().Sub(start)), planInterval)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-sh.session.Timers.After(ctx, minPlanPause):
+		case <-sh.session.Timers.After(ctx, pause):
 		}
 	}
 }
@@ -225,10 +236,16 @@
 	if a.Kind == galenajob.ActPace {
 		return
 	}
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.HandleOutcome(now, a, o, clock, sent) })
-	sh.mu.Lock()
-	p := sh.pollers[a.Instance.ID]
-	sh.mu.Unlock()
+	var p *instancePoller
+	needsPlan := o != galenajob.OutcomeDone
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
+		s.HandleOutcome(now, a, o, clock, sent)
+		needsPlan = needsPlan || s.StartsExhausted()
+		p = sh.pollers[a.Instance.ID]
+	})
+	if needsPlan {
+		sh.requestPlan()
+	}
 	if p != nil {
 		notify(p.wake)
 	}
@@ -296,7 +313,15 @@
 	sh.session.Metrics.Counters.Add("looks", 1)
 	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
 	var ends []galenajob.End
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { ends = s.HandlePoll(now, id, resp) })
+	needsPlan := !req.MayWait
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
+		ends = s.HandlePoll(now, id, resp)
+		// Ends that must be recorded call for a plan only after that.
+		needsPlan = needsPlan || s.HasActions() || len(ends) < len(resp.Ends)
+	})
+	if needsPlan {
+		sh.requestPlan()
+	}
 	if len(ends) > 0 {
 		sh.recordEnds(id, req.Instance.Born, ends)
 	}
--- a/galenafleet/view.go
+++ b/galenafleet/view.go
@@ -150,7 +150,7 @@
 	out := make([]galenajob.QueueView, len(c.Queues))
 	for i := range c.Queues {
 		q := &c.Queues[i]
-		sess.shardFor(q.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { out[i] = s.ViewQueue(now, q.Name) })
+		sess.shardFor(q.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { out[i] = s.ViewQueue(now, q.Name) })
 	}
 	return out
 }
@@ -158,7 +158,7 @@
 func (sess *ownerSession) viewJobs(queue string) []galenajob.JobView {
 	var out []galenajob.JobView
 	for _, sh := range sess.sortedShards() {
-		sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { out = append(out, s.ViewJobs(now, queue)...) })
+		sh.inspect(func(now time.Time, s *galenajob.Scheduler) { out = append(out, s.ViewJobs(now, queue)...) })
 	}
 	return out
 }
@@ -170,7 +170,7 @@
 	}
 	v := galenajob.JobView{}
 	active := false
-	sess.shardFor(service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { v, active = s.ViewJob(now, id) })
+	sess.shardFor(service).inspect(func(now time.Time, s *galenajob.Scheduler) { v, active = s.ViewJob(now, id) })
 	if !active {
 		v = galenajob.JobView{ID: id, Queue: queue, Service: service, State: state}
 	}
@@ -180,7 +180,7 @@
 func (sess *ownerSession) viewInstances() []galenajob.InstanceView {
 	var out []galenajob.InstanceView
 	for _, sh := range sess.sortedShards() {
-		sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { out = append(out, s.ViewInstances(now)...) })
+		sh.inspect(func(now time.Time, s *galenajob.Scheduler) { out = append(out, s.ViewInstances(now)...) })
 	}
 	return out
 }
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -72,15 +72,19 @@
 // wall on the wall clock.
 func (s *Scheduler) Plan(now, wall time.Time) []Action {
 	s.wall = wall
+	s.starting = 0
 	s.checkLiveness(now)
 	for _, id := range s.Instances() {
 		inst := s.instances[id]
 		s.evacuate(now, inst)
 		s.resendCommands(now, inst)
 	}
+	s.tooLarge = s.tooLarge[:0]
 	for _, j := range s.rankedJobs(now) {
 		for _, set := range s.readySets(j) {
-			s.startItems(now, set)
+			if !s.StartsExhausted() {
+				s.startItems(now, set)
+			}
 		}
 	}
 	out := s.actions
@@ -119,6 +123,9 @@
 		return
 	}
 	for _, it := range inst.sortedItems() {
+		if it.phase == phaseStarting && it.inFlight {
+			s.starting++
+		}
 		if it.inFlight || now.Before(it.notBefore) {
 			continue
 		}
@@ -284,14 +291,34 @@
 		if it.done || it.phase != phasePending || it.endUnrecorded || now.Before(it.notBefore) || it.attemptsExhausted() {
 			continue
 		}
+		if s.StartsExhausted() || s.isTooLarge(set) {
+			return
+		}
 		inst := s.chooseInstance(now, it)
 		if inst == nil {
+			s.recordTooLarge(set)
 			return
 		}
 		s.startItem(now, it, inst, s.nextRun(it.run))
 	}
 }
 
+// recordTooLarge records that no instance has room for the set's work items, if room
+// is all that they need. It holds for the current plan, in which no room becomes
+// free.
+func (s *Scheduler) recordTooLarge(set *itemSet) {
+	if set.step.Label == "" && set.step.MaxPerInstance == 0 && !set.job.queue.RequiresAdvice {
+		s.tooLarge = append(s.tooLarge, set.step.reservation())
+	}
+}
+
+// isTooLarge reports whether no instance has room for the set's work items, as far as
+// smaller ones have shown in the current plan.
+func (s *Scheduler) isTooLarge(set *itemSet) bool {
+	need := set.step.reservation()
+	return slices.ContainsFunc(s.tooLarge, func(r Resources) bool { return need.Covers(r) })
+}
+
 // startGang starts all members of a gang together, or none.
 func (s *Scheduler) startGang(now time.Time, set *itemSet) {
 	run, checkpoint := int64(0), ""
@@ -342,6 +369,7 @@
 	inst := it.instance
 	it.inFlight = true
 	it.startsSent++
+	s.starting++
 	it.notBefore = now.Add(s.params.ResendInterval)
 	a := Action{
 		Kind: ActStart, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run,
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -34,6 +34,10 @@
 	// AdviceTimeout is the delay before an advice request without a response is
 	// repeated.
 	AdviceTimeout time.Duration
+	// MaxStarting bounds the start commands without a result, so that the owner has
+	// no more work under way than it can finish soon. A gang may exceed it. Zero
+	// means no bound.
+	MaxStarting int
 }
 
 // runsPerEpoch separates the run numbers of successive owners, so that a new
@@ -57,6 +61,11 @@
 	instances map[galenahead.InstanceID]*instance
 	actions   []Action
 	gone      []galenahead.InstanceID
+	// starting counts the work items whose start has no result yet, as of the current
+	// plan.
+	starting int
+	// tooLarge holds reservations for which the current plan has found no room.
+	tooLarge []Resources
 	// unreconciled counts the instances that may still run work of a previous
 	// owner.
 	unreconciled int
@@ -251,6 +260,15 @@
 	}
 }
 
+// StartsExhausted reports whether no more starts may be sent until earlier ones have
+// a result, as of the last plan.
+func (s *Scheduler) StartsExhausted() bool {
+	return s.params.MaxStarting > 0 && s.starting >= s.params.MaxStarting
+}
+
+// HasActions reports whether actions wait for the next plan.
+func (s *Scheduler) HasActions() bool { return len(s.actions) > 0 }
+
 // CountWaiting returns the number of jobs of a queue that have not started.
 func (s *Scheduler) CountWaiting(queue string) int {
 	count := 0
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -1,6 +1,7 @@
 package galenajob
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -263,3 +264,61 @@
 	}
 	is.Equal(len(starts(s.Plan(now, now))), 0)
 }
+
+// Guards against an owner that starts everything at once when the leases of an earlier
+// owner have expired, and then answers nothing else in time. Also guards against work
+// that stays behind after such a start.
+func TestInheritedBacklogStartsInSteps(t *testing.T) {
+	is := is.New(t)
+	const limit, jobs, items = 8, 20, 4
+	p := testParams()
+	p.MaxStarting = limit
+	s := NewScheduler("counter", 2, p)
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
+	expiry := t0.Add(p.Lease)
+	for i := range jobs {
+		s.AddInheritedInstance(t0, testInstance(fmt.Sprint("i", i)), expiry)
+		s.AddJob(t0, testJob(fmt.Sprint("j", i), items), time.Second, true)
+	}
+	for i := range jobs - 1 {
+		id := galenahead.InstanceID(fmt.Sprint("i", i))
+		req, _ := s.NextPoll(t0, id)
+		s.HandlePoll(t0, id, PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0})
+	}
+	is.Equal(len(starts(s.Plan(t0, t0))), 0) // one instance has not answered
+	now := expiry.Add(time.Millisecond)
+	started := 0
+	for _, a := range starts(s.Plan(now, now)) {
+		started++
+		s.HandleOutcome(now, a, OutcomeDone, 1000, now)
+	}
+	is.Equal(started, limit)
+	for range jobs * items / limit {
+		now = now.Add(time.Millisecond)
+		batch := starts(s.Plan(now, now))
+		is.True(len(batch) <= limit)
+		for _, a := range batch {
+			started++
+			s.HandleOutcome(now, a, OutcomeDone, 1000, now)
+		}
+	}
+	is.Equal(started, (jobs-1)*items) // all that the instances which answered have room for
+}
+
+// Guards against work that waits although there is room, because larger work that was
+// planned before it has found none.
+func TestSmallWorkStartsBesideWorkThatIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	large, small, labelled := testJob("large", 1), testJob("small", 1), testJob("labelled", 1)
+	large.Spec.Steps[0].Need.MilliCPU = 5000
+	large.Spec.Steps[0].Estimate = time.Millisecond // so that it is planned first
+	labelled.Spec.Steps[0].Label = "other-kind"
+	labelled.Spec.Steps[0].Estimate = 2 * time.Millisecond
+	for _, j := range []*Job{large, small, labelled} {
+		s.AddJob(t0, j, 0, false)
+	}
+	as := starts(s.Plan(t0, t0))
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Item.Job, galenahead.JobID("small"))
+}
