Keep a late owner and search for another one less often

Callers saw: requests answered 503 and 504 for seconds after the owner was late once.

Cause: an attempt without an answer for 600 ms made a daemon forget the leader and query all control daemons. The owner had not changed, so all 41 daemons found it again, failed again and searched every 33 ms: 922 lines 'found the leader of the log' in the two seconds before the owner lost its lease, at three to six calls each, most of them to the owner.

A late leader now stays the leader while others are asked, a search that finds the same leader doubles the pause before the next one up to 200 ms, and only a change of the leader or its term is logged.

Evidence: TestLateOwnerIsNotSearchedForAllTheTime failed before (the leader was unknown at once). TestFollowsNewLeaderWhileOldOneIsSilent passes before and after: a silent leader is replaced as soon as before.

--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -50,7 +50,15 @@
 	// leaderSuspected reports that the leader failed to answer as such since the last
 	// query of all daemons.
 	leaderSuspected bool
-	wake            chan struct{}
+	// failedLeader and failedTerm are the leader that failed last, and fruitless counts
+	// the searches in a row that found it again.
+	failedLeader string
+	failedTerm   uint64
+	fruitless    int
+	// loggedLeader and loggedTerm are the leader of the last log line.
+	loggedLeader string
+	loggedTerm   uint64
+	wake         chan struct{}
 	// peerInfo holds the last answer or query of each daemon, by address.
 	peerInfo map[string]LeaderInfo
 	// confirmedAt is when a daemon last named the leader.
@@ -62,6 +70,11 @@
 	// and refreshInterval how often otherwise.
 	searchInterval  = 100 * time.Millisecond
 	refreshInterval = time.Second
+	// minSearchPause and maxSearchPause bound the pause before a search that a failure
+	// requests. It doubles with each search that finds the same leader again, so that
+	// searches do not add to the load of a leader that is late.
+	minSearchPause = 30 * time.Millisecond
+	maxSearchPause = 200 * time.Millisecond
 	// queryTimeout bounds one query.
 	queryTimeout = 500 * time.Millisecond
 	// forgetAfter is how long after its last message a daemon is dropped, unless it
@@ -105,10 +118,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
+	d.suspectLocked(address)
 	if d.leader == address {
 		d.leader = ""
 	}
+}
+
+// ReportDelay reports that the daemon at address has not answered in time. It may be
+// late or gone, so it stays the leader until it does not answer a query either, or
+// another daemon leads.
+func (d *Directory) ReportDelay(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	d.suspectLocked(address)
+}
+
+// suspectLocked requests a query of all known daemons. d.mu must be held.
+func (d *Directory) suspectLocked(address string) {
 	d.leaderSuspected = true
+	d.failedLeader, d.failedTerm = address, d.term
 	notify(d.wake)
 }
 
@@ -141,31 +170,50 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-d.Timers.After(ctx, searchInterval/3):
+			case <-d.Timers.After(ctx, d.searchPause()):
 			}
 		}
 	}
 }
 
+// searchPause returns the pause before a search that a failure of the leader has
+// requested.
+func (d *Directory) searchPause() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pause := minSearchPause
+	for range d.fruitless {
+		pause = min(2*pause, maxSearchPause)
+	}
+	return pause
+}
+
 // queryAll queries the daemons of queryTargets and reports whether a leader is
 // known afterwards.
 func (d *Directory) queryAll(ctx context.Context) bool {
 	var group errgroup.Group
-	for _, a := range d.queryTargets() {
+	targets, search := d.queryTargets()
+	for _, a := range targets {
 		group.Go(func() error { d.query(ctx, a); return nil })
 	}
 	_ = group.Wait()
-	_, ok := d.Leader()
-	return ok
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if search && d.leader == d.failedLeader && d.term == d.failedTerm {
+		d.fruitless++
+	} else {
+		d.fruitless = 0
+	}
+	return d.leader != ""
 }
 
 // queryTargets returns the addresses to query: only the leader while it answers,
-// otherwise all seeds and known daemons.
-func (d *Directory) queryTargets() []string {
+// otherwise all seeds and known daemons. search reports the latter.
+func (d *Directory) queryTargets() (targets []string, search bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leader != "" && !d.leaderSuspected {
-		return []string{d.leader}
+		return []string{d.leader}, false
 	}
 	d.leaderSuspected = false
 	out := slices.Clone(d.seeds)
@@ -180,7 +228,7 @@
 			out = append(out, a)
 		}
 	}
-	return out
+	return out, true
 }
 
 func (d *Directory) query(ctx context.Context, address string) {
@@ -212,7 +260,8 @@
 		return
 	}
 	if info.Term >= d.term || d.leader == "" {
-		if d.leader != info.Leader {
+		if d.loggedLeader != info.Leader || d.loggedTerm != info.Term {
+			d.loggedLeader, d.loggedTerm = info.Leader, info.Term
 			d.Logger.WithField("leader", info.Leader).WithField("term", info.Term).Info("found the leader of the log")
 		}
 		d.leader, d.term, d.confirmedAt = info.Leader, info.Term, now
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -76,11 +76,13 @@
 			if isFinal(err) {
 				return r, maybeSent, err
 			}
-			if !errors.Is(err, galenahead.ErrNotLeader) && !errors.Is(err, galenahead.ErrUnreachable) {
+			oc.logReachability(false, addr)
+			if errors.Is(err, galenahead.ErrNotLeader) || errors.Is(err, galenahead.ErrUnreachable) {
+				oc.Directory.ReportFailure(addr)
+			} else {
 				maybeSent = true
+				oc.Directory.ReportDelay(addr)
 			}
-			oc.logReachability(false, addr)
-			oc.Directory.ReportFailure(addr)
 		} else if err == nil {
 			err = galenahead.ErrNotLeader
 		}
--- a/galenafleet/owner_client_test.go
+++ b/galenafleet/owner_client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,3 +97,87 @@
 		is.New(t).Equal(r.Outcome, OutcomeAccepted)
 	})
 }
+
+// Guards against daemons that search for the leader all the time while it answers late,
+// and so delay it further, and against waiting for an election that does not come.
+func TestLateOwnerIsNotSearchedForAllTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const late = 700 * time.Millisecond
+		var queries, calls atomic.Int64
+		client := testOwnerClient(func(ctx context.Context, method string, result any) error {
+			if method == MethodLeaderInfo {
+				queries.Add(1)
+				return answerLeaderInfo(result)
+			}
+			calls.Add(1)
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(late):
+				*result.(*Reply) = Reply{Outcome: OutcomeAccepted}
+				return nil
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = client.Directory.Run(ctx) }()
+		time.Sleep(time.Second)
+		queries.Store(0)
+		const span = 4 * time.Second
+		for range span / (10 * time.Millisecond) {
+			go func() {
+				requestCtx, cancelRequest := context.WithTimeout(ctx, 1800*time.Millisecond)
+				defer cancelRequest()
+				client.Do(requestCtx, Request{Kind: RequestSubmit})
+			}()
+			_, ok := client.Directory.Leader()
+			is.True(ok) // it answers queries
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(queries.Load() <= int64(span/maxSearchPause)+int64(span/refreshInterval)+3)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an entry that stays with a leader that does not answer after another
+// one was elected.
+func TestFollowsNewLeaderWhileOldOneIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var elected atomic.Bool
+		silent := func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+		f := addressedRPC(func(ctx context.Context, addr, method string, result any) error {
+			switch {
+			case addr == "a:1" && elected.Load():
+				return silent(ctx)
+			case method != MethodLeaderInfo:
+				*result.(*Reply) = Reply{Outcome: OutcomeAccepted}
+			case elected.Load():
+				*result.(*LeaderInfo) = LeaderInfo{Leader: "b:1", Term: 2}
+			default:
+				*result.(*LeaderInfo) = LeaderInfo{Leader: "a:1", Term: 1}
+			}
+			return nil
+		})
+		client := testOwnerClient(nil)
+		client.RPCClient, client.Directory.RPCClient = f, f
+		client.Directory.SetSeeds([]string{"a:1", "b:1"})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = client.Directory.Run(ctx) }()
+		time.Sleep(time.Second)
+		elected.Store(true)
+		requestCtx, cancelRequest := context.WithTimeout(ctx, attemptTimeout+2*attemptPause+maxSearchPause)
+		defer cancelRequest()
+		is.Equal(client.Do(requestCtx, Request{Kind: RequestSubmit}).Outcome, OutcomeAccepted)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// addressedRPC is a galenahead.RPCClient that also sees the address of a call.
+type addressedRPC func(ctx context.Context, addr, method string, result any) error
+
+func (f addressedRPC) Call(ctx context.Context, addr, method string, _, result any) error {
+	return f(ctx, addr, method, result)
+}
