Plan with less sorting and fewer comparisons

A plan sorted the ids of all instances twice and the work items of each instance once, and compared all five keys of each pair of jobs. The ids are now sorted after a change only, work items only if a command is due again, and keys as far as needed.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -122,11 +122,18 @@
 	if s.unresponsive(now, inst) {
 		return
 	}
-	for _, it := range inst.sortedItems() {
+	due := false
+	for _, it := range inst.items {
 		if it.phase == phaseStarting && it.inFlight {
 			s.starting++
 		}
-		if it.inFlight || now.Before(it.notBefore) {
+		due = due || it.resendDue(now)
+	}
+	if !due {
+		return
+	}
+	for _, it := range inst.sortedItems() {
+		if !it.resendDue(now) {
 			continue
 		}
 		switch it.phase {
@@ -138,6 +145,12 @@
 	}
 }
 
+// resendDue reports whether the item's last command has no result and is to be sent
+// again.
+func (it *item) resendDue(now time.Time) bool {
+	return (it.phase == phaseStarting || it.phase == phaseStopping) && !it.inFlight && !now.Before(it.notBefore)
+}
+
 // evacuate stops runs on a draining or evacuating instance, as far as their steps
 // allow, so that their work items restart elsewhere.
 func (s *Scheduler) evacuate(now time.Time, inst *instance) {
@@ -192,18 +205,28 @@
 		j.key = s.rank(now, j)
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(
-			cmp.Compare(a.key.class, b.key.class),
-			cmp.Compare(a.key.priority, b.key.priority),
-			cmp.Compare(a.key.remainingWork, b.key.remainingWork),
-			a.key.due.Compare(b.key.due),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
+	slices.SortFunc(jobs, compareJobs)
 	return jobs
 }
 
+// compareJobs compares two jobs by their scheduling order. It compares only as much
+// as it needs, since each plan sorts all jobs.
+func compareJobs(a, b *job) int {
+	if c := cmp.Compare(a.key.class, b.key.class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.key.priority, b.key.priority); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.key.remainingWork, b.key.remainingWork); c != 0 {
+		return c
+	}
+	if c := a.key.due.Compare(b.key.due); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
 func (s *Scheduler) rank(now time.Time, j *job) sortKey {
 	if j.Spec.LongRunning() {
 		return sortKey{class: classLongRunning, priority: j.queue.Priority, due: j.acceptedAt}
@@ -232,7 +255,8 @@
 // steps that are not done.
 func (j *job) remainingTime() time.Duration {
 	sets := j.occurrence(0)
-	ends := make([]time.Duration, len(sets))
+	var buf [8]time.Duration
+	ends := slices.Grow(buf[:0], len(sets))[:len(sets)]
 	var longest time.Duration
 	for i, set := range sets {
 		var begin time.Duration
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -59,6 +59,8 @@
 	queues    map[string]Queue
 	jobs      map[galenahead.JobID]*job
 	instances map[galenahead.InstanceID]*instance
+	// sortedIDs holds the keys of instances in order, or nil after a change.
+	sortedIDs []galenahead.InstanceID
 	actions   []Action
 	gone      []galenahead.InstanceID
 	// starting counts the work items whose start has no result yet, as of the current
@@ -140,6 +142,7 @@
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
 		s.instances[in.ID] = inst
+		s.sortedIDs = nil
 		return inst
 	}
 	if in.Born != inst.Born {
@@ -196,6 +199,7 @@
 	}
 	s.markReconciled(inst)
 	delete(s.instances, id)
+	s.sortedIDs = nil
 }
 
 func (s *Scheduler) markReconciled(inst *instance) {
@@ -326,12 +330,15 @@
 	return g
 }
 
-// Instances returns the IDs of all instances in order.
+// Instances returns the IDs of all instances in order. The caller must not change
+// the slice.
 func (s *Scheduler) Instances() []galenahead.InstanceID {
-	ids := make([]galenahead.InstanceID, 0, len(s.instances))
-	for id := range s.instances {
-		ids = append(ids, id)
+	if s.sortedIDs == nil {
+		s.sortedIDs = make([]galenahead.InstanceID, 0, len(s.instances))
+		for id := range s.instances {
+			s.sortedIDs = append(s.sortedIDs, id)
+		}
+		slices.Sort(s.sortedIDs)
 	}
-	slices.Sort(ids)
-	return ids
+	return s.sortedIDs
 }
