Find queues by host and commit a configuration once

Cause: at 25.9 s a configuration of 2,000 routes came, then four more in a race, each sent again after a second without an answer. Every request compared its host with that of each route; every new version was passed to the schedulers one queue at a time, each over all jobs; and every copy of a version was encoded, written and replicated again, although its version was in force or on the way.

Queues are now found by host, a version reaches a scheduler at once, and configurations are committed one at a time, so that a copy of one that is in force is acknowledged without an entry of the log.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// schedulerQueues returns the part of the configuration that the scheduler uses.
+func (c *Config) schedulerQueues() []galenajob.Queue {
+	out := make([]galenajob.Queue, len(c.Queues))
+	for i := range c.Queues {
+		out[i] = c.Queues[i].schedulerQueue()
+	}
+	return out
+}
+
 // Service is a service with the pool of machines that run it.
 type Service struct {
 	Name galenahead.ServiceName `cbor:"1,keyasint"`
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
-	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}}
+	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, configuring: make(chan struct{}, 1)}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
 	sess.spawn(func() error { return sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
@@ -133,6 +133,10 @@
 	// heartbeats holds the newest heartbeat of each instance.
 	heartbeats map[galenahead.InstanceID]lastHeartbeat
 
+	// configuring holds one element while a configuration is committed and passed to
+	// the shards.
+	configuring chan struct{}
+
 	// lastMachines is the list of machines that the machine controller read last;
 	// operators' views show it.
 	lastMachines atomic.Pointer[machineSnapshot]
@@ -199,9 +203,7 @@
 	sh := newShard(sess, service)
 	sess.shards[service] = sh
 	if c := sess.State.Config(); c != nil {
-		for i := range c.Queues {
-			sh.scheduler.SetQueue(c.Queues[i].schedulerQueue())
-		}
+		sh.scheduler.SetQueues(c.schedulerQueues())
 	}
 	sess.spawn(func() error { return sh.loop(sess.ctx) })
 	return sh
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
@@ -259,3 +261,42 @@
 		stop()
 	})
 }
+
+// Guards against a large configuration that is committed once for each time that an
+// operator sends it while its commit is slow.
+func TestConfigurationSentAgainIsCommittedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		log.delay.Store(int64(200 * time.Millisecond))
+		before := log.index
+		c := testConfig
+		c.Version = 2
+		var group errgroup.Group
+		for range 8 {
+			group.Go(func() error { _, err := o.Configure(ctx, c); return err })
+		}
+		is.NoErr(group.Wait())
+		is.Equal(o.State.Config().Version, uint64(2))
+		is.Equal(log.index, before+1)
+		stop()
+	})
+}
+
+// BenchmarkMatchQueue measures finding the queue of a request, by the number of queues.
+func BenchmarkMatchQueue(b *testing.B) {
+	for _, queues := range []int{50, 2000} {
+		b.Run(fmt.Sprint("queues=", queues), func(b *testing.B) {
+			s := &State{}
+			c := &Config{Version: 1}
+			for i := range queues {
+				c.Queues = append(c.Queues, QueueRule{Name: fmt.Sprint("q", i), Host: fmt.Sprintf("h%d.example", i%20), Prefix: fmt.Sprintf("/p%d/", i)})
+			}
+			s.setConfig(c)
+			for b.Loop() {
+				s.MatchQueue("h7.example", "/p27/5c0e")
+			}
+		})
+	}
+}
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -91,11 +91,10 @@
 }
 
 func (sess *ownerSession) handleRequest(r Request) (Reply, error) {
-	c := sess.State.Config()
-	if c == nil {
+	q, rest, ok := sess.State.MatchQueue(r.Host, r.Path)
+	if !ok && sess.State.Config() == nil {
 		return unreadyReply("no configuration yet"), nil
 	}
-	q, rest, ok := c.Match(r.Host, r.Path)
 	if !ok {
 		return Reply{Outcome: OutcomeNoQueue}, nil
 	}
@@ -303,24 +302,39 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	// A copy that an operator sends again waits for the first one and then costs nothing.
+	select {
+	case sess.configuring <- struct{}{}:
+		defer func() { <-sess.configuring }()
+	case <-sess.ctx.Done():
+		return Empty{}, galenahead.ErrNotLeader
+	}
+	if current := sess.State.Config(); current != nil && c.Version <= current.Version {
+		if !sess.isLeader() {
+			return Empty{}, galenahead.ErrNotLeader
+		}
+		sess.logConfiguration(c, CodeUnchanged)
+		return Empty{}, nil
+	}
 	r, err := sess.committer.commit(Op{Config: &c})
 	if err != nil {
 		return Empty{}, err
 	}
-	sess.Logger.WithField("version", c.Version).WithField("outcome", r[0].Code).WithField("queues", len(c.Queues)).
-		Info("configuration")
+	sess.logConfiguration(c, r[0].Code)
 	if r[0].Code == CodeDone {
+		queues := c.schedulerQueues()
 		for _, sh := range sess.allShards() {
-			sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
-				for i := range c.Queues {
-					s.SetQueue(c.Queues[i].schedulerQueue())
-				}
-			})
+			sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.SetQueues(queues) })
 		}
 	}
 	return Empty{}, nil
 }
 
+func (sess *ownerSession) logConfiguration(c Config, outcome Code) {
+	sess.Logger.WithField("version", c.Version).WithField("outcome", outcome).WithField("queues", len(c.Queues)).
+		Info("configuration")
+}
+
 // ConfigDocument is the source of the current configuration.
 type ConfigDocument struct {
 	Version uint64 `json:"version"`
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -1,6 +1,7 @@
 package galenafleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -25,9 +26,11 @@
 	// owner that sent them.
 	ProcessStart time.Time
 
-	mu        sync.RWMutex
-	epoch     uint64
-	config    *Config
+	mu     sync.RWMutex
+	epoch  uint64
+	config *Config
+	// queues finds the queue of a request in config.
+	queues    queueIndex
 	jobs      map[galenahead.JobID]*galenajob.Job
 	instances map[galenahead.InstanceID]galenajob.Instance
 	waves     map[int64]*Wave
@@ -113,7 +116,7 @@
 	if s.config != nil && c.Version <= s.config.Version {
 		return Result{Code: CodeUnchanged}
 	}
-	s.config = c
+	s.setConfig(c)
 	return Result{Code: CodeDone}
 }
 
@@ -288,7 +291,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.epoch, s.config, s.demandPeaks = in.Epoch, in.Config, in.Peaks
+	s.epoch, s.demandPeaks = in.Epoch, in.Peaks
+	s.setConfig(in.Config)
 	s.jobs = nil
 	s.init()
 	for _, r := range in.Jobs {
@@ -321,22 +325,45 @@
 	return s.config
 }
 
-// Match returns the queue of a request and the rest of the path after the queue's
+// setConfig sets the current configuration, which may be nil.
+func (s *State) setConfig(c *Config) {
+	s.config, s.queues = c, nil
+	if c != nil {
+		s.queues = newQueueIndex(c.Queues)
+	}
+}
+
+// MatchQueue returns the queue of a request and the rest of the path after the queue's
 // prefix. The longest matching prefix wins.
-func (c *Config) Match(host, path string) (QueueRule, string, bool) {
-	host = strings.ToLower(host)
-	best := -1
-	for i := range c.Queues {
-		q := &c.Queues[i]
-		if strings.ToLower(q.Host) == host && strings.HasPrefix(path, q.Prefix) &&
-			(best < 0 || len(q.Prefix) > len(c.Queues[best].Prefix)) {
-			best = i
-		}
+func (s *State) MatchQueue(host, path string) (QueueRule, string, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.queues.match(host, path)
+}
+
+// queueIndex holds the queues of a configuration by host in lower case, those with the
+// longest prefixes first.
+type queueIndex map[string][]*QueueRule
+
+func newQueueIndex(queues []QueueRule) queueIndex {
+	x := queueIndex{}
+	for i := range queues {
+		host := strings.ToLower(queues[i].Host)
+		x[host] = append(x[host], &queues[i])
+	}
+	for _, rules := range x {
+		slices.SortStableFunc(rules, func(a, b *QueueRule) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	if best < 0 {
-		return QueueRule{}, "", false
+	return x
+}
+
+func (x queueIndex) match(host, path string) (QueueRule, string, bool) {
+	for _, q := range x[strings.ToLower(host)] {
+		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
+			return *q, rest, true
+		}
 	}
-	return c.Queues[best], path[len(c.Queues[best].Prefix):], true
+	return QueueRule{}, "", false
 }
 
 // JobState returns the queue, the service and the state of a job.
--- a/galenafleet/state_test.go
+++ b/galenafleet/state_test.go
@@ -89,3 +89,30 @@
 	is.Equal(rs[2].Code, CodeUnchanged)
 	is.Equal(len(s.Config().Source), 0)
 }
+
+// Guards against requests that go to the wrong queue, also after a restart.
+func TestQueueWithLongestPrefixMatches(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	apply(t, s, Op{Config: &Config{Version: 1, Queues: []QueueRule{
+		{Name: "r0", Host: "a.example", Prefix: "/p/q/"}, {Name: "r1", Host: "A.example", Prefix: "/p/"},
+	}}})
+	b, err := s.Snapshot()
+	is.NoErr(err)
+	restored := &State{}
+	is.NoErr(restored.Restore(b))
+	for _, s := range []*State{s, restored} {
+		q, rest, ok := s.MatchQueue("a.EXAMPLE", "/p/q/5c0e")
+		is.True(ok)
+		is.Equal(q.Name, "r0")
+		is.Equal(rest, "5c0e")
+		q, rest, ok = s.MatchQueue("a.example", "/p/5c0e")
+		is.True(ok)
+		is.Equal(q.Name, "r1")
+		is.Equal(rest, "5c0e")
+		_, _, ok = s.MatchQueue("b.example", "/p/5c0e")
+		is.True(!ok)
+	}
+	_, _, ok := (&State{}).MatchQueue("a.example", "/p/5c0e")
+	is.True(!ok)
+}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -88,10 +88,15 @@
 }
 
 // SetQueue sets the configuration of a queue.
-func (s *Scheduler) SetQueue(q Queue) {
-	s.queues[q.Name] = q
+func (s *Scheduler) SetQueue(q Queue) { s.SetQueues([]Queue{q}) }
+
+// SetQueues sets the configurations of queues. Others stay as they are.
+func (s *Scheduler) SetQueues(queues []Queue) {
+	for _, q := range queues {
+		s.queues[q.Name] = q
+	}
 	for _, j := range s.jobs {
-		if j.Queue == q.Name {
+		if q, ok := s.queues[j.Queue]; ok {
 			j.queue = q
 		}
 	}
