--- a/galenalog/writer.go
+++ b/galenalog/writer.go
@@ -1,6 +1,7 @@
 package galenalog
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -15,6 +16,9 @@
 	// flushInterval is the shortest time between two writes to the output, so
 	// that several lines share a system call under load.
 	flushInterval = 5 * time.Millisecond
+	// maxWriteBytes limits one write to the output, so that a pipe takes it whole
+	// (PIPE_BUF). Readers may cut longer writes within a line.
+	maxWriteBytes = 4096
 	// flushTimeout limits how long Close waits for a blocked output.
 	flushTimeout = time.Second
 )
@@ -116,8 +120,30 @@
 	if lines == 0 {
 		return queue
 	}
-	if _, err := w.out.Write(queue); err != nil {
-		w.dropped.Add(int64(lines))
+	for rest := queue; len(rest) > 0; {
+		batch := firstLines(rest)
+		if _, err := w.out.Write(batch); err != nil {
+			w.dropped.Add(int64(bytes.Count(rest, newline)))
+			break
+		}
+		rest = rest[len(batch):]
 	}
 	return queue
 }
+
+var newline = []byte{'\n'}
+
+// firstLines returns the first lines of b, as many as fit in maxWriteBytes but at
+// least one.
+func firstLines(b []byte) []byte {
+	if len(b) <= maxWriteBytes {
+		return b
+	}
+	if end := bytes.LastIndexByte(b[:maxWriteBytes], '\n'); end >= 0 {
+		return b[:end+1]
+	}
+	if end := bytes.IndexByte(b, '\n'); end >= 0 {
+		return b[:end+1]
+	}
+	return b
+}
