Log the load of the owner and why its lease ends

The logs of an overloaded owner showed late answers and lost leases but not their cause. They could not tell a saturated processor from work that grows by itself (repeated commands, polls of a new session) or from a slow disk or network:

- Nothing said how much processor time the owner used, how late its own timers were, or how much work of each kind it did in a second.
An "owner load" line each second of a session does; its figures are also counters and histograms.
- A lost lease had no inputs.
The owner now logs, when a session ends, the age of the last contact with each voter, how long the last call and its handling there took, the gaps of the log's loop, its syncs and its queues.
A leader that steps down because no majority responds logs the same.
- A poll or command that failed looked the same whether the instance or the owner was late, or whether the owner had no free file descriptor.
So did "owner does not answer" at the entries.

The wire change is a field of the reply between replicas that says how long the receiver took; older replicas ignore it. No decision depends on the new values.

--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,6 +32,9 @@
 	onFailure context.CancelCauseFunc
 	// ended is closed when the session has ended.
 	ended <-chan struct{}
+	// commits are the proposals to the log, and ops the operations in them.
+	commits durationStat
+	ops     atomic.Int64
 }
 
 type proposal struct {
@@ -126,7 +130,10 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	start := time.Now()
 	out, err := c.log.Propose(callCtx, b)
+	c.commits.record(time.Since(start))
+	c.ops.Add(int64(len(ops)))
 	if err != nil {
 		return err
 	}
--- a/galenafleet/log_lines.go
+++ b/galenafleet/log_lines.go
@@ -15,6 +15,8 @@
 	outcome galenajob.Outcome
 	latency time.Duration
 	err     error
+	// tickLate is the longest recent scheduling delay of the owner.
+	tickLate time.Duration
 }
 
 // AppendFields implements galenalog.Line.
@@ -37,6 +39,7 @@
 	b = galenalog.AppendInt(b, "took_us", l.latency.Microseconds())
 	if l.err != nil {
 		b = galenalog.AppendString(b, "error", l.err.Error())
+		b = galenalog.AppendInt(b, "tick_late_max_us", l.tickLate.Microseconds())
 	}
 	return galenalog.AppendString(b, "outcome", l.outcome.String())
 }
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -88,14 +88,21 @@
 			continue
 		case <-ticks:
 		}
-		if !m.refreshMachines() {
-			continue
-		}
-		for _, w := range m.State.OpenWaves() {
-			m.advanceWave(w)
-		}
-		m.balancePools()
+		start := time.Now()
+		m.step()
+		m.load.controlSteps.record(time.Since(start))
+	}
+}
+
+// step advances waves and balances pools once.
+func (m *machineController) step() {
+	if !m.refreshMachines() {
+		return
+	}
+	for _, w := range m.State.OpenWaves() {
+		m.advanceWave(w)
 	}
+	m.balancePools()
 }
 
 // refreshMachines reads the list of machines if the last list is older than
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -21,6 +21,11 @@
 	// HoldsLease reports whether this replica is the leader of the log and its
 	// lease is valid now.
 	HoldsLease() bool
+	// Diagnostics returns log fields that say why the lease was lost.
+	Diagnostics() map[string]any
+	// RecentDelays returns the longest recent gap between two passes of the log over
+	// its inputs, and the longest recent sync.
+	RecentDelays() (loopGap, sync time.Duration)
 }
 
 // Owner schedules the fleet while its replica is the leader of the log.
@@ -121,6 +126,7 @@
 	// resign ends the session with a cause.
 	resign    context.CancelCauseFunc
 	committer *committer
+	load      ownerLoad
 
 	spawnMu sync.Mutex
 	group   errgroup.Group
@@ -144,13 +150,20 @@
 func (sess *ownerSession) run() error {
 	ticks := sess.Timers.Subscribe(sess.ctx, "office", leadershipCheckInterval)
 	sess.spawn(func() error { return sess.expireLoop() })
+	sess.spawn(func() error { return sess.loadLoop() })
 	sess.spawn(func() error { return newMachineController(sess).loop() })
+	last := time.Now()
 	for {
 		select {
 		case <-sess.ctx.Done():
+			cause := context.Cause(sess.ctx)
+			sess.logLeaseLoss(cause)
 			sess.closeAndWait()
-			return context.Cause(sess.ctx)
+			return cause
 		case <-ticks:
+			now := time.Now()
+			sess.load.recordTick(now.Sub(last))
+			last = now
 			if !sess.Log.HoldsLease() {
 				sess.resign(errLeaseLost)
 			}
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -62,15 +62,17 @@
 // call calls the owner until it answers or ctx ends. maybeSent reports whether an
 // attempt that got no answer may have been carried out.
 func call[P, R any](ctx context.Context, oc *OwnerClient, method string, params P) (result R, maybeSent bool, err error) {
-	for {
+	start := time.Now()
+	for attempts := 1; ; attempts++ {
 		var r R
 		addr, known := oc.Directory.Leader()
 		if known {
+			attemptStart := time.Now()
 			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			err = oc.RPCClient.Call(attemptCtx, addr, method, params, &r)
 			cancel()
 			if err == nil {
-				oc.logReachability(true, addr)
+				oc.logReachability(addr, callFailure{})
 				return r, false, nil
 			}
 			if isFinal(err) {
@@ -79,7 +81,7 @@
 			if !errors.Is(err, galenahead.ErrNotLeader) && !errors.Is(err, galenahead.ErrUnreachable) {
 				maybeSent = true
 			}
-			oc.logReachability(false, addr)
+			oc.logReachability(addr, callFailure{method, attempts, time.Since(attemptStart), time.Since(start), err})
 			oc.Directory.ReportFailure(addr)
 		} else if err == nil {
 			err = galenahead.ErrNotLeader
@@ -98,8 +100,21 @@
 	return errors.Is(err, galenahead.ErrInvalid) || errors.Is(err, galenahead.ErrNotFound) || errors.Is(err, galenahead.ErrConflict)
 }
 
+// callFailure describes a failed attempt of a call to the owner. Its zero value is
+// a successful one.
+type callFailure struct {
+	method string
+	// attempts counts the attempts of the call so far, with those for which no owner
+	// was known.
+	attempts int
+	// took is the duration of the attempt, elapsed the time since the call began.
+	took, elapsed time.Duration
+	err           error
+}
+
 // logReachability logs when the owner stops answering and when one answers again.
-func (oc *OwnerClient) logReachability(ok bool, addr string) {
+func (oc *OwnerClient) logReachability(addr string, f callFailure) {
+	ok := f.err == nil
 	oc.mu.Lock()
 	defer oc.mu.Unlock()
 	if ok != oc.unreachable {
@@ -109,7 +124,9 @@
 	if ok {
 		oc.Logger.WithField("owner", addr).Info("owner answers again")
 	} else {
-		oc.Logger.WithField("owner", addr).Warn("owner does not answer")
+		oc.Logger.WithError(f.err).WithField("owner", addr).WithField("method", f.method).WithField("attempts", f.attempts).
+			WithField("took_ms", f.took.Milliseconds()).WithField("elapsed_ms", f.elapsed.Milliseconds()).
+			Warn("owner does not answer")
 	}
 }
 
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -31,8 +31,10 @@
 	index uint64
 }
 
-func (l *fakeLog) HoldsLease() bool                  { return l.holdsLease.Load() }
-func (l *fakeLog) ReadBarrier(context.Context) error { return nil }
+func (l *fakeLog) HoldsLease() bool                            { return l.holdsLease.Load() }
+func (l *fakeLog) Diagnostics() map[string]any                 { return map[string]any{"replica": "a"} }
+func (l *fakeLog) RecentDelays() (loopGap, sync time.Duration) { return 0, 0 }
+func (l *fakeLog) ReadBarrier(context.Context) error           { return nil }
 func (l *fakeLog) Status() galenahead.LogStatus {
 	return galenahead.LogStatus{Members: []galenahead.Member{{Name: "a", Voter: true}}}
 }
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -86,6 +86,7 @@
 	}
 	latency := o.Timers.Now().Sub(start)
 	o.Metrics.Latency.Record(string(r.Kind), latency)
+	sess.load.requests.record(latency)
 	galenalog.Info(o.Logger, "request", requestLine{r, reply, latency, sess.epoch})
 	return reply, nil
 }
@@ -205,6 +206,7 @@
 }
 
 func (sess *ownerSession) heartbeat(hb Heartbeat) error {
+	sess.load.heartbeats.Add(1)
 	in := hb.Instance
 	if !sess.recordIfNewer(in, hb.Sequence) {
 		sess.Logger.WithField("instance", in.ID).WithField("sequence", hb.Sequence).Info("ignored an out-of-order heartbeat")
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -52,15 +52,27 @@
 	unreachable bool
 }
 
+// pollTiming tells a poll that the instance answered late from one that this process
+// handled late.
+type pollTiming struct {
+	// wait is how long the instance could delay its response, and took how long the
+	// poll took.
+	wait, took time.Duration
+	// tickLate is the longest scheduling delay in this process at that time.
+	tickLate time.Duration
+}
+
 // logReachability logs when the instance stops answering polls and when it answers
 // again.
-func (p *instancePoller) logReachability(log *logrus.Logger, id galenahead.InstanceID, err error) {
+func (p *instancePoller) logReachability(log *logrus.Logger, id galenahead.InstanceID, t pollTiming, err error) {
 	if p.unreachable == (err != nil) {
 		return
 	}
 	p.unreachable = err != nil
 	if p.unreachable {
-		log.WithError(err).WithField("instance", id).Info("instance does not answer polls")
+		log.WithError(err).WithField("instance", id).WithField("wait_ms", t.wait.Milliseconds()).
+			WithField("took_ms", t.took.Milliseconds()).WithField("tick_late_max_us", t.tickLate.Microseconds()).
+			Info("instance does not answer polls")
 	} else {
 		log.WithField("instance", id).Info("instance answers polls again")
 	}
@@ -92,9 +104,19 @@
 	}
 }
 
+// lock locks mu and records the time spent waiting for it.
+func (sh *shard) lock() {
+	if sh.mu.TryLock() {
+		return
+	}
+	start := time.Now()
+	sh.mu.Lock()
+	sh.session.load.lockWaits.record(time.Since(start))
+}
+
 // withScheduler runs f while it holds the shard's lock, and then requests a plan.
 func (sh *shard) withScheduler(f func(now time.Time, s *galenajob.Scheduler)) {
-	sh.mu.Lock()
+	sh.lock()
 	f(sh.now(), sh.scheduler)
 	sh.mu.Unlock()
 	sh.requestPlan()
@@ -169,9 +191,11 @@
 }
 
 func (sh *shard) plan(ctx context.Context) {
-	sh.mu.Lock()
-	actions := sh.scheduler.Plan(sh.now(), time.Now().Round(0))
+	sh.lock()
+	start := time.Now()
+	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone := sh.scheduler.TakeGone()
+	sh.session.load.plans.record(time.Since(start))
 	sh.mu.Unlock()
 	for _, a := range actions {
 		sh.dispatch(ctx, a)
@@ -209,6 +233,10 @@
 	if !sh.session.isLeader() {
 		return
 	}
+	load := &sh.session.load
+	load.countCommand(a)
+	load.inFlight.Add(1)
+	defer load.inFlight.Add(-1)
 	sent := sh.now()
 	o, clock, err := galenajob.OutcomeUnknown, int64(0), error(nil)
 	switch a.Kind {
@@ -221,7 +249,10 @@
 			o = galenajob.OutcomeDone
 		}
 	}
-	sh.logCommand(a, o, sh.now().Sub(sent), err)
+	latency := sh.now().Sub(sent)
+	load.commands.record(latency)
+	load.countError(err)
+	sh.logCommand(a, o, latency, err)
 	if a.Kind == galenajob.ActPace {
 		return
 	}
@@ -237,14 +268,14 @@
 // logCommand logs and counts a command.
 func (sh *shard) logCommand(a galenajob.Action, o galenajob.Outcome, latency time.Duration, err error) {
 	sh.session.Metrics.Counters.Add("order_"+string(a.Kind)+"_"+o.String(), 1)
-	galenalog.Info(sh.session.Logger, "order", actionLine{a, o, latency, err})
+	galenalog.Info(sh.session.Logger, "order", actionLine{a, o, latency, err, sh.session.load.recentTickLate()})
 }
 
 // pollLoop polls an instance while the scheduler needs its runs and ends, and
 // otherwise waits for a signal on p.wake.
 func (sh *shard) pollLoop(ctx context.Context, id galenahead.InstanceID, p *instancePoller) error {
 	for ctx.Err() == nil {
-		sh.mu.Lock()
+		sh.lock()
 		req, ok := sh.scheduler.NextPoll(sh.now(), id)
 		sh.mu.Unlock()
 		pause := time.Duration(0)
@@ -283,11 +314,14 @@
 		return 0
 	case err != nil:
 		sh.session.Metrics.Counters.Add("looks_failed", 1)
-		p.logReachability(sh.session.Logger, id, err)
+		sh.session.load.pollsFailed.Add(1)
+		sh.session.load.countError(err)
+		p.logReachability(sh.session.Logger, id, pollTiming{wait: wait, took: sh.now().Sub(sent), tickLate: sh.session.load.recentTickLate()}, err)
 		sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.HandleNoResponse(id, sent) })
 		return pollRetryPause
 	}
-	p.logReachability(sh.session.Logger, id, nil)
+	handling := time.Now()
+	p.logReachability(sh.session.Logger, id, pollTiming{}, nil)
 	sh.session.Metrics.Counters.Add("looks", 1)
 	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
 	var ends []galenajob.End
@@ -295,6 +329,7 @@
 	if len(ends) > 0 {
 		sh.recordEnds(id, req.Instance.Born, ends)
 	}
+	sh.session.load.polls.record(time.Since(handling))
 	return pollPause
 }
 
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -45,6 +45,12 @@
 	Free   Resources
 }
 
+// reasonRepeated is the reason of a command that had no outcome and is sent again.
+const reasonRepeated = "repeated"
+
+// Repeated reports whether the command had no outcome and is sent again.
+func (a *Action) Repeated() bool { return a.Reason == reasonRepeated }
+
 // hopelessFactor is the multiple of its objective after which a job's result is
 // of no use, as the users define it.
 const hopelessFactor = 3
@@ -124,9 +130,9 @@
 		}
 		switch it.phase {
 		case phaseStarting:
-			s.emitStart(now, it, "repeated")
+			s.emitStart(now, it, reasonRepeated)
 		case phaseStopping:
-			s.emitStop(now, it, "repeated")
+			s.emitStop(now, it, reasonRepeated)
 		}
 	}
 }
--- a/galenametric/metric.go
+++ b/galenametric/metric.go
@@ -21,6 +21,9 @@
 	// Rollout is the duration of configuration rollouts and maintenance waves, by
 	// kind.
 	Rollout DurationHistograms
+	// OwnerMax is the longest duration in each second of work of the owner of a
+	// fleet, by kind.
+	OwnerMax DurationHistograms
 	// BufferCost is the idle reserved capacity integrated over time, in VM-seconds.
 	BufferCost Integral
 	// Moves counts the VMs moved between pools.
@@ -35,6 +38,7 @@
 	Latency    map[string]Distribution `json:"latency_us"`
 	Attempts   map[string]Distribution `json:"attempts"`
 	Rollout    map[string]Distribution `json:"rollout_us"`
+	OwnerMax   map[string]Distribution `json:"owner_max_us,omitempty"`
 	BufferCost float64                 `json:"buffer_cost_vm_seconds"`
 	Moves      int64                   `json:"moves"`
 	Counters   map[string]int64        `json:"counters"`
@@ -58,6 +62,7 @@
 		Latency:    m.Latency.snapshot(),
 		Attempts:   m.Attempts.snapshot(),
 		Rollout:    m.Rollout.snapshot(),
+		OwnerMax:   m.OwnerMax.snapshot(),
 		BufferCost: m.BufferCost.Value(),
 		Moves:      m.Moves.Value(),
 		Counters:   m.counters(),
--- a/galenametric/metric_test.go
+++ b/galenametric/metric_test.go
@@ -30,6 +30,7 @@
 	m.BufferCost.Set(start.Add(9*time.Second), 5) // out of order
 	m.BufferCost.Set(start.Add(12*time.Second), 0)
 	is.Equal(m.BufferCost.Value(), 30.0)
+	m.OwnerMax.Record("plan", 40*time.Millisecond)
 	m.Moves.Add(3)
 	m.Counters.Add("ejections", 1)
 	m.Publish("galena_test")
--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -57,6 +57,8 @@
 	// ackedSendTime is the leader's time at which it sent the latest request that
 	// the replica responded to.
 	ackedSendTime time.Duration
+	// respondedAt is when the last response was handled; it is only logged.
+	respondedAt time.Duration
 	// responded reports whether the replica has responded in this term.
 	responded bool
 	// resendAt is the time at which the entries or the chunk in flight are sent
@@ -124,6 +126,9 @@
 	// pendingSnapshot is a complete snapshot from the leader that the engine has not
 	// stored and restored yet.
 	pendingSnapshot *galenawal.Snapshot
+	// lostVoters holds the other voters as of when this replica stepped down because
+	// no majority of the voters responded; the Node logs and clears it.
+	lostVoters []voterContact
 	// outbox holds the messages to send once the state is durable.
 	outbox []Message
 }
@@ -278,6 +283,7 @@
 	if now >= max(c.leaseStart(now), c.electedAt)+c.timing.minElectionTimeout {
 		// No majority has responded for the minimum election timeout, so the other
 		// voters may already have elected another leader.
+		c.lostVoters = c.appendVoterContacts(nil)
 		c.becomeFollower(now, c.hardState.Term, galenawal.ID{})
 		return nil
 	}
--- a/galenaraft/engine.go
+++ b/galenaraft/engine.go
@@ -44,6 +44,7 @@
 	stateMachine galenahead.StateMachine
 	limits       snapshotLimits
 
+	diagnostics  diagnostics
 	appliedIndex uint64
 	// snapshotIndex is the index of the latest snapshot, and logSizeAtSnapshot the
 	// size of the log file right after that snapshot.
@@ -112,13 +113,16 @@
 			return nil, err
 		}
 	}
-	if err := e.persist(); err != nil {
+	if err := e.persist(clock); err != nil {
 		return nil, err
 	}
-	c.advanceCommit(clock())
+	start := clock()
+	c.advanceCommit(start)
 	e.apply()
-	e.resolvePending(clock())
-	if err := e.snapshotIfDue(); err != nil {
+	end := clock()
+	e.diagnostics.record(&e.diagnostics.apply, end, end-start)
+	e.resolvePending(end)
+	if err := e.snapshotIfDue(clock); err != nil {
 		return nil, err
 	}
 	out := c.outbox
@@ -126,7 +130,7 @@
 	return out, nil
 }
 
-func (e *engine) persist() error {
+func (e *engine) persist(clock func() time.Duration) error {
 	c := e.core
 	if c.pendingSnapshot != nil {
 		if err := e.installSnapshot(*c.pendingSnapshot); err != nil {
@@ -138,9 +142,11 @@
 	if len(unstable) == 0 && !c.hardStateDirty {
 		return nil
 	}
+	e.diagnostics.beginSync(clock())
 	if err := e.wal.Append(c.hardState, unstable); err != nil {
 		return err
 	}
+	e.diagnostics.endSync(clock())
 	c.log.stableIndex = c.log.lastIndex()
 	c.hardStateDirty = false
 	return nil
@@ -236,13 +242,14 @@
 }
 
 // snapshotIfDue takes a snapshot and compacts the log if a limit is reached.
-func (e *engine) snapshotIfDue() error {
+func (e *engine) snapshotIfDue(clock func() time.Duration) error {
 	if e.appliedIndex-e.snapshotIndex < e.limits.logEntries && e.wal.Size()-e.logSizeAtSnapshot < e.limits.logBytes {
 		return nil
 	}
 	if e.appliedIndex == e.snapshotIndex {
 		return nil
 	}
+	start := clock()
 	data, err := e.stateMachine.Snapshot()
 	if err != nil {
 		return eris.Wrap(err, "take snapshot")
@@ -258,6 +265,8 @@
 		return err
 	}
 	e.snapshotIndex, e.logSizeAtSnapshot = e.appliedIndex, e.wal.Size()
+	end := clock()
+	e.diagnostics.record(&e.diagnostics.snapshot, end, end-start)
 	return nil
 }
 
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -268,7 +268,7 @@
 // recordResponse records a response for the lease and returns the progress of its
 // sender. It returns nil if this replica is not the leader of the response's term
 // or the sender is not a member.
-func (c *core) recordResponse(m Message) *progress {
+func (c *core) recordResponse(now time.Duration, m Message) *progress {
 	if c.role != RoleLeader || m.Term != c.hardState.Term {
 		return nil
 	}
@@ -276,12 +276,13 @@
 	if p != nil {
 		p.ackedSendTime = max(p.ackedSendTime, m.Sent)
 		p.responded = true
+		p.respondedAt = now
 	}
 	return p
 }
 
 func (c *core) stepAppendResponse(now time.Duration, m Message) error {
-	p := c.recordResponse(m)
+	p := c.recordResponse(now, m)
 	if p == nil {
 		return nil
 	}
@@ -326,7 +327,7 @@
 }
 
 func (c *core) stepSnapshotResponse(now time.Duration, m Message) error {
-	p := c.recordResponse(m)
+	p := c.recordResponse(now, m)
 	if p == nil || m.Chunk == nil {
 		return nil
 	}
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -181,9 +181,12 @@
 		}
 		break
 	}
-	if err := n.engine.core.tick(n.now()); err != nil {
+	now := n.now()
+	n.engine.diagnostics.recordLoop(now)
+	if err := n.engine.core.tick(now); err != nil {
 		return err
 	}
+	n.logStepDown(now)
 	out, err := n.engine.persistAndApply(n.now)
 	if err != nil {
 		return err
@@ -234,6 +237,7 @@
 		Members:     c.members().members,
 	}
 	n.published.Store(p)
+	n.engine.diagnostics.publish(len(n.engine.pendingProposals), c)
 	if role := c.displayRole(); role != n.loggedRole {
 		n.loggedRole = role
 		n.cfg.Log.WithFields(map[string]any{
@@ -245,6 +249,7 @@
 // handleMessage handles one message from another replica. It returns once the state
 // that the response acknowledges is durable.
 func (n *Node) handleMessage(ctx context.Context, m Message) (Reply, error) {
+	received := n.now()
 	replies := make(chan Reply, 1)
 	err := n.enqueue(ctx, func(now time.Duration) error {
 		c := n.engine.core
@@ -266,6 +271,7 @@
 	}
 	select {
 	case r := <-replies:
+		r.Handling = n.now() - received
 		return r, nil
 	case <-ctx.Done():
 		return Reply{}, ctx.Err()
@@ -290,6 +296,8 @@
 // response.
 type Reply struct {
 	Message *Message `json:"message,omitempty"`
+	// Handling is how long the receiver took, with its sync; it is only logged.
+	Handling time.Duration `json:"handling,omitempty"`
 }
 
 // peer sends messages to one address. It sends one at a time, so that messages
@@ -354,9 +362,14 @@
 func (p *peer) roundTrip(ctx context.Context, m Message) {
 	callCtx, cancel := context.WithTimeout(ctx, p.node.cfg.CallTimeout)
 	defer cancel()
+	start := p.node.now()
 	var r Reply
 	if err := p.node.cfg.RPCClient.Call(callCtx, p.address, Method, m, &r); err != nil || r.Message == nil {
 		return
 	}
-	_ = p.node.enqueue(ctx, func(now time.Duration) error { return p.node.engine.core.step(now, *r.Message) })
+	took := p.node.now() - start
+	_ = p.node.enqueue(ctx, func(now time.Duration) error {
+		p.node.engine.diagnostics.recordCall(r.Message.From.Name, voterCall{took, r.Handling})
+		return p.node.engine.core.step(now, *r.Message)
+	})
 }
