--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -130,7 +130,7 @@
 		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
 		ownerClient: &galenafleet.OwnerClient{Directory: directory, RPCClient: rpcClient, Logger: log.Logger, Metrics: metrics},
 	}
-	client := &platform.Client{}
+	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
 	c.owner = &galenafleet.Owner{
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Instances:    &platform.InstanceClient{Client: client},
@@ -170,8 +170,16 @@
 	goneAfter = 6 * time.Second
 	// adviceTimeout lets the advisor rate 100 instances at 5 ms each.
 	adviceTimeout = 500 * time.Millisecond
+	// maxStarting is a multiple of the starts that a service sends within the usual
+	// response time of a command, and takes the owner about 10 ms to send.
+	maxStarting = 32
 )
 
+// instanceConnectionsPart is the part of the process's descriptors that connections
+// to instances may take. The others are for instances, callers and daemons that
+// connect to this one, and for files.
+const instanceConnectionsPart = 2
+
 // maxLeaseFraction is the fraction of the instances' maximum lease that is
 // requested, so that no instance shortens the lease.
 const maxLeaseFraction = 0.9
@@ -190,6 +198,7 @@
 		GoneAfter:         goneAfter,
 		StopTimeout:       f.Instances.StopTimeout,
 		AdviceTimeout:     adviceTimeout,
+		MaxStarting:       maxStarting,
 	}
 }
 
--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -46,9 +46,8 @@
 type ownerLoad struct {
 	plans, lockWaits, polls, commands, requests, controlSteps durationStat
 	pollsFailed, starts, stops, repeats, heartbeats           atomic.Int64
-	// descriptorErrors counts the polls and commands that failed because the process
-	// had no free file descriptor.
-	descriptorErrors atomic.Int64
+	// exhausted counts the polls and commands that failed with ErrExhausted.
+	exhausted atomic.Int64
 	// inFlight is the number of commands without an outcome.
 	inFlight atomic.Int64
 	// tickLate is the scheduling delay of the session's ticks, and lastTickLate the
@@ -83,8 +82,8 @@
 
 // countError counts the error of a poll or command if its cause is in this process.
 func (l *ownerLoad) countError(err error) {
-	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		l.descriptorErrors.Add(1)
+	if errors.Is(err, ErrExhausted) {
+		l.exhausted.Add(1)
 	}
 }
 
@@ -106,7 +105,7 @@
 	sizes                                                              galenajob.Sizes
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
-	descriptorErrors                                                   int64
+	exhausted                                                          int64
 	logGap, logSync                                                    time.Duration
 	pollsFailed, starts, stops, repeats, inFlight, heartbeats, ops     int64
 }
@@ -131,7 +130,7 @@
 	b = galenalog.AppendInt(b, "repeats", l.repeats)
 	b = galenalog.AppendInt(b, "in_flight", l.inFlight)
 	b = appendTotals(b, "commands", "command", l.commands)
-	b = galenalog.AppendInt(b, "descriptor_errors", l.descriptorErrors)
+	b = galenalog.AppendInt(b, "exhausted", l.exhausted)
 	b = appendTotals(b, "requests", "request", l.requests)
 	b = galenalog.AppendInt(b, "heartbeats", l.heartbeats)
 	b = appendTotals(b, "commits", "commit", l.commits)
@@ -165,7 +164,7 @@
 	totals("control_steps", l.controlSteps)
 	count("polls_failed", l.pollsFailed)
 	count("repeats", l.repeats)
-	count("descriptor_errors", l.descriptorErrors)
+	count("exhausted", l.exhausted)
 	count("heartbeats", l.heartbeats)
 	count("commit_ops", l.ops)
 	m.OwnerMax.Record("tick_late", l.tickLate.longest)
@@ -206,7 +205,7 @@
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
 		repeats: l.repeats.Swap(0), inFlight: l.inFlight.Load(), heartbeats: l.heartbeats.Swap(0),
-		descriptorErrors: l.descriptorErrors.Swap(0), ops: sess.committer.ops.Swap(0),
+		exhausted: l.exhausted.Swap(0), ops: sess.committer.ops.Swap(0),
 	}
 	line.logGap, line.logSync = sess.Log.RecentDelays()
 	l.lastTickLate.Store(int64(line.tickLate.longest))
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -34,6 +34,10 @@
 	// AdviceTimeout is the delay before an advice request without a response is
 	// repeated.
 	AdviceTimeout time.Duration
+	// MaxStarting bounds the start commands without a result, so that the owner has
+	// no more work under way than it can finish soon. A gang may exceed it. Zero
+	// means no bound.
+	MaxStarting int
 }
 
 // runsPerEpoch separates the run numbers of successive owners, so that a new
@@ -55,8 +59,15 @@
 	queues    map[string]Queue
 	jobs      map[galenahead.JobID]*job
 	instances map[galenahead.InstanceID]*instance
+	// sortedIDs holds the keys of instances in order, or nil after a change.
+	sortedIDs []galenahead.InstanceID
 	actions   []Action
 	gone      []galenahead.InstanceID
+	// starting counts the work items whose start has no result yet, as of the current
+	// plan.
+	starting int
+	// tooLarge holds reservations for which the current plan has found no room.
+	tooLarge []Resources
 	// unreconciled counts the instances that may still run work of a previous
 	// owner.
 	unreconciled int
@@ -131,6 +142,7 @@
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
 		s.instances[in.ID] = inst
+		s.sortedIDs = nil
 		return inst
 	}
 	if in.Born != inst.Born {
@@ -187,6 +199,7 @@
 	}
 	s.markReconciled(inst)
 	delete(s.instances, id)
+	s.sortedIDs = nil
 }
 
 func (s *Scheduler) markReconciled(inst *instance) {
@@ -251,6 +264,15 @@
 	}
 }
 
+// StartsExhausted reports whether no more starts may be sent until earlier ones have
+// a result, as of the last plan.
+func (s *Scheduler) StartsExhausted() bool {
+	return s.params.MaxStarting > 0 && s.starting >= s.params.MaxStarting
+}
+
+// HasActions reports whether actions wait for the next plan.
+func (s *Scheduler) HasActions() bool { return len(s.actions) > 0 }
+
 // CountWaiting returns the number of jobs of a queue that have not started.
 func (s *Scheduler) CountWaiting(queue string) int {
 	count := 0
@@ -308,12 +330,15 @@
 	return g
 }
 
-// Instances returns the IDs of all instances in order.
+// Instances returns the IDs of all instances in order. The caller must not change
+// the slice.
 func (s *Scheduler) Instances() []galenahead.InstanceID {
-	ids := make([]galenahead.InstanceID, 0, len(s.instances))
-	for id := range s.instances {
-		ids = append(ids, id)
+	if s.sortedIDs == nil {
+		s.sortedIDs = make([]galenahead.InstanceID, 0, len(s.instances))
+		for id := range s.instances {
+			s.sortedIDs = append(s.sortedIDs, id)
+		}
+		slices.Sort(s.sortedIDs)
 	}
-	slices.Sort(ids)
-	return ids
+	return s.sortedIDs
 }
