--- a/galenafleet/owner_bench_test.go
+++ b/galenafleet/owner_bench_test.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -130,29 +129,20 @@
 
 func (f *benchMachines) List(context.Context) ([]Machine, error) { return f.machines, nil }
 
-// planCounter counts the plans of all shards by the pauses after them. It also counts
-// polls if pollPause equals minPlanPause.
+// planCounter counts the plans of all shards by the pauses after them, which lie
+// between minPlanPause and planInterval.
 type planCounter struct {
 	galenatimer.BootTimeService
 	plans atomic.Int64
 }
 
 func (c *planCounter) After(ctx context.Context, d time.Duration) <-chan time.Time {
-	if d == minPlanPause {
+	if d >= minPlanPause && d <= planInterval && d != pollPause {
 		c.plans.Add(1)
 	}
 	return c.BootTimeService.After(ctx, d)
 }
 
-// processorTime returns the processor time of the process.
-func processorTime() time.Duration {
-	var ru syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
-		panic(err)
-	}
-	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
-}
-
 // benchServices are the services of benchFleet with their share of 350 instances.
 var benchServices = []struct {
 	name      galenahead.ServiceName
