Answer the requests that have arrived before a daemon ends

Callers lost requests around a planned stop (LOST): an entry got SIGTERM at 25.000 s, a request on an open connection at 26.929 s, and closed the connection without an answer at 28.507 s, when stop_delay was over.

Cause: galenadaemon.ServeHTTP returned as soon as fasthttp's Server.Serve did, which is when the listener is closed, not when the requests are answered. ShutdownWithContext ran beside it, so the process exited with requests in flight, and the directory that finds the owner ended at the same time. The same holds for operators and instances at a control daemon and for the daemons of galena-entry and galena-control. Shutdown alone would not do either: it closes connections as idle without a look at bytes that have arrived, drops a request whose first byte it has read, and sets the server running again when its context ends.

HTTPServer replaces it. It accepts the connections in the listener's queue, ends the wait of idle connections with a read of what has arrived, answers with Connection: close, and returns when the last connection is closed or the drain's time is over. A connection is half-closed after its last response, so that bytes that arrive later do not reset it. Entries keep looking for the owner until then, bound their requests by the new setting grace_period, and reject with 503 and Retry-After what cannot be passed on in time.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -225,43 +226,56 @@
 	return host, err == nil
 }
 
-// transferTimeout bounds the leadership transfer before the daemon stops.
-const transferTimeout = time.Second
+const (
+	// transferTimeout bounds the leadership transfer before the daemon stops.
+	transferTimeout = time.Second
+	// operatorDrainTimeout is longer than a request of an operator or an instance
+	// may take.
+	operatorDrainTimeout = 2 * time.Second
+)
 
 // Run serves until ctx ends or the disk fails. When ctx ends, it transfers
-// leadership before it finishes the requests in flight.
+// leadership, and then answers the requests that have arrived. The replica and the
+// directory run until then, since those requests need the owner.
 func (c *controlDaemon) Run(ctx context.Context) error {
-	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group errgroup.Group
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	serveCtx, stopServing := context.WithCancel(workCtx)
+	defer stopServing()
+	var servers, workers errgroup.Group
 	ln, err := galenadaemon.Listen(c.settings.Listen.Peer)
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return c.server.Serve(serveCtx, ln) })
+	workers.Go(func() error { return c.server.Serve(workCtx, ln) })
 	operatorHandler := &platform.ControlHandler{
 		Owner: c.ownerClient, Logger: c.log.Logger, OwnerHost: c.leaderHost, Port: int(c.settings.Listen.Operator.Port()),
 	}
 	closing := func() bool { return ctx.Err() != nil }
-	if err := serveHTTP(serveCtx, &group, platform.NewServer(operatorHandler.Handle, closing), c.settings.Listen.Operator); err != nil {
+	operatorServer := platform.NewServer(operatorHandler.Handle, closing)
+	if err := serveHTTP(serveCtx, &servers, operatorServer, c.settings.Listen.Operator, operatorDrainTimeout); err != nil {
 		return err
 	}
-	if err := serveHTTP(serveCtx, &group, platform.NewStatusServer(func() error { return nil }), c.settings.Listen.Status); err != nil {
+	statusServer := platform.NewStatusServer(func() error { return nil })
+	if err := serveHTTP(serveCtx, &servers, statusServer, c.settings.Listen.Status, operatorDrainTimeout); err != nil {
 		return err
 	}
-	group.Go(func() error { return c.node.Run(serveCtx) })
-	group.Go(func() error { return c.directory.Run(serveCtx) })
-	group.Go(func() error { return c.membership.Run(serveCtx) })
-	group.Go(func() error { return c.owner.Run(serveCtx) })
-	group.Go(func() error { return c.watchSettings(serveCtx) })
+	workers.Go(func() error { return c.node.Run(workCtx) })
+	workers.Go(func() error { return c.directory.Run(workCtx) })
+	workers.Go(func() error { return c.membership.Run(workCtx) })
+	workers.Go(func() error { return c.owner.Run(workCtx) })
+	workers.Go(func() error { return c.watchSettings(workCtx) })
 	select {
 	case <-ctx.Done():
 		c.log.Info("control daemon is stopping")
 		c.transferLeadership()
 	case <-c.diskFailed:
+		stopWork()
 	}
-	stop()
-	return group.Wait()
+	stopServing()
+	err = servers.Wait()
+	stopWork()
+	return errors.Join(err, workers.Wait())
 }
 
 // transferLeadership makes another replica the leader if this one leads.
--- a/cmd/galena-fleet/command/daemon.go
+++ b/cmd/galena-fleet/command/daemon.go
@@ -71,13 +71,14 @@
 	d.log.WithField("seeds", f.Control.SeedPeers()).Info("settings reloaded; new seeds applied")
 }
 
-// serveHTTP serves in group until ctx ends, and then finishes the requests in
-// flight.
-func serveHTTP(ctx context.Context, group *errgroup.Group, srv *fasthttp.Server, addr netip.AddrPort) error {
+// serveHTTP serves in group until ctx ends, and then finishes the requests that
+// have arrived, within drainTimeout.
+func serveHTTP(ctx context.Context, group *errgroup.Group, srv *fasthttp.Server, addr netip.AddrPort, drainTimeout time.Duration) error {
 	ln, err := galenadaemon.Listen(addr)
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return galenadaemon.ServeHTTP(ctx, srv, ln) })
+	s := &galenadaemon.HTTPServer{Server: srv, DrainTimeout: drainTimeout}
+	group.Go(func() error { return s.Serve(ctx, ln) })
 	return nil
 }
--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead/galenadaemon"
@@ -22,6 +24,55 @@
 type entryDaemon struct {
 	baseDaemon
 	closing atomic.Bool
+	// answerBy is when the daemon must have answered all requests. It is nil while
+	// that time is not known.
+	answerBy atomic.Pointer[time.Time]
+}
+
+const (
+	// answerReserve is the time between the last response and the end of the grace
+	// period.
+	answerReserve = 500 * time.Millisecond
+	// exitReserve is the time between the close of the last connection and the end
+	// of the grace period.
+	exitReserve = 200 * time.Millisecond
+)
+
+// stopDelay returns how long the entry continues to serve after it reports that it
+// is not ready. It leaves a request that arrives last its full time.
+func (e *entryDaemon) stopDelay() time.Duration {
+	delay := e.settings.Process.StopDelay
+	if grace := e.settings.GracePeriod; grace > 0 {
+		delay = min(delay, max(0, grace-answerReserve-platform.CallerTimeout))
+	}
+	return delay
+}
+
+// drainTimeout returns how long connections with a request may stay open after the
+// stop delay.
+func (e *entryDaemon) drainTimeout() time.Duration {
+	if grace := e.settings.GracePeriod; grace > 0 {
+		return max(exitReserve, grace-e.stopDelay()-exitReserve)
+	}
+	return platform.CallerTimeout + answerReserve
+}
+
+// setAnswerBy sets the time by which requests must be answered if the daemon stops
+// now.
+func (e *entryDaemon) setAnswerBy() {
+	if grace := e.settings.GracePeriod; grace > 0 {
+		t := time.Now().Add(grace - answerReserve)
+		e.answerBy.Store(&t)
+	}
+}
+
+// requestDeadline returns the time by which requests must be answered, or the zero
+// time.
+func (e *entryDaemon) requestDeadline() time.Time {
+	if t := e.answerBy.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
 }
 
 func runEntry(_ context.Context, path string, f galenasettings.Fleet, load loadFunc, log *galenadaemon.Log) (galenadaemon.Runner, error) {
@@ -53,25 +104,35 @@
 
 // Run serves until ctx ends. It then reports that it is not ready, continues to
 // serve for the stop delay, so that the load balancer sends callers to other
-// entries, and finishes the requests in flight.
+// entries, and answers the requests that have arrived. The directory runs until
+// then, since the owner may change.
 func (e *entryDaemon) Run(ctx context.Context) error {
-	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group errgroup.Group
-	callerHandler := &platform.CallerHandler{Owner: e.ownerClient}
-	if err := serveHTTP(serveCtx, &group, platform.NewServer(callerHandler.Handle, e.closing.Load), e.settings.Listen.Caller); err != nil {
+	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	serveCtx, stopServing := context.WithCancel(workCtx)
+	defer stopServing()
+	var servers, workers errgroup.Group
+	callerHandler := &platform.CallerHandler{Owner: e.ownerClient, AnswerBy: e.requestDeadline}
+	callerServer := platform.NewServer(callerHandler.Handle, e.closing.Load)
+	if err := serveHTTP(serveCtx, &servers, callerServer, e.settings.Listen.Caller, e.drainTimeout()); err != nil {
 		return err
 	}
 	statusServer := platform.NewStatusServer(e.ready)
-	if err := serveHTTP(serveCtx, &group, statusServer, e.settings.Listen.Status); err != nil {
+	if err := serveHTTP(serveCtx, &servers, statusServer, e.settings.Listen.Status, e.drainTimeout()); err != nil {
 		return err
 	}
-	group.Go(func() error { return e.directory.Run(serveCtx) })
-	group.Go(func() error { return e.watchSettings(serveCtx) })
+	workers.Go(func() error { return e.directory.Run(workCtx) })
+	workers.Go(func() error { return e.watchSettings(workCtx) })
 	<-ctx.Done()
+	e.setAnswerBy()
 	e.closing.Store(true)
-	e.log.WithField("stop_delay", e.settings.Process.StopDelay.String()).Info("entry daemon is stopping")
-	time.Sleep(e.settings.Process.StopDelay)
-	stop()
-	return group.Wait()
+	delay := e.stopDelay()
+	e.log.WithFields(logrus.Fields{
+		"stop_delay": delay.String(), "grace_period": e.settings.GracePeriod.String(),
+	}).Info("entry daemon is stopping")
+	time.Sleep(delay)
+	stopServing()
+	err := servers.Wait()
+	stopWork()
+	return errors.Join(err, workers.Wait())
 }
--- a/galenadaemon/daemon.go
+++ b/galenadaemon/daemon.go
@@ -113,22 +113,3 @@
 	}
 	c.SetBodyString("ready\n")
 }
-
-// shutdownTimeout bounds the wait for open connections during a shutdown.
-const shutdownTimeout = 5 * time.Second
-
-// ServeHTTP serves on ln until ctx ends. It then waits for the requests in flight,
-// for at most shutdownTimeout, and returns nil.
-func ServeHTTP(ctx context.Context, srv *fasthttp.Server, ln net.Listener) error {
-	srv.CloseOnShutdown = true
-	stop := context.AfterFunc(ctx, func() {
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = srv.ShutdownWithContext(shutdownCtx)
-	})
-	defer stop()
-	if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
-		return eris.Wrapf(err, "serve %s", ln.Addr())
-	}
-	return nil
-}
--- a/galenasettings/fleet.go
+++ b/galenasettings/fleet.go
@@ -14,8 +14,11 @@
 // be changed.
 type Fleet struct {
 	Process Process
-	Listen  FleetListen
-	Control FleetControl
+	// GracePeriod is how long after SIGTERM the platform kills the process, or 0 if
+	// it does not. Only entry daemons have it.
+	GracePeriod time.Duration
+	Listen      FleetListen
+	Control     FleetControl
 	// Instances holds time limits of instances, machines and jobs. Only control
 	// daemons have it.
 	Instances FleetInstances
@@ -94,6 +97,7 @@
 func ParseFleetEntry(file string, data []byte) (Fleet, error) {
 	r := newReader(file, data)
 	f := Fleet{Process: readProcess(r)}
+	f.GracePeriod, _ = optional(r, "process", "grace_period", duration(0, maxStopDelay), 0)
 	f.Listen.Caller = readListen(r, "caller_address")
 	f.Listen.Status = readListen(r, "status_address")
 	f.Control = readFleetSeeds(r)
--- a/galenasettings/sections.go
+++ b/galenasettings/sections.go
@@ -13,11 +13,12 @@
 
 const (
 	defaultStopDelay = 2 * time.Second
-	maxStopDelay     = 5 * time.Minute
-	maxProcsLimit    = 1024
-	maxBodyLimitKB   = 64 << 10
-	maxQueueLength   = 1_000_000
-	maxMemoryMB      = 64 << 10
+	// maxStopDelay also bounds grace_period.
+	maxStopDelay   = 5 * time.Minute
+	maxProcsLimit  = 1024
+	maxBodyLimitKB = 64 << 10
+	maxQueueLength = 1_000_000
+	maxMemoryMB    = 64 << 10
 	// maxDeadline is the longest request deadline that slot brokers assume.
 	maxDeadline      = 30 * time.Second
 	maxRenewInterval = time.Minute
