--- a/galenadaemon/daemon.go
+++ b/galenadaemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net"
-	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -63,15 +62,6 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Listen opens a TCP listener.
-func Listen(addr netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", addr)
-	}
-	return ln, nil
-}
-
 // StatusServer is the HTTP server of readiness at /ready and metrics at /debug/vars.
 type StatusServer struct {
 	// Ready returns nil if the load balancer may send requests to this daemon,
