Bootstrap the log with enough voters for the tolerated losses

Cause: the log was bootstrapped with the three seeds as voters, whatever losses says. The others were added as learners and promoted one by one, one change each 0.3 s. Until then an entry is acknowledged by two replicas.

The replica that bootstraps the log now waits, for at most 3 s once all seeds are ready, until it has heard from as many blank replicas as there are to be voters, and makes all of them first voters. Which replica bootstraps is decided as before. If there are fewer replicas, it goes on and says so, and every replica warns and counts log_voters_missing when the log has had too few voters for 10 s. A replica also no longer bootstraps when a daemon has named members.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -140,7 +140,7 @@
 		MachineLease: f.Instances.MachineLease, FinalJobRetention: f.Instances.FinalJobRetention,
 	}
 	c.membership = &galenafleet.MembershipManager{
-		Self: c.selfMember(), Log: node, Directory: directory, Timers: timers, Logger: log.Logger,
+		Self: c.selfMember(), Log: node, Directory: directory, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Bootstrap: f.Control.Bootstrap, Seeds: f.Control.SeedPeers(), VoterCount: 2*f.Control.ToleratedFailures + 1,
 	}
 	node.Register(c.server.Mux)
--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -35,8 +35,8 @@
 	RPCClient galenahead.RPCClient
 	Timers    galenahead.Timers
 	Logger    *logrus.Logger
-	// Self returns the description of this replica that queries carry; nil for a
-	// daemon without a replica.
+	// Self returns the description of this daemon that queries and answers carry;
+	// nil for an entry.
 	Self func() LeaderInfo
 
 	mu    sync.Mutex
@@ -55,6 +55,9 @@
 	peerInfo map[string]LeaderInfo
 	// confirmedAt is when a daemon last named the leader.
 	confirmedAt time.Time
+	// members is the member list of the highest term that any daemon has named.
+	members     []galenahead.Member
+	membersTerm uint64
 }
 
 const (
@@ -123,6 +126,14 @@
 	return out
 }
 
+// Members returns the newest member list of the log that a daemon has named, and
+// its term. The list is empty if none is known.
+func (d *Directory) Members() ([]galenahead.Member, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members, d.membersTerm
+}
+
 // Run queries daemons for the leader until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	d.mu.Lock()
@@ -169,6 +180,11 @@
 	}
 	d.leaderSuspected = false
 	out := slices.Clone(d.seeds)
+	for _, m := range d.members {
+		if !slices.Contains(out, m.Address) {
+			out = append(out, m.Address)
+		}
+	}
 	now := d.Timers.Now()
 	for a, at := range d.lastHeard {
 		if now.Sub(at) > forgetAfter {
@@ -200,6 +216,7 @@
 	now := d.Timers.Now()
 	d.peerInfo[address] = info
 	d.lastHeard[address] = now
+	d.recordMembers(info)
 	for _, m := range info.Members {
 		if _, ok := d.lastHeard[m.Address]; !ok {
 			d.lastHeard[m.Address] = now
@@ -219,6 +236,14 @@
 	}
 }
 
+// recordMembers stores the member list of info if it is the newest one. d.mu must
+// be held.
+func (d *Directory) recordMembers(info LeaderInfo) {
+	if len(info.Members) > 0 && info.Term >= d.membersTerm {
+		d.members, d.membersTerm = info.Members, info.Term
+	}
+}
+
 func (d *Directory) selfInfo() LeaderInfo {
 	if d.Self == nil {
 		return LeaderInfo{}
@@ -236,6 +261,7 @@
 			d.init()
 			d.peerInfo[info.Self.Address] = info
 			d.lastHeard[info.Self.Address] = d.Timers.Now()
+			d.recordMembers(info)
 			d.mu.Unlock()
 		}
 		return d.selfInfo(), nil
--- a/galenafleet/membership.go
+++ b/galenafleet/membership.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"expvar"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenametric"
 )
 
 // MembershipManager manages the members of the log. It bootstraps the log of a new
@@ -19,14 +22,37 @@
 	Directory *Directory
 	Timers    galenahead.Timers
 	Logger    *logrus.Logger
+	Metrics   *galenametric.Metrics
 	// Bootstrap allows a blank replica to bootstrap the log; it is set when the whole
 	// deployment starts for the first time.
 	Bootstrap bool
-	// Seeds are the addresses of the first voters.
+	// Seeds are the addresses of some control daemons, the same ones at every daemon
+	// when the deployment starts for the first time.
 	Seeds []string
 	// VoterCount is the number of voters that the log should have: enough to tolerate
 	// the failures that the settings allow for.
 	VoterCount int
+
+	injected membershipFaults
+
+	// seedsReadyAt is when all seeds were first seen ready for the bootstrap.
+	seedsReadyAt time.Time
+	// shortageSince is when the log was first seen with fewer voters than
+	// VoterCount; zero while it has enough. shortage is the number that the last
+	// warning reported as missing.
+	shortageSince time.Time
+	shortage      int
+}
+
+// membershipFaults disable rules of the bootstrap. Only tests set them, to prove
+// that the checks of the simulation detect each fault.
+type membershipFaults struct {
+	// anySeedDecides lets each seed with a data directory bootstrap the log.
+	anySeedDecides bool
+	// ignoreSilentSeeds bootstraps without the seeds that have not answered.
+	ignoreSilentSeeds bool
+	// skipWait bootstraps before VoterCount replicas are known.
+	skipWait bool
 }
 
 const (
@@ -38,6 +64,12 @@
 	voterTimeout = 8 * time.Second
 	// memberChangeTimeout bounds a bootstrap or one change of the members.
 	memberChangeTimeout = time.Second
+	// bootstrapWait is how long the bootstrap waits for VoterCount replicas once all
+	// seeds are ready.
+	bootstrapWait = 3 * time.Second
+	// shortageDelay is how long the log may have too few voters before a warning:
+	// replacing a voter takes less.
+	shortageDelay = 10 * time.Second
 	// aliveTimeout is the highest age of a replica's last message at which the replica
 	// counts as alive.
 	aliveTimeout = 3 * time.Second
@@ -46,6 +78,10 @@
 // roleBlank is the role that the log reports for a replica without stored state.
 const roleBlank = "blank"
 
+// missingVotersMetric is the counter with the number of voters that the log lacks,
+// as far as this replica knows.
+const missingVotersMetric = "log_voters_missing"
+
 // Run manages the members until ctx ends.
 func (mm *MembershipManager) Run(ctx context.Context) error {
 	ticks := mm.Timers.Subscribe(ctx, "keeper", reconcileInterval)
@@ -57,31 +93,27 @@
 		}
 		st := mm.Log.Status()
 		switch {
-		case st.Role == roleBlank && mm.Bootstrap:
+		case st.Role != roleBlank:
+			mm.checkVoterCount(st)
+		case mm.Bootstrap:
 			mm.bootstrap(ctx)
-		case mm.Log.HoldsLease():
+		}
+		if mm.Log.HoldsLease() {
 			mm.reconcileMembers(ctx, st)
 		}
 	}
 }
 
-// bootstrap bootstraps the log once all seeds answer and are blank. Only the seed
-// with the lowest address does so, so that there is only one log.
+// bootstrap bootstraps the log if this replica is the one that decides and the
+// first members are known.
 func (mm *MembershipManager) bootstrap(ctx context.Context) {
-	seeds := slices.Sorted(slices.Values(mm.Seeds))
-	if len(seeds) == 0 || seeds[0] != mm.Self.Address {
+	members := mm.initialMembers(mm.Timers.Now())
+	if len(members) == 0 {
 		return
 	}
-	peers := mm.Directory.PeerInfo()
-	var members []galenahead.Member
-	for _, a := range seeds {
-		info, ok := peers[a]
-		if !ok || !info.Blank {
-			return
-		}
-		m := info.Self
-		m.Voter = true
-		members = append(members, m)
+	if len(members) < mm.VoterCount {
+		mm.Logger.WithFields(logrus.Fields{"replicas": len(members), "wanted": mm.VoterCount}).
+			Warn("bootstrapping the log with fewer replicas than the settings ask for")
 	}
 	callCtx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
@@ -89,6 +121,92 @@
 	mm.Logger.WithField("members", len(members)).WithField("error", errorText(err)).Info("bootstrap of the log of a new deployment")
 }
 
+// initialMembers returns the first members of the log, or none if this replica must
+// not bootstrap it now.
+//
+// Only one replica may ever bootstrap: the seed with the lowest address. Once it has
+// bootstrapped the log, its own disk prevents it from doing so again.
+func (mm *MembershipManager) initialMembers(now time.Time) []galenahead.Member {
+	if members, _ := mm.Directory.Members(); len(members) > 0 {
+		return nil // there is a log already
+	}
+	peers := mm.Directory.PeerInfo()
+	var seeds, others []galenahead.Member
+	for _, a := range slices.Sorted(slices.Values(mm.Seeds)) {
+		info, ok := peers[a]
+		delete(peers, a)
+		switch {
+		case !ok && mm.injected.ignoreSilentSeeds:
+			continue
+		case !ok:
+			return nil
+		case !info.Blank:
+			return nil
+		case len(seeds) == 0 && a != mm.Self.Address && !mm.injected.anySeedDecides:
+			return nil
+		}
+		seeds = append(seeds, asVoter(info.Self))
+	}
+	for _, a := range slices.Sorted(maps.Keys(peers)) {
+		info := peers[a]
+		switch {
+		case !info.Blank:
+			return nil
+		case now.Sub(mm.Directory.lastHeardFrom(a)) <= aliveTimeout:
+			others = append(others, asVoter(info.Self))
+		}
+	}
+	if mm.seedsReadyAt.IsZero() {
+		mm.seedsReadyAt = now
+	}
+	missing := mm.VoterCount - len(seeds)
+	if len(others) < missing && !mm.injected.skipWait && now.Sub(mm.seedsReadyAt) < bootstrapWait {
+		return nil
+	}
+	return append(seeds, others[:max(0, min(missing, len(others)))]...)
+}
+
+func asVoter(m galenahead.Member) galenahead.Member {
+	m.Voter = true
+	return m
+}
+
+// checkVoterCount warns if the log has had too few voters for shortageDelay, and
+// again whenever their number changes.
+func (mm *MembershipManager) checkVoterCount(st galenahead.LogStatus) {
+	missing := mm.VoterCount
+	for _, m := range st.Members {
+		if m.Voter {
+			missing--
+		}
+	}
+	now := mm.Timers.Now()
+	switch {
+	case missing <= 0:
+		mm.setShortage(0)
+		mm.shortageSince = time.Time{}
+		return
+	case mm.shortageSince.IsZero():
+		mm.shortageSince = now
+	}
+	if now.Sub(mm.shortageSince) >= shortageDelay && missing != mm.shortage {
+		mm.setShortage(missing)
+		mm.Logger.WithFields(logrus.Fields{"voters": mm.VoterCount - missing, "wanted": mm.VoterCount, "members": len(st.Members)}).
+			Warn("the log has fewer voters than the settings ask for")
+	}
+}
+
+// setShortage publishes the number of voters that the log lacks.
+func (mm *MembershipManager) setShortage(n int) {
+	if n == mm.shortage {
+		return
+	}
+	mm.shortage = n
+	gauge := new(expvar.Int)
+	gauge.Set(int64(n))
+	mm.Metrics.Counters.Set(missingVotersMetric, gauge)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
