Let a control daemon without a disk redirect to the owner

Seen by operators: on a machine without a disk data_directory is empty. So the number of control daemons in a zone could not exceed the smallest number of disks in a zone of any site.

A control daemon with an empty data_directory now keeps no replica and is never a member. It answers operators and instances with 307 and the owner's address, and other daemons with the newest members of the log that it has heard of. It names no leader: only replicas know at first hand whether one leads. Replicas query seeds that are no members every 5 s, so that such seeds learn of the members after a restart.

Bootstrap with such seeds: of the seeds with a disk, the one with the lowest address decides, once all seeds have answered. No two daemons can both decide, since the seeds are the same everywhere at the first start and having a data directory is a fixed property of a seed. That it has decided is on its disk. If no seed has a disk, the only place to remember the choice would be the seeds' memory; this case is refused and logged as an error.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,11 +23,10 @@
 // controlDaemon keeps a replica of the fleet's state and owns the fleet while it
 // is the leader.
 type controlDaemon struct {
-	baseDaemon
+	controlBase
 	node       *galenaraft.Node
 	owner      *galenafleet.Owner
 	membership *galenafleet.MembershipManager
-	server     *galenarpc.Server
 	// diskFailed is closed when the replica cannot continue after a disk failure.
 	diskFailed chan struct{}
 }
@@ -70,9 +68,15 @@
 // reopenDelay is the delay before a replica whose disk failed is opened again.
 const reopenDelay = time.Second
 
-func runControl(_ context.Context, path string, _ galenasettings.Fleet, load loadFunc, log *galenadaemon.Log) (galenadaemon.Runner, error) {
+func runControl(_ context.Context, path string, f galenasettings.Fleet, load loadFunc, log *galenadaemon.Log) (galenadaemon.Runner, error) {
 	metrics := &galenametric.Metrics{}
 	metrics.Publish("galena")
+	log.WithFields(logrus.Fields{
+		"seeds": f.Control.SeedPeers(), "data_directory": f.Control.DataDirectory, "bootstrap": f.Control.Bootstrap, "losses": f.Control.ToleratedFailures,
+	}).Info("control daemon starts")
+	if f.Control.DataDirectory == "" {
+		return newRedirector(path, f, load, log), nil
+	}
 	newDaemon := func() (galenadaemon.Runner, error) {
 		f, err := load(path)
 		if err != nil {
@@ -114,7 +118,7 @@
 	timers := &galenatimer.BootTimeService{}
 	rpcClient := &galenarpc.Client{}
 	state := &galenafleet.State{Timers: timers, ProcessStart: time.Now().Round(0)}
-	c := &controlDaemon{server: &galenarpc.Server{Mux: &galenarpc.Mux{}}, diskFailed: make(chan struct{})}
+	c := &controlDaemon{diskFailed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, RPCClient: rpcClient, Timers: timers, Log: log.Logger,
 		Tick: raftTick, Heartbeat: heartbeatInterval, Lease: leaderLease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
@@ -124,9 +128,9 @@
 		return nil, err
 	}
 	c.node = node
-	directory := &galenafleet.Directory{RPCClient: rpcClient, Timers: timers, Logger: log.Logger, Self: c.leaderInfo}
+	directory := &galenafleet.Directory{RPCClient: rpcClient, Timers: timers, Logger: log.Logger, Self: c.leaderInfo, Announce: true}
 	directory.SetSeeds(f.Control.SeedPeers())
-	c.baseDaemon = baseDaemon{
+	c.controlBase.baseDaemon = baseDaemon{
 		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
 		ownerClient: &galenafleet.OwnerClient{Directory: directory, RPCClient: rpcClient, Logger: log.Logger, Metrics: metrics},
 	}
@@ -143,9 +147,9 @@
 		Self: c.selfMember(), Log: node, Directory: directory, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Bootstrap: f.Control.Bootstrap, Seeds: f.Control.SeedPeers(), VoterCount: 2*f.Control.ToleratedFailures + 1,
 	}
-	node.Register(c.server.Mux)
-	directory.Register(c.server.Mux)
-	c.owner.Register(c.server.Mux)
+	node.Register(&c.mux)
+	directory.Register(&c.mux)
+	c.owner.Register(&c.mux)
 	return c, nil
 }
 
@@ -215,16 +219,6 @@
 	return info
 }
 
-// leaderHost returns the host of the leader.
-func (c *controlDaemon) leaderHost() (string, bool) {
-	addr, ok := c.directory.Leader()
-	if !ok {
-		return "", false
-	}
-	host, _, err := net.SplitHostPort(addr)
-	return host, err == nil
-}
-
 // transferTimeout bounds the leadership transfer before the daemon stops.
 const transferTimeout = time.Second
 
@@ -234,26 +228,15 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	ln, err := galenadaemon.Listen(c.settings.Listen.Peer)
-	if err != nil {
-		return err
-	}
-	group.Go(func() error { return c.server.Serve(serveCtx, ln) })
-	operatorHandler := &platform.ControlHandler{
+	handler := &platform.ControlHandler{
 		Owner: c.ownerClient, Logger: c.log.Logger, OwnerHost: c.leaderHost, Port: int(c.settings.Listen.Operator.Port()),
 	}
-	closing := func() bool { return ctx.Err() != nil }
-	if err := serveHTTP(serveCtx, &group, platform.NewServer(operatorHandler.Handle, closing), c.settings.Listen.Operator); err != nil {
-		return err
-	}
-	if err := serveHTTP(serveCtx, &group, platform.NewStatusServer(func() error { return nil }), c.settings.Listen.Status); err != nil {
+	if err := c.serve(serveCtx, &group, handler.Handle, func() bool { return ctx.Err() != nil }); err != nil {
 		return err
 	}
 	group.Go(func() error { return c.node.Run(serveCtx) })
-	group.Go(func() error { return c.directory.Run(serveCtx) })
 	group.Go(func() error { return c.membership.Run(serveCtx) })
 	group.Go(func() error { return c.owner.Run(serveCtx) })
-	group.Go(func() error { return c.watchSettings(serveCtx) })
 	select {
 	case <-ctx.Done():
 		c.log.Info("control daemon is stopping")
--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -22,6 +22,9 @@
 type LeaderInfo struct {
 	// Self is the replica of the daemon that sends the message.
 	Self galenahead.Member `json:"self"`
+	// NoReplica reports that the daemon has no data directory. It never becomes a
+	// member, and it names members but no leader.
+	NoReplica bool `json:"no_replica,omitempty"`
 	// Blank reports that the replica has no stored state.
 	Blank bool `json:"blank"`
 	// Leader is the address of the leader, or empty if it is unknown.
@@ -38,6 +41,9 @@
 	// Self returns the description of this daemon that queries and answers carry;
 	// nil for an entry.
 	Self func() LeaderInfo
+	// Announce makes this daemon query seeds that are not members even while it
+	// knows the leader, so that these learn of the members from it.
+	Announce bool
 
 	mu    sync.Mutex
 	seeds []string
@@ -58,6 +64,7 @@
 	// members is the member list of the highest term that any daemon has named.
 	members     []galenahead.Member
 	membersTerm uint64
+	announcedAt time.Time
 }
 
 const (
@@ -65,6 +72,9 @@
 	// and refreshInterval how often otherwise.
 	searchInterval  = 100 * time.Millisecond
 	refreshInterval = time.Second
+	// announceInterval is how often seeds that are not members are queried while a
+	// leader is known.
+	announceInterval = 5 * time.Second
 	// queryTimeout bounds one query.
 	queryTimeout = 500 * time.Millisecond
 	// forgetAfter is how long after its last message a daemon is dropped, unless it
@@ -170,13 +180,13 @@
 	return ok
 }
 
-// queryTargets returns the addresses to query: only the leader while it answers,
-// otherwise all seeds and known daemons.
+// queryTargets returns the addresses to query: the leader while it answers, with
+// the seeds to announce this daemon to, otherwise all seeds and known daemons.
 func (d *Directory) queryTargets() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leader != "" && !d.leaderSuspected {
-		return []string{d.leader}
+		return append(d.announceTargets(), d.leader)
 	}
 	d.leaderSuspected = false
 	out := slices.Clone(d.seeds)
@@ -199,6 +209,24 @@
 	return out
 }
 
+// announceTargets returns the seeds that are not members, once in each
+// announceInterval. d.mu must be held.
+func (d *Directory) announceTargets() []string {
+	now := d.Timers.Now()
+	if !d.Announce || len(d.members) == 0 || now.Sub(d.announcedAt) < announceInterval {
+		return nil
+	}
+	d.announcedAt = now
+	var out []string
+	for _, a := range d.seeds {
+		isMember := slices.ContainsFunc(d.members, func(m galenahead.Member) bool { return m.Address == a })
+		if !isMember && a != d.leader {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 func (d *Directory) query(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -256,7 +284,7 @@
 // members yet.
 func (d *Directory) Register(mux *galenarpc.Mux) {
 	galenarpc.Handle(mux, MethodLeaderInfo, func(_ context.Context, info LeaderInfo) (LeaderInfo, error) {
-		if info.Self.Address != "" {
+		if info.Self.Address != "" && !info.NoReplica {
 			d.mu.Lock()
 			d.init()
 			d.peerInfo[info.Self.Address] = info
--- a/galenafleet/membership.go
+++ b/galenafleet/membership.go
@@ -37,6 +37,8 @@
 
 	// seedsReadyAt is when all seeds were first seen ready for the bootstrap.
 	seedsReadyAt time.Time
+	// refusalLogged is set once the reason for not bootstrapping is logged.
+	refusalLogged bool
 	// shortageSince is when the log was first seen with fewer voters than
 	// VoterCount; zero while it has enough. shortage is the number that the last
 	// warning reported as missing.
@@ -124,8 +126,11 @@
 // initialMembers returns the first members of the log, or none if this replica must
 // not bootstrap it now.
 //
-// Only one replica may ever bootstrap: the seed with the lowest address. Once it has
-// bootstrapped the log, its own disk prevents it from doing so again.
+// Only one replica may ever bootstrap: of the seeds with a data directory, the one
+// with the lowest address. This is decided without agreement between the daemons,
+// since all have the same seeds and a seed's daemon either always has a data
+// directory or never. Once that replica has bootstrapped the log, its own disk
+// prevents it from doing so again.
 func (mm *MembershipManager) initialMembers(now time.Time) []galenahead.Member {
 	if members, _ := mm.Directory.Members(); len(members) > 0 {
 		return nil // there is a log already
@@ -136,7 +141,7 @@
 		info, ok := peers[a]
 		delete(peers, a)
 		switch {
-		case !ok && mm.injected.ignoreSilentSeeds:
+		case !ok && mm.injected.ignoreSilentSeeds, info.NoReplica:
 			continue
 		case !ok:
 			return nil
@@ -147,9 +152,14 @@
 		}
 		seeds = append(seeds, asVoter(info.Self))
 	}
+	if len(seeds) == 0 {
+		mm.logRefusal()
+		return nil
+	}
 	for _, a := range slices.Sorted(maps.Keys(peers)) {
 		info := peers[a]
 		switch {
+		case info.NoReplica:
 		case !info.Blank:
 			return nil
 		case now.Sub(mm.Directory.lastHeardFrom(a)) <= aliveTimeout:
@@ -166,6 +176,15 @@
 	return append(seeds, others[:max(0, min(missing, len(others)))]...)
 }
 
+// logRefusal logs once that no daemon may bootstrap the log. Which replica does so
+// could only be remembered by the seeds, and these forget it when they restart.
+func (mm *MembershipManager) logRefusal() {
+	if !mm.refusalLogged {
+		mm.Logger.WithField("seeds", mm.Seeds).Error("no seed has a data directory; the log is not bootstrapped")
+	}
+	mm.refusalLogged = true
+}
+
 func asVoter(m galenahead.Member) galenahead.Member {
 	m.Voter = true
 	return m
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -38,6 +39,18 @@
 	galenarpc.Handle(mux, MethodView, o.View)
 }
 
+// RegisterNotOwner adds the RPC methods of the owner to a daemon that can never own
+// the fleet. They fail with ErrNotLeader.
+func RegisterNotOwner(mux *galenarpc.Mux) {
+	for _, method := range []string{
+		MethodDo, MethodHeartbeat, MethodLeave, MethodConfigure, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+	} {
+		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
+			return nil, galenahead.ErrNotLeader
+		})
+	}
+}
+
 // OwnerClient forwards calls of a daemon to the owner of the fleet, and retries them
 // when the owner changes.
 type OwnerClient struct {
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -65,6 +65,23 @@
 	return res, nil
 }
 
+// Call calls method within the process. It encodes params and the result as for
+// another process.
+func (m *Mux) Call(ctx context.Context, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	res, err := m.dispatch(ctx, nil, &jsonrpc2.Request{Method: method, Params: (*json.RawMessage)(&raw)})
+	if err != nil {
+		return decodeError(err)
+	}
+	if raw, err = json.Marshal(res); err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
 // connect starts JSON-RPC on c and serves the peer's calls until c is closed.
 func (m *Mux) connect(ctx context.Context, c net.Conn) *Conn {
 	s := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
--- a/galenasettings/fleet.go
+++ b/galenasettings/fleet.go
@@ -41,8 +41,9 @@
 	Seeds []netip.AddrPort
 	// PeerPort is the port on which control daemons listen for other daemons.
 	PeerPort int
-	// DataDirectory holds the replica's durable state. Only control daemons have
-	// it and the fields below.
+	// DataDirectory holds the replica's durable state. It is empty on a machine
+	// without a disk, whose control daemon keeps no replica. Only control daemons
+	// have it and the fields below.
 	DataDirectory string
 	// Bootstrap is true when the whole deployment starts for the first time.
 	Bootstrap bool
@@ -110,7 +111,7 @@
 	f.Listen.Status = readListen(r, "status_address")
 	f.Control = readFleetSeeds(r)
 	const section = "control"
-	f.Control.DataDirectory = required(r, section, "data_directory", text("the path of a directory"))
+	f.Control.DataDirectory = required(r, section, "data_directory", optionalText("the path of a directory, or empty for none"))
 	f.Control.Bootstrap, _ = optional(r, section, "bootstrap", boolean(), false)
 	f.Control.ToleratedFailures, _ = optional(r, section, "losses", integer(0, 8, "control daemons"), 1)
 	f.Instances = FleetInstances{
--- a/galenasettings/reader.go
+++ b/galenasettings/reader.go
@@ -191,6 +191,11 @@
 	}}
 }
 
+// optionalText accepts any value, also an empty one.
+func optionalText(allowed string) valueType[string] {
+	return valueType[string]{allowed, func(s string) (string, error) { return s, nil }}
+}
+
 func address() valueType[netip.AddrPort] {
 	return valueType[netip.AddrPort]{
 		"<ip>:<port> with a port of 1 to 65535, no host name and no unspecified IP", parseAddress,
