--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -22,6 +22,9 @@
 type LeaderInfo struct {
 	// Self is the replica of the daemon that sends the message.
 	Self galenahead.Member `json:"self"`
+	// NoReplica reports that the daemon has no data directory. It never becomes a
+	// member, and it names members but no leader.
+	NoReplica bool `json:"no_replica,omitempty"`
 	// Blank reports that the replica has no stored state.
 	Blank bool `json:"blank"`
 	// Leader is the address of the leader, or empty if it is unknown.
@@ -35,9 +38,12 @@
 	RPCClient galenahead.RPCClient
 	Timers    galenahead.Timers
 	Logger    *logrus.Logger
-	// Self returns the description of this replica that queries carry; nil for a
-	// daemon without a replica.
+	// Self returns the description of this daemon that queries and answers carry;
+	// nil for an entry.
 	Self func() LeaderInfo
+	// Announce makes this daemon query seeds that are not members even while it
+	// knows the leader, so that these learn of the members from it.
+	Announce bool
 
 	mu    sync.Mutex
 	seeds []string
@@ -63,6 +69,10 @@
 	peerInfo map[string]LeaderInfo
 	// confirmedAt is when a daemon last named the leader.
 	confirmedAt time.Time
+	// members is the member list of the highest term that any daemon has named.
+	members     []galenahead.Member
+	membersTerm uint64
+	announcedAt time.Time
 }
 
 const (
@@ -75,6 +85,9 @@
 	// searches do not add to the load of a leader that is late.
 	minSearchPause = 30 * time.Millisecond
 	maxSearchPause = 200 * time.Millisecond
+	// announceInterval is how often seeds that are not members are queried while a
+	// leader is known.
+	announceInterval = 5 * time.Second
 	// queryTimeout bounds one query.
 	queryTimeout = 500 * time.Millisecond
 	// forgetAfter is how long after its last message a daemon is dropped, unless it
@@ -152,6 +165,14 @@
 	return out
 }
 
+// Members returns the newest member list of the log that a daemon has named, and
+// its term. The list is empty if none is known.
+func (d *Directory) Members() ([]galenahead.Member, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members, d.membersTerm
+}
+
 // Run queries daemons for the leader until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	d.mu.Lock()
@@ -207,16 +228,22 @@
 	return d.leader != ""
 }
 
-// queryTargets returns the addresses to query: only the leader while it answers,
-// otherwise all seeds and known daemons. search reports the latter.
+// queryTargets returns the addresses to query: the leader while it answers, with
+// the seeds to announce this daemon to, otherwise all seeds and known daemons.
+// search reports the latter.
 func (d *Directory) queryTargets() (targets []string, search bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leader != "" && !d.leaderSuspected {
-		return []string{d.leader}, false
+		return append(d.announceTargets(), d.leader), false
 	}
 	d.leaderSuspected = false
 	out := slices.Clone(d.seeds)
+	for _, m := range d.members {
+		if !slices.Contains(out, m.Address) {
+			out = append(out, m.Address)
+		}
+	}
 	now := d.Timers.Now()
 	for a, at := range d.lastHeard {
 		if now.Sub(at) > forgetAfter {
@@ -231,6 +258,24 @@
 	return out, true
 }
 
+// announceTargets returns the seeds that are not members, once in each
+// announceInterval. d.mu must be held.
+func (d *Directory) announceTargets() []string {
+	now := d.Timers.Now()
+	if !d.Announce || len(d.members) == 0 || now.Sub(d.announcedAt) < announceInterval {
+		return nil
+	}
+	d.announcedAt = now
+	var out []string
+	for _, a := range d.seeds {
+		isMember := slices.ContainsFunc(d.members, func(m galenahead.Member) bool { return m.Address == a })
+		if !isMember && a != d.leader {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 func (d *Directory) query(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -248,6 +293,7 @@
 	now := d.Timers.Now()
 	d.peerInfo[address] = info
 	d.lastHeard[address] = now
+	d.recordMembers(info)
 	for _, m := range info.Members {
 		if _, ok := d.lastHeard[m.Address]; !ok {
 			d.lastHeard[m.Address] = now
@@ -268,6 +314,14 @@
 	}
 }
 
+// recordMembers stores the member list of info if it is the newest one. d.mu must
+// be held.
+func (d *Directory) recordMembers(info LeaderInfo) {
+	if len(info.Members) > 0 && info.Term >= d.membersTerm {
+		d.members, d.membersTerm = info.Members, info.Term
+	}
+}
+
 func (d *Directory) selfInfo() LeaderInfo {
 	if d.Self == nil {
 		return LeaderInfo{}
@@ -280,11 +334,12 @@
 // members yet.
 func (d *Directory) Register(mux *galenarpc.Mux) {
 	galenarpc.Handle(mux, MethodLeaderInfo, func(_ context.Context, info LeaderInfo) (LeaderInfo, error) {
-		if info.Self.Address != "" {
+		if info.Self.Address != "" && !info.NoReplica {
 			d.mu.Lock()
 			d.init()
 			d.peerInfo[info.Self.Address] = info
 			d.lastHeard[info.Self.Address] = d.Timers.Now()
+			d.recordMembers(info)
 			d.mu.Unlock()
 		}
 		return d.selfInfo(), nil
