Start the next session without waiting for calls of the last

Callers saw: answers 503 for about a second more after a lease was lost.

Nothing needs that wait: the calls carry the fencing token of their session and their results are not used. The next session still waits until the committer of the last one proposes nothing more, because it loads the state then.

TestNextSessionDoesNotWaitForCallsOfTheLast failed before: no owner.

--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -47,6 +47,8 @@
 	FinalJobRetention time.Duration
 
 	session atomic.Pointer[ownerSession]
+	// ending counts the ended sessions whose calls have not all returned.
+	ending sync.WaitGroup
 }
 
 const (
@@ -62,6 +64,7 @@
 // Run runs a session whenever this replica is the leader of the log, until ctx
 // ends.
 func (o *Owner) Run(ctx context.Context) error {
+	defer o.ending.Wait()
 	ticks := o.Timers.Subscribe(ctx, "owner", leadershipCheckInterval)
 	for {
 		select {
@@ -103,11 +106,11 @@
 	sessionCtx, resign := context.WithCancelCause(ctx)
 	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, configuring: make(chan struct{}, 1)}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
-	sess.spawn(func() error { return sess.committer.loop(sessionCtx) })
+	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
 	if err != nil {
 		resign(err)
-		sess.closeAndWait()
+		sess.close()
 		return nil, err
 	}
 	sess.epoch = r[0].Epoch
@@ -128,10 +131,12 @@
 	committer *committer
 	load      ownerLoad
 
+	// committing is done when the committer proposes nothing more.
+	committing sync.WaitGroup
+
 	spawnMu sync.Mutex
 	group   errgroup.Group
-	// closed is set before the session waits for group; spawn then starts nothing
-	// more.
+	// closed is set when the session has ended; spawn then starts nothing more.
 	closed bool
 
 	mu     sync.Mutex
@@ -162,7 +167,7 @@
 		case <-sess.ctx.Done():
 			cause := context.Cause(sess.ctx)
 			sess.logLeaseLoss(cause)
-			sess.closeAndWait()
+			sess.close()
 			return cause
 		case <-ticks:
 			now := time.Now()
@@ -184,13 +189,19 @@
 	}
 }
 
-// closeAndWait waits for all goroutines that spawn started.
-func (sess *ownerSession) closeAndWait() {
+// close ends the session, whose context has ended. It returns once the log gets no
+// more proposals of the session, since the next one loads the state. Calls to
+// instances and machines may still be in flight: they carry the fencing token of this
+// session, and their results are not used.
+func (sess *ownerSession) close() {
 	sess.spawnMu.Lock()
 	sess.closed = true
 	sess.spawnMu.Unlock()
-	// The goroutines return no errors; a failure cancels the session's context.
-	_ = sess.group.Wait()
+	sess.committing.Wait()
+	sess.ending.Go(func() {
+		// The goroutines return no errors; a failure cancels the session's context.
+		_ = sess.group.Wait()
+	})
 }
 
 // loadState creates the shards from the replicated state.
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -286,6 +286,41 @@
 	})
 }
 
+// hangingInstances answers no start, and each poll after its wait.
+type hangingInstances struct{ fakeInstances }
+
+func (f *hangingInstances) Start(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+	time.Sleep(5 * time.Second)
+	return galenajob.OutcomeUnknown, 0, context.DeadlineExceeded
+}
+
+// Guards against a fleet without an owner while the calls of an ended session wait for
+// instances that do not answer.
+func TestNextSessionDoesNotWaitForCallsOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		o.Instances = &hangingInstances{fakeInstances{running: map[galenajob.ItemID]int64{}}}
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		time.Sleep(200 * time.Millisecond)
+		spec := &galenajob.Spec{Payload: "p", Steps: []galenajob.Step{{Count: 1, Need: galenajob.Resources{MilliCPU: 1}, Estimate: time.Second}}}
+		_, err = o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/1", Spec: spec})
+		is.NoErr(err)
+		time.Sleep(100 * time.Millisecond)
+		log.holdsLease.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		log.holdsLease.Store(true)
+		time.Sleep(200 * time.Millisecond)
+		r, err := o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/1"})
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeState)
+		stop()
+		time.Sleep(10 * time.Second) // the calls return
+	})
+}
+
 // BenchmarkMatchQueue measures finding the queue of a request, by the number of queues.
 func BenchmarkMatchQueue(b *testing.B) {
 	for _, queues := range []int{50, 2000} {
