Send entries in flight again less often to a silent replica

Callers saw: answers 503 and 504 for seconds after a large configuration.

Cause: entries without a response were sent again every 480 ms, however large.

The interval now doubles with each repeat. A response to what was sent later ends the wait, since the replica is then reachable again.

Evidence: TestEntryInFlightIsSentAgainLessOften failed before (9 copies in 10 s).

--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -64,6 +64,10 @@
 	// resendAt is the time at which the entries or the chunk in flight are sent
 	// again; zero if nothing is in flight.
 	resendAt time.Duration
+	// sentAt is when the entries or the chunk in flight were last sent, and resends
+	// counts how often they were sent again.
+	sentAt  time.Duration
+	resends int
 	// snapshot is the snapshot that is being sent, or nil, and snapshotOffset the
 	// offset of the next chunk.
 	snapshot       *galenawal.Snapshot
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -17,8 +17,10 @@
 	// chunkBytes is the default maximum size of the data in a snapshot chunk.
 	chunkBytes = 256 << 10
 	// resendHeartbeats is the number of heartbeat intervals after which entries or
-	// a chunk without a response are sent again.
-	resendHeartbeats = 4
+	// a chunk without a response are sent again. It doubles with each time, up to
+	// maxResendDoublings times, so that repeats do not delay a large entry further.
+	resendHeartbeats   = 4
+	maxResendDoublings = 4
 	// maxDuration is the end of the lease of a sole voter, which never expires. Its
 	// negative is a time before any other.
 	maxDuration = time.Duration(1<<63 - 1)
@@ -231,13 +233,28 @@
 	case heartbeat || p.nextIndex <= c.log.lastIndex():
 		es := c.log.batchAfter(p.nextIndex-1, batchBytes)
 		if len(es) > 0 {
-			p.resendAt = now + resendHeartbeats*c.timing.heartbeatInterval
+			c.scheduleResend(now, p)
 		}
 		c.sendEntries(now, id, p.nextIndex-1, es)
 	}
 	return nil
 }
 
+// scheduleResend sets when the entries or the chunk that are sent now are sent again.
+func (c *core) scheduleResend(now time.Duration, p *progress) {
+	if p.resendAt == 0 {
+		p.resends = 0
+	} else {
+		p.resends++
+	}
+	p.sentAt = now
+	p.resendAt = now + c.resendInterval()<<min(p.resends, maxResendDoublings)
+}
+
+// resendInterval is the time after which entries or a chunk are sent again for the
+// first time.
+func (c *core) resendInterval() time.Duration { return resendHeartbeats * c.timing.heartbeatInterval }
+
 // sendEntries sends an append request with the entries es, which follow the index
 // after.
 func (c *core) sendEntries(now time.Duration, to galenawal.ID, after uint64, es []galenawal.Entry) {
@@ -257,7 +274,7 @@
 	}
 	s := p.snapshot
 	end := min(len(s.Data), p.snapshotOffset+c.maxChunkBytes)
-	p.resendAt = now + resendHeartbeats*c.timing.heartbeatInterval
+	c.scheduleResend(now, p)
 	c.send(Message{Kind: KindSnapshot, To: to, Sent: now, Chunk: &SnapshotChunk{
 		Index: s.Index, Term: s.Term, Members: s.Members,
 		Offset: p.snapshotOffset, Total: len(s.Data), Data: s.Data[p.snapshotOffset:end],
@@ -277,6 +294,11 @@
 		p.ackedSendTime = max(p.ackedSendTime, m.Sent)
 		p.responded = true
 		p.respondedAt = now
+		if p.resendAt > now && m.Sent >= p.sentAt+c.resendInterval() {
+			// The replica answers what was sent later, so that what is in flight is
+			// probably lost.
+			p.resendAt, p.resends = now, 0
+		}
 	}
 	return p
 }
--- a/galenaraft/leader_restart_test.go
+++ b/galenaraft/leader_restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/galenahead/galenahead/galenawal"
 )
 
 // crashAll crashes all processes at the same time and restarts them after down.
@@ -80,3 +82,36 @@
 		}
 	}
 }
+
+// Guards against a large entry that is sent again and again while it is still on its
+// way, so that a slow link carries nothing else.
+func TestEntryInFlightIsSentAgainLessOften(t *testing.T) {
+	s := newSimulation(1, 3, simulationFaults{})
+	s.proposeCommands(1)
+	c := s.leader().engine.core
+	if err := c.append(galenawal.EntryCommand, make([]byte, 64<<10)); err != nil {
+		t.Fatal(err)
+	}
+	for id, p := range c.progress {
+		c.outbox = nil
+		const span = 10 * time.Second
+		start := s.leader().clock()
+		for now := start; now < start+span; now += c.timing.heartbeatInterval {
+			if err := c.replicate(now, id, p, true); err != nil {
+				t.Fatal(err)
+			}
+		}
+		withEntries := 0
+		for _, m := range c.outbox {
+			if len(m.Entries) > 0 {
+				withEntries++
+			}
+		}
+		if withEntries < 2 || withEntries > 6 {
+			t.Errorf("the entry was sent %d times in %v, want 2 to 6", withEntries, span)
+		}
+		if heartbeats := len(c.outbox) - withEntries; heartbeats < int(span/c.timing.heartbeatInterval)/2 {
+			t.Errorf("%d heartbeats in %v", heartbeats, span)
+		}
+	}
+}
