Compress large configurations between daemons and in the log

A configuration crossed each connection as JSON of its routes and its source in base64, and the log held both. Entries of the log and calls of the version before are still read; the new call has a new name, so that an owner of the version before does not take it for an empty configuration.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -196,5 +196,17 @@
 
 func encodeCommand(ops []Op) ([]byte, error) {
 	b, err := encoding.Marshal(Command{ops})
-	return b, eris.Wrap(err, "encode command")
+	if err != nil {
+		return nil, eris.Wrap(err, "encode command")
+	}
+	return compress(b)
+}
+
+// decodeCommand decodes a command, also one that was not compressed.
+func decodeCommand(b []byte) (c Command, err error) {
+	b, err = expand(b)
+	if err != nil {
+		return c, err
+	}
+	return c, eris.Wrap(cbor.Unmarshal(b, &c), "decode command")
 }
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -17,10 +17,12 @@
 
 // RPC methods that the owner serves to other daemons.
 const (
-	MethodDo            = "fleet.do"
-	MethodHeartbeat     = "fleet.heartbeat"
-	MethodLeave         = "fleet.leave"
+	MethodDo        = "fleet.do"
+	MethodHeartbeat = "fleet.heartbeat"
+	MethodLeave     = "fleet.leave"
+	// MethodConfigure is called by daemons of earlier versions only.
 	MethodConfigure     = "fleet.configure"
+	MethodPutConfig     = "fleet.put_config"
 	MethodConfiguration = "fleet.configuration"
 	MethodBeginWave     = "fleet.begin_wave"
 	MethodWave          = "fleet.wave"
@@ -33,6 +35,7 @@
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
 	galenarpc.Handle(mux, MethodConfigure, o.Configure)
+	galenarpc.Handle(mux, MethodPutConfig, o.ConfigureEncoded)
 	galenarpc.Handle(mux, MethodConfiguration, o.Configuration)
 	galenarpc.Handle(mux, MethodBeginWave, o.BeginWave)
 	galenarpc.Handle(mux, MethodWave, o.Wave)
@@ -181,13 +184,21 @@
 
 // Configure forwards a configuration.
 func (oc *OwnerClient) Configure(ctx context.Context, c Config) error {
-	_, _, err := call[Config, Empty](ctx, oc, MethodConfigure, c)
+	e, err := encodeConfig(c)
+	if err != nil {
+		return err
+	}
+	_, _, err = call[EncodedConfig, Empty](ctx, oc, MethodPutConfig, e)
 	return err
 }
 
 // Configuration returns the current configuration.
 func (oc *OwnerClient) Configuration(ctx context.Context) (ConfigDocument, error) {
 	d, _, err := call[Empty, ConfigDocument](ctx, oc, MethodConfiguration, Empty{})
+	if err != nil {
+		return d, err
+	}
+	d.Source, err = expand(d.Source)
 	return d, err
 }
 
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -297,6 +297,15 @@
 	return Empty{}, nil
 }
 
+// ConfigureEncoded applies a valid configuration like Configure.
+func (o *Owner) ConfigureEncoded(ctx context.Context, e EncodedConfig) (Empty, error) {
+	c, err := e.decode()
+	if err != nil {
+		return Empty{}, err
+	}
+	return o.Configure(ctx, c)
+}
+
 // Configure applies a valid configuration, unless the current one is at least as
 // new.
 func (o *Owner) Configure(_ context.Context, c Config) (Empty, error) {
@@ -340,7 +349,8 @@
 // ConfigDocument is the source of the current configuration.
 type ConfigDocument struct {
 	Version uint64 `json:"version"`
-	Source  []byte `json:"source"`
+	// Source is compressed between daemons if it is large.
+	Source []byte `json:"source"`
 }
 
 // Configuration returns the current configuration. It fails with ErrNotFound before
@@ -357,7 +367,8 @@
 	if c == nil {
 		return ConfigDocument{}, eris.Wrap(galenahead.ErrNotFound, "no configuration yet")
 	}
-	return ConfigDocument{c.Version, c.Source}, nil
+	source, err := compress(c.Source)
+	return ConfigDocument{c.Version, source}, err
 }
 
 // BeginWave accepts a maintenance wave, unless one with the same ID exists.
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -59,8 +59,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	var c Command
-	if err := cbor.Unmarshal(command, &c); err != nil {
+	c, err := decodeCommand(command)
+	if err != nil {
 		// All replicas skip it, since they get the same bytes. The owner that
 		// proposed it gets no results, which ends its session.
 		return nil
--- a/galenafleet/state_test.go
+++ b/galenafleet/state_test.go
@@ -1,12 +1,15 @@
 package galenafleet
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
 )
 
@@ -116,3 +119,38 @@
 	_, _, ok := (&State{}).MatchQueue("a.example", "/p/5c0e")
 	is.True(!ok)
 }
+
+// Guards against a large configuration that delays heartbeats of the log on the
+// connections that it crosses, and against commands that replicas of this or an
+// earlier version cannot read.
+func TestLargeConfigurationIsCompressed(t *testing.T) {
+	is := is.New(t)
+	c := Config{Version: 1}
+	for i := range 2000 {
+		q := QueueRule{Name: fmt.Sprintf("route-%04x", i*7919%65536), Host: "a.example", Prefix: fmt.Sprintf("/%04x/", i*104729%65536), Service: "counter"}
+		c.Queues = append(c.Queues, q)
+		c.Source = fmt.Appendf(c.Source, `{"name":%q,"host":%q,"path_prefix":%q,"kind":"unsafe","timeout_ms":3000,"service":%q},`, q.Name, q.Host, q.Prefix, q.Service)
+	}
+	plain, err := encoding.Marshal(Command{[]Op{{Config: &c}}})
+	is.NoErr(err)
+	b, err := encodeCommand([]Op{{Config: &c}})
+	is.NoErr(err)
+	is.True(len(b) < len(plain)/3)
+	for _, command := range [][]byte{b, plain} {
+		s := &State{}
+		s.Apply(1, command)
+		is.Equal(s.Config().Source, c.Source)
+		is.Equal(s.Config().Queues, c.Queues)
+	}
+
+	e, err := encodeConfig(c)
+	is.NoErr(err)
+	is.True(len(e.Data) < len(plain)/3)
+	decoded, err := e.decode()
+	is.NoErr(err)
+	is.Equal(decoded, c)
+	_, err = EncodedConfig{Data: e.Data[:len(e.Data)/2]}.decode()
+	is.True(errors.Is(err, galenahead.ErrCorrupt))
+	_, err = EncodedConfig{Data: []byte("{")}.decode()
+	is.True(errors.Is(err, galenahead.ErrInvalid))
+}
