Count a start without a result for a short time only

A start counts until it is late by twice the interval of repeats, since it takes the owner nothing then. TestStartsOnSilentInstancesDoNotBlockOthers failed before.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -130,7 +130,7 @@
 	}
 	due := false
 	for _, it := range inst.items {
-		if it.phase == phaseStarting && it.inFlight {
+		if s.startPending(now, it) {
 			s.starting++
 		}
 		due = due || it.resendDue(now)
@@ -151,6 +151,13 @@
 	}
 }
 
+// startPending reports whether the item's start counts for MaxStarting. One without a
+// result for long waits for an instance that is probably gone, and takes the owner
+// nothing meanwhile.
+func (s *Scheduler) startPending(now time.Time, it *item) bool {
+	return it.phase == phaseStarting && it.inFlight && now.Before(it.notBefore.Add(s.params.ResendInterval))
+}
+
 // resendDue reports whether the item's last command has no result and is to be sent
 // again.
 func (it *item) resendDue(now time.Time) bool {
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -344,3 +344,21 @@
 	is.True(req.MayWait)
 	is.True(req.Deadline > 0)
 }
+
+// Guards against a service in which nothing starts because the starts under way wait
+// for instances that are gone.
+func TestStartsOnSilentInstancesDoNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	const limit = 4
+	s := newFencedScheduler("a", "b", "c")
+	s.params.MaxStarting = limit
+	s.AddJob(t0, testJob("j", 3*limit), 0, false) // each instance has room for limit items
+	silent := starts(s.Plan(t0, t0))
+	is.Equal(len(silent), limit)
+	now := t0.Add(s.params.ResendInterval)
+	is.Equal(len(starts(s.Plan(now, now))), 0)
+	now = t0.Add(2 * s.params.ResendInterval)
+	others := starts(s.Plan(now, now))
+	is.Equal(len(others), limit)
+	is.True(others[0].Instance.ID != silent[0].Instance.ID)
+}
