Reject new jobs at once while commits take too long

Cause: the owner took every submission, however long its commits took, so that a caller's time passed before it learned anything.

A submission is now rejected with the time to come back while commits take longer than two thirds of the time that the caller's daemon waits for the owner. A job that an earlier attempt may have made accepted is never rejected. TestSlowCommitsRejectNewJobsAtOnce fails without it (the new jobs wait 1.5 s). Not covered: jobs that are accepted in time and then wait for room.

--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,12 +36,19 @@
 	// commits are the proposals to the log, and ops the operations in them.
 	commits durationStat
 	ops     atomic.Int64
+
+	mu sync.Mutex
+	// oldest is when the oldest proposal under way was queued, or zero.
+	oldest time.Time
+	// lastDelay is how long the last proposals took since they were queued.
+	lastDelay time.Duration
 }
 
 type proposal struct {
-	ops  []Op
-	size int
-	done chan<- []Result
+	ops      []Op
+	size     int
+	done     chan<- []Result
+	queuedAt time.Time
 }
 
 func newCommitter(log galenahead.ReplicatedLog, ended <-chan struct{}, onFailure context.CancelCauseFunc) *committer {
@@ -58,7 +66,7 @@
 	}
 	done := make(chan []Result, 1)
 	select {
-	case c.queue <- proposal{ops, size, done}:
+	case c.queue <- proposal{ops, size, done, time.Now()}:
 	case <-c.ended:
 		return nil, eris.Wrap(galenahead.ErrNotLeader, "commit was not begun")
 	}
@@ -112,11 +120,36 @@
 				break collect
 			}
 		}
+		c.beginProposal(batch[0].queuedAt)
 		if err := c.propose(ctx, batch); err != nil {
 			c.onFailure(err)
 			return nil
 		}
+		c.endProposal()
+	}
+}
+
+func (c *committer) beginProposal(queuedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.oldest = queuedAt
+}
+
+func (c *committer) endProposal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastDelay, c.oldest = time.Since(c.oldest), time.Time{}
+}
+
+// delay returns how long an operation takes that is proposed now, judged by the last
+// ones and those under way. It is zero if nothing is under way.
+func (c *committer) delay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.oldest.IsZero() {
+		return 0
 	}
+	return max(c.lastDelay, time.Since(c.oldest))
 }
 
 func (c *committer) propose(ctx context.Context, batch []proposal) error {
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
-	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, configuring: make(chan struct{}, 1)}
+	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]int{}, configuring: make(chan struct{}, 1)}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
 	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
@@ -143,6 +143,8 @@
 	shards map[galenahead.ServiceName]*shard
 	// heartbeats holds the newest heartbeat of each instance.
 	heartbeats map[galenahead.InstanceID]lastHeartbeat
+	// submitting counts the submissions of each job whose commit is under way.
+	submitting map[galenahead.JobID]int
 
 	// configuring holds one element while a configuration is committed and passed to
 	// the shards.
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -321,6 +321,49 @@
 	})
 }
 
+// Guards against jobs that wait for an answer until their callers give up while commits
+// take too long, against rejecting a job that an earlier attempt may have made
+// accepted, and against rejecting jobs once commits are quick again.
+func TestSlowCommitsRejectNewJobsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		spec := &galenajob.Spec{Payload: "p", Steps: []galenajob.Step{{Count: 1, Need: galenajob.Resources{MilliCPU: 1}, Estimate: time.Second}}}
+		submit := func(id string) (Reply, time.Duration) {
+			start := time.Now()
+			r, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/" + id, Spec: spec})
+			is.NoErr(err)
+			return r, time.Since(start)
+		}
+		const slow = 1500 * time.Millisecond
+		log.delay.Store(int64(slow))
+		var group errgroup.Group
+		group.Go(func() error {
+			r, _ := submit("first")
+			is.Equal(r.Outcome, OutcomeAccepted)
+			return nil
+		})
+		time.Sleep(maxCommitDelay + 10*time.Millisecond)
+		for i := range 20 {
+			r, took := submit(fmt.Sprint("new", i))
+			is.Equal(r.Outcome, OutcomeRejected)
+			is.Equal(took, time.Duration(0))
+			is.True(r.RetryAfter >= time.Second)
+			_, _, _, known := o.State.JobState(galenahead.JobID(fmt.Sprint("new", i)))
+			is.True(!known)
+		}
+		r, _ := submit("first")
+		is.Equal(r.Outcome, OutcomeAccepted)
+		is.NoErr(group.Wait())
+		log.delay.Store(0)
+		time.Sleep(2 * slow)
+		r, _ = submit("new0")
+		is.Equal(r.Outcome, OutcomeAccepted)
+		stop()
+	})
+}
+
 // BenchmarkMatchQueue measures finding the queue of a request, by the number of queues.
 func BenchmarkMatchQueue(b *testing.B) {
 	for _, queues := range []int{50, 2000} {
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -131,9 +131,17 @@
 	if spec == nil || len(spec.Steps) == 0 {
 		return Reply{Outcome: OutcomeInvalid, Reason: "a job needs steps"}, nil
 	}
+	begun := sess.beginSubmit(id)
+	if begun {
+		defer sess.endSubmit(id)
+	}
+	// An earlier submission that has ended shows here.
 	if _, _, _, known := sess.State.JobState(id); known {
 		return Reply{Outcome: OutcomeAccepted, Reason: "known job"}, nil
 	}
+	if !begun {
+		return overloadReply(sess.committer.delay()), nil
+	}
 	j := &galenajob.Job{
 		ID: id, Queue: q.Name, Service: q.Service, Spec: *spec,
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
@@ -150,6 +158,38 @@
 	return Reply{Outcome: OutcomeAccepted}, nil
 }
 
+// maxCommitDelay is how long an accepted job may take to become durable. The daemon
+// of the caller waits half as long again; after that the outcome is uncertain.
+const maxCommitDelay = attemptTimeout * 2 / 3
+
+// overloadReply rejects a job that could not be accepted in time.
+func overloadReply(delay time.Duration) Reply {
+	return Reply{
+		Outcome: OutcomeRejected, Reason: "commits take " + delay.Round(time.Millisecond).String(), RetryAfter: max(time.Second, 2*delay),
+	}
+}
+
+// beginSubmit reports whether a job may be submitted now. A job that is being submitted
+// already must not be rejected, since it may be accepted.
+func (sess *ownerSession) beginSubmit(id galenahead.JobID) bool {
+	overloaded := sess.committer.delay() > maxCommitDelay
+	sess.mu.Lock()
+	defer sess.mu.Unlock()
+	if overloaded && sess.submitting[id] == 0 {
+		return false
+	}
+	sess.submitting[id]++
+	return true
+}
+
+func (sess *ownerSession) endSubmit(id galenahead.JobID) {
+	sess.mu.Lock()
+	defer sess.mu.Unlock()
+	if sess.submitting[id]--; sess.submitting[id] == 0 {
+		delete(sess.submitting, id)
+	}
+}
+
 func (sess *ownerSession) cancel(id galenahead.JobID) (Reply, error) {
 	_, service, _, known := sess.State.JobState(id)
 	if !known {
