Plan while unresponsive instances are removed

Callers saw jobs that waited, and long-running work items that stayed away, for up to 12 s although idle instances had room for them.

Instances are given up in large numbers when many machines move.

Removals now share one log entry and do not block the loop. An instance that is being removed gets no work, is not polled, and no longer counts as idle capacity of its pool, so that work cannot start on it between the decision and the record.

The test fails before the change:

shard_test.go:67: the job started after 2.81s, want at most 200ms

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -176,19 +176,26 @@
 	for _, a := range actions {
 		sh.dispatch(ctx, a)
 	}
-	for _, id := range gone {
-		sh.removeGone(id)
+	if len(gone) > 0 {
+		// Work must not wait for the log.
+		sh.session.spawn(func() error { sh.removeGone(gone); return nil })
 	}
 }
 
-// removeGone removes an instance that the scheduler has given up, because it showed
+// removeGone removes instances that the scheduler has given up, because they showed
 // no sign of life for Params.GoneAfter.
-func (sh *shard) removeGone(id galenahead.InstanceID) {
-	if _, err := sh.session.committer.commit(Op{Remove: &id}); err != nil {
+func (sh *shard) removeGone(ids []galenahead.InstanceID) {
+	ops := make([]Op, len(ids))
+	for i := range ids {
+		ops[i] = Op{Remove: &ids[i]}
+	}
+	if _, err := sh.session.committer.commit(ops...); err != nil {
 		return
 	}
-	sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
-	sh.removeInstance(id)
+	for _, id := range ids {
+		sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
+		sh.removeInstance(id)
+	}
 }
 
 func (sh *shard) dispatch(ctx context.Context, a galenajob.Action) {
--- /dev/null
+++ b/galenafleet/shard_test.go
@@ -0,0 +1,74 @@
+package galenafleet
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+// silentInstances does not answer polls of the instances whose ID begins with
+// "silent".
+type silentInstances struct{ *fakeInstances }
+
+func (f silentInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+	if strings.HasPrefix(string(req.Instance.ID), "silent") {
+		return galenajob.PollResponse{}, eris.New("no answer")
+	}
+	return f.fakeInstances.RenewAndPoll(ctx, req, wait)
+}
+
+// Guards against a service that starts no work while many of its instances are removed
+// because they are silent. Each removal is a commit, and planning waited for all of
+// them.
+func TestPlansWhileSilentInstancesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const silent = 60
+		o, l := testOwner()
+		o.Instances = silentInstances{o.Instances.(*fakeInstances)}
+		o.Params.GoneAfter = 3 * time.Second
+		ctx, stop := startOwner(t, o, testConfig)
+		hb := testHeartbeat
+		register := func(id string) {
+			hb.Instance.ID = galenahead.InstanceID(id)
+			hb.Sequence++
+			_, err := o.Heartbeat(ctx, hb)
+			is.NoErr(err)
+		}
+		for i := range silent {
+			register(fmt.Sprint("silent", i))
+		}
+		registered := time.Now()
+		l.delay.Store(int64(50 * time.Millisecond))
+		for time.Since(registered) < o.Params.GoneAfter+200*time.Millisecond {
+			register("i")
+			time.Sleep(100 * time.Millisecond)
+		}
+
+		_, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j1", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}})
+		is.NoErr(err)
+		accepted := time.Now()
+		for state := galenajob.StateQueued; state == galenajob.StateQueued; {
+			time.Sleep(10 * time.Millisecond)
+			r, err := o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/j1"})
+			is.NoErr(err)
+			state = r.State
+		}
+		if waited := time.Since(accepted); waited > 200*time.Millisecond {
+			t.Errorf("the job started after %s, want at most 200ms", waited)
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(o.State.registeredInstances()), 1) // the silent instances are removed
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/galenajob/advice.go
+++ b/galenajob/advice.go
@@ -24,7 +24,7 @@
 	}
 	var ids []galenahead.InstanceID
 	for id, inst := range s.instances {
-		if inst.fenceConfirmed && !inst.Draining && !inst.evacuating && inst.hasLabel(set.step.Label) {
+		if inst.fenceConfirmed && !inst.Draining && !inst.evacuating && !inst.removing && inst.hasLabel(set.step.Label) {
 			ids = append(ids, id)
 		}
 	}
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -107,7 +107,8 @@
 		if inst.respondedAt.After(last) {
 			last = inst.respondedAt
 		}
-		if now.Sub(last) > s.params.GoneAfter && inst.leaseExpired(now) && !inst.unreconciled {
+		if now.Sub(last) > s.params.GoneAfter && inst.leaseExpired(now) && !inst.unreconciled && !inst.removing {
+			inst.removing = true
 			s.gone = append(s.gone, id)
 		}
 	}
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -22,7 +22,7 @@
 // NextPoll returns the next poll of an instance, and false when none is needed.
 func (s *Scheduler) NextPoll(now time.Time, id galenahead.InstanceID) (PollRequest, bool) {
 	inst := s.instances[id]
-	if inst == nil || (inst.fenceConfirmed && len(inst.items) == 0 && inst.ackedSeq >= inst.seenSeq) {
+	if inst == nil || inst.removing || (inst.fenceConfirmed && len(inst.items) == 0 && inst.ackedSeq >= inst.seenSeq) {
 		return PollRequest{}, false
 	}
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor, MayWait: inst.fenceConfirmed && len(inst.items) > 0}
@@ -52,7 +52,7 @@
 // before them, so that the instance keeps them.
 func (s *Scheduler) HandlePoll(now time.Time, id galenahead.InstanceID, resp PollResponse) []End {
 	inst := s.instances[id]
-	if inst == nil || resp.Fence != inst.fence {
+	if inst == nil || inst.removing || resp.Fence != inst.fence {
 		return nil
 	}
 	if resp.Born != 0 && inst.Born != 0 && resp.Born != inst.Born {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -301,7 +301,7 @@
 }
 
 // TakeGone returns the instances that were given up since the last call of
-// TakeGone.
+// TakeGone. They get no work until RemoveInstance removes them.
 func (s *Scheduler) TakeGone() []galenahead.InstanceID {
 	g := s.gone
 	s.gone = nil
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -229,6 +229,9 @@
 	// repeated failures of the same job.
 	failedJobs    int
 	lastFailedJob galenahead.JobID
+	// removing is set once the scheduler has given up the instance, until the owner
+	// removes it.
+	removing bool
 	// evacuating is set before a planned move or maintenance.
 	evacuating bool
 	// maintenanceDue is set when the instance is to be taken down for maintenance
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -93,7 +93,7 @@
 		if inst.Draining || inst.evacuating {
 			u.Demand = u.Demand.Add(inst.longRunningUse())
 		}
-		if inst.Draining || inst.evacuating || s.unresponsive(now, inst) {
+		if inst.Draining || inst.evacuating || inst.removing || s.unresponsive(now, inst) {
 			continue
 		}
 		u.Instances++
