Load all jobs before a new owner polls instances

A new owner started to poll each instance as soon as it had loaded it, and loaded the jobs afterwards. A response that came before the job was loaded listed a run of an unknown job, and the owner stopped that run: work of earlier owners was thrown away, without regard to what its step may miss. The more jobs and instances, the longer the time in which this happens.

The shards are now filled first; their planning and polling starts when they are complete. Jobs cannot simply be loaded before the instances, since a plan in between would start work that may run on an instance that is not loaded yet.

--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -176,23 +176,32 @@
 	_ = sess.group.Wait()
 }
 
-// loadState creates the shards from the replicated state.
+// loadState creates the shards from the replicated state. It starts them only when they
+// are complete: a poll stops the runs of jobs that the scheduler does not know, and a
+// plan starts work items that may run on instances that it does not know.
 func (sess *ownerSession) loadState() {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
 	sess.heartbeats = map[galenahead.InstanceID]lastHeartbeat{}
 	wall := time.Now().Round(0)
-	for _, in := range sess.State.registeredInstances() {
-		sess.shardLocked(in.Service).addInheritedInstance(in)
+	instances := sess.State.registeredInstances()
+	for _, in := range instances {
+		sess.shardLocked(in.Service, false).addInheritedInstance(in)
 	}
 	for _, j := range sess.State.activeJobs() {
-		sess.shardLocked(j.Service).addJob(j, wall.Sub(j.Accepted), true)
+		sess.shardLocked(j.Service, false).addJob(j, wall.Sub(j.Accepted), true)
+	}
+	for _, sh := range sess.shards {
+		sh.start()
+	}
+	for _, in := range instances {
+		sess.shards[in.Service].startPolling(in.ID)
 	}
 }
 
-// shardLocked returns the shard of a service and creates it if necessary.
-// sess.mu must be held.
-func (sess *ownerSession) shardLocked(service galenahead.ServiceName) *shard {
+// shardLocked returns the shard of a service. If necessary, it creates the shard and, if
+// start is set, starts it. sess.mu must be held.
+func (sess *ownerSession) shardLocked(service galenahead.ServiceName, start bool) *shard {
 	if sh, ok := sess.shards[service]; ok {
 		return sh
 	}
@@ -203,7 +212,9 @@
 			sh.scheduler.SetQueue(c.Queues[i].schedulerQueue())
 		}
 	}
-	sess.spawn(func() error { return sh.loop(sess.ctx) })
+	if start {
+		sh.start()
+	}
 	return sh
 }
 
@@ -211,7 +222,7 @@
 func (sess *ownerSession) shardFor(service galenahead.ServiceName) *shard {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	return sess.shardLocked(service)
+	return sess.shardLocked(service, true)
 }
 
 // allShards returns the shards in no particular order.
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -259,3 +260,34 @@
 		stop()
 	})
 }
+
+// Guards against a new owner that stops the running work of earlier owners, because it
+// polls instances before it has loaded their jobs.
+func TestNewOwnerKeepsRunsOfEarlierOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const jobs = 500
+		sim := newFleetSimulation(0)
+		m := sim.machines["m0"]
+		o, _ := testOwner()
+		o.Instances, o.Machines = sim, sim
+		apply(t, o.State, Op{Owner: &OwnerOp{"b"}}, Op{Instance: &galenajob.Instance{
+			ID: m.life.id, Born: m.life.born, Service: "counter", Capacity: galenajob.Resources{MilliCPU: jobs, MemoryMB: jobs},
+		}})
+		spec := galenajob.Spec{Steps: []galenajob.Step{{Count: 1, Need: galenajob.Resources{MilliCPU: 1}, LongRunning: true}}}
+		for i := range jobs {
+			id := galenahead.JobID(fmt.Sprint("j", i))
+			apply(t, o.State, Op{Submit: &galenajob.Job{ID: id, Queue: "q", Service: "counter", Spec: spec}})
+			m.life.runs[galenajob.ItemID{Job: id}] = &simRun{1001, time.Now()}
+		}
+		_, stop := startOwner(t, o, testConfig)
+		time.Sleep(time.Second)
+		sim.mu.Lock()
+		stopped, running := len(m.life.ends), len(m.life.runs)
+		sim.mu.Unlock()
+		stop()
+		time.Sleep(time.Second)
+		is.Equal(stopped, 0)
+		is.Equal(running, jobs)
+	})
+}
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -105,13 +105,12 @@
 }
 
 // addInheritedInstance adds an instance to which an earlier owner may have sent
-// commands. The leases of those commands count as expired later than Lease, since
+// commands, without polling it. The leases of those commands count as expired later than Lease, since
 // the clock of the instance may be slow.
 func (sh *shard) addInheritedInstance(in galenajob.Instance) {
 	const slowClockFactor = 1.03
 	leaseTimeout := time.Duration(slowClockFactor * float64(sh.session.Params.Lease))
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.AddInheritedInstance(now, in, now.Add(leaseTimeout)) })
-	sh.startPolling(in.ID)
 }
 
 // addInstance adds or updates an instance that has sent a heartbeat.
@@ -148,6 +147,9 @@
 	sh.session.spawn(func() error { return sh.pollLoop(ctx, id, p) })
 }
 
+// start starts the planning of the shard.
+func (sh *shard) start() { sh.session.spawn(func() error { return sh.loop(sh.session.ctx) }) }
+
 // loop plans after each event, and at least every planInterval, until ctx ends.
 func (sh *shard) loop(ctx context.Context) error {
 	sh.session.spawn(func() error { return sh.adviseLoop(ctx) })
