Send machine orders only while the machine's instance is empty

Callers saw long-running work ended beyond what its step may miss.

Cause: the controller checked that an instance was empty, and kept work off it, before it recorded an order to its machine; it repeated the order later without a further look. A repeated move had the same fault, and so had two waves with the same machine. An instance that was removed and registered again was no longer kept empty.

Before each attempt of a maintenance order, the listed instance of the machine is now kept empty and checked, under the lock of its scheduler. A machine that is listed as being in maintenance needs no further order. A machine has an order of one wave at a time. An unconfirmed move is repeated only while the machine has the same instance, and cancelled otherwise. The scheduler keeps work off an instance by its id, also before it registers or when it registers again. The results that wait share one log entry, and so do the wave steps of one pass.

A new simulation plays the owner, the controller and the instances with crashes, rejected orders, lost requests and responses, waves that overlap and changes of owner, and checks what each stop, move and maintenance ends against the work that is away.

--- a/galenafleet/fleet_simulation_test.go
+++ b/galenafleet/fleet_simulation_test.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
@@ -406,3 +410,123 @@
 	defer sim.mu.Unlock()
 	return sim.rng.IntN(n)
 }
+
+// rebootingMachine crashes the machine m0 of a simulation during its first maintenance
+// order, which is rejected as busy. The machine comes back with another instance.
+type rebootingMachine struct {
+	*fleetSimulation
+	reboot *time.Timer
+	calls  int
+}
+
+func (r *rebootingMachine) Maintain(context.Context, galenahead.VMName, int64, string, uint64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.machines["m0"]
+	r.calls++
+	switch {
+	case r.calls == 1:
+		r.endLife(m, "")
+		m.state, m.until = MachineDown, time.Now().Add(time.Hour)
+		r.reboot.Reset(time.Second)
+		return ErrBusy
+	case m.state != MachineUp:
+		// The next attempt finds the work of the later instance.
+		r.reboot.Reset(10 * time.Millisecond)
+		return ErrBusy
+	}
+	r.endLife(m, "maintenance")
+	m.state, m.until = MachineMaintenance, time.Now().Add(simMaintenance)
+	r.orders++
+	return nil
+}
+
+// Guards against repeating a maintenance order that was rejected as busy after the
+// machine has come back with another instance, on which work runs.
+func TestRepeatedOrderSparesWorkOfLaterInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sim := newFleetSimulation(0)
+		m, other := sim.machines["m0"], sim.machines["m1"]
+		sim.machines = map[galenahead.VMName]*simMachine{"m0": m}
+		o, _ := testOwner()
+		r := &rebootingMachine{fleetSimulation: sim}
+		o.Instances, o.Machines = sim, r
+		ctx, stop := startOwner(t, o, testConfig)
+		defer func() {
+			stop()
+			time.Sleep(time.Second)
+		}()
+		r.reboot = time.AfterFunc(time.Hour, func() {
+			sim.mu.Lock()
+			sim.boot(m, false)
+			sim.mu.Unlock()
+			sim.heartbeats(ctx, o)
+		})
+		sim.heartbeats(ctx, o)
+		_, err := o.BeginWave(ctx, Wave{ID: 1, Machines: []galenahead.VMName{"m0"}, Duration: 20 * time.Second, MaxDown: 1})
+		is.NoErr(err)
+		time.Sleep(500 * time.Millisecond)
+		_, err = o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/serving", Spec: &galenajob.Spec{Steps: []galenajob.Step{{
+			Count: 2, Need: galenajob.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: simMaxUnavailable,
+		}}}})
+		is.NoErr(err)
+		sim.mu.Lock()
+		for i := range 2 {
+			sim.items[galenajob.ItemID{Job: "serving", Item: galenajob.ItemKey{Index: i}}] = &simItem{}
+		}
+		sim.mu.Unlock()
+		for n := range 300 {
+			time.Sleep(50 * time.Millisecond)
+			if n == 60 {
+				// The work can move here.
+				sim.mu.Lock()
+				sim.machines["m1"] = other
+				sim.mu.Unlock()
+			}
+			sim.tick(false)
+			sim.heartbeats(ctx, o)
+		}
+		sim.mu.Lock()
+		violations, orders, serving := sim.violations, sim.orders, 0
+		for id := range sim.items {
+			if sim.serving(id) {
+				serving++
+			}
+		}
+		sim.mu.Unlock()
+		for _, v := range violations {
+			t.Error(v)
+		}
+		is.Equal(orders, 1)
+		is.Equal(serving, 2) // the work runs again
+		w, err := o.Wave(ctx, WaveStatus{ID: 1})
+		is.NoErr(err)
+		is.True(w.Completed)
+	})
+}
+
+// Guards against orders to machines that end long-running work, beyond what its step
+// may miss, because the machine's instance was replaced or got work between the
+// decision and the order. Machines crash, orders are rejected or lost, and owners are
+// replaced.
+func TestMachineOrdersKeepWorkAvailable(t *testing.T) {
+	seeds := 20
+	if n, err := strconv.Atoi(os.Getenv("GALENA_HISTORIES")); err == nil {
+		seeds = n
+	}
+	orders, starts := 0, 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newFleetSimulation(seed)
+			for _, v := range sim.run(t) {
+				t.Errorf("seed %d: %s", seed, v)
+			}
+			orders += sim.orders
+			starts += sim.starts
+		})
+	}
+	if orders < 20*seeds || starts < 100*seeds {
+		t.Errorf("only %d orders and %d starts in %d simulations", orders, starts, seeds)
+	}
+}
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -42,7 +42,10 @@
 	lastListed map[galenahead.VMName]time.Time
 	// evacuating holds the instances of the machines that are evacuated for
 	// maintenance.
-	evacuating map[galenahead.VMName]galenahead.InstanceID
+	evacuating map[galenahead.VMName]cordonedInstance
+	// maintainedBy holds the waves that have ordered the maintenance of a machine and not
+	// recorded its end.
+	maintainedBy map[galenahead.VMName]int64
 	// pendingMoves holds the moves that have not ended, by machine.
 	pendingMoves map[galenahead.VMName]*pendingMove
 	// inFlight holds the machines with an order whose result is pending.
@@ -55,6 +58,14 @@
 	loggedPools map[galenahead.ServiceName][4]int
 }
 
+// cordonedInstance identifies an instance that gets no work because of an order to
+// its machine.
+type cordonedInstance struct {
+	id galenahead.InstanceID
+	// service is the service whose scheduler keeps work off the instance.
+	service galenahead.ServiceName
+}
+
 // orderResult is the result of an order to a machine. wave is zero for a move.
 type orderResult struct {
 	name galenahead.VMName
@@ -66,7 +77,7 @@
 	return &machineController{
 		ownerSession: sess,
 		lastListed:   map[galenahead.VMName]time.Time{},
-		evacuating:   map[galenahead.VMName]galenahead.InstanceID{},
+		evacuating:   map[galenahead.VMName]cordonedInstance{},
 		pendingMoves: map[galenahead.VMName]*pendingMove{},
 		inFlight:     map[galenahead.VMName]bool{},
 		retryAt:      map[galenahead.VMName]time.Time{},
@@ -84,16 +95,14 @@
 		case <-m.ctx.Done():
 			return nil
 		case r := <-m.results:
-			m.handleResult(r)
+			m.handleResults(r)
 			continue
 		case <-ticks:
 		}
 		if !m.refreshMachines() {
 			continue
 		}
-		for _, w := range m.State.OpenWaves() {
-			m.advanceWave(w)
-		}
+		m.advanceWaves()
 		m.balancePools()
 	}
 }
@@ -172,41 +181,69 @@
 		// The leases have expired, so that no work waits for these instances.
 		return
 	}
+	var stopped []cordonedInstance
 	for _, o := range m.State.machineOrders() {
 		machine, listed := m.machines[o.Machine]
 		in, known := m.State.instance(o.Instance)
 		if o.Epoch == m.epoch || !listed || !known || in.Born != o.Born {
 			continue
 		}
-		stopped := machine.State == MachineMoving || machine.State == MachineMaintenance
-		if stopped || (machine.Instance != "" && machine.Instance != o.Instance) {
-			m.removeInstance(o.Instance)
+		if machine.State == MachineMoving || machine.State == MachineMaintenance || (machine.Instance != "" && machine.Instance != o.Instance) {
+			stopped = append(stopped, cordonedInstance{in.ID, in.Service})
 		}
 	}
+	m.record(nil, nil, stopped)
+}
+
+// advanceWaves advances the waves that are not completed.
+func (m *machineController) advanceWaves() {
+	waves := m.State.OpenWaves()
+	m.maintainedBy = map[galenahead.VMName]int64{}
+	for _, w := range waves {
+		for name, step := range w.Steps {
+			if _, ok := m.maintainedBy[name]; !ok && step != StepDone {
+				m.maintainedBy[name] = w.ID
+			}
+		}
+	}
+	for _, w := range waves {
+		m.advanceWave(w)
+	}
 }
 
 // advanceWave starts evacuations and maintenance of the machines of a wave, as far
 // as its limits allow, and records what has finished.
 func (m *machineController) advanceWave(w *Wave) {
 	down := 0
+	var steps []WaveStepOp
+	var stopped []cordonedInstance
 	for _, name := range w.Machines {
-		switch w.Steps[name] {
-		case StepOrdered:
-			if m.hasLeft(name) {
-				m.recordStep(w, name, StepDone)
-				m.cancelEvacuation(name)
-				continue
-			}
+		step, state := w.Steps[name], m.machines[name].State
+		switch {
+		case step == StepDone:
+		case m.hasLeft(name), step == StepStarted && state == MachineUp:
+			steps = append(steps, WaveStepOp{w.ID, name, StepDone})
+			m.cancelEvacuation(name)
+		case step == StepOrdered && state == MachineMaintenance && m.maintainedBy[name] == w.ID && !m.inFlight[name]:
+			// The order was carried out, although there was no response.
+			down++
+			steps = append(steps, WaveStepOp{w.ID, name, StepStarted})
+			stopped = append(stopped, m.takeEvacuation(name)...)
+		case step != "":
 			down++
+		}
+	}
+	if !m.record(w, steps, stopped) {
+		return
+	}
+	for _, name := range w.Machines {
+		if w.Steps[name] == StepOrdered {
 			m.sendMaintenanceOrder(w.ID, name)
-		case StepStarted:
-			if !m.finishMaintenance(w, name) {
-				down++
-			}
 		}
 	}
 	allowed := m.maintenanceLimit(w, down)
 	evacuations := 0
+	var ordered []WaveStepOp
 	for _, v := range m.maintenanceCandidates(w) {
 		m.avoidLongRunningWork(v)
 		if evacuations >= allowed+evacuationsAhead {
@@ -216,10 +253,15 @@
 		if !m.evacuate(v) || down >= allowed || !m.mayOrder(v.Name) {
 			continue
 		}
-		if m.recordStep(w, v.Name, StepOrdered) {
-			down++
-			m.sendMaintenanceOrder(w.ID, v.Name)
-		}
+		down++
+		m.maintainedBy[v.Name] = w.ID
+		ordered = append(ordered, WaveStepOp{w.ID, v.Name, StepOrdered})
+	}
+	if !m.record(w, ordered, nil) {
+		return
+	}
+	for _, o := range ordered {
+		m.sendMaintenanceOrder(w.ID, o.Machine)
 	}
 }
 
@@ -255,18 +297,8 @@
 	var out []Machine
 	rank := map[galenahead.VMName]int64{}
 	for _, name := range w.Machines {
-		if w.Steps[name] != "" {
-			continue
-		}
-		if m.hasLeft(name) {
-			m.recordStep(w, name, StepDone)
-			continue
-		}
-		v, ok := m.machines[name]
-		if !ok {
-			continue
-		}
-		if v.State != MachineUp || m.pendingMoves[name] != nil {
+		v := m.machines[name]
+		if _, ordered := m.maintainedBy[name]; ordered || w.Steps[name] != "" || v.State != MachineUp || m.pendingMoves[name] != nil {
 			continue
 		}
 		rank[name] = m.evacuationRank(v)
@@ -303,30 +335,49 @@
 
 // evacuate moves the work off a machine and reports whether the machine is empty.
 func (m *machineController) evacuate(v Machine) bool {
-	if v.Instance == "" {
-		return true
+	in := m.instanceOn(v)
+	if m.evacuating[v.Name] != in {
+		m.cancelEvacuation(v.Name)
 	}
-	in, ok := m.State.instance(v.Instance)
-	if !ok {
+	if in.id == "" {
 		return true
 	}
-	m.evacuating[v.Name] = v.Instance
+	m.evacuating[v.Name] = in
 	idle := false
-	m.shardFor(in.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		s.SetEvacuating(now, in.ID, true)
-		_, idle = s.IdleSince(in.ID)
+	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		s.SetEvacuating(now, in.id, true)
+		_, idle = s.IdleSince(in.id)
 	})
 	return idle
 }
 
-// sendMaintenanceOrder orders the maintenance of a machine. It is called again until
-// the result is known; the platform carries out a repeated order only once.
+// instanceOn returns the listed instance of a machine, which may not have registered
+// yet, or the zero value if there is none.
+func (m *machineController) instanceOn(v Machine) cordonedInstance {
+	if in, ok := m.State.instance(v.Instance); ok {
+		return cordonedInstance{in.ID, in.Service}
+	}
+	if v.Instance == "" {
+		return cordonedInstance{}
+	}
+	return cordonedInstance{v.Instance, v.Pool}
+}
+
+// sendMaintenanceOrder orders the maintenance of a machine, unless work runs there. It
+// is called again until the result is known; the platform carries out a repeated order
+// only once. Before each attempt the machine must be empty, since it may have crashed
+// and come back with another instance after an earlier attempt, or after the previous
+// owner recorded the order.
 func (m *machineController) sendMaintenanceOrder(wave int64, name galenahead.VMName) {
-	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
+	if m.inFlight[name] {
+		return
+	}
+	v := m.machines[name]
+	if v.State != MachineUp || !m.evacuate(v) || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
 		return
 	}
 	m.inFlight[name] = true
-	record := m.orderRecord(name, m.evacuating[name])
+	record := m.orderRecord(name, m.evacuating[name].id)
 	m.spawn(func() error {
 		r := orderResult{name: name, wave: wave}
 		if _, err := m.committer.commit(record); err != nil {
@@ -352,68 +403,108 @@
 	}
 }
 
-// handleResult processes the result of an order.
-func (m *machineController) handleResult(r orderResult) {
-	delete(m.inFlight, r.name)
-	if errors.Is(r.err, ErrFenced) {
-		m.resign(r.err)
-		return
-	}
-	delete(m.retryAt, r.name)
-	if r.err != nil {
-		m.retryAt[r.name] = m.Timers.Now().Add(orderRetryPause)
-	}
-	if r.wave == 0 {
-		m.handleMoveResult(r)
-		return
+// handleResults processes the result of an order and all others that wait, which
+// share one log entry.
+func (m *machineController) handleResults(r orderResult) {
+	var steps []WaveStepOp
+	var stopped []cordonedInstance
+	for more := true; more; {
+		delete(m.inFlight, r.name)
+		if errors.Is(r.err, ErrFenced) {
+			m.resign(r.err)
+			return
+		}
+		delete(m.retryAt, r.name)
+		if r.err != nil {
+			m.retryAt[r.name] = m.Timers.Now().Add(orderRetryPause)
+		}
+		if r.wave == 0 {
+			stopped = append(stopped, m.handleMoveResult(r)...)
+		} else {
+			s, in := m.handleMaintenanceResult(r)
+			steps, stopped = append(steps, s...), append(stopped, in...)
+		}
+		select {
+		case r = <-m.results:
+		default:
+			more = false
+		}
 	}
-	w := m.State.Wave(r.wave)
+	m.record(nil, steps, stopped)
+}
+
+// handleMaintenanceResult processes the result of a maintenance order. It returns the
+// wave steps to be recorded and the instances that the order has stopped.
+func (m *machineController) handleMaintenanceResult(r orderResult) (steps []WaveStepOp, stopped []cordonedInstance) {
 	log := m.Logger.WithField("wave", r.wave).WithField("machine", r.name).WithField("epoch", m.epoch).
 		WithField("state", m.machines[r.name].State)
 	switch {
-	case w == nil:
 	case r.err == nil:
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
-		m.recordStep(w, r.name, StepStarted)
-		if id, ok := m.evacuating[r.name]; ok {
-			delete(m.evacuating, r.name)
-			m.removeInstance(id)
-		}
+		steps = append(steps, WaveStepOp{r.wave, r.name, StepStarted})
+		stopped = append(stopped, m.takeEvacuation(r.name)...)
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
-		m.recordStep(w, r.name, StepDone)
+		steps = append(steps, WaveStepOp{r.wave, r.name, StepDone})
 		m.cancelEvacuation(r.name)
 	default:
 		log.WithError(r.err).Info("maintenance order not confirmed")
 	}
+	return steps, stopped
 }
 
-// cancelEvacuation lets the instance of an evacuated machine take work again.
-func (m *machineController) cancelEvacuation(name galenahead.VMName) {
-	id, ok := m.evacuating[name]
+// takeEvacuation ends the evacuation of a machine that is going down and returns its
+// instance, which is still cordoned.
+func (m *machineController) takeEvacuation(name galenahead.VMName) []cordonedInstance {
+	in, ok := m.evacuating[name]
 	if !ok {
-		return
+		return nil
 	}
 	delete(m.evacuating, name)
-	m.uncordon(id)
+	return []cordonedInstance{in}
 }
 
-// finishMaintenance records the end of a machine's maintenance once the machine is
-// up again or has left the fleet. It reports whether that was recorded.
-func (m *machineController) finishMaintenance(w *Wave, name galenahead.VMName) bool {
-	if v, ok := m.machines[name]; (!ok || v.State != MachineUp) && !m.hasLeft(name) {
-		return false
+// cancelEvacuation lets the instance of an evacuated machine take work again.
+func (m *machineController) cancelEvacuation(name galenahead.VMName) {
+	if in, ok := m.evacuating[name]; ok {
+		delete(m.evacuating, name)
+		m.uncordon(in)
 	}
-	return m.recordStep(w, name, StepDone)
 }
 
-// recordStep records the maintenance state of a machine and reports whether that
-// succeeded.
-func (m *machineController) recordStep(w *Wave, name galenahead.VMName, state StepState) bool {
-	if _, err := m.committer.commit(Op{WaveStep: &WaveStepOp{w.ID, name, state}}); err != nil {
-		return false
+// record records wave steps and the removal of instances that orders to their machines
+// have stopped, in one log entry, and reports whether that succeeded. A later life of
+// such an instance may take work. If w is not nil, it is the copy of the wave that gets
+// the steps.
+func (m *machineController) record(w *Wave, steps []WaveStepOp, stopped []cordonedInstance) bool {
+	var ops []Op
+	for i := range steps {
+		ops = append(ops, Op{WaveStep: &steps[i]})
+	}
+	var removed []cordonedInstance
+	for _, in := range stopped {
+		// An instance that has registered for another service since is a later life.
+		if known, ok := m.State.instance(in.id); ok && known.Service == in.service {
+			removed = append(removed, in)
+			ops = append(ops, Op{Remove: &known.ID})
+		}
+	}
+	if len(ops) > 0 {
+		if _, err := m.committer.commit(ops...); err != nil {
+			return false
+		}
+	}
+	for _, step := range steps {
+		if w != nil {
+			w.Steps[step.Machine] = step.State
+		}
+	}
+	for _, in := range removed {
+		m.shardFor(in.service).removeInstance(in.id)
+	}
+	for _, in := range stopped {
+		m.uncordon(in)
 	}
-	w.Steps[name] = state
 	return true
 }
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -35,7 +35,7 @@
 type pendingMove struct {
 	pool galenahead.ServiceName
 	// instance is the instance that ran on the machine before the move.
-	instance galenahead.InstanceID
+	instance cordonedInstance
 	// confirmed reports that the platform has accepted the move.
 	confirmed bool
 	// changedAt is when the move started or was confirmed.
@@ -251,8 +251,8 @@
 
 // startMove moves a machine to a pool, unless its instance is no longer idle.
 func (m *machineController) startMove(v Machine, pool galenahead.ServiceName, now time.Time) {
-	move := &pendingMove{pool: pool, instance: v.Instance, changedAt: now}
-	if v.Instance != "" && !m.cordonIfIdle(v.Instance) {
+	move := &pendingMove{pool: pool, instance: m.instanceOn(v), changedAt: now}
+	if !m.cordonIfIdle(move.instance) {
 		return
 	}
 	m.pendingMoves[v.Name] = move
@@ -260,25 +260,24 @@
 }
 
 // cordonIfIdle keeps new work off an instance if it is idle, and reports whether it
-// is idle or unknown.
-func (m *machineController) cordonIfIdle(id galenahead.InstanceID) bool {
-	in, known := m.State.instance(id)
-	if !known {
+// is idle or there is none.
+func (m *machineController) cordonIfIdle(in cordonedInstance) bool {
+	if in.id == "" {
 		return true
 	}
 	idle := false
-	m.shardFor(in.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		if _, idle = s.IdleSince(id); idle {
-			s.SetEvacuating(now, id, true)
+	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		if _, idle = s.IdleSince(in.id); idle {
+			s.SetEvacuating(now, in.id, true)
 		}
 	})
 	return idle
 }
 
 // uncordon lets an instance take work again.
-func (m *machineController) uncordon(id galenahead.InstanceID) {
-	if in, known := m.State.instance(id); known {
-		m.shardFor(in.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.SetEvacuating(now, id, false) })
+func (m *machineController) uncordon(in cordonedInstance) {
+	if in.id != "" {
+		m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.SetEvacuating(now, in.id, false) })
 	}
 }
 
@@ -288,7 +287,7 @@
 		return
 	}
 	m.inFlight[name] = true
-	pool, record := move.pool, m.orderRecord(name, move.instance)
+	pool, record := move.pool, m.orderRecord(name, move.instance.id)
 	m.spawn(func() error {
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
@@ -298,11 +297,12 @@
 	})
 }
 
-// handleMoveResult processes the result of a move order.
-func (m *machineController) handleMoveResult(r orderResult) {
+// handleMoveResult processes the result of a move order. It returns the instance that
+// the order has stopped.
+func (m *machineController) handleMoveResult(r orderResult) (stopped []cordonedInstance) {
 	move := m.pendingMoves[r.name]
 	if move == nil {
-		return
+		return nil
 	}
 	log := m.Logger.WithField("machine", r.name).WithField("to_pool", move.pool).WithField("epoch", m.epoch)
 	switch {
@@ -310,28 +310,39 @@
 		log.Info("machine move started")
 		m.ownerSession.Metrics.Moves.Add(1)
 		move.confirmed, move.changedAt = true, m.Timers.Now()
-		m.removeInstance(move.instance)
+		stopped = append(stopped, move.instance)
 		m.markUnavailable(r.name, MachineMoving)
 	case errors.Is(r.err, ErrBusy), errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Info("machine move rejected")
-		delete(m.pendingMoves, r.name)
-		m.uncordon(move.instance)
+		m.cancelMove(r.name)
 	default:
 		// The order may still be carried out. It is sent again until the result is
 		// known.
 		log.WithError(r.err).Info("machine move not confirmed")
 	}
+	return stopped
 }
 
-// removeInstance removes an instance that an order to its machine has stopped.
-func (m *machineController) removeInstance(id galenahead.InstanceID) {
-	in, known := m.State.instance(id)
-	if !known {
+// cancelMove lets the instance of a machine that does not move take work again.
+func (m *machineController) cancelMove(name galenahead.VMName) {
+	move := m.pendingMoves[name]
+	delete(m.pendingMoves, name)
+	m.uncordon(move.instance)
+}
+
+// resendMove sends an unconfirmed move order again. It cancels the move if the machine
+// is not up or has another instance now, on which work may run.
+func (m *machineController) resendMove(name galenahead.VMName, move *pendingMove) {
+	if m.inFlight[name] || !m.retryDue(name) {
 		return
 	}
-	if _, err := m.committer.commit(Op{Remove: &id}); err == nil {
-		m.shardFor(in.Service).removeInstance(id)
+	v, listed := m.machines[name]
+	sameInstance := v.State == MachineUp && v.Instance == move.instance.id
+	if listed && v.State != MachineMoving && v.Pool != move.pool && !sameInstance {
+		m.cancelMove(name)
+		return
 	}
+	m.sendMoveOrder(name, move)
 }
 
 // updateMoves ends the pending moves of machines that have arrived or are overdue,
@@ -340,7 +351,7 @@
 	for name, move := range m.pendingMoves {
 		switch {
 		case !move.confirmed:
-			m.sendMoveOrder(name, move)
+			m.resendMove(name, move)
 		case now.Sub(move.changedAt) > registrationTimeout:
 			delete(m.pendingMoves, name)
 		default:
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -57,6 +57,10 @@
 	instances map[galenahead.InstanceID]*instance
 	actions   []Action
 	gone      []galenahead.InstanceID
+	// evacuations holds the evacuation deadlines of the instances that are evacuated.
+	// It includes instances that are not registered, so that one that registers
+	// again gets no work before its planned move or maintenance.
+	evacuations map[galenahead.InstanceID]time.Time
 	// unreconciled counts the instances that may still run work of a previous
 	// owner.
 	unreconciled int
@@ -70,9 +74,10 @@
 func NewScheduler(service galenahead.ServiceName, epoch uint64, p Params) *Scheduler {
 	return &Scheduler{
 		Service: service, params: p, epoch: int64(epoch),
-		queues:    map[string]Queue{},
-		jobs:      map[galenahead.JobID]*job{},
-		instances: map[galenahead.InstanceID]*instance{},
+		queues:      map[string]Queue{},
+		jobs:        map[galenahead.JobID]*job{},
+		instances:   map[galenahead.InstanceID]*instance{},
+		evacuations: map[galenahead.InstanceID]time.Time{},
 	}
 }
 
@@ -130,6 +135,7 @@
 			Instance: in, fence: s.epoch * incarnationsPerEpoch, items: map[ItemID]*item{},
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
+		inst.evacuationDeadline, inst.evacuating = s.evacuations[in.ID]
 		s.instances[in.ID] = inst
 		return inst
 	}
@@ -203,14 +209,20 @@
 
 // SetEvacuating starts or cancels the evacuation of an instance before a planned move
 // or maintenance. An evacuating instance gets no new work, and its work items move
-// elsewhere as their steps allow.
+// elsewhere as their steps allow. The evacuation continues if the instance is removed
+// and registers again, and may start before the instance registers.
 func (s *Scheduler) SetEvacuating(now time.Time, id galenahead.InstanceID, evacuating bool) {
-	inst := s.instances[id]
-	if inst == nil || inst.evacuating == evacuating {
+	if _, ok := s.evacuations[id]; ok == evacuating {
 		return
 	}
-	inst.evacuating = evacuating
-	inst.evacuationDeadline = now.Add(s.params.DrainGracePeriod)
+	if evacuating {
+		s.evacuations[id] = now.Add(s.params.DrainGracePeriod)
+	} else {
+		delete(s.evacuations, id)
+	}
+	if inst := s.instances[id]; inst != nil {
+		inst.evacuationDeadline, inst.evacuating = s.evacuations[id]
+	}
 }
 
 // SetMaintenanceDue marks an instance that will be taken down for maintenance later.
