--- a/galenadaemon/daemon.go
+++ b/galenadaemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net"
-	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -63,15 +62,6 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Listen opens a TCP listener.
-func Listen(addr netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", addr)
-	}
-	return ln, nil
-}
-
 // StatusServer is the HTTP server of readiness at /ready and metrics at /debug/vars.
 type StatusServer struct {
 	// Ready returns nil if the load balancer may send requests to this daemon,
@@ -113,22 +103,3 @@
 	}
 	c.SetBodyString("ready\n")
 }
-
-// shutdownTimeout bounds the wait for open connections during a shutdown.
-const shutdownTimeout = 5 * time.Second
-
-// ServeHTTP serves on ln until ctx ends. It then waits for the requests in flight,
-// for at most shutdownTimeout, and returns nil.
-func ServeHTTP(ctx context.Context, srv *fasthttp.Server, ln net.Listener) error {
-	srv.CloseOnShutdown = true
-	stop := context.AfterFunc(ctx, func() {
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = srv.ShutdownWithContext(shutdownCtx)
-	})
-	defer stop()
-	if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
-		return eris.Wrapf(err, "serve %s", ln.Addr())
-	}
-	return nil
-}
--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// schedulerQueues returns the part of the configuration that the scheduler uses.
+func (c *Config) schedulerQueues() []galenajob.Queue {
+	out := make([]galenajob.Queue, len(c.Queues))
+	for i := range c.Queues {
+		out[i] = c.Queues[i].schedulerQueue()
+	}
+	return out
+}
+
 // Service is a service with the pool of machines that run it.
 type Service struct {
 	Name galenahead.ServiceName `cbor:"1,keyasint"`
@@ -187,5 +196,17 @@
 
 func encodeCommand(ops []Op) ([]byte, error) {
 	b, err := encoding.Marshal(Command{ops})
-	return b, eris.Wrap(err, "encode command")
+	if err != nil {
+		return nil, eris.Wrap(err, "encode command")
+	}
+	return compress(b)
+}
+
+// decodeCommand decodes a command, also one that was not compressed.
+func decodeCommand(b []byte) (c Command, err error) {
+	b, err = expand(b)
+	if err != nil {
+		return c, err
+	}
+	return c, eris.Wrap(cbor.Unmarshal(b, &c), "decode command")
 }
--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -22,6 +22,9 @@
 type LeaderInfo struct {
 	// Self is the replica of the daemon that sends the message.
 	Self galenahead.Member `json:"self"`
+	// NoReplica reports that the daemon has no data directory. It never becomes a
+	// member, and it names members but no leader.
+	NoReplica bool `json:"no_replica,omitempty"`
 	// Blank reports that the replica has no stored state.
 	Blank bool `json:"blank"`
 	// Leader is the address of the leader, or empty if it is unknown.
@@ -35,9 +38,12 @@
 	RPCClient galenahead.RPCClient
 	Timers    galenahead.Timers
 	Logger    *logrus.Logger
-	// Self returns the description of this replica that queries carry; nil for a
-	// daemon without a replica.
+	// Self returns the description of this daemon that queries and answers carry;
+	// nil for an entry.
 	Self func() LeaderInfo
+	// Announce makes this daemon query seeds that are not members even while it
+	// knows the leader, so that these learn of the members from it.
+	Announce bool
 
 	mu    sync.Mutex
 	seeds []string
@@ -50,11 +56,23 @@
 	// leaderSuspected reports that the leader failed to answer as such since the last
 	// query of all daemons.
 	leaderSuspected bool
-	wake            chan struct{}
+	// failedLeader and failedTerm are the leader that failed last, and fruitless counts
+	// the searches in a row that found it again.
+	failedLeader string
+	failedTerm   uint64
+	fruitless    int
+	// loggedLeader and loggedTerm are the leader of the last log line.
+	loggedLeader string
+	loggedTerm   uint64
+	wake         chan struct{}
 	// peerInfo holds the last answer or query of each daemon, by address.
 	peerInfo map[string]LeaderInfo
 	// confirmedAt is when a daemon last named the leader.
 	confirmedAt time.Time
+	// members is the member list of the highest term that any daemon has named.
+	members     []galenahead.Member
+	membersTerm uint64
+	announcedAt time.Time
 }
 
 const (
@@ -62,6 +80,14 @@
 	// and refreshInterval how often otherwise.
 	searchInterval  = 100 * time.Millisecond
 	refreshInterval = time.Second
+	// minSearchPause and maxSearchPause bound the pause before a search that a failure
+	// requests. It doubles with each search that finds the same leader again, so that
+	// searches do not add to the load of a leader that is late.
+	minSearchPause = 30 * time.Millisecond
+	maxSearchPause = 200 * time.Millisecond
+	// announceInterval is how often seeds that are not members are queried while a
+	// leader is known.
+	announceInterval = 5 * time.Second
 	// queryTimeout bounds one query.
 	queryTimeout = 500 * time.Millisecond
 	// forgetAfter is how long after its last message a daemon is dropped, unless it
@@ -105,10 +131,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
+	d.suspectLocked(address)
 	if d.leader == address {
 		d.leader = ""
 	}
+}
+
+// ReportDelay reports that the daemon at address has not answered in time. It may be
+// late or gone, so it stays the leader until it does not answer a query either, or
+// another daemon leads.
+func (d *Directory) ReportDelay(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	d.suspectLocked(address)
+}
+
+// suspectLocked requests a query of all known daemons. d.mu must be held.
+func (d *Directory) suspectLocked(address string) {
 	d.leaderSuspected = true
+	d.failedLeader, d.failedTerm = address, d.term
 	notify(d.wake)
 }
 
@@ -123,6 +165,14 @@
 	return out
 }
 
+// Members returns the newest member list of the log that a daemon has named, and
+// its term. The list is empty if none is known.
+func (d *Directory) Members() ([]galenahead.Member, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members, d.membersTerm
+}
+
 // Run queries daemons for the leader until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	d.mu.Lock()
@@ -141,34 +191,59 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-d.Timers.After(ctx, searchInterval/3):
+			case <-d.Timers.After(ctx, d.searchPause()):
 			}
 		}
 	}
 }
 
+// searchPause returns the pause before a search that a failure of the leader has
+// requested.
+func (d *Directory) searchPause() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pause := minSearchPause
+	for range d.fruitless {
+		pause = min(2*pause, maxSearchPause)
+	}
+	return pause
+}
+
 // queryAll queries the daemons of queryTargets and reports whether a leader is
 // known afterwards.
 func (d *Directory) queryAll(ctx context.Context) bool {
 	var group errgroup.Group
-	for _, a := range d.queryTargets() {
+	targets, search := d.queryTargets()
+	for _, a := range targets {
 		group.Go(func() error { d.query(ctx, a); return nil })
 	}
 	_ = group.Wait()
-	_, ok := d.Leader()
-	return ok
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if search && d.leader == d.failedLeader && d.term == d.failedTerm {
+		d.fruitless++
+	} else {
+		d.fruitless = 0
+	}
+	return d.leader != ""
 }
 
-// queryTargets returns the addresses to query: only the leader while it answers,
-// otherwise all seeds and known daemons.
-func (d *Directory) queryTargets() []string {
+// queryTargets returns the addresses to query: the leader while it answers, with
+// the seeds to announce this daemon to, otherwise all seeds and known daemons.
+// search reports the latter.
+func (d *Directory) queryTargets() (targets []string, search bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leader != "" && !d.leaderSuspected {
-		return []string{d.leader}
+		return append(d.announceTargets(), d.leader), false
 	}
 	d.leaderSuspected = false
 	out := slices.Clone(d.seeds)
+	for _, m := range d.members {
+		if !slices.Contains(out, m.Address) {
+			out = append(out, m.Address)
+		}
+	}
 	now := d.Timers.Now()
 	for a, at := range d.lastHeard {
 		if now.Sub(at) > forgetAfter {
@@ -180,6 +255,24 @@
 			out = append(out, a)
 		}
 	}
+	return out, true
+}
+
+// announceTargets returns the seeds that are not members, once in each
+// announceInterval. d.mu must be held.
+func (d *Directory) announceTargets() []string {
+	now := d.Timers.Now()
+	if !d.Announce || len(d.members) == 0 || now.Sub(d.announcedAt) < announceInterval {
+		return nil
+	}
+	d.announcedAt = now
+	var out []string
+	for _, a := range d.seeds {
+		isMember := slices.ContainsFunc(d.members, func(m galenahead.Member) bool { return m.Address == a })
+		if !isMember && a != d.leader {
+			out = append(out, a)
+		}
+	}
 	return out
 }
 
@@ -200,6 +293,7 @@
 	now := d.Timers.Now()
 	d.peerInfo[address] = info
 	d.lastHeard[address] = now
+	d.recordMembers(info)
 	for _, m := range info.Members {
 		if _, ok := d.lastHeard[m.Address]; !ok {
 			d.lastHeard[m.Address] = now
@@ -212,13 +306,22 @@
 		return
 	}
 	if info.Term >= d.term || d.leader == "" {
-		if d.leader != info.Leader {
+		if d.loggedLeader != info.Leader || d.loggedTerm != info.Term {
+			d.loggedLeader, d.loggedTerm = info.Leader, info.Term
 			d.Logger.WithField("leader", info.Leader).WithField("term", info.Term).Info("found the leader of the log")
 		}
 		d.leader, d.term, d.confirmedAt = info.Leader, info.Term, now
 	}
 }
 
+// recordMembers stores the member list of info if it is the newest one. d.mu must
+// be held.
+func (d *Directory) recordMembers(info LeaderInfo) {
+	if len(info.Members) > 0 && info.Term >= d.membersTerm {
+		d.members, d.membersTerm = info.Members, info.Term
+	}
+}
+
 func (d *Directory) selfInfo() LeaderInfo {
 	if d.Self == nil {
 		return LeaderInfo{}
@@ -231,11 +334,12 @@
 // members yet.
 func (d *Directory) Register(mux *galenarpc.Mux) {
 	galenarpc.Handle(mux, MethodLeaderInfo, func(_ context.Context, info LeaderInfo) (LeaderInfo, error) {
-		if info.Self.Address != "" {
+		if info.Self.Address != "" && !info.NoReplica {
 			d.mu.Lock()
 			d.init()
 			d.peerInfo[info.Self.Address] = info
 			d.lastHeard[info.Self.Address] = d.Timers.Now()
+			d.recordMembers(info)
 			d.mu.Unlock()
 		}
 		return d.selfInfo(), nil
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -99,14 +99,21 @@
 			continue
 		case <-ticks:
 		}
-		if !m.refreshMachines() {
-			continue
-		}
-		m.advanceWaves()
-		m.balancePools()
+		start := time.Now()
+		m.step()
+		m.load.controlSteps.record(time.Since(start))
 	}
 }
 
+// step advances waves and balances pools once.
+func (m *machineController) step() {
+	if !m.refreshMachines() {
+		return
+	}
+	m.advanceWaves()
+	m.balancePools()
+}
+
 // refreshMachines reads the list of machines if the last list is older than
 // listInterval. It reports whether a current list is available.
 func (m *machineController) refreshMachines() bool {
@@ -181,18 +188,44 @@
 		// The leases have expired, so that no work waits for these instances.
 		return
 	}
-	var stopped []cordonedInstance
+	var changes []change
 	for _, o := range m.State.machineOrders() {
 		machine, listed := m.machines[o.Machine]
 		in, known := m.State.instance(o.Instance)
 		if o.Epoch == m.epoch || !listed || !known || in.Born != o.Born {
 			continue
 		}
-		if machine.State == MachineMoving || machine.State == MachineMaintenance || (machine.Instance != "" && machine.Instance != o.Instance) {
-			stopped = append(stopped, cordonedInstance{in.ID, in.Service})
+		stopped := machine.State == MachineMoving || machine.State == MachineMaintenance
+		if stopped || (machine.Instance != "" && machine.Instance != o.Instance) {
+			changes = append(changes, m.removalChange(cordonedInstance{in.ID, in.Service})...)
 		}
 	}
-	m.record(nil, nil, stopped)
+	m.record(changes...)
+}
+
+// change is an operation of the controller, and what follows once it is recorded.
+type change struct {
+	op   Op
+	then func()
+}
+
+// record records changes together, so that they wait for one log entry, and then
+// carries out what follows. It reports whether that succeeded.
+func (m *machineController) record(changes ...change) bool {
+	if len(changes) == 0 {
+		return true
+	}
+	ops := make([]Op, len(changes))
+	for i, c := range changes {
+		ops[i] = c.op
+	}
+	if _, err := m.committer.commit(ops...); err != nil {
+		return false
+	}
+	for _, c := range changes {
+		c.then()
+	}
+	return true
 }
 
 // advanceWaves advances the waves that are not completed.
@@ -214,28 +247,28 @@
 // advanceWave starts evacuations and maintenance of the machines of a wave, as far
 // as its limits allow, and records what has finished.
 func (m *machineController) advanceWave(w *Wave) {
+	var changes []change
 	down := 0
-	var steps []WaveStepOp
-	var stopped []cordonedInstance
 	for _, name := range w.Machines {
 		step, state := w.Steps[name], m.machines[name].State
 		switch {
 		case step == StepDone:
 		case m.hasLeft(name), step == StepStarted && state == MachineUp:
-			steps = append(steps, WaveStepOp{w.ID, name, StepDone})
 			m.cancelEvacuation(name)
+			changes = append(changes, m.stepChange(w, name, StepDone))
 		case step == StepOrdered && state == MachineMaintenance && m.maintainedBy[name] == w.ID && !m.inFlight[name]:
 			// The order was carried out, although there was no response.
 			down++
-			steps = append(steps, WaveStepOp{w.ID, name, StepStarted})
-			stopped = append(stopped, m.takeEvacuation(name)...)
+			changes = append(changes, m.stepChange(w, name, StepStarted))
+			changes = append(changes, m.finishEvacuation(name)...)
 		case step != "":
 			down++
 		}
 	}
-	if !m.record(w, steps, stopped) {
+	if !m.record(changes...) {
 		return
 	}
+	changes = nil
 	for _, name := range w.Machines {
 		if w.Steps[name] == StepOrdered {
 			m.sendMaintenanceOrder(w.ID, name)
@@ -243,7 +276,6 @@
 	}
 	allowed := m.maintenanceLimit(w, down)
 	evacuations := 0
-	var ordered []WaveStepOp
 	for _, v := range m.maintenanceCandidates(w) {
 		m.avoidLongRunningWork(v)
 		if evacuations >= allowed+evacuationsAhead {
@@ -255,14 +287,12 @@
 		}
 		down++
 		m.maintainedBy[v.Name] = w.ID
-		ordered = append(ordered, WaveStepOp{w.ID, v.Name, StepOrdered})
-	}
-	if !m.record(w, ordered, nil) {
-		return
-	}
-	for _, o := range ordered {
-		m.sendMaintenanceOrder(w.ID, o.Machine)
+		c := m.stepChange(w, v.Name, StepOrdered)
+		set := c.then
+		c.then = func() { set(); m.sendMaintenanceOrder(w.ID, v.Name) }
+		changes = append(changes, c)
 	}
+	m.record(changes...)
 }
 
 const (
@@ -321,7 +351,7 @@
 		return 0
 	}
 	var used int64
-	m.shardFor(in.Service).withScheduler(func(_ time.Time, s *galenajob.Scheduler) { used = s.UsedOn(in.ID).MilliCPU })
+	m.shardFor(in.Service).inspect(func(_ time.Time, s *galenajob.Scheduler) { used = s.UsedOn(in.ID).MilliCPU })
 	return used
 }
 
@@ -329,7 +359,7 @@
 // ahead, as far as other instances can take it.
 func (m *machineController) avoidLongRunningWork(v Machine) {
 	if in, ok := m.State.instance(v.Instance); ok {
-		m.shardFor(in.Service).withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.SetMaintenanceDue(in.ID) })
+		m.shardFor(in.Service).inspect(func(_ time.Time, s *galenajob.Scheduler) { s.SetMaintenanceDue(in.ID) })
 	}
 }
 
@@ -403,66 +433,54 @@
 	}
 }
 
-// handleResults processes the result of an order and all others that wait, which
-// share one log entry.
+// handleResults processes the result of an order and all others that are pending,
+// and records what they change together.
 func (m *machineController) handleResults(r orderResult) {
-	var steps []WaveStepOp
-	var stopped []cordonedInstance
-	for more := true; more; {
-		delete(m.inFlight, r.name)
-		if errors.Is(r.err, ErrFenced) {
-			m.resign(r.err)
-			return
-		}
-		delete(m.retryAt, r.name)
-		if r.err != nil {
-			m.retryAt[r.name] = m.Timers.Now().Add(orderRetryPause)
-		}
-		if r.wave == 0 {
-			stopped = append(stopped, m.handleMoveResult(r)...)
-		} else {
-			s, in := m.handleMaintenanceResult(r)
-			steps, stopped = append(steps, s...), append(stopped, in...)
-		}
+	changes := m.handleResult(r)
+	for {
 		select {
-		case r = <-m.results:
+		case r := <-m.results:
+			changes = append(changes, m.handleResult(r)...)
+			continue
 		default:
-			more = false
 		}
+		m.record(changes...)
+		return
 	}
-	m.record(nil, steps, stopped)
 }
 
-// handleMaintenanceResult processes the result of a maintenance order. It returns the
-// wave steps to be recorded and the instances that the order has stopped.
-func (m *machineController) handleMaintenanceResult(r orderResult) (steps []WaveStepOp, stopped []cordonedInstance) {
+// handleResult processes the result of an order and returns the changes to record.
+func (m *machineController) handleResult(r orderResult) []change {
+	delete(m.inFlight, r.name)
+	if errors.Is(r.err, ErrFenced) {
+		m.resign(r.err)
+		return nil
+	}
+	delete(m.retryAt, r.name)
+	if r.err != nil {
+		m.retryAt[r.name] = m.Timers.Now().Add(orderRetryPause)
+	}
+	if r.wave == 0 {
+		return m.handleMoveResult(r)
+	}
+	w := m.State.Wave(r.wave)
 	log := m.Logger.WithField("wave", r.wave).WithField("machine", r.name).WithField("epoch", m.epoch).
 		WithField("state", m.machines[r.name].State)
 	switch {
+	case w == nil:
 	case r.err == nil:
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
-		steps = append(steps, WaveStepOp{r.wave, r.name, StepStarted})
-		stopped = append(stopped, m.takeEvacuation(r.name)...)
+		changes := []change{m.stepChange(w, r.name, StepStarted)}
+		return append(changes, m.finishEvacuation(r.name)...)
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
-		steps = append(steps, WaveStepOp{r.wave, r.name, StepDone})
 		m.cancelEvacuation(r.name)
+		return []change{m.stepChange(w, r.name, StepDone)}
 	default:
 		log.WithError(r.err).Info("maintenance order not confirmed")
 	}
-	return steps, stopped
-}
-
-// takeEvacuation ends the evacuation of a machine that is going down and returns its
-// instance, which is still cordoned.
-func (m *machineController) takeEvacuation(name galenahead.VMName) []cordonedInstance {
-	in, ok := m.evacuating[name]
-	if !ok {
-		return nil
-	}
-	delete(m.evacuating, name)
-	return []cordonedInstance{in}
+	return nil
 }
 
 // cancelEvacuation lets the instance of an evacuated machine take work again.
@@ -473,38 +491,32 @@
 	}
 }
 
-// record records wave steps and the removal of instances that orders to their machines
-// have stopped, in one log entry, and reports whether that succeeded. A later life of
-// such an instance may take work. If w is not nil, it is the copy of the wave that gets
-// the steps.
-func (m *machineController) record(w *Wave, steps []WaveStepOp, stopped []cordonedInstance) bool {
-	var ops []Op
-	for i := range steps {
-		ops = append(ops, Op{WaveStep: &steps[i]})
-	}
-	var removed []cordonedInstance
-	for _, in := range stopped {
-		// An instance that has registered for another service since is a later life.
-		if known, ok := m.State.instance(in.id); ok && known.Service == in.service {
-			removed = append(removed, in)
-			ops = append(ops, Op{Remove: &known.ID})
-		}
-	}
-	if len(ops) > 0 {
-		if _, err := m.committer.commit(ops...); err != nil {
-			return false
-		}
+// finishEvacuation ends the evacuation of a machine that is down and returns the removal
+// of its instance.
+func (m *machineController) finishEvacuation(name galenahead.VMName) []change {
+	in, ok := m.evacuating[name]
+	if !ok {
+		return nil
 	}
-	for _, step := range steps {
-		if w != nil {
-			w.Steps[step.Machine] = step.State
-		}
+	delete(m.evacuating, name)
+	return m.removalChange(in)
+}
+
+// stepChange returns the change of a machine's maintenance state.
+func (m *machineController) stepChange(w *Wave, name galenahead.VMName, state StepState) change {
+	return change{Op{WaveStep: &WaveStepOp{w.ID, name, state}}, func() { w.Steps[name] = state }}
+}
+
+// removalChange returns the removal of an instance that an order to its machine has
+// stopped. A later life of the instance may take work. The change is empty if the
+// instance is unknown, or if a later life has registered for another service.
+func (m *machineController) removalChange(in cordonedInstance) []change {
+	if known, ok := m.State.instance(in.id); !ok || known.Service != in.service {
+		m.uncordon(in)
+		return nil
 	}
-	for _, in := range removed {
+	return []change{{Op{Remove: &in.id}, func() {
 		m.shardFor(in.service).removeInstance(in.id)
-	}
-	for _, in := range stopped {
 		m.uncordon(in)
-	}
-	return true
+	}}}
 }
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -21,6 +21,11 @@
 	// HoldsLease reports whether this replica is the leader of the log and its
 	// lease is valid now.
 	HoldsLease() bool
+	// Diagnostics returns log fields that say why the lease was lost.
+	Diagnostics() map[string]any
+	// RecentDelays returns the longest recent gap between two passes of the log over
+	// its inputs, and the longest recent sync.
+	RecentDelays() (loopGap, sync time.Duration)
 }
 
 // Owner schedules the fleet while its replica is the leader of the log.
@@ -42,6 +47,8 @@
 	FinalJobRetention time.Duration
 
 	session atomic.Pointer[ownerSession]
+	// ending counts the ended sessions whose calls have not all returned.
+	ending sync.WaitGroup
 }
 
 const (
@@ -57,6 +64,7 @@
 // Run runs a session whenever this replica is the leader of the log, until ctx
 // ends.
 func (o *Owner) Run(ctx context.Context) error {
+	defer o.ending.Wait()
 	ticks := o.Timers.Subscribe(ctx, "owner", leadershipCheckInterval)
 	for {
 		select {
@@ -96,13 +104,13 @@
 		return nil, err
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
-	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}}
+	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, configuring: make(chan struct{}, 1)}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
-	sess.spawn(func() error { return sess.committer.loop(sessionCtx) })
+	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
 	if err != nil {
 		resign(err)
-		sess.closeAndWait()
+		sess.close()
 		return nil, err
 	}
 	sess.epoch = r[0].Epoch
@@ -121,11 +129,14 @@
 	// resign ends the session with a cause.
 	resign    context.CancelCauseFunc
 	committer *committer
+	load      ownerLoad
+
+	// committing is done when the committer proposes nothing more.
+	committing sync.WaitGroup
 
 	spawnMu sync.Mutex
 	group   errgroup.Group
-	// closed is set before the session waits for group; spawn then starts nothing
-	// more.
+	// closed is set when the session has ended; spawn then starts nothing more.
 	closed bool
 
 	mu     sync.Mutex
@@ -133,6 +144,10 @@
 	// heartbeats holds the newest heartbeat of each instance.
 	heartbeats map[galenahead.InstanceID]lastHeartbeat
 
+	// configuring holds one element while a configuration is committed and passed to
+	// the shards.
+	configuring chan struct{}
+
 	// lastMachines is the list of machines that the machine controller read last;
 	// operators' views show it.
 	lastMachines atomic.Pointer[machineSnapshot]
@@ -144,13 +159,20 @@
 func (sess *ownerSession) run() error {
 	ticks := sess.Timers.Subscribe(sess.ctx, "office", leadershipCheckInterval)
 	sess.spawn(func() error { return sess.expireLoop() })
+	sess.spawn(func() error { return sess.loadLoop() })
 	sess.spawn(func() error { return newMachineController(sess).loop() })
+	last := time.Now()
 	for {
 		select {
 		case <-sess.ctx.Done():
-			sess.closeAndWait()
-			return context.Cause(sess.ctx)
+			cause := context.Cause(sess.ctx)
+			sess.logLeaseLoss(cause)
+			sess.close()
+			return cause
 		case <-ticks:
+			now := time.Now()
+			sess.load.recordTick(now.Sub(last))
+			last = now
 			if !sess.Log.HoldsLease() {
 				sess.resign(errLeaseLost)
 			}
@@ -167,13 +189,19 @@
 	}
 }
 
-// closeAndWait waits for all goroutines that spawn started.
-func (sess *ownerSession) closeAndWait() {
+// close ends the session, whose context has ended. It returns once the log gets no
+// more proposals of the session, since the next one loads the state. Calls to
+// instances and machines may still be in flight: they carry the fencing token of this
+// session, and their results are not used.
+func (sess *ownerSession) close() {
 	sess.spawnMu.Lock()
 	sess.closed = true
 	sess.spawnMu.Unlock()
-	// The goroutines return no errors; a failure cancels the session's context.
-	_ = sess.group.Wait()
+	sess.committing.Wait()
+	sess.ending.Go(func() {
+		// The goroutines return no errors; a failure cancels the session's context.
+		_ = sess.group.Wait()
+	})
 }
 
 // loadState creates the shards from the replicated state. It starts them only when they
@@ -208,9 +236,7 @@
 	sh := newShard(sess, service)
 	sess.shards[service] = sh
 	if c := sess.State.Config(); c != nil {
-		for i := range c.Queues {
-			sh.scheduler.SetQueue(c.Queues[i].schedulerQueue())
-		}
+		sh.scheduler.SetQueues(c.schedulerQueues())
 	}
 	if start {
 		sh.start()
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -16,10 +17,12 @@
 
 // RPC methods that the owner serves to other daemons.
 const (
-	MethodDo            = "fleet.do"
-	MethodHeartbeat     = "fleet.heartbeat"
-	MethodLeave         = "fleet.leave"
+	MethodDo        = "fleet.do"
+	MethodHeartbeat = "fleet.heartbeat"
+	MethodLeave     = "fleet.leave"
+	// MethodConfigure is called by daemons of earlier versions only.
 	MethodConfigure     = "fleet.configure"
+	MethodPutConfig     = "fleet.put_config"
 	MethodConfiguration = "fleet.configuration"
 	MethodBeginWave     = "fleet.begin_wave"
 	MethodWave          = "fleet.wave"
@@ -32,12 +35,25 @@
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
 	galenarpc.Handle(mux, MethodConfigure, o.Configure)
+	galenarpc.Handle(mux, MethodPutConfig, o.ConfigureEncoded)
 	galenarpc.Handle(mux, MethodConfiguration, o.Configuration)
 	galenarpc.Handle(mux, MethodBeginWave, o.BeginWave)
 	galenarpc.Handle(mux, MethodWave, o.Wave)
 	galenarpc.Handle(mux, MethodView, o.View)
 }
 
+// RegisterNotOwner adds the RPC methods of the owner to a daemon that can never own
+// the fleet. They fail with ErrNotLeader.
+func RegisterNotOwner(mux *galenarpc.Mux) {
+	for _, method := range []string{
+		MethodDo, MethodHeartbeat, MethodLeave, MethodConfigure, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+	} {
+		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
+			return nil, galenahead.ErrNotLeader
+		})
+	}
+}
+
 // OwnerClient forwards calls of a daemon to the owner of the fleet, and retries them
 // when the owner changes.
 type OwnerClient struct {
@@ -62,25 +78,29 @@
 // call calls the owner until it answers or ctx ends. maybeSent reports whether an
 // attempt that got no answer may have been carried out.
 func call[P, R any](ctx context.Context, oc *OwnerClient, method string, params P) (result R, maybeSent bool, err error) {
-	for {
+	start := time.Now()
+	for attempts := 1; ; attempts++ {
 		var r R
 		addr, known := oc.Directory.Leader()
 		if known {
+			attemptStart := time.Now()
 			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 			err = oc.RPCClient.Call(attemptCtx, addr, method, params, &r)
 			cancel()
 			if err == nil {
-				oc.logReachability(true, addr)
+				oc.logReachability(addr, callFailure{})
 				return r, false, nil
 			}
 			if isFinal(err) {
 				return r, maybeSent, err
 			}
-			if !errors.Is(err, galenahead.ErrNotLeader) && !errors.Is(err, galenahead.ErrUnreachable) {
+			oc.logReachability(addr, callFailure{method, attempts, time.Since(attemptStart), time.Since(start), err})
+			if errors.Is(err, galenahead.ErrNotLeader) || errors.Is(err, galenahead.ErrUnreachable) {
+				oc.Directory.ReportFailure(addr)
+			} else {
 				maybeSent = true
+				oc.Directory.ReportDelay(addr)
 			}
-			oc.logReachability(false, addr)
-			oc.Directory.ReportFailure(addr)
 		} else if err == nil {
 			err = galenahead.ErrNotLeader
 		}
@@ -98,8 +118,21 @@
 	return errors.Is(err, galenahead.ErrInvalid) || errors.Is(err, galenahead.ErrNotFound) || errors.Is(err, galenahead.ErrConflict)
 }
 
+// callFailure describes a failed attempt of a call to the owner. Its zero value is
+// a successful one.
+type callFailure struct {
+	method string
+	// attempts counts the attempts of the call so far, with those for which no owner
+	// was known.
+	attempts int
+	// took is the duration of the attempt, elapsed the time since the call began.
+	took, elapsed time.Duration
+	err           error
+}
+
 // logReachability logs when the owner stops answering and when one answers again.
-func (oc *OwnerClient) logReachability(ok bool, addr string) {
+func (oc *OwnerClient) logReachability(addr string, f callFailure) {
+	ok := f.err == nil
 	oc.mu.Lock()
 	defer oc.mu.Unlock()
 	if ok != oc.unreachable {
@@ -109,7 +142,9 @@
 	if ok {
 		oc.Logger.WithField("owner", addr).Info("owner answers again")
 	} else {
-		oc.Logger.WithField("owner", addr).Warn("owner does not answer")
+		oc.Logger.WithError(f.err).WithField("owner", addr).WithField("method", f.method).WithField("attempts", f.attempts).
+			WithField("took_ms", f.took.Milliseconds()).WithField("elapsed_ms", f.elapsed.Milliseconds()).
+			Warn("owner does not answer")
 	}
 }
 
@@ -149,13 +184,21 @@
 
 // Configure forwards a configuration.
 func (oc *OwnerClient) Configure(ctx context.Context, c Config) error {
-	_, _, err := call[Config, Empty](ctx, oc, MethodConfigure, c)
+	e, err := encodeConfig(c)
+	if err != nil {
+		return err
+	}
+	_, _, err = call[EncodedConfig, Empty](ctx, oc, MethodPutConfig, e)
 	return err
 }
 
 // Configuration returns the current configuration.
 func (oc *OwnerClient) Configuration(ctx context.Context) (ConfigDocument, error) {
 	d, _, err := call[Empty, ConfigDocument](ctx, oc, MethodConfiguration, Empty{})
+	if err != nil {
+		return d, err
+	}
+	d.Source, err = expand(d.Source)
 	return d, err
 }
 
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
@@ -32,8 +33,10 @@
 	index uint64
 }
 
-func (l *fakeLog) HoldsLease() bool                  { return l.holdsLease.Load() }
-func (l *fakeLog) ReadBarrier(context.Context) error { return nil }
+func (l *fakeLog) HoldsLease() bool                            { return l.holdsLease.Load() }
+func (l *fakeLog) Diagnostics() map[string]any                 { return map[string]any{"replica": "a"} }
+func (l *fakeLog) RecentDelays() (loopGap, sync time.Duration) { return 0, 0 }
+func (l *fakeLog) ReadBarrier(context.Context) error           { return nil }
 func (l *fakeLog) Status() galenahead.LogStatus {
 	return galenahead.LogStatus{Members: []galenahead.Member{{Name: "a", Voter: true}}}
 }
@@ -291,3 +294,77 @@
 		is.Equal(running, jobs)
 	})
 }
+
+// Guards against a large configuration that is committed once for each time that an
+// operator sends it while its commit is slow.
+func TestConfigurationSentAgainIsCommittedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		log.delay.Store(int64(200 * time.Millisecond))
+		before := log.index
+		c := testConfig
+		c.Version = 2
+		var group errgroup.Group
+		for range 8 {
+			group.Go(func() error { _, err := o.Configure(ctx, c); return err })
+		}
+		is.NoErr(group.Wait())
+		is.Equal(o.State.Config().Version, uint64(2))
+		is.Equal(log.index, before+1)
+		stop()
+	})
+}
+
+// hangingInstances answers no start, and each poll after its wait.
+type hangingInstances struct{ fakeInstances }
+
+func (f *hangingInstances) Start(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+	time.Sleep(5 * time.Second)
+	return galenajob.OutcomeUnknown, 0, context.DeadlineExceeded
+}
+
+// Guards against a fleet without an owner while the calls of an ended session wait for
+// instances that do not answer.
+func TestNextSessionDoesNotWaitForCallsOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		o.Instances = &hangingInstances{fakeInstances{running: map[galenajob.ItemID]int64{}}}
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		time.Sleep(200 * time.Millisecond)
+		spec := &galenajob.Spec{Payload: "p", Steps: []galenajob.Step{{Count: 1, Need: galenajob.Resources{MilliCPU: 1}, Estimate: time.Second}}}
+		_, err = o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/1", Spec: spec})
+		is.NoErr(err)
+		time.Sleep(100 * time.Millisecond)
+		log.holdsLease.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		log.holdsLease.Store(true)
+		time.Sleep(200 * time.Millisecond)
+		r, err := o.Do(ctx, Request{Kind: RequestState, Host: "h", Path: "/q/1"})
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeState)
+		stop()
+		time.Sleep(10 * time.Second) // the calls return
+	})
+}
+
+// BenchmarkMatchQueue measures finding the queue of a request, by the number of queues.
+func BenchmarkMatchQueue(b *testing.B) {
+	for _, queues := range []int{50, 2000} {
+		b.Run(fmt.Sprint("queues=", queues), func(b *testing.B) {
+			s := &State{}
+			c := &Config{Version: 1}
+			for i := range queues {
+				c.Queues = append(c.Queues, QueueRule{Name: fmt.Sprint("q", i), Host: fmt.Sprintf("h%d.example", i%20), Prefix: fmt.Sprintf("/p%d/", i)})
+			}
+			s.setConfig(c)
+			for b.Loop() {
+				s.MatchQueue("h7.example", "/p27/5c0e")
+			}
+		})
+	}
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		p := poolStatus{service: svc.Name}
-		m.shardFor(svc.Name).withScheduler(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
+		m.shardFor(svc.Name).inspect(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
 		m.estimateDemand(&p)
 		pools = append(pools, p)
 		m.logPool(p)
@@ -297,9 +297,9 @@
 	})
 }
 
-// handleMoveResult processes the result of a move order. It returns the instance that
-// the order has stopped.
-func (m *machineController) handleMoveResult(r orderResult) (stopped []cordonedInstance) {
+// handleMoveResult processes the result of a move order and returns the changes to
+// record.
+func (m *machineController) handleMoveResult(r orderResult) []change {
 	move := m.pendingMoves[r.name]
 	if move == nil {
 		return nil
@@ -310,8 +310,8 @@
 		log.Info("machine move started")
 		m.ownerSession.Metrics.Moves.Add(1)
 		move.confirmed, move.changedAt = true, m.Timers.Now()
-		stopped = append(stopped, move.instance)
 		m.markUnavailable(r.name, MachineMoving)
+		return m.removalChange(move.instance)
 	case errors.Is(r.err, ErrBusy), errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Info("machine move rejected")
 		m.cancelMove(r.name)
@@ -320,7 +320,7 @@
 		// known.
 		log.WithError(r.err).Info("machine move not confirmed")
 	}
-	return stopped
+	return nil
 }
 
 // cancelMove lets the instance of a machine that does not move take work again.
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -86,16 +86,16 @@
 	}
 	latency := o.Timers.Now().Sub(start)
 	o.Metrics.Latency.Record(string(r.Kind), latency)
+	sess.load.requests.record(latency)
 	galenalog.Info(o.Logger, "request", requestLine{r, reply, latency, sess.epoch})
 	return reply, nil
 }
 
 func (sess *ownerSession) handleRequest(r Request) (Reply, error) {
-	c := sess.State.Config()
-	if c == nil {
+	q, rest, ok := sess.State.MatchQueue(r.Host, r.Path)
+	if !ok && sess.State.Config() == nil {
 		return unreadyReply("no configuration yet"), nil
 	}
-	q, rest, ok := c.Match(r.Host, r.Path)
 	if !ok {
 		return Reply{Outcome: OutcomeNoQueue}, nil
 	}
@@ -123,7 +123,7 @@
 func (sess *ownerSession) countWaiting(q QueueRule) Reply {
 	sh := sess.shardFor(q.Service)
 	n := 0
-	sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { n = s.CountWaiting(q.Name) })
+	sh.inspect(func(_ time.Time, s *galenajob.Scheduler) { n = s.CountWaiting(q.Name) })
 	return Reply{Outcome: OutcomeWaiting, Waiting: n}
 }
 
@@ -169,7 +169,7 @@
 		return Reply{Outcome: OutcomeNoJob}
 	}
 	if state == galenajob.StateQueued {
-		sess.shardFor(service).withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
+		sess.shardFor(service).inspect(func(_ time.Time, s *galenajob.Scheduler) {
 			if s.JobStarted(id) {
 				state = galenajob.StateRunning
 			}
@@ -205,6 +205,7 @@
 }
 
 func (sess *ownerSession) heartbeat(hb Heartbeat) error {
+	sess.load.heartbeats.Add(1)
 	in := hb.Instance
 	if !sess.recordIfNewer(in, hb.Sequence) {
 		sess.Logger.WithField("instance", in.ID).WithField("sequence", hb.Sequence).Info("ignored an out-of-order heartbeat")
@@ -231,7 +232,7 @@
 		return nil
 	}
 	scheduled := false
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
 	if !scheduled {
 		// The scheduler removed the instance for its missing heartbeats while this
 		// one arrived.
@@ -296,6 +297,15 @@
 	return Empty{}, nil
 }
 
+// ConfigureEncoded applies a valid configuration like Configure.
+func (o *Owner) ConfigureEncoded(ctx context.Context, e EncodedConfig) (Empty, error) {
+	c, err := e.decode()
+	if err != nil {
+		return Empty{}, err
+	}
+	return o.Configure(ctx, c)
+}
+
 // Configure applies a valid configuration, unless the current one is at least as
 // new.
 func (o *Owner) Configure(_ context.Context, c Config) (Empty, error) {
@@ -303,28 +313,44 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	// A copy that an operator sends again waits for the first one and then costs nothing.
+	select {
+	case sess.configuring <- struct{}{}:
+		defer func() { <-sess.configuring }()
+	case <-sess.ctx.Done():
+		return Empty{}, galenahead.ErrNotLeader
+	}
+	if current := sess.State.Config(); current != nil && c.Version <= current.Version {
+		if !sess.isLeader() {
+			return Empty{}, galenahead.ErrNotLeader
+		}
+		sess.logConfiguration(c, CodeUnchanged)
+		return Empty{}, nil
+	}
 	r, err := sess.committer.commit(Op{Config: &c})
 	if err != nil {
 		return Empty{}, err
 	}
-	sess.Logger.WithField("version", c.Version).WithField("outcome", r[0].Code).WithField("queues", len(c.Queues)).
-		Info("configuration")
+	sess.logConfiguration(c, r[0].Code)
 	if r[0].Code == CodeDone {
+		queues := c.schedulerQueues()
 		for _, sh := range sess.allShards() {
-			sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
-				for i := range c.Queues {
-					s.SetQueue(c.Queues[i].schedulerQueue())
-				}
-			})
+			sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.SetQueues(queues) })
 		}
 	}
 	return Empty{}, nil
 }
 
+func (sess *ownerSession) logConfiguration(c Config, outcome Code) {
+	sess.Logger.WithField("version", c.Version).WithField("outcome", outcome).WithField("queues", len(c.Queues)).
+		Info("configuration")
+}
+
 // ConfigDocument is the source of the current configuration.
 type ConfigDocument struct {
 	Version uint64 `json:"version"`
-	Source  []byte `json:"source"`
+	// Source is compressed between daemons if it is large.
+	Source []byte `json:"source"`
 }
 
 // Configuration returns the current configuration. It fails with ErrNotFound before
@@ -341,7 +367,8 @@
 	if c == nil {
 		return ConfigDocument{}, eris.Wrap(galenahead.ErrNotFound, "no configuration yet")
 	}
-	return ConfigDocument{c.Version, c.Source}, nil
+	source, err := compress(c.Source)
+	return ConfigDocument{c.Version, source}, err
 }
 
 // BeginWave accepts a maintenance wave, unless one with the same ID exists.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -19,6 +19,9 @@
 	// minPlanPause is the shortest time between two plans, so that events at nearly
 	// the same time share one plan.
 	minPlanPause = 2 * time.Millisecond
+	// planPauseFactor is how many times the duration of a plan the next one waits, so
+	// that planning leaves most of the processor to the calls that it causes.
+	planPauseFactor = 4
 	// pollWait is how long a poll waits for the end of a run. It is short enough
 	// that the polls renew the lease several times before it expires.
 	pollWait = time.Second
@@ -52,15 +55,27 @@
 	unreachable bool
 }
 
+// pollTiming tells a poll that the instance answered late from one that this process
+// handled late.
+type pollTiming struct {
+	// wait is how long the instance could delay its response, and took how long the
+	// poll took.
+	wait, took time.Duration
+	// tickLate is the longest scheduling delay in this process at that time.
+	tickLate time.Duration
+}
+
 // logReachability logs when the instance stops answering polls and when it answers
 // again.
-func (p *instancePoller) logReachability(log *logrus.Logger, id galenahead.InstanceID, err error) {
+func (p *instancePoller) logReachability(log *logrus.Logger, id galenahead.InstanceID, t pollTiming, err error) {
 	if p.unreachable == (err != nil) {
 		return
 	}
 	p.unreachable = err != nil
 	if p.unreachable {
-		log.WithError(err).WithField("instance", id).Info("instance does not answer polls")
+		log.WithError(err).WithField("instance", id).WithField("wait_ms", t.wait.Milliseconds()).
+			WithField("took_ms", t.took.Milliseconds()).WithField("tick_late_max_us", t.tickLate.Microseconds()).
+			Info("instance does not answer polls")
 	} else {
 		log.WithField("instance", id).Info("instance answers polls again")
 	}
@@ -92,14 +107,30 @@
 	}
 }
 
+// lock locks mu and records the time spent waiting for it.
+func (sh *shard) lock() {
+	if sh.mu.TryLock() {
+		return
+	}
+	start := time.Now()
+	sh.mu.Lock()
+	sh.session.load.lockWaits.record(time.Since(start))
+}
+
 // withScheduler runs f while it holds the shard's lock, and then requests a plan.
 func (sh *shard) withScheduler(f func(now time.Time, s *galenajob.Scheduler)) {
-	sh.mu.Lock()
-	f(sh.now(), sh.scheduler)
-	sh.mu.Unlock()
+	sh.inspect(f)
 	sh.requestPlan()
 }
 
+// inspect runs f while it holds the shard's lock. f must not change anything that
+// calls for a plan.
+func (sh *shard) inspect(f func(now time.Time, s *galenajob.Scheduler)) {
+	sh.lock()
+	defer sh.mu.Unlock()
+	f(sh.now(), sh.scheduler)
+}
+
 func (sh *shard) addJob(j *galenajob.Job, age time.Duration, inherited bool) {
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.AddJob(now, j, age, inherited) })
 }
@@ -161,19 +192,23 @@
 		case <-ticks:
 		case <-sh.wake:
 		}
+		start := sh.now()
 		sh.plan(ctx)
+		pause := min(max(minPlanPause, planPauseFactor*sh.now().Sub(start)), planInterval)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-sh.session.Timers.After(ctx, minPlanPause):
+		case <-sh.session.Timers.After(ctx, pause):
 		}
 	}
 }
 
 func (sh *shard) plan(ctx context.Context) {
-	sh.mu.Lock()
-	actions := sh.scheduler.Plan(sh.now(), time.Now().Round(0))
+	sh.lock()
+	start := time.Now()
+	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone := sh.scheduler.TakeGone()
+	sh.session.load.plans.record(time.Since(start))
 	sh.mu.Unlock()
 	for _, a := range actions {
 		sh.dispatch(ctx, a)
@@ -218,6 +253,10 @@
 	if !sh.session.isLeader() {
 		return
 	}
+	load := &sh.session.load
+	load.countCommand(a)
+	load.inFlight.Add(1)
+	defer load.inFlight.Add(-1)
 	sent := sh.now()
 	o, clock, err := galenajob.OutcomeUnknown, int64(0), error(nil)
 	switch a.Kind {
@@ -230,14 +269,23 @@
 			o = galenajob.OutcomeDone
 		}
 	}
-	sh.logCommand(a, o, sh.now().Sub(sent), err)
+	latency := sh.now().Sub(sent)
+	load.commands.record(latency)
+	load.countError(err)
+	sh.logCommand(a, o, latency, err)
 	if a.Kind == galenajob.ActPace {
 		return
 	}
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.HandleOutcome(now, a, o, clock, sent) })
-	sh.mu.Lock()
-	p := sh.pollers[a.Instance.ID]
-	sh.mu.Unlock()
+	var p *instancePoller
+	needsPlan := o != galenajob.OutcomeDone
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
+		s.HandleOutcome(now, a, o, clock, sent)
+		needsPlan = needsPlan || s.StartsExhausted()
+		p = sh.pollers[a.Instance.ID]
+	})
+	if needsPlan {
+		sh.requestPlan()
+	}
 	if p != nil {
 		notify(p.wake)
 	}
@@ -246,14 +294,14 @@
 // logCommand logs and counts a command.
 func (sh *shard) logCommand(a galenajob.Action, o galenajob.Outcome, latency time.Duration, err error) {
 	sh.session.Metrics.Counters.Add("order_"+string(a.Kind)+"_"+o.String(), 1)
-	galenalog.Info(sh.session.Logger, "order", actionLine{a, o, latency, err})
+	galenalog.Info(sh.session.Logger, "order", actionLine{a, o, latency, err, sh.session.load.recentTickLate()})
 }
 
 // pollLoop polls an instance while the scheduler needs its runs and ends, and
 // otherwise waits for a signal on p.wake.
 func (sh *shard) pollLoop(ctx context.Context, id galenahead.InstanceID, p *instancePoller) error {
 	for ctx.Err() == nil {
-		sh.mu.Lock()
+		sh.lock()
 		req, ok := sh.scheduler.NextPoll(sh.now(), id)
 		sh.mu.Unlock()
 		pause := time.Duration(0)
@@ -290,21 +338,44 @@
 	case errors.Is(err, ErrFenced):
 		sh.session.resign(err)
 		return 0
+	case errors.Is(err, ErrExhausted):
+		// The instance may well be alive, so it does not count as unresponsive.
+		sh.session.Metrics.Counters.Add("looks_deferred", 1)
+		sh.session.load.countError(err)
+		p.logReachability(sh.session.Logger, id, sh.pollTiming(sent, wait), err)
+		return pollRetryPause
 	case err != nil:
 		sh.session.Metrics.Counters.Add("looks_failed", 1)
-		p.logReachability(sh.session.Logger, id, err)
+		sh.session.load.pollsFailed.Add(1)
+		p.logReachability(sh.session.Logger, id, sh.pollTiming(sent, wait), err)
 		sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.HandleNoResponse(id, sent) })
 		return pollRetryPause
 	}
-	p.logReachability(sh.session.Logger, id, nil)
+	handling := time.Now()
+	p.logReachability(sh.session.Logger, id, pollTiming{}, nil)
 	sh.session.Metrics.Counters.Add("looks", 1)
 	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
 	var ends []galenajob.End
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { ends = s.HandlePoll(now, id, resp) })
+	needsPlan := !req.MayWait
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
+		ends = s.HandlePoll(now, id, resp)
+		// Ends that must be recorded call for a plan only after that.
+		needsPlan = needsPlan || s.HasActions() || len(ends) < len(resp.Ends)
+	})
+	if needsPlan {
+		sh.requestPlan()
+	}
 	if len(ends) > 0 {
 		sh.recordEnds(id, req.Instance.Born, ends)
 	}
-	return pollPause
+	took := time.Since(handling)
+	sh.session.load.polls.record(took)
+	// While records take long, more polls would only find fewer ends each.
+	return max(pollPause, took)
+}
+
+func (sh *shard) pollTiming(sent time.Time, wait time.Duration) pollTiming {
+	return pollTiming{wait: wait, took: sh.now().Sub(sent), tickLate: sh.session.load.recentTickLate()}
 }
 
 // recordEnds records ends of runs in the replicated state and then passes them to
--- a/galenafleet/shard_test.go
+++ b/galenafleet/shard_test.go
@@ -15,11 +15,11 @@
 	"github.com/galenahead/galenahead/galenajob"
 )
 
-// silentInstances does not answer polls of the instances whose ID begins with
+// partlySilentInstances does not answer polls of the instances whose ID begins with
 // "silent".
-type silentInstances struct{ *fakeInstances }
+type partlySilentInstances struct{ *fakeInstances }
 
-func (f silentInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (f partlySilentInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
 	if strings.HasPrefix(string(req.Instance.ID), "silent") {
 		return galenajob.PollResponse{}, eris.New("no answer")
 	}
@@ -34,7 +34,7 @@
 		is := is.New(t)
 		const silent = 60
 		o, l := testOwner()
-		o.Instances = silentInstances{o.Instances.(*fakeInstances)}
+		o.Instances = partlySilentInstances{o.Instances.(*fakeInstances)}
 		o.Params.GoneAfter = 3 * time.Second
 		ctx, stop := startOwner(t, o, testConfig)
 		hb := testHeartbeat
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -45,6 +45,12 @@
 	Free   Resources
 }
 
+// reasonRepeated is the reason of a command that had no outcome and is sent again.
+const reasonRepeated = "repeated"
+
+// Repeated reports whether the command had no outcome and is sent again.
+func (a *Action) Repeated() bool { return a.Reason == reasonRepeated }
+
 // hopelessFactor is the multiple of its objective after which a job's result is
 // of no use, as the users define it.
 const hopelessFactor = 3
@@ -72,15 +78,19 @@
 // wall on the wall clock.
 func (s *Scheduler) Plan(now, wall time.Time) []Action {
 	s.wall = wall
+	s.starting = 0
 	s.checkLiveness(now)
 	for _, id := range s.Instances() {
 		inst := s.instances[id]
 		s.evacuate(now, inst)
 		s.resendCommands(now, inst)
 	}
+	s.tooLarge = s.tooLarge[:0]
 	for _, j := range s.rankedJobs(now) {
 		for _, set := range s.readySets(j) {
-			s.startItems(now, set)
+			if !s.StartsExhausted() {
+				s.startItems(now, set)
+			}
 		}
 	}
 	out := s.actions
@@ -119,19 +129,35 @@
 	if s.unresponsive(now, inst) {
 		return
 	}
+	due := false
+	for _, it := range inst.items {
+		if it.phase == phaseStarting && it.inFlight {
+			s.starting++
+		}
+		due = due || it.resendDue(now)
+	}
+	if !due {
+		return
+	}
 	for _, it := range inst.sortedItems() {
-		if it.inFlight || now.Before(it.notBefore) {
+		if !it.resendDue(now) {
 			continue
 		}
 		switch it.phase {
 		case phaseStarting:
-			s.emitStart(now, it, "repeated")
+			s.emitStart(now, it, reasonRepeated)
 		case phaseStopping:
-			s.emitStop(now, it, "repeated")
+			s.emitStop(now, it, reasonRepeated)
 		}
 	}
 }
 
+// resendDue reports whether the item's last command has no result and is to be sent
+// again.
+func (it *item) resendDue(now time.Time) bool {
+	return (it.phase == phaseStarting || it.phase == phaseStopping) && !it.inFlight && !now.Before(it.notBefore)
+}
+
 // evacuate stops runs on a draining or evacuating instance, as far as their steps
 // allow, so that their work items restart elsewhere.
 func (s *Scheduler) evacuate(now time.Time, inst *instance) {
@@ -186,18 +212,28 @@
 		j.key = s.rank(now, j)
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(
-			cmp.Compare(a.key.class, b.key.class),
-			cmp.Compare(a.key.priority, b.key.priority),
-			cmp.Compare(a.key.remainingWork, b.key.remainingWork),
-			a.key.due.Compare(b.key.due),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
+	slices.SortFunc(jobs, compareJobs)
 	return jobs
 }
 
+// compareJobs compares two jobs by their scheduling order. It compares only as much
+// as it needs, since each plan sorts all jobs.
+func compareJobs(a, b *job) int {
+	if c := cmp.Compare(a.key.class, b.key.class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.key.priority, b.key.priority); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.key.remainingWork, b.key.remainingWork); c != 0 {
+		return c
+	}
+	if c := a.key.due.Compare(b.key.due); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
 func (s *Scheduler) rank(now time.Time, j *job) sortKey {
 	if j.Spec.LongRunning() {
 		return sortKey{class: classLongRunning, priority: j.queue.Priority, due: j.acceptedAt}
@@ -226,7 +262,8 @@
 // steps that are not done.
 func (j *job) remainingTime() time.Duration {
 	sets := j.occurrence(0)
-	ends := make([]time.Duration, len(sets))
+	var buf [8]time.Duration
+	ends := slices.Grow(buf[:0], len(sets))[:len(sets)]
 	var longest time.Duration
 	for i, set := range sets {
 		var begin time.Duration
@@ -285,14 +322,34 @@
 		if it.done || it.phase != phasePending || it.endUnrecorded || now.Before(it.notBefore) || it.attemptsExhausted() {
 			continue
 		}
+		if s.StartsExhausted() || s.isTooLarge(set) {
+			return
+		}
 		inst := s.chooseInstance(now, it)
 		if inst == nil {
+			s.recordTooLarge(set)
 			return
 		}
 		s.startItem(now, it, inst, s.nextRun(it.run))
 	}
 }
 
+// recordTooLarge records that no instance has room for the set's work items, if room
+// is all that they need. It holds for the current plan, in which no room becomes
+// free.
+func (s *Scheduler) recordTooLarge(set *itemSet) {
+	if set.step.Label == "" && set.step.MaxPerInstance == 0 && !set.job.queue.RequiresAdvice {
+		s.tooLarge = append(s.tooLarge, set.step.reservation())
+	}
+}
+
+// isTooLarge reports whether no instance has room for the set's work items, as far as
+// smaller ones have shown in the current plan.
+func (s *Scheduler) isTooLarge(set *itemSet) bool {
+	need := set.step.reservation()
+	return slices.ContainsFunc(s.tooLarge, func(r Resources) bool { return need.Covers(r) })
+}
+
 // startGang starts all members of a gang together, or none.
 func (s *Scheduler) startGang(now time.Time, set *itemSet) {
 	run, checkpoint := int64(0), ""
@@ -343,6 +400,7 @@
 	inst := it.instance
 	it.inFlight = true
 	it.startsSent++
+	s.starting++
 	it.notBefore = now.Add(s.params.ResendInterval)
 	a := Action{
 		Kind: ActStart, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run,
--- a/galenasettings/fleet.go
+++ b/galenasettings/fleet.go
@@ -14,8 +14,11 @@
 // be changed.
 type Fleet struct {
 	Process Process
-	Listen  FleetListen
-	Control FleetControl
+	// GracePeriod is how long after SIGTERM the platform kills the process, or 0 if
+	// it does not. Only entry daemons have it.
+	GracePeriod time.Duration
+	Listen      FleetListen
+	Control     FleetControl
 	// Instances holds time limits of instances, machines and jobs. Only control
 	// daemons have it.
 	Instances FleetInstances
@@ -41,8 +44,9 @@
 	Seeds []netip.AddrPort
 	// PeerPort is the port on which control daemons listen for other daemons.
 	PeerPort int
-	// DataDirectory holds the replica's durable state. Only control daemons have
-	// it and the fields below.
+	// DataDirectory holds the replica's durable state. It is empty on a machine
+	// without a disk, whose control daemon keeps no replica. Only control daemons
+	// have it and the fields below.
 	DataDirectory string
 	// Bootstrap is true when the whole deployment starts for the first time.
 	Bootstrap bool
@@ -94,6 +98,7 @@
 func ParseFleetEntry(file string, data []byte) (Fleet, error) {
 	r := newReader(file, data)
 	f := Fleet{Process: readProcess(r)}
+	f.GracePeriod, _ = optional(r, "process", "grace_period", duration(0, maxStopDelay), 0)
 	f.Listen.Caller = readListen(r, "caller_address")
 	f.Listen.Status = readListen(r, "status_address")
 	f.Control = readFleetSeeds(r)
@@ -110,7 +115,7 @@
 	f.Listen.Status = readListen(r, "status_address")
 	f.Control = readFleetSeeds(r)
 	const section = "control"
-	f.Control.DataDirectory = required(r, section, "data_directory", text("the path of a directory"))
+	f.Control.DataDirectory = required(r, section, "data_directory", optionalText("the path of a directory, or empty for none"))
 	f.Control.Bootstrap, _ = optional(r, section, "bootstrap", boolean(), false)
 	f.Control.ToleratedFailures, _ = optional(r, section, "losses", integer(0, 8, "control daemons"), 1)
 	f.Instances = FleetInstances{
