--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -42,7 +42,10 @@
 	lastListed map[galenahead.VMName]time.Time
 	// evacuating holds the instances of the machines that are evacuated for
 	// maintenance.
-	evacuating map[galenahead.VMName]galenahead.InstanceID
+	evacuating map[galenahead.VMName]cordonedInstance
+	// maintainedBy holds the waves that have ordered the maintenance of a machine and not
+	// recorded its end.
+	maintainedBy map[galenahead.VMName]int64
 	// pendingMoves holds the moves that have not ended, by machine.
 	pendingMoves map[galenahead.VMName]*pendingMove
 	// inFlight holds the machines with an order whose result is pending.
@@ -55,6 +58,14 @@
 	loggedPools map[galenahead.ServiceName][4]int
 }
 
+// cordonedInstance identifies an instance that gets no work because of an order to
+// its machine.
+type cordonedInstance struct {
+	id galenahead.InstanceID
+	// service is the service whose scheduler keeps work off the instance.
+	service galenahead.ServiceName
+}
+
 // orderResult is the result of an order to a machine. wave is zero for a move.
 type orderResult struct {
 	name galenahead.VMName
@@ -66,7 +77,7 @@
 	return &machineController{
 		ownerSession: sess,
 		lastListed:   map[galenahead.VMName]time.Time{},
-		evacuating:   map[galenahead.VMName]galenahead.InstanceID{},
+		evacuating:   map[galenahead.VMName]cordonedInstance{},
 		pendingMoves: map[galenahead.VMName]*pendingMove{},
 		inFlight:     map[galenahead.VMName]bool{},
 		retryAt:      map[galenahead.VMName]time.Time{},
@@ -99,9 +110,7 @@
 	if !m.refreshMachines() {
 		return
 	}
-	for _, w := range m.State.OpenWaves() {
-		m.advanceWave(w)
-	}
+	m.advanceWaves()
 	m.balancePools()
 }
 
@@ -188,7 +197,7 @@
 		}
 		stopped := machine.State == MachineMoving || machine.State == MachineMaintenance
 		if stopped || (machine.Instance != "" && machine.Instance != o.Instance) {
-			changes = append(changes, m.removalChange(o.Instance)...)
+			changes = append(changes, m.removalChange(cordonedInstance{in.ID, in.Service})...)
 		}
 	}
 	m.record(changes...)
@@ -219,37 +228,52 @@
 	return true
 }
 
+// advanceWaves advances the waves that are not completed.
+func (m *machineController) advanceWaves() {
+	waves := m.State.OpenWaves()
+	m.maintainedBy = map[galenahead.VMName]int64{}
+	for _, w := range waves {
+		for name, step := range w.Steps {
+			if _, ok := m.maintainedBy[name]; !ok && step != StepDone {
+				m.maintainedBy[name] = w.ID
+			}
+		}
+	}
+	for _, w := range waves {
+		m.advanceWave(w)
+	}
+}
+
 // advanceWave starts evacuations and maintenance of the machines of a wave, as far
 // as its limits allow, and records what has finished.
 func (m *machineController) advanceWave(w *Wave) {
 	var changes []change
 	down := 0
 	for _, name := range w.Machines {
-		switch w.Steps[name] {
-		case StepOrdered:
-			if m.hasLeft(name) {
-				m.cancelEvacuation(name)
-				changes = append(changes, m.stepChange(w, name, StepDone))
-				continue
-			}
-			down++
-			m.sendMaintenanceOrder(w.ID, name)
-		case StepStarted:
-			if !m.maintenanceEnded(name) {
-				down++
-				continue
-			}
+		step, state := w.Steps[name], m.machines[name].State
+		switch {
+		case step == StepDone:
+		case m.hasLeft(name), step == StepStarted && state == MachineUp:
+			m.cancelEvacuation(name)
 			changes = append(changes, m.stepChange(w, name, StepDone))
-		case "":
-			if m.hasLeft(name) {
-				changes = append(changes, m.stepChange(w, name, StepDone))
-			}
+		case step == StepOrdered && state == MachineMaintenance && m.maintainedBy[name] == w.ID && !m.inFlight[name]:
+			// The order was carried out, although there was no response.
+			down++
+			changes = append(changes, m.stepChange(w, name, StepStarted))
+			changes = append(changes, m.finishEvacuation(name)...)
+		case step != "":
+			down++
 		}
 	}
 	if !m.record(changes...) {
 		return
 	}
 	changes = nil
+	for _, name := range w.Machines {
+		if w.Steps[name] == StepOrdered {
+			m.sendMaintenanceOrder(w.ID, name)
+		}
+	}
 	allowed := m.maintenanceLimit(w, down)
 	evacuations := 0
 	for _, v := range m.maintenanceCandidates(w) {
@@ -262,6 +286,7 @@
 			continue
 		}
 		down++
+		m.maintainedBy[v.Name] = w.ID
 		c := m.stepChange(w, v.Name, StepOrdered)
 		set := c.then
 		c.then = func() { set(); m.sendMaintenanceOrder(w.ID, v.Name) }
@@ -302,14 +327,8 @@
 	var out []Machine
 	rank := map[galenahead.VMName]int64{}
 	for _, name := range w.Machines {
-		if w.Steps[name] != "" {
-			continue
-		}
-		v, ok := m.machines[name]
-		if !ok {
-			continue
-		}
-		if v.State != MachineUp || m.pendingMoves[name] != nil {
+		v := m.machines[name]
+		if _, ordered := m.maintainedBy[name]; ordered || w.Steps[name] != "" || v.State != MachineUp || m.pendingMoves[name] != nil {
 			continue
 		}
 		rank[name] = m.evacuationRank(v)
@@ -346,30 +365,49 @@
 
 // evacuate moves the work off a machine and reports whether the machine is empty.
 func (m *machineController) evacuate(v Machine) bool {
-	if v.Instance == "" {
-		return true
+	in := m.instanceOn(v)
+	if m.evacuating[v.Name] != in {
+		m.cancelEvacuation(v.Name)
 	}
-	in, ok := m.State.instance(v.Instance)
-	if !ok {
+	if in.id == "" {
 		return true
 	}
-	m.evacuating[v.Name] = v.Instance
+	m.evacuating[v.Name] = in
 	idle := false
-	m.shardFor(in.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		s.SetEvacuating(now, in.ID, true)
-		_, idle = s.IdleSince(in.ID)
+	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		s.SetEvacuating(now, in.id, true)
+		_, idle = s.IdleSince(in.id)
 	})
 	return idle
 }
 
-// sendMaintenanceOrder orders the maintenance of a machine. It is called again until
-// the result is known; the platform carries out a repeated order only once.
+// instanceOn returns the listed instance of a machine, which may not have registered
+// yet, or the zero value if there is none.
+func (m *machineController) instanceOn(v Machine) cordonedInstance {
+	if in, ok := m.State.instance(v.Instance); ok {
+		return cordonedInstance{in.ID, in.Service}
+	}
+	if v.Instance == "" {
+		return cordonedInstance{}
+	}
+	return cordonedInstance{v.Instance, v.Pool}
+}
+
+// sendMaintenanceOrder orders the maintenance of a machine, unless work runs there. It
+// is called again until the result is known; the platform carries out a repeated order
+// only once. Before each attempt the machine must be empty, since it may have crashed
+// and come back with another instance after an earlier attempt, or after the previous
+// owner recorded the order.
 func (m *machineController) sendMaintenanceOrder(wave int64, name galenahead.VMName) {
-	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
+	if m.inFlight[name] {
+		return
+	}
+	v := m.machines[name]
+	if v.State != MachineUp || !m.evacuate(v) || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
 		return
 	}
 	m.inFlight[name] = true
-	record := m.orderRecord(name, m.evacuating[name])
+	record := m.orderRecord(name, m.evacuating[name].id)
 	m.spawn(func() error {
 		r := orderResult{name: name, wave: wave}
 		if _, err := m.committer.commit(record); err != nil {
@@ -434,11 +472,7 @@
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
 		changes := []change{m.stepChange(w, r.name, StepStarted)}
-		if id, ok := m.evacuating[r.name]; ok {
-			delete(m.evacuating, r.name)
-			changes = append(changes, m.removalChange(id)...)
-		}
-		return changes
+		return append(changes, m.finishEvacuation(r.name)...)
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
 		m.cancelEvacuation(r.name)
@@ -451,19 +485,21 @@
 
 // cancelEvacuation lets the instance of an evacuated machine take work again.
 func (m *machineController) cancelEvacuation(name galenahead.VMName) {
-	id, ok := m.evacuating[name]
-	if !ok {
-		return
+	if in, ok := m.evacuating[name]; ok {
+		delete(m.evacuating, name)
+		m.uncordon(in)
 	}
-	delete(m.evacuating, name)
-	m.uncordon(id)
 }
 
-// maintenanceEnded reports whether a machine is up again after its maintenance, or
-// has left the fleet.
-func (m *machineController) maintenanceEnded(name galenahead.VMName) bool {
-	v, ok := m.machines[name]
-	return (ok && v.State == MachineUp) || m.hasLeft(name)
+// finishEvacuation ends the evacuation of a machine that is down and returns the removal
+// of its instance.
+func (m *machineController) finishEvacuation(name galenahead.VMName) []change {
+	in, ok := m.evacuating[name]
+	if !ok {
+		return nil
+	}
+	delete(m.evacuating, name)
+	return m.removalChange(in)
 }
 
 // stepChange returns the change of a machine's maintenance state.
@@ -472,11 +508,15 @@
 }
 
 // removalChange returns the removal of an instance that an order to its machine has
-// stopped, or nothing if the instance is unknown.
-func (m *machineController) removalChange(id galenahead.InstanceID) []change {
-	in, known := m.State.instance(id)
-	if !known {
+// stopped. A later life of the instance may take work. The change is empty if the
+// instance is unknown, or if a later life has registered for another service.
+func (m *machineController) removalChange(in cordonedInstance) []change {
+	if known, ok := m.State.instance(in.id); !ok || known.Service != in.service {
+		m.uncordon(in)
 		return nil
 	}
-	return []change{{Op{Remove: &id}, func() { m.shardFor(in.Service).removeInstance(id) }}}
+	return []change{{Op{Remove: &in.id}, func() {
+		m.shardFor(in.service).removeInstance(in.id)
+		m.uncordon(in)
+	}}}
 }
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -136,13 +136,12 @@
 }
 
 // addInheritedInstance adds an instance to which an earlier owner may have sent
-// commands. The leases of those commands count as expired later than Lease, since
+// commands, without polling it. The leases of those commands count as expired later than Lease, since
 // the clock of the instance may be slow.
 func (sh *shard) addInheritedInstance(in galenajob.Instance) {
 	const slowClockFactor = 1.03
 	leaseTimeout := time.Duration(slowClockFactor * float64(sh.session.Params.Lease))
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.AddInheritedInstance(now, in, now.Add(leaseTimeout)) })
-	sh.startPolling(in.ID)
 }
 
 // addInstance adds or updates an instance that has sent a heartbeat.
@@ -179,6 +178,9 @@
 	sh.session.spawn(func() error { return sh.pollLoop(ctx, id, p) })
 }
 
+// start starts the planning of the shard.
+func (sh *shard) start() { sh.session.spawn(func() error { return sh.loop(sh.session.ctx) }) }
+
 // loop plans after each event, and at least every planInterval, until ctx ends.
 func (sh *shard) loop(ctx context.Context) error {
 	sh.session.spawn(func() error { return sh.adviseLoop(ctx) })
@@ -211,19 +213,26 @@
 	for _, a := range actions {
 		sh.dispatch(ctx, a)
 	}
-	for _, id := range gone {
-		sh.removeGone(id)
+	if len(gone) > 0 {
+		// Work must not wait for the log.
+		sh.session.spawn(func() error { sh.removeGone(gone); return nil })
 	}
 }
 
-// removeGone removes an instance that the scheduler has given up, because it showed
+// removeGone removes instances that the scheduler has given up, because they showed
 // no sign of life for Params.GoneAfter.
-func (sh *shard) removeGone(id galenahead.InstanceID) {
-	if _, err := sh.session.committer.commit(Op{Remove: &id}); err != nil {
+func (sh *shard) removeGone(ids []galenahead.InstanceID) {
+	ops := make([]Op, len(ids))
+	for i := range ids {
+		ops[i] = Op{Remove: &ids[i]}
+	}
+	if _, err := sh.session.committer.commit(ops...); err != nil {
 		return
 	}
-	sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
-	sh.removeInstance(id)
+	for _, id := range ids {
+		sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
+		sh.removeInstance(id)
+	}
 }
 
 func (sh *shard) dispatch(ctx context.Context, a galenajob.Action) {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -63,6 +63,10 @@
 	sortedIDs []galenahead.InstanceID
 	actions   []Action
 	gone      []galenahead.InstanceID
+	// evacuations holds the evacuation deadlines of the instances that are evacuated.
+	// It includes instances that are not registered, so that one that registers
+	// again gets no work before its planned move or maintenance.
+	evacuations map[galenahead.InstanceID]time.Time
 	// starting counts the work items whose start has no result yet, as of the current
 	// plan.
 	starting int
@@ -81,9 +85,10 @@
 func NewScheduler(service galenahead.ServiceName, epoch uint64, p Params) *Scheduler {
 	return &Scheduler{
 		Service: service, params: p, epoch: int64(epoch),
-		queues:    map[string]Queue{},
-		jobs:      map[galenahead.JobID]*job{},
-		instances: map[galenahead.InstanceID]*instance{},
+		queues:      map[string]Queue{},
+		jobs:        map[galenahead.JobID]*job{},
+		instances:   map[galenahead.InstanceID]*instance{},
+		evacuations: map[galenahead.InstanceID]time.Time{},
 	}
 }
 
@@ -146,6 +151,7 @@
 			Instance: in, fence: s.epoch * incarnationsPerEpoch, items: map[ItemID]*item{},
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
+		inst.evacuationDeadline, inst.evacuating = s.evacuations[in.ID]
 		s.instances[in.ID] = inst
 		s.sortedIDs = nil
 		return inst
@@ -221,14 +227,20 @@
 
 // SetEvacuating starts or cancels the evacuation of an instance before a planned move
 // or maintenance. An evacuating instance gets no new work, and its work items move
-// elsewhere as their steps allow.
+// elsewhere as their steps allow. The evacuation continues if the instance is removed
+// and registers again, and may start before the instance registers.
 func (s *Scheduler) SetEvacuating(now time.Time, id galenahead.InstanceID, evacuating bool) {
-	inst := s.instances[id]
-	if inst == nil || inst.evacuating == evacuating {
+	if _, ok := s.evacuations[id]; ok == evacuating {
 		return
 	}
-	inst.evacuating = evacuating
-	inst.evacuationDeadline = now.Add(s.params.DrainGracePeriod)
+	if evacuating {
+		s.evacuations[id] = now.Add(s.params.DrainGracePeriod)
+	} else {
+		delete(s.evacuations, id)
+	}
+	if inst := s.instances[id]; inst != nil {
+		inst.evacuationDeadline, inst.evacuating = s.evacuations[id]
+	}
 }
 
 // SetMaintenanceDue marks an instance that will be taken down for maintenance later.
@@ -328,7 +340,7 @@
 }
 
 // TakeGone returns the instances that were given up since the last call of
-// TakeGone.
+// TakeGone. They get no work until RemoveInstance removes them.
 func (s *Scheduler) TakeGone() []galenahead.InstanceID {
 	g := s.gone
 	s.gone = nil
