Give an instance that returns a higher fencing token

Callers would see: a work item that runs twice (TWICE).

Cause: an instance that restarts while the owner knows it gets a higher token, but one that was removed in between, or that registers with another service, got the first token of the epoch again. A start command to its earlier life, carried out seconds later, would have been accepted: the token is equal, the deadline is on the clock of the earlier life, and a new life has seen no run.

The schedulers of a session now share the tokens that were issued. TestReturningInstanceGetsHigherFence failed before (second equal to first).

--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -128,7 +128,7 @@
 func TestRepeatedCommandsAreCounted(t *testing.T) {
 	is := is.New(t)
 	var l ownerLoad
-	s := galenajob.NewScheduler("counter", 1, galenajob.Params{Lease: time.Second, UnresponsiveAfter: time.Second, ResendInterval: time.Millisecond, GoneAfter: time.Minute})
+	s := galenajob.NewScheduler("counter", 1, galenajob.Params{Lease: time.Second, UnresponsiveAfter: time.Second, ResendInterval: time.Millisecond, GoneAfter: time.Minute}, &galenajob.Fences{})
 	t0 := time.Unix(1000, 0)
 	in := testHeartbeat.Instance
 	s.AddInstance(t0, in)
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -141,6 +141,7 @@
 
 	mu     sync.Mutex
 	shards map[galenahead.ServiceName]*shard
+	fences galenajob.Fences
 	// heartbeats holds the newest heartbeat of each instance.
 	heartbeats map[galenahead.InstanceID]lastHeartbeat
 	// submitting counts the submissions of each job whose commit is under way.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -87,7 +87,7 @@
 func newShard(sess *ownerSession, service galenahead.ServiceName) *shard {
 	return &shard{
 		session: sess, service: service, wake: make(chan struct{}, 1),
-		scheduler:      galenajob.NewScheduler(service, sess.epoch, sess.Params),
+		scheduler:      galenajob.NewScheduler(service, sess.epoch, sess.Params, &sess.fences),
 		pollers:        map[galenahead.InstanceID]*instancePoller{},
 		adviceRequests: make(chan galenajob.Action, maxQueuedAdvice),
 	}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -48,11 +49,34 @@
 // can issue fencing tokens.
 const incarnationsPerEpoch = 1000
 
+// Fences issues the fencing tokens of one owner. The schedulers of all its services
+// share it, since an instance may return under its ID to the same or another service:
+// a delayed command to its earlier life must not carry the token of the present one.
+// The zero value is ready to use.
+type Fences struct {
+	mu   sync.Mutex
+	last map[galenahead.InstanceID]int64
+}
+
+// next returns a token that is higher than all that were issued for the instance, and
+// at least lowest.
+func (f *Fences) next(id galenahead.InstanceID, lowest int64) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last == nil {
+		f.last = map[galenahead.InstanceID]int64{}
+	}
+	token := max(lowest, f.last[id]+1)
+	f.last[id] = token
+	return token
+}
+
 // Scheduler schedules the jobs of one service. It is not safe for concurrent
 // use. All times are on one monotonic clock, except for the start times of
 // recurring jobs.
 type Scheduler struct {
 	Service galenahead.ServiceName
+	fences  *Fences
 	params  Params
 	epoch   int64
 
@@ -81,10 +105,11 @@
 	arrivals []arrival
 }
 
-// NewScheduler returns a scheduler for the owner of the given epoch.
-func NewScheduler(service galenahead.ServiceName, epoch uint64, p Params) *Scheduler {
+// NewScheduler returns a scheduler for the owner of the given epoch, whose other
+// schedulers use the same fences.
+func NewScheduler(service galenahead.ServiceName, epoch uint64, p Params, fences *Fences) *Scheduler {
 	return &Scheduler{
-		Service: service, params: p, epoch: int64(epoch),
+		Service: service, fences: fences, params: p, epoch: int64(epoch),
 		queues:      map[string]Queue{},
 		jobs:        map[galenahead.JobID]*job{},
 		instances:   map[galenahead.InstanceID]*instance{},
@@ -148,7 +173,7 @@
 	inst, ok := s.instances[in.ID]
 	if !ok {
 		inst = &instance{
-			Instance: in, fence: s.epoch * incarnationsPerEpoch, items: map[ItemID]*item{},
+			Instance: in, fence: s.fences.next(in.ID, s.epoch*incarnationsPerEpoch), items: map[ItemID]*item{},
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
 		inst.evacuationDeadline, inst.evacuating = s.evacuations[in.ID]
@@ -170,7 +195,7 @@
 // higher fencing token keeps it out.
 func (s *Scheduler) beginIncarnation(now time.Time, inst *instance, born int64) {
 	inst.Born = born
-	inst.fence++
+	inst.fence = s.fences.next(inst.ID, inst.fence)
 	inst.fenceConfirmed = false
 	inst.Draining, inst.drainingSince = false, time.Time{}
 	inst.clock, inst.clockAt, inst.maxDeadline, inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, now, 0, 0, 0, 0, false
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -49,7 +49,7 @@
 // newFencedScheduler returns a scheduler with instances that have seen its fencing
 // token and can get work.
 func newFencedScheduler(ids ...string) *Scheduler {
-	s := NewScheduler("counter", 1, testParams())
+	s := NewScheduler("counter", 1, testParams(), &Fences{})
 	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2, Stretch: 1.6, TargetLatency: 600 * time.Millisecond})
 	for _, id := range ids {
 		s.AddInstance(t0, testInstance(id))
@@ -63,7 +63,7 @@
 // previous owner and has ended, while that end is not recorded yet.
 func TestEndOfEarlierOwnerKeepsItemFromStarting(t *testing.T) {
 	is := is.New(t)
-	s := NewScheduler("counter", 2, testParams())
+	s := NewScheduler("counter", 2, testParams(), &Fences{})
 	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
 	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
 	s.AddJob(t0, testJob("j", 1), time.Second, true)
@@ -273,7 +273,7 @@
 	const limit, jobs, items = 8, 20, 4
 	p := testParams()
 	p.MaxStarting = limit
-	s := NewScheduler("counter", 2, p)
+	s := NewScheduler("counter", 2, p, &Fences{})
 	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
 	expiry := t0.Add(p.Lease)
 	for i := range jobs {
@@ -362,3 +362,31 @@
 	is.Equal(len(others), limit)
 	is.True(others[0].Instance.ID != silent[0].Instance.ID)
 }
+
+// Guards against a delayed command to an earlier life of an instance that its present
+// life accepts, because the instance was removed in between and registered again, with
+// the same service or another one.
+func TestReturningInstanceGetsHigherFence(t *testing.T) {
+	is := is.New(t)
+	fences := &Fences{}
+	s := NewScheduler("counter", 1, testParams(), fences)
+	other := NewScheduler("courier", 1, testParams(), fences)
+	fence := func(s *Scheduler, born int64) int64 {
+		in := testInstance("a")
+		in.Born = born
+		s.AddInstance(t0, in)
+		req, ok := s.NextPoll(t0, "a")
+		is.True(ok)
+		return req.Fence
+	}
+	first := fence(s, 1)
+	s.RemoveInstance(t0, "a")
+	second := fence(s, 2)
+	is.True(second > first)
+	third := fence(s, 3) // without a removal in between
+	is.True(third > second)
+	s.RemoveInstance(t0, "a")
+	fourth := fence(other, 4)
+	is.True(fourth > third)
+	is.True(fourth < 2*incarnationsPerEpoch) // a later owner's tokens are higher
+}
--- a/galenajob/usage_test.go
+++ b/galenajob/usage_test.go
@@ -13,7 +13,7 @@
 // demandAfter returns the estimated demand after n jobs that arrived gap apart, the
 // last one just now.
 func demandAfter(n int, gap time.Duration, step Step) int64 {
-	s := NewScheduler("s", 1, Params{})
+	s := NewScheduler("s", 1, Params{}, &Fences{})
 	now := time.Unix(100, 0)
 	for i := range n {
 		id := galenahead.JobID(fmt.Sprint("j", i))
