Keep leases on slow clocks from growing with the session

Callers could see work run twice. An instance's clock may be 2% slow. The owner extrapolated the last reading at the full rate and ignored every later reading that was behind that estimate, so that no reading of a slow clock ever corrected it: the deadlines that it sent grew by 20 ms with each second of the session. The next owner waits 3% more than one lease for an instance that does not answer, and then starts its work elsewhere, while the old runs may still hold their lease. Work of a crashed instance waited longer in the same way.

The estimate now advances at the slowest rate, so that it is never ahead of the clock and each reading corrects it. leaseExpired already used that rate.

Before, over 300 s of polls with a requested lease of 5 s:

scheduler_test.go:370: leases of 5s to 11s --- FAIL: TestLeaseOnSlowClockIsNoLongerThanRequested

The random simulation now runs instances at the slowest rate, and gives the next owner no more than the 3% that the daemon gives it.

--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -344,3 +344,30 @@
 	is.True(req.MayWait)
 	is.True(req.Deadline > 0)
 }
+
+// Guards against a lease that outlives the wait of the next owner, because the estimate
+// of a slow clock runs ahead of it for as long as the session lasts.
+func TestLeaseOnSlowClockIsNoLongerThanRequested(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.AddJob(t0, testJob("j", 1), 0, false)
+	for _, a := range starts(s.Plan(t0, t0)) {
+		s.HandleOutcome(t0, a, OutcomeDone, 1000, t0)
+	}
+	const rate, latency = 0.98, 3 * time.Millisecond
+	clock := func(now time.Time) int64 { return 1000 + int64(rate*float64(now.Sub(t0).Milliseconds())) }
+	shortest, longest := s.params.Lease, time.Duration(0)
+	for i := range 300 {
+		now := t0.Add(time.Duration(i+1) * time.Second)
+		req, ok := s.NextPoll(now, "a")
+		is.True(ok)
+		lease := time.Duration(req.Deadline-clock(now)) * time.Millisecond
+		shortest, longest = min(shortest, lease), max(longest, lease)
+		s.HandlePoll(now.Add(latency), "a", PollResponse{
+			Fence: req.Fence, Clock: clock(now), Born: 1, Sent: now, Runs: []Run{{Item: ItemID{Job: "j"}, Number: 1001}},
+		})
+	}
+	t.Logf("leases of %v to %v", shortest, longest)
+	is.True(longest <= s.params.Lease)
+	is.True(shortest >= s.params.Lease-100*time.Millisecond)
+}
--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -66,7 +66,7 @@
 )
 
 func (inst *fakeInstance) clock(now time.Time) int64 {
-	return int64(float64(now.Sub(inst.startedAt).Milliseconds()) * 0.99)
+	return int64(float64(now.Sub(inst.startedAt).Milliseconds()) * minClockRate)
 }
 
 // expireLease ends all runs once the lease has expired.
@@ -289,7 +289,7 @@
 	sim.sched.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 600 * time.Millisecond})
 	if old != nil {
 		for _, id := range old.Instances() {
-			sim.sched.AddInheritedInstance(sim.now, old.instances[id].Instance, sim.now.Add(testParams().Lease*103/100+100*time.Millisecond))
+			sim.sched.AddInheritedInstance(sim.now, old.instances[id].Instance, sim.now.Add(testParams().Lease*103/100))
 		}
 	}
 	for _, id := range sim.jobIDs() {
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -208,7 +208,8 @@
 	items        map[ItemID]*item
 	// placements counts all placements of work items on the instance.
 	placements int64
-	// clock is the reading of the instance's clock at clockAt, in milliseconds.
+	// clock is a reading of the instance's clock, in milliseconds, that arrived at
+	// clockAt.
 	clock   int64
 	clockAt time.Time
 	// maxDeadline is the latest deadline sent to the instance, on its clock.
@@ -257,14 +258,19 @@
 	return now.After(inst.clockAt.Add(rest + expirySlack))
 }
 
+// estimatedClock returns a reading that the instance's clock has reached by now. A lease
+// that ends some time after it is never longer than that on the instance.
+func (inst *instance) estimatedClock(now time.Time) int64 {
+	return inst.clock + int64(minClockRate*float64(now.Sub(inst.clockAt))/float64(time.Millisecond))
+}
+
 // updateClock corrects the estimate of the instance's clock by a reading.
 func (inst *instance) updateClock(now time.Time, clock int64) {
 	if clock <= 0 {
 		return
 	}
 	// A delayed reading must not move the estimate back.
-	est := inst.clock + now.Sub(inst.clockAt).Milliseconds()
-	if inst.clockAt.IsZero() || clock >= est {
+	if inst.clockAt.IsZero() || clock >= inst.estimatedClock(now) {
 		inst.clock, inst.clockAt = clock, now
 	}
 }
@@ -272,7 +278,7 @@
 // extendDeadline returns the deadline on the instance's clock for a lease that
 // starts now, and keeps the latest one in maxDeadline.
 func (inst *instance) extendDeadline(now time.Time, lease time.Duration) int64 {
-	d := inst.clock + now.Sub(inst.clockAt).Milliseconds() + lease.Milliseconds()
+	d := inst.estimatedClock(now) + lease.Milliseconds()
 	inst.maxDeadline = max(inst.maxDeadline, d)
 	return d
 }
