Apply a long log in steps of 20 ms

After a restart of all control daemons, callers waited longer for an owner: the new leader applied its whole log, up to 4,096 entries or 4 MiB, in one pass, and handled no response and sent no heartbeat until that was done. The lease is 500 ms. Followers and learners that catch up were silent to the leader in the same way.

A pass now applies entries for 20 ms, at least one, and the next one follows without waiting for input.

Before, with 2,000 entries of 1 ms, three runs:

leader_restart_test.go:154: longest gap 2s, 1 terms with a lease leader_restart_test.go:154: longest gap 2s, 1 terms with a lease leader_restart_test.go:154: longest gap 2s, 2 terms with a lease --- FAIL: TestReplicasAnswerWhileTheyApplyALongLog

After: longest gap 50ms, 1 terms with a lease. One replica of the simulation now applies one entry at a time.

--- a/galenaraft/engine.go
+++ b/galenaraft/engine.go
@@ -20,6 +20,10 @@
 	retainedEntries uint64
 }
 
+// maxApplyTime bounds the application of entries between two passes over the inputs,
+// so that a long log delays no heartbeat. It is well below the heartbeat interval.
+const maxApplyTime = 20 * time.Millisecond
+
 // pendingProposal is an appended entry whose result the proposer waits for. term is
 // the term in which the entry was appended.
 type pendingProposal struct {
@@ -43,6 +47,7 @@
 	wal          *galenawal.Log
 	stateMachine galenahead.StateMachine
 	limits       snapshotLimits
+	applyTime    time.Duration
 
 	diagnostics  diagnostics
 	appliedIndex uint64
@@ -56,7 +61,7 @@
 }
 
 func newEngine(c *core, w *galenawal.Log, m galenahead.StateMachine, s galenawal.Snapshot, l snapshotLimits) (*engine, error) {
-	e := &engine{core: c, wal: w, stateMachine: m, limits: l, pendingProposals: make(map[uint64]pendingProposal)}
+	e := &engine{core: c, wal: w, stateMachine: m, limits: l, applyTime: maxApplyTime, pendingProposals: make(map[uint64]pendingProposal)}
 	c.loadSnapshot = w.LoadSnapshot
 	e.appliedIndex, e.snapshotIndex = s.Index, s.Index
 	if s.Index == 0 {
@@ -102,10 +107,10 @@
 	e.pendingTransfers = append(e.pendingTransfers, done)
 }
 
-// persistAndApply makes the core's state durable, applies committed entries and
-// returns the messages to send. An error is fatal for the replica. It reads the
-// clock again after syncing the files, since a sync can take longer than the
-// lease.
+// persistAndApply makes the core's state durable, applies committed entries for at most
+// about applyTime and returns the messages to send. An error is fatal for the replica.
+// It reads the clock again after syncing the files, since a sync can take longer than
+// the lease.
 func (e *engine) persistAndApply(clock func() time.Duration) ([]Message, error) {
 	c := e.core
 	if c.role == RoleLeader {
@@ -118,7 +123,7 @@
 	}
 	start := clock()
 	c.advanceCommit(start)
-	e.apply()
+	e.apply(clock, start+e.applyTime)
 	end := clock()
 	e.diagnostics.record(&e.diagnostics.apply, end, end-start)
 	e.resolvePending(end)
@@ -164,8 +169,12 @@
 	return eris.Wrap(e.stateMachine.Restore(s.Data), "restore snapshot")
 }
 
-func (e *engine) apply() {
-	for e.appliedIndex < e.core.commitIndex {
+// hasUnapplied reports whether committed entries wait for the next persistAndApply.
+func (e *engine) hasUnapplied() bool { return e.appliedIndex < e.core.commitIndex }
+
+// apply applies committed entries, at least one and then until the deadline.
+func (e *engine) apply(clock func() time.Duration, deadline time.Duration) {
+	for first := true; e.hasUnapplied() && (first || clock() < deadline); first = false {
 		e.appliedIndex++
 		entry := e.core.log.entries[e.appliedIndex-e.core.log.baseIndex-1]
 		var result []byte
--- a/galenaraft/leader_restart_test.go
+++ b/galenaraft/leader_restart_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/galenahead/galenahead/galenawal"
 )
 
@@ -115,3 +118,43 @@
 		}
 	}
 }
+
+// Guards against replicas that send and answer no heartbeats after a restart of all of
+// them, because they apply a long log in one step.
+func TestReplicasAnswerWhileTheyApplyALongLog(t *testing.T) {
+	const commands = 2000
+	root := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startCluster(t, root, Config{}, "a", "b", "c")
+		time.Sleep(electionWait)
+		for range commands {
+			_, err := c.leader().Propose(t.Context(), []byte("x"))
+			is.NoErr(err)
+		}
+		c.stop()
+		var nodes []*runningNode
+		for _, name := range []string{"a", "b", "c"} {
+			n := c.start(name, Config{})
+			n.stateMachine.applyTime.Store(int64(time.Millisecond))
+			nodes = append(nodes, n)
+		}
+		defer c.stop()
+		longestGap, leases := time.Duration(0), map[uint64]bool{}
+		for range 2 * electionWait / DefaultTick {
+			time.Sleep(DefaultTick)
+			for _, n := range nodes {
+				gap, _ := n.RecentDelays()
+				longestGap = max(longestGap, gap)
+				if n.HoldsLease() {
+					leases[n.Status().Term] = true
+				}
+			}
+		}
+		t.Logf("longest gap %v, %d terms with a lease", longestGap, len(leases))
+		is.True(longestGap <= DefaultHeartbeat)
+		is.Equal(len(leases), 1)
+		is.NoErr(c.leader().ReadBarrier(t.Context()))
+		is.Equal(c.leader().stateMachine.total.Load(), uint64(commands))
+	})
+}
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -151,20 +151,24 @@
 
 func (n *Node) loop(ctx context.Context) error {
 	ticks := n.cfg.Timers.Subscribe(ctx, "raft", n.cfg.Tick)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-		case handle := <-n.inputs:
-			if err := handle(n.now()); err != nil {
-				return err
+	for ctx.Err() == nil {
+		// Committed entries that are not applied yet wait for no input.
+		if !n.engine.hasUnapplied() {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticks:
+			case handle := <-n.inputs:
+				if err := handle(n.now()); err != nil {
+					return err
+				}
 			}
 		}
 		if err := n.processInputs(ctx); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 // processInputs handles the queued inputs, so that they share one sync. It then
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -24,10 +24,15 @@
 
 var errMessageLost = errors.New("message lost")
 
-// byteCounter is a state machine that counts the bytes of its commands.
-type byteCounter struct{ total atomic.Uint64 }
+// byteCounter is a state machine that counts the bytes of its commands. Each command
+// takes applyTime.
+type byteCounter struct {
+	total     atomic.Uint64
+	applyTime atomic.Int64
+}
 
 func (c *byteCounter) Apply(_ uint64, command []byte) []byte {
+	time.Sleep(time.Duration(c.applyTime.Load()))
 	return binary.BigEndian.AppendUint64(nil, c.total.Add(uint64(len(command))))
 }
 
--- a/galenaraft/simulation_test.go
+++ b/galenaraft/simulation_test.go
@@ -183,6 +183,10 @@
 	c.injected, c.maxChunkBytes = s.faults.injected, 7
 	r.id, r.checkedCommit, r.checkedMembers, r.durableIndex = c.id, c.commitIndex, c.members().index, c.log.stableIndex
 	r.engine, err = newEngine(c, w, &r.state, st.Snapshot, snapshotLimits{logEntries: 24, logBytes: 1 << 20, retainedEntries: 6})
+	if err == nil && r == s.replicas[0] {
+		// This replica applies one entry at a time.
+		r.engine.applyTime = 0
+	}
 	return err
 }
 
