Send a start again that was dropped between two leases

Callers saw: an accepted work item that never starts, while its service starts fewer and fewer others.

Cause: the lease of the log can end and be renewed within the 20 ms between two checks of the owner, since the leader steps down only after the election timeout. A command that was due in that time was dropped without an outcome. Its item stayed in flight for the rest of the session and counted against MaxStarting; 32 of them end all starts of a service.

It is deferred now, since nothing was sent, and starts again.

Evidence: TestStartDroppedWithoutLeaseIsSentAgain failed before (no start within a second). go test -race ./galenafleet.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -321,6 +321,38 @@
 	})
 }
 
+// Guards against a work item that never starts, and counts as starting for good,
+// because the lease of the log was renewed between a dropped command and the owner's
+// next check.
+func TestStartDroppedWithoutLeaseIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		time.Sleep(205 * time.Millisecond)
+		sess := o.session.Load()
+		sh := sess.shardFor("counter")
+		spec := galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}
+		sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
+			s.AddJob(now, &galenajob.Job{ID: "j", Queue: "q", Service: "counter", Spec: spec, MaxAttempts: 1, ItemsLeft: 1}, 0, false)
+		})
+		log.holdsLease.Store(false)
+		sh.plan(sess.ctx)
+		synctest.Wait()
+		log.holdsLease.Store(true)
+		time.Sleep(time.Second)
+		is.Equal(o.session.Load(), sess) // the session goes on
+		f := o.Instances.(*fakeInstances)
+		f.mu.Lock()
+		is.Equal(len(f.running)+len(f.ends), 1)
+		f.mu.Unlock()
+		stop()
+		time.Sleep(2 * time.Second) // the poll returns
+	})
+}
+
 // BenchmarkMatchQueue measures finding the queue of a request, by the number of queues.
 func BenchmarkMatchQueue(b *testing.B) {
 	for _, queues := range []int{50, 2000} {
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -242,6 +242,8 @@
 // scheduler.
 func (sh *shard) sendCommand(ctx context.Context, a galenajob.Action) {
 	if !sh.session.isLeader() {
+		// The session goes on if the lease is renewed before its next check.
+		sh.handleOutcome(a, galenajob.OutcomeDeferred, 0, sh.now())
 		return
 	}
 	load := &sh.session.load
@@ -264,6 +266,11 @@
 	load.commands.record(latency)
 	load.countError(err)
 	sh.logCommand(a, o, latency, err)
+	sh.handleOutcome(a, o, clock, sent)
+}
+
+// handleOutcome passes the outcome of a command to the scheduler.
+func (sh *shard) handleOutcome(a galenajob.Action, o galenajob.Outcome, clock int64, sent time.Time) {
 	if a.Kind == galenajob.ActPace {
 		return
 	}
