Remove silent instances of a service with one proposal

Callers saw: nothing of a service starts or ends for seconds after many of its instances fall silent at the same time, as with the loss of a zone.

Cause: the planning loop of a service recorded the removals one after another and planned nothing meanwhile: 50 instances take 15 s with commits of 300 ms.

Evidence: TestSilentInstancesAreRemovedTogether failed before (48 of 50 instances left after a second). go test -race ./galenafleet.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -353,6 +353,26 @@
 	})
 }
 
+// Guards against a service that plans nothing while the removals of many silent
+// instances are committed one after another.
+func TestSilentInstancesAreRemovedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		for i := range 50 {
+			hb := testHeartbeat
+			hb.Instance.ID = galenahead.InstanceID(fmt.Sprint("i", i))
+			_, err := o.Heartbeat(ctx, hb)
+			is.NoErr(err)
+		}
+		log.delay.Store(int64(300 * time.Millisecond))
+		time.Sleep(o.Params.GoneAfter + time.Second)
+		is.Equal(len(o.State.registeredInstances()), 0)
+		stop()
+	})
+}
+
 // BenchmarkMatchQueue measures finding the queue of a request, by the number of queues.
 func BenchmarkMatchQueue(b *testing.B) {
 	for _, queues := range []int{50, 2000} {
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -211,19 +211,27 @@
 	for _, a := range actions {
 		sh.dispatch(ctx, a)
 	}
-	for _, id := range gone {
-		sh.removeGone(id)
-	}
+	sh.removeGone(gone)
 }
 
-// removeGone removes an instance that the scheduler has given up, because it showed
-// no sign of life for Params.GoneAfter.
-func (sh *shard) removeGone(id galenahead.InstanceID) {
-	if _, err := sh.session.committer.commit(Op{Remove: &id}); err != nil {
+// removeGone removes the instances that the scheduler has given up, because they
+// showed no sign of life for Params.GoneAfter. They share one proposal, since the
+// service is not planned before it is committed.
+func (sh *shard) removeGone(ids []galenahead.InstanceID) {
+	if len(ids) == 0 {
 		return
 	}
-	sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
-	sh.removeInstance(id)
+	ops := make([]Op, len(ids))
+	for i := range ids {
+		ops[i] = Op{Remove: &ids[i]}
+	}
+	if _, err := sh.session.committer.commit(ops...); err != nil {
+		return
+	}
+	for _, id := range ids {
+		sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
+		sh.removeInstance(id)
+	}
 }
 
 func (sh *shard) dispatch(ctx context.Context, a galenajob.Action) {
