Keep silent instances from blocking all starts of a service

Callers saw: new work of a service waits for seconds although instances have room, after many idle instances fell silent at the same time.

Cause: a start to a silent instance counted against MaxStarting until its call timed out, and so did each repeat. Idle instances are not polled, so that only such starts show that they are silent.

A start counts for ResendInterval only, and a repeat not at all.

The random simulation had no bound; it has one of 4 now. GALENA_HISTORIES=200 go test -race ./galenajob.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -130,7 +130,7 @@
 	}
 	due := false
 	for _, it := range inst.items {
-		if it.phase == phaseStarting && it.inFlight {
+		if it.phase == phaseStarting && it.inFlight && it.startsSent == 1 && now.Before(it.notBefore) {
 			s.starting++
 		}
 		due = due || it.resendDue(now)
@@ -399,7 +399,9 @@
 	inst := it.instance
 	it.inFlight = true
 	it.startsSent++
-	s.starting++
+	if it.startsSent == 1 {
+		s.starting++
+	}
 	it.notBefore = now.Add(s.params.ResendInterval)
 	a := Action{
 		Kind: ActStart, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run,
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -34,9 +34,11 @@
 	// AdviceTimeout is the delay before an advice request without a response is
 	// repeated.
 	AdviceTimeout time.Duration
-	// MaxStarting bounds the start commands without a result, so that the owner has
-	// no more work under way than it can finish soon. A gang may exceed it. Zero
-	// means no bound.
+	// MaxStarting bounds the start commands that wait for a result, so that the owner
+	// has no more work under way than it can finish soon. A command without a result
+	// for ResendInterval no longer counts, nor do repeated ones, so that silent
+	// instances do not block the others. A gang may exceed the bound. Zero means no
+	// bound.
 	MaxStarting int
 }
 
@@ -63,8 +65,8 @@
 	sortedIDs []galenahead.InstanceID
 	actions   []Action
 	gone      []galenahead.InstanceID
-	// starting counts the work items whose start has no result yet, as of the current
-	// plan.
+	// starting counts the work items whose start counts against MaxStarting, as of the
+	// current plan.
 	starting int
 	// tooLarge holds reservations for which the current plan has found no room.
 	tooLarge []Resources
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -344,3 +344,51 @@
 	is.True(req.MayWait)
 	is.True(req.Deadline > 0)
 }
+
+// Guards against a service that starts nothing on its live instances while starts to
+// silent ones wait for a result.
+func TestSilentInstancesDoNotBlockStarts(t *testing.T) {
+	is := is.New(t)
+	const silent, live, perInstance = 40, 20, 4
+	const commandTimeout = 600 * time.Millisecond
+	p := testParams()
+	p.MaxStarting, p.ResendInterval = 32, 150*time.Millisecond
+	s := NewScheduler("counter", 1, p)
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
+	isSilent := map[galenahead.InstanceID]bool{}
+	for i := range silent + live {
+		in := testInstance(fmt.Sprintf("i%02d", i))
+		isSilent[in.ID] = i < silent
+		s.AddInstance(t0, in)
+		req, _ := s.NextPoll(t0, in.ID)
+		s.HandlePoll(t0, in.ID, PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0})
+		s.AddJob(t0, testJob(fmt.Sprint("j", i), perInstance), 0, false)
+	}
+	type call struct {
+		action Action
+		sent   time.Time
+	}
+	var calls []call
+	started, mostInFlight := 0, 0
+	for now := t0; now.Before(t0.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+		inFlight := calls[:0]
+		for _, c := range calls {
+			switch {
+			case !isSilent[c.action.Instance.ID]:
+				s.HandleOutcome(now, c.action, OutcomeDone, 1000+now.Sub(t0).Milliseconds(), c.sent)
+				started++
+			case now.Sub(c.sent) >= commandTimeout:
+				s.HandleOutcome(now, c.action, OutcomeUnknown, 0, c.sent)
+			default:
+				inFlight = append(inFlight, c)
+			}
+		}
+		calls = inFlight
+		for _, a := range starts(s.Plan(now, now)) {
+			calls = append(calls, call{a, now})
+		}
+		mostInFlight = max(mostInFlight, len(calls))
+	}
+	is.Equal(started, live*perInstance)
+	is.True(mostInFlight <= p.MaxStarting*int(1+commandTimeout/p.ResendInterval))
+}
--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -285,7 +285,9 @@
 func (sim *simulation) replaceOwner() {
 	sim.epoch++
 	old := sim.sched
-	sim.sched = NewScheduler("counter", sim.epoch, testParams())
+	p := testParams()
+	p.MaxStarting = 4
+	sim.sched = NewScheduler("counter", sim.epoch, p)
 	sim.sched.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 600 * time.Millisecond})
 	if old != nil {
 		for _, id := range old.Instances() {
