--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -152,11 +152,11 @@
 	}
 }
 
-// startPending reports whether the item's start counts for MaxStarting. One without a
-// result for long waits for an instance that is probably gone, and takes the owner
-// nothing meanwhile.
+// startPending reports whether the item's start counts against MaxStarting. A repeated
+// start, or one whose result is late, waits for an instance that is probably gone, and
+// takes the owner nothing meanwhile.
 func (s *Scheduler) startPending(now time.Time, it *item) bool {
-	return it.phase == phaseStarting && it.inFlight && now.Before(it.notBefore.Add(s.params.ResendInterval))
+	return it.phase == phaseStarting && it.inFlight && it.startsSent == 1 && now.Before(it.notBefore)
 }
 
 // resendDue reports whether the item's last command has no result and is to be sent
@@ -407,7 +407,9 @@
 	inst := it.instance
 	it.inFlight = true
 	it.startsSent++
-	s.starting++
+	if it.startsSent == 1 {
+		s.starting++
+	}
 	it.notBefore = now.Add(s.params.ResendInterval)
 	a := Action{
 		Kind: ActStart, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run,
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -35,9 +35,11 @@
 	// AdviceTimeout is the delay before an advice request without a response is
 	// repeated.
 	AdviceTimeout time.Duration
-	// MaxStarting bounds the start commands without a result, so that the owner has
-	// no more work under way than it can finish soon. A gang may exceed it. Zero
-	// means no bound.
+	// MaxStarting bounds the start commands that wait for a result, so that the owner
+	// has no more work under way than it can finish soon. A command without a result
+	// for ResendInterval no longer counts, nor do repeated ones, so that silent
+	// instances do not block the others. A gang may exceed the bound. Zero means no
+	// bound.
 	MaxStarting int
 }
 
@@ -91,8 +93,8 @@
 	// It includes instances that are not registered, so that one that registers
 	// again gets no work before its planned move or maintenance.
 	evacuations map[galenahead.InstanceID]time.Time
-	// starting counts the work items whose start has no result yet, as of the current
-	// plan.
+	// starting counts the work items whose start counts against MaxStarting, as of the
+	// current plan.
 	starting int
 	// tooLarge holds reservations for which the current plan has found no room.
 	tooLarge []Resources
