Refuse encoded configurations at a daemon without a replica

Callers saw: nothing so far, since no daemon takes such a daemon for the owner for long.

Cause: the list of methods that fail with ErrNotLeader there lacked fleet.put_config. The caller got an unknown method, for which it keeps the leader that it knows, and counts the call as possibly carried out.

Evidence: TestDaemonWithoutReplicaRefusesAllMethods failed before. go test -race ./galenafleet.

--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -46,7 +46,7 @@
 // the fleet. They fail with ErrNotLeader.
 func RegisterNotOwner(mux *galenarpc.Mux) {
 	for _, method := range []string{
-		MethodDo, MethodHeartbeat, MethodLeave, MethodConfigure, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+		MethodDo, MethodHeartbeat, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
 	} {
 		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
 			return nil, galenahead.ErrNotLeader
--- a/galenafleet/owner_client_test.go
+++ b/galenafleet/owner_client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenatimer"
 )
 
@@ -181,3 +182,16 @@
 func (f addressedRPC) Call(ctx context.Context, addr, method string, _, result any) error {
 	return f(ctx, addr, method, result)
 }
+
+// Guards against a daemon without a replica that answers a call to the owner with an
+// unknown method, after which the caller waits for that daemon.
+func TestDaemonWithoutReplicaRefusesAllMethods(t *testing.T) {
+	is := is.New(t)
+	mux := &galenarpc.Mux{}
+	RegisterNotOwner(mux)
+	for _, method := range []string{
+		MethodDo, MethodHeartbeat, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+	} {
+		is.True(eris.Is(mux.Call(t.Context(), method, Empty{}, nil), galenahead.ErrNotLeader))
+	}
+}
