Keep one missed query from replacing a voter of the log

Callers saw: nothing that was traced to it; on sites with a spare replica the members of the log may change while its leader is late.

Cause: after one failed query of 500 ms a voter had no last message, so that voterTimeout of 8 s did not apply. A leader queries all daemons when a call to itself takes more than 600 ms, so its own lateness made healthy voters look lost, and it promoted a spare replica and removed a voter.

The age of the last message decides now, also after a failed query. Whether a replica may be added or promoted still needs an answer to the last query.

--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -356,3 +356,11 @@
 	}
 	return d.lastHeard[address]
 }
+
+// lastMessageFrom returns the time of the last message of a daemon, also if a query
+// has failed since then, or the zero time if it is not known.
+func (d *Directory) lastMessageFrom(address string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lastHeard[address]
+}
--- a/galenafleet/membership.go
+++ b/galenafleet/membership.go
@@ -281,7 +281,7 @@
 // is one.
 func (mm *MembershipManager) lostVoter(now time.Time, st galenahead.LogStatus) (galenahead.Member, bool) {
 	for _, m := range st.Members {
-		if m.Voter && m.Address != mm.Self.Address && now.Sub(mm.Directory.lastHeardFrom(m.Address)) > voterTimeout {
+		if m.Voter && m.Address != mm.Self.Address && now.Sub(mm.Directory.lastMessageFrom(m.Address)) > voterTimeout {
 			return m, true
 		}
 	}
