Test that deferred commands do not hide a silent instance

A deferred command that counted as a response would let a silent instance keep its work for good; no test failed with such a change to HandleOutcome. Evidence: TestDeferredCommandsDoNotHideSilentInstance fails with it.

--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -392,3 +392,17 @@
 	is.Equal(started, live*perInstance)
 	is.True(mostInFlight <= p.MaxStarting*int(1+commandTimeout/p.ResendInterval))
 }
+
+// Guards against a silent instance that is never found, and keeps its work, because
+// commands that could not be sent to it count as responses.
+func TestDeferredCommandsDoNotHideSilentInstance(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.AddJob(t0, testJob("j", 2), 0, false)
+	as := starts(s.Plan(t0, t0))
+	is.Equal(len(as), 2)
+	now := t0.Add(time.Millisecond)
+	s.HandleOutcome(now, as[0], OutcomeUnknown, 0, now)
+	s.HandleOutcome(now.Add(time.Millisecond), as[1], OutcomeDeferred, 0, now)
+	is.True(s.unresponsive(now.Add(s.params.UnresponsiveAfter+time.Millisecond), s.instances["a"]))
+}
