Log and count runs that were carried out after they were given up

A run of the present epoch that an instance lists, at work or with a result, but that the scheduler does not expect there, is now logged once as 'late run' and counted as late_runs. Schedules do not change.

TestLateRunIsReportedOnce: earlier owners' runs are ignored, a run is reported when it is found at work or with its end, and once only.

--- a/galenafleet/log_lines.go
+++ b/galenafleet/log_lines.go
@@ -67,6 +67,20 @@
 	return galenalog.AppendString(b, "job_state", string(l.state))
 }
 
+// lateRunLine is the log line of a run that was carried out after it was given up.
+type lateRunLine struct{ run galenajob.LateRun }
+
+// AppendFields implements galenalog.Line.
+func (l lateRunLine) AppendFields(b []byte) []byte {
+	b = appendItem(b, l.run.Item)
+	b = galenalog.AppendInt(b, "run", l.run.Number)
+	b = galenalog.AppendString(b, "instance", string(l.run.Instance))
+	if l.run.Reason == "" {
+		return galenalog.AppendString(b, "found", "at work")
+	}
+	return galenalog.AppendString(b, "found", string(l.run.Reason))
+}
+
 // requestLine is the log line of a caller's request.
 type requestLine struct {
 	request Request
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -363,15 +363,18 @@
 	sh.session.Metrics.Counters.Add("looks", 1)
 	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
 	var ends []galenajob.End
+	var lateRuns []galenajob.LateRun
 	needsPlan := !req.MayWait
 	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
 		ends = s.HandlePoll(now, id, resp)
+		lateRuns = s.TakeLateRuns()
 		// Ends that must be recorded call for a plan only after that.
 		needsPlan = needsPlan || s.HasActions() || len(ends) < len(resp.Ends)
 	})
 	if needsPlan {
 		sh.requestPlan()
 	}
+	sh.logLateRuns(lateRuns)
 	if len(ends) > 0 {
 		sh.recordEnds(id, req.Instance.Born, ends)
 	}
@@ -381,6 +384,14 @@
 	return max(pollPause, took)
 }
 
+// logLateRuns logs and counts runs that were carried out after they were given up.
+func (sh *shard) logLateRuns(runs []galenajob.LateRun) {
+	for _, r := range runs {
+		sh.session.Metrics.Counters.Add("late_runs", 1)
+		galenalog.Info(sh.session.Logger, "late run", lateRunLine{r})
+	}
+}
+
 func (sh *shard) pollTiming(sent time.Time, wait time.Duration) pollTiming {
 	return pollTiming{wait: wait, took: sh.now().Sub(sent), tickLate: sh.session.load.recentTickLate()}
 }
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -95,11 +95,15 @@
 		}
 		inst.seenSeq = e.Sequence
 		it := s.findItem(inst, e.Item)
+		ours := it != nil && it.instance == inst && it.run == e.Number
+		hasResult := e.Reason == EndDone || e.Reason == EndFailed
+		if hasResult && !ours {
+			s.noteLateRun(inst, e.Item, e.Number, e.Reason)
+		}
 		if it == nil {
 			continue
 		}
-		ours := it.instance == inst && it.run == e.Number
-		if e.Reason == EndDone || e.Reason == EndFailed {
+		if hasResult {
 			// No other run may start until the end is recorded, even when a previous
 			// owner started this one.
 			if ours || it.instance == nil {
@@ -151,6 +155,7 @@
 			s.confirm(now, it, r)
 			continue
 		}
+		s.noteLateRun(inst, r.Item, r.Number, "")
 		if it != nil && it.instance == nil && !it.done && !it.endUnrecorded && !it.set.job.final {
 			s.adopt(now, inst, it, r)
 			listedItems[r.Item] = true
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -89,6 +89,7 @@
 	sortedIDs []galenahead.InstanceID
 	actions   []Action
 	gone      []galenahead.InstanceID
+	lateRuns  []LateRun
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
 	// It includes instances that are not registered, so that one that registers
 	// again gets no work before its planned move or maintenance.
@@ -201,6 +202,7 @@
 	inst.fenceConfirmed = false
 	inst.Draining, inst.drainingSince = false, time.Time{}
 	inst.clock, inst.clockAt, inst.maxDeadline, inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, now, 0, 0, 0, 0, false
+	inst.lateRuns = nil
 	for _, it := range inst.items {
 		it.phase, it.inFlight = phaseStale, false
 	}
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -461,3 +461,26 @@
 	s.HandleOutcome(now.Add(time.Millisecond), as[1], OutcomeDeferred, 0, now)
 	is.True(s.unresponsive(now.Add(s.params.UnresponsiveAfter+time.Millisecond), s.instances["a"]))
 }
+
+// Guards against runs that are carried out after they were given up without anything in
+// the log that says so.
+func TestLateRunIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.AddJob(t0, testJob("j", 1), 0, false)
+	poll := func(runs []Run, ends []End) []LateRun {
+		req, ok := s.NextPoll(t0, "a")
+		is.True(ok)
+		s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Runs: runs, Ends: ends})
+		return s.TakeLateRuns()
+	}
+	start := starts(s.Plan(t0, t0))[0]
+	s.HandleOutcome(t0, start, OutcomeDone, 1000, t0)
+	late := ItemID{Job: "j", Item: ItemKey{Index: 7}}
+	is.Equal(poll([]Run{{Item: start.Item, Number: start.Run}, {Item: late, Number: 900}}, nil), nil) // an earlier owner's
+	is.Equal(poll([]Run{{Item: late, Number: 1001}}, nil), []LateRun{{"a", late, 1001, ""}})
+	is.Equal(poll([]Run{{Item: late, Number: 1001}}, nil), nil)
+	is.Equal(poll(nil, []End{{Sequence: 1, Item: late, Number: 1001, Reason: EndDone}}), nil)
+	is.Equal(poll(nil, []End{{Sequence: 2, Item: late, Number: 1002, Reason: EndDone}}), []LateRun{{"a", late, 1002, EndDone}})
+	is.Equal(poll(nil, []End{{Sequence: 3, Item: start.Item, Number: start.Run, Reason: EndDone}}), nil)
+}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -242,6 +242,8 @@
 	drainingSince      time.Time
 	idleSince          time.Time
 	paceChangedAt      time.Time
+	// lateRuns holds the latest late run of each work item that was reported.
+	lateRuns map[ItemID]int64
 }
 
 // minClockRate is the slowest rate of an instance's clock. The users state that
