Reproduce two runs of an item after a refused repeat of its start

TestRandomSimulationsWithRefusals: the simulated instances also refuse starts, stops and polls, which they never did.

--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -16,8 +16,8 @@
 
 // simulation simulates owners, instances and a lossy network from a seed. It
 // checks these invariants all the time: a work item has at most one run, it has
-// none after its end is recorded or before the steps that its own step depends on
-// are done, and the runs on an instance do not exceed its capacity.
+// none after a run is done or before the steps that its own step depends on are
+// done, and the runs on an instance do not exceed its capacity.
 type simulation struct {
 	t         *testing.T
 	seed      uint64
@@ -30,18 +30,22 @@
 	records   map[galenahead.JobID]*Job
 	finalJobs map[galenahead.JobID]bool
 	starts    int
+	// refusals lets instances refuse commands and polls that they could execute.
+	refusals bool
 }
 
 // fakeInstance simulates an instance.
 type fakeInstance struct {
 	Instance
-	startedAt        time.Time
-	fence            int64
-	deadline         int64
-	runs             map[ItemID]*fakeRun
-	highestRun       map[ItemID]int64
-	ends             []End
-	sequence         int64
+	startedAt  time.Time
+	fence      int64
+	deadline   int64
+	runs       map[ItemID]*fakeRun
+	highestRun map[ItemID]int64
+	ends       []End
+	sequence   int64
+	// lapsedSequence is the number of the last end before the lease last expired.
+	lapsedSequence   int64
 	dead             bool
 	unreachableUntil time.Time
 }
@@ -77,6 +81,15 @@
 	for _, id := range inst.sortedItems() {
 		inst.endRun(id, inst.runs[id], EndLeaseExpired)
 	}
+	inst.lapsedSequence = inst.sequence
+}
+
+// hasDone reports whether the instance will list that a run of the work item is done.
+// An end before the lease expired does not count, since no one waits for it.
+func (inst *fakeInstance) hasDone(id ItemID) bool {
+	return slices.ContainsFunc(inst.ends, func(e End) bool {
+		return e.Item == id && e.Reason == EndDone && e.Sequence > inst.lapsedSequence
+	})
 }
 
 func itemName(id ItemID) string { return fmt.Sprint(id.Job, id.Item) }
@@ -138,6 +151,9 @@
 		if o != inst && !o.dead && o.runs[a.Item] != nil {
 			sim.fail("%v starts on %s while it runs on %s", a.Item, inst.ID, o.ID)
 		}
+		if !o.dead && o.hasDone(a.Item) {
+			sim.fail("%v run %d starts on %s after a run is done on %s", a.Item, a.Run, inst.ID, o.ID)
+		}
 	}
 	j := sim.records[a.Item.Job]
 	if j.Items[a.Item.Item].Done {
@@ -174,6 +190,12 @@
 
 func (sim *simulation) execute(inst *fakeInstance, a Action) Outcome {
 	inst.expireLease(sim.now)
+	if sim.refusals && sim.rng.IntN(8) == 0 {
+		if a.Kind == ActStop {
+			return OutcomeBusy
+		}
+		return []Outcome{OutcomeBusy, OutcomeNoRoom, OutcomeNoTicket, OutcomeInvalid}[sim.rng.IntN(4)]
+	}
 	if a.Kind == ActStop {
 		return inst.stopRun(a)
 	}
@@ -211,6 +233,10 @@
 		return
 	}
 	inst.expireLease(sim.now)
+	if sim.refusals && sim.rng.IntN(16) == 0 {
+		sim.sched.HandleNoResponse(id, sim.now)
+		return
+	}
 	if req.Fence < inst.fence {
 		sim.fail("the poll of the owner of epoch %d is rejected by fencing token %d", sim.epoch, inst.fence)
 	}
@@ -406,7 +432,13 @@
 // or before the steps that they depend on, and instances over their capacity.
 // Commands and responses are lost or delayed, and owners and instances are
 // replaced.
-func TestRandomSimulations(t *testing.T) {
+func TestRandomSimulations(t *testing.T) { runSimulations(t, false) }
+
+// Guards against two runs of a work item after an instance that did not answer the first
+// copy of its start refuses a later one. Instances also refuse stops and polls.
+func TestRandomSimulationsWithRefusals(t *testing.T) { runSimulations(t, true) }
+
+func runSimulations(t *testing.T, refusals bool) {
 	const steps = 1500
 	seeds := 60
 	if n, err := strconv.Atoi(os.Getenv("GALENA_HISTORIES")); err == nil {
@@ -416,7 +448,7 @@
 	for seed := range uint64(seeds) {
 		sim := &simulation{
 			t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: t0, instances: map[galenahead.InstanceID]*fakeInstance{},
-			records: map[galenahead.JobID]*Job{}, finalJobs: map[galenahead.JobID]bool{},
+			records: map[galenahead.JobID]*Job{}, finalJobs: map[galenahead.JobID]bool{}, refusals: refusals,
 		}
 		sim.replaceOwner()
 		for i := range 4 {
