Keep an unanswered start when one of its repeats is refused

Cause: the answer to a repeat was taken for the answer to every copy sent before it. After a start without a response, a repeat answered busy, no_room, no_ticket or invalid released the item, and the next run started elsewhere 0.15 s later, while the first copy was valid for another 4 s.

Now an item remembers the latest deadline of its starts without a response. While there is one, a refusal does not release it: a busy instance gets the same start again for up to a lease, otherwise the run is stopped there, and an acknowledged stop rejects all earlier copies. Last resort: the instance's clock has passed the deadlines and it does not list the run. Starts that were not sent follow the same rule in place of 'first attempt'.

The bound of one lease keeps an instance that refuses everything from holding its item for ever.

--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -65,52 +65,71 @@
 		return
 	}
 	it.inFlight = false
+	if o == OutcomeUnknown {
+		it.unansweredUntil = max(it.unansweredUntil, a.Deadline)
+	}
 	s.handleStartOutcome(now, inst, it, o)
 }
 
 func (s *Scheduler) handleStartOutcome(now time.Time, inst *instance, it *item, o Outcome) {
 	switch o {
 	case OutcomeDone:
-		it.phase, it.confirmed = phaseRunning, now
+		it.phase, it.confirmed, it.unansweredUntil = phaseRunning, now, 0
 		it.set.job.started = true
 	case OutcomeOldRun:
 		// An earlier attempt may have started the run. The next poll shows whether
 		// it is running, has ended, or never started.
-		it.phase, it.confirmed = phaseRunning, now
-	case OutcomeUnsent:
-		if it.startsSent == 1 {
-			it.release(now)
-			it.notBefore = now.Add(s.params.ResendInterval)
-			it.failedOn = inst.ID
-		}
-	case OutcomeDeferred:
-		if it.startsSent == 1 {
-			it.release(now)
-		}
-		it.notBefore = now.Add(s.params.ResendInterval)
+		it.phase, it.confirmed, it.unansweredUntil = phaseRunning, now, 0
 	case OutcomeUnknown, OutcomeFenced:
 		it.notBefore = now.Add(s.params.ResendInterval)
 	case OutcomeDeadlinePassed:
 		// The response has corrected the estimate of the instance's clock, so the
 		// next deadline will be valid.
 		it.notBefore = now
+	case OutcomeOtherIncarnation:
+		// Delayed copies of the command name the same address and incarnation, so
+		// the instance rejects them as well.
+		it.notBefore = now.Add(s.params.ResendInterval)
+		inst.suspectUntil = now.Add(s.params.SuspectTime)
+	default:
+		s.handleRefusedStart(now, inst, it, o)
+	}
+}
+
+// handleRefusedStart handles the outcome of an attempt that did not execute the start.
+// The work item may start elsewhere if no earlier attempt can still execute it.
+// Otherwise the same start is repeated, which soonest tells whether the run exists. The
+// run is stopped if a repeat would be refused as well, or if repeats have not helped for
+// a whole lease, so that no more attempts prolong the uncertainty.
+func (s *Scheduler) handleRefusedStart(now time.Time, inst *instance, it *item, o Outcome) {
+	uncertain := it.unansweredUntil != 0
+	if !uncertain {
+		it.release(now)
+	}
+	it.notBefore = now.Add(s.params.ResendInterval)
+	switch o {
+	case OutcomeUnsent:
+		it.failedOn = inst.ID
 	case OutcomeNoTicket:
 		delete(it.set.tickets, inst.ID)
-		it.release(now)
+		if !uncertain {
+			it.notBefore = time.Time{}
+		}
 	case OutcomeNoRoom:
-		it.release(now)
-		it.notBefore = now.Add(s.params.ResendInterval)
 		it.failedOn = inst.ID
 	case OutcomeBusy, OutcomeInvalid:
-		it.release(now)
-		it.notBefore = now.Add(s.params.ResendInterval)
 		it.failedOn = inst.ID
 		inst.suspectUntil = now.Add(s.params.SuspectTime)
-	case OutcomeOtherIncarnation:
-		// Delayed copies of the command name the same address and incarnation, so
-		// the instance rejects them as well.
-		it.notBefore = now.Add(s.params.ResendInterval)
-		inst.suspectUntil = now.Add(s.params.SuspectTime)
+	}
+	if !uncertain {
+		return
+	}
+	if it.refusedAt.IsZero() {
+		it.refusedAt = now
+	}
+	repeatable := o == OutcomeBusy || o == OutcomeUnsent || o == OutcomeDeferred
+	if !repeatable || now.Sub(it.refusedAt) > s.params.Lease {
+		s.stop(now, it, "start refused")
 	}
 }
 
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -411,9 +411,10 @@
 		s.starting++
 	}
 	it.notBefore = now.Add(s.params.ResendInterval)
+	it.startDeadline = inst.extendDeadline(now, s.params.Lease)
 	a := Action{
 		Kind: ActStart, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run,
-		Payload: it.set.job.Spec.Payload, Deadline: inst.extendDeadline(now, s.params.Lease),
+		Payload: it.set.job.Spec.Payload, Deadline: it.startDeadline,
 		Reason: reason, Waited: now.Sub(it.set.job.acceptedAt), Free: inst.free(),
 	}
 	if it.set.step.Checkpointing {
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -169,17 +169,32 @@
 		if listedItems[id] || it.endUnrecorded || resp.More {
 			continue
 		}
-		if it.phase == phaseStale || (!it.confirmed.IsZero() && it.confirmed.Before(resp.Sent)) {
+		if it.phase == phaseStale || (!it.confirmed.IsZero() && it.confirmed.Before(resp.Sent)) || it.startExpired(resp.Clock, s.params.StopTimeout) {
 			s.abandonRun(now, it)
 		}
 	}
 }
 
+// startExpired reports whether no attempt to start the run can be executed any more,
+// because the instance, at a reading of its clock, does not list the run after the
+// deadlines of all attempts without a response. A run that is being stopped may be
+// missing from the list for stopTimeout before its end is listed.
+func (it *item) startExpired(clock int64, stopTimeout time.Duration) bool {
+	if it.unansweredUntil == 0 || clock <= it.unansweredUntil || (it.phase == phaseStarting && it.inFlight) {
+		return false
+	}
+	if it.absentClock == 0 {
+		it.absentClock = clock
+	}
+	return it.phase == phaseStarting || clock > it.absentClock+stopTimeout.Milliseconds()
+}
+
 // confirm updates a work item from its listed run.
 func (s *Scheduler) confirm(now time.Time, it *item, r Run) {
 	if it.phase == phaseStarting || it.phase == phaseStale {
 		it.phase, it.confirmed = phaseRunning, now
 	}
+	it.unansweredUntil = 0
 	it.set.job.started = true
 	it.percent, it.usage = r.Percent, r.Usage
 	if r.Checkpoint != "" && it.set.step.Checkpointing {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -341,6 +341,9 @@
 	if it.phase == phaseStopping || it.phase == phaseStale || it.instance == nil {
 		return
 	}
+	if it.phase == phaseStarting && it.inFlight {
+		it.unansweredUntil = it.startDeadline
+	}
 	it.phase, it.confirmed, it.inFlight = phaseStopping, time.Time{}, false
 	it.notBefore = now
 	s.emitStop(now, it, reason)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -47,6 +47,17 @@
 	inFlight  bool
 	// startsSent counts the start commands sent for the run.
 	startsSent int
+	// startDeadline is the deadline of the last start command. unansweredUntil is the
+	// latest deadline of those that got no response, or zero: until then the instance
+	// may still execute one of them, whatever it answers to others. Both are on the
+	// instance's clock.
+	startDeadline, unansweredUntil int64
+	// refusedAt is when a start was first refused while an earlier one had no response,
+	// or zero.
+	refusedAt time.Time
+	// absentClock is the first reading of the instance's clock after unansweredUntil at
+	// which it did not list the run, or zero.
+	absentClock int64
 	// placementSeq is the position of this placement among all on the instance.
 	placementSeq int64
 	// endUnrecorded marks a run whose end is not recorded yet.
@@ -318,6 +329,7 @@
 	it.instance, it.run, it.placementSeq = inst, run, inst.placements
 	it.confirmed, it.percent, it.usage, it.pace = time.Time{}, 0, 0, 100
 	it.endUnrecorded, it.startsSent = false, 0
+	it.startDeadline, it.unansweredUntil, it.refusedAt, it.absentClock = 0, 0, time.Time{}, 0
 	inst.items[it.id()] = it
 	inst.used = inst.used.Add(it.set.step.reservation())
 }
