Stop an unanswered start on an instance that leaves

What callers could see: a run that begins on an instance seconds after it has announced that it drains, ends with it, and starts again elsewhere (DRAIN, if a daemon does so more than drain_ms later).

Cause: a start without a response was repeated until it was answered, without a look at what the instance had announced since. Repeats of refused starts make that time longer. Now the run is stopped there, so that the item soon starts elsewhere.

TestStartIsNotRepeatedAtLeavingInstance failed for draining and evacuating instances ('1 != 0' starts).

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -124,7 +124,8 @@
 	}
 }
 
-// resendCommands repeats start and stop commands without a result.
+// resendCommands repeats start and stop commands without a result. On an instance that
+// leaves, a start is stopped in place of repeated.
 func (s *Scheduler) resendCommands(now time.Time, inst *instance) {
 	if s.unresponsive(now, inst) {
 		return
@@ -145,7 +146,11 @@
 		}
 		switch it.phase {
 		case phaseStarting:
-			s.emitStart(now, it, reasonRepeated)
+			if inst.Draining || inst.evacuating {
+				s.stop(now, it, "instance leaves")
+			} else {
+				s.emitStart(now, it, reasonRepeated)
+			}
 		case phaseStopping:
 			s.emitStop(now, it, reasonRepeated)
 		}
--- a/galenajob/start_copies_test.go
+++ b/galenajob/start_copies_test.go
@@ -122,3 +122,30 @@
 	r.is.Equal(next.Run, sent.Run+1)
 	r.is.True(next.Instance.ID != sent.Instance.ID)
 }
+
+// Guards against a run that begins on an instance long after it has announced that it
+// leaves, because a start without a response was repeated there.
+func TestStartIsNotRepeatedAtLeavingInstance(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(*Scheduler)
+	}{
+		{"draining", func(s *Scheduler) { s.Drain(t0, "a") }},
+		{"evacuating", func(s *Scheduler) { s.SetEvacuating(t0, "a", true) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFencedScheduler("a")
+			s.AddJob(t0, testJob("j", 1), 0, false)
+			start := starts(s.Plan(t0, t0))[0]
+			now := t0.Add(600 * time.Millisecond)
+			s.HandleOutcome(now, start, OutcomeUnknown, 0, t0)
+			c.leave(s)
+			now = now.Add(testParams().ResendInterval)
+			as := s.Plan(now, now)
+			is.Equal(len(starts(as)), 0)
+			is.Equal(len(stops(as)), 1)
+			is.Equal(stops(as)[0].Run, start.Run)
+		})
+	}
+}
