Let simulated instances start a run beside a higher one

An instance rejects runs that are not higher than one stopped or ended there; a higher run at work does not keep them out.

--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -50,13 +50,15 @@
 // fakeInstance simulates an instance.
 type fakeInstance struct {
 	Instance
-	startedAt  time.Time
-	fence      int64
-	deadline   int64
-	runs       map[ItemID]*fakeRun
-	highestRun map[ItemID]int64
-	ends       []End
-	sequence   int64
+	startedAt time.Time
+	fence     int64
+	deadline  int64
+	runs      map[ItemID]*fakeRun
+	// highestEnded holds the highest run of each work item that was stopped or ended here.
+	// Runs that are not higher are rejected; one that is lower than a run at work is not.
+	highestEnded map[ItemID]int64
+	ends         []End
+	sequence     int64
 	// lapsedSequence is the number of the last end before the lease last expired.
 	lapsedSequence   int64
 	dead             bool
@@ -121,6 +123,7 @@
 func (inst *fakeInstance) endRun(id ItemID, r *fakeRun, reason EndReason) {
 	inst.sequence++
 	inst.ends = append(inst.ends, End{Sequence: inst.sequence, Item: id, Number: r.number, Reason: reason})
+	inst.highestEnded[id] = max(inst.highestEnded[id], r.number)
 	delete(inst.runs, id)
 }
 
@@ -145,7 +148,7 @@
 	if r := inst.runs[a.Item]; r != nil && r.number == a.Run {
 		return OutcomeDone
 	}
-	if a.Run <= inst.highestRun[a.Item] {
+	if a.Run <= inst.highestEnded[a.Item] {
 		return OutcomeOldRun
 	}
 	need := sim.records[a.Item.Job].Spec.Steps[a.Item.Item.Step].Need
@@ -153,7 +156,6 @@
 		return OutcomeNoRoom
 	}
 	sim.checkStart(inst, a)
-	inst.highestRun[a.Item] = a.Run
 	inst.runs[a.Item] = &fakeRun{a.Run, sim.now.Add(time.Duration(100+sim.rng.IntN(900)) * time.Millisecond), sim.rng.IntN(12) == 0}
 	sim.starts++
 	return OutcomeDone
@@ -161,8 +163,8 @@
 
 func (sim *simulation) checkStart(inst *fakeInstance, a Action) {
 	for _, o := range sim.instances {
-		if o != inst && !o.dead && o.runs[a.Item] != nil {
-			sim.fail("%v starts on %s while it runs on %s", a.Item, inst.ID, o.ID)
+		if r := o.runs[a.Item]; r != nil && !o.dead {
+			sim.fail("%v run %d starts on %s while run %d is at work on %s", a.Item, a.Run, inst.ID, r.number, o.ID)
 		}
 		if !o.dead && o.hasDone(a.Item) {
 			sim.fail("%v run %d starts on %s after a run is done on %s", a.Item, a.Run, inst.ID, o.ID)
@@ -197,7 +199,7 @@
 	if r := inst.runs[a.Item]; r != nil && r.number <= a.Run {
 		inst.endRun(a.Item, r, EndStopped)
 	}
-	inst.highestRun[a.Item] = max(inst.highestRun[a.Item], a.Run)
+	inst.highestEnded[a.Item] = max(inst.highestEnded[a.Item], a.Run)
 	return OutcomeDone
 }
 
@@ -342,7 +344,7 @@
 	if old := sim.instances[id]; old != nil && in.Born <= old.Born {
 		return
 	}
-	sim.instances[id] = &fakeInstance{Instance: in, startedAt: sim.now.Add(-time.Second), runs: map[ItemID]*fakeRun{}, highestRun: map[ItemID]int64{}}
+	sim.instances[id] = &fakeInstance{Instance: in, startedAt: sim.now.Add(-time.Second), runs: map[ItemID]*fakeRun{}, highestEnded: map[ItemID]int64{}}
 	sim.sched.AddInstance(sim.now, in)
 }
 
