Make records durable that are read after a failed sync

Callers saw an acknowledged command or vote gone after a power loss: a replica whose disk was full for a moment wrote a record and failed to sync it, was opened again within the process a second later, read the record back and counted it as durable. It then acknowledged the entries to the leader, or kept its vote, without another sync. The same held for a process that was killed between a write and its sync.

Cause: Open took what can be read for what is on the disk. A later sync of the same file does not help either, since the system marks pages as clean after a failed fsync; they then read as before until they are evicted, and as zeros after that, so that a later start would find damage before the last record and quarantine the data.

Open now copies the intact records to a new file, syncs it and renames it before it returns. Records are written one at a time and none after a failed write, so only the last one can be in doubt. This also replaces the truncation of a torn record, whose own sync could fail unnoticed by the next Open. It costs two syncs and one write of the log for each start.

The test fails each write and sync in turn, with up to 39 operations after it, in four ways, and then takes the power away.

Ruled out: a second sync of the same file in Open.

--- a/galenaraft/memdisk_test.go
+++ b/galenaraft/memdisk_test.go
@@ -117,12 +117,6 @@
 	return len(p), f.disk.countOperation()
 }
 
-func (f *memFile) Truncate(size int64) error {
-	f.data = f.data[:size]
-	f.syncedSize = min(f.syncedSize, int(size))
-	return f.disk.countOperation()
-}
-
 func (f *memFile) Sync() error {
 	if err := f.disk.countOperation(); err != nil {
 		return err
--- a/galenawal/dir.go
+++ b/galenawal/dir.go
@@ -34,8 +34,6 @@
 type File interface {
 	// Write appends p.
 	Write(p []byte) (int, error)
-	// Truncate truncates the file to size bytes; later writes append there.
-	Truncate(size int64) error
 	// Sync makes the content and the size durable.
 	Sync() error
 	// Close closes the file without syncing it.
--- a/galenawal/doc.go
+++ b/galenawal/doc.go
@@ -8,7 +8,8 @@
 // an entry replaces all earlier entries with the same or a higher index.
 //
 // If the last record is damaged, Open treats it as a write that was never synced
-// and truncates it. A damaged record that another record follows had been
+// and drops it. Open copies the other records to a new file, since the sync of the
+// last one may have failed. A damaged record that another record follows had been
 // synced, so other replicas may rely on its vote or entries; Open then fails with
 // galenahead.ErrCorrupt. Open cannot distinguish damage to a synced last record
 // from a torn write.
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -35,7 +35,7 @@
 	writeErr     error
 }
 
-// Open reads the files in dir and truncates a torn last record. If dir has no
+// Open reads the files in dir and drops a torn last record. If dir has no
 // identity file, Open creates a new replica with the incarnation that
 // newIncarnation returns. It fails with galenahead.ErrCorrupt if stored data is
 // damaged or missing; calling Quarantine and then Open again creates a new
@@ -165,31 +165,25 @@
 	if err != nil {
 		return state, err
 	}
-	l.nextSequence = uint64(len(records))
-	l.size = int64(intactSize)
-	if err := l.openForAppend(intactSize < len(b)); err != nil || !discarded {
-		return state, err
+	if discarded {
+		// Entries appended after the discarded ones would not be contiguous, and the
+		// next replay would fail.
+		return state, l.rewriteLog(state.HardState, nil)
 	}
-	// Remove the discarded entries from the file as well: entries appended after
-	// them would not be contiguous, and the next replay would fail.
-	return state, l.Compact(state.HardState, nil)
+	return state, l.rewriteRecords(b[:intactSize], uint64(len(records)))
 }
 
-// openForAppend opens the log for appending. If torn is set, it truncates the
-// file to l.size.
-func (l *Log) openForAppend(torn bool) error {
-	f, err := l.dir.Open(logName)
+// rewriteRecords replaces the log with a copy of its intact records. The last one may
+// not be durable, although it can be read: its sync may have failed, or the process may
+// have ended before it. After a failed sync, a later one of the same file need not store
+// what the failed one should have stored.
+func (l *Log) rewriteRecords(records []byte, nextSequence uint64) error {
+	f, size, err := replaceFile(l.dir, logName, records)
 	if err != nil {
-		return eris.Wrap(err, "open log")
-	}
-	l.file = f
-	if !torn {
-		return nil
-	}
-	if err := f.Truncate(l.size); err != nil {
-		return eris.Wrap(err, "truncate torn tail of log")
+		return err
 	}
-	return eris.Wrap(f.Sync(), "sync log")
+	l.file, l.size, l.nextSequence = f, size, nextSequence
+	return nil
 }
 
 // replay applies the records to the state. It reports whether all entries were
@@ -321,12 +315,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode record")
 	}
-	f, size, err := replaceFile(l.dir, logName, encodeRecord(l.incarnation, 0, payload))
-	if err != nil {
-		return err
-	}
-	l.file, l.size, l.nextSequence = f, size, 1
-	return nil
+	return l.rewriteRecords(encodeRecord(l.incarnation, 0, payload), 1)
 }
 
 // Size returns the size of the log file in bytes.
