Sync the data directory before its files are read

Cause: names that a failed sync of the directory leaves behind can be seen, but are not durable, and Open relied on them.

Open now syncs the directory first, so that all that it reads was renamed durably.

The test now also fails operations on names, two operations with up to seven others between them, and takes the power away before Open succeeds.

--- a/galenawal/disk_test.go
+++ b/galenawal/disk_test.go
@@ -35,16 +35,15 @@
 	return [...]string{"not carried out", "partly written", "carried out", "evicted"}[f]
 }
 
-// fullDisk is an in-memory Dir whose operations failFrom to failFrom+failCount-1
-// fail. Reads never fail. As on Linux, what a failed sync of a file should have stored
+// fullDisk is an in-memory Dir. Its operation failFrom+i fails if bit i of failures is
+// set. Reads never fail. As on Linux, what a failed sync of a file should have stored
 // can still be read, but later syncs of the file do not store it either.
 type fullDisk struct {
-	rand  *rand.Rand
-	fault diskFault
-	// namesFail makes also operations on names fail.
-	namesFail           bool
-	failFrom, failCount int
-	operations          int
+	rand       *rand.Rand
+	fault      diskFault
+	failFrom   int
+	failures   uint64
+	operations int
 	// names are the files by name, and durableNames those that a power loss leaves.
 	names, durableNames map[string]*diskFile
 	openFiles           int
@@ -65,9 +64,9 @@
 	closed bool
 }
 
-func newFullDisk(seed uint64, fault diskFault, failFrom, failCount int) *fullDisk {
+func newFullDisk(seed uint64, fault diskFault, failFrom int, failures uint64) *fullDisk {
 	return &fullDisk{
-		rand: rand.New(rand.NewPCG(seed, seed)), fault: fault, failFrom: failFrom, failCount: failCount,
+		rand: rand.New(rand.NewPCG(seed, seed)), fault: fault, failFrom: failFrom, failures: failures,
 		names: map[string]*diskFile{}, durableNames: map[string]*diskFile{},
 	}
 }
@@ -75,12 +74,12 @@
 // fails counts one operation and reports whether it fails.
 func (d *fullDisk) fails() bool {
 	d.operations++
-	return d.operations >= d.failFrom && d.operations < d.failFrom+d.failCount
+	return d.operations >= d.failFrom && d.failures>>(d.operations-d.failFrom)&1 != 0
 }
 
 // change carries out an operation on names, unless it fails without effect.
 func (d *fullDisk) change(op func()) error {
-	failed := d.namesFail && d.fails()
+	failed := d.fails()
 	if !failed || d.fault >= carriedOut {
 		op()
 	}
@@ -130,7 +129,7 @@
 }
 
 func (d *fullDisk) Sync() error {
-	if d.namesFail && d.fails() {
+	if d.fails() {
 		return errDiskFull
 	}
 	d.durableNames = maps.Clone(d.names)
@@ -276,7 +275,8 @@
 	}
 }
 
-// reopenUntilWritable opens the log again until the disk works, as a daemon does.
+// reopenUntilWritable opens the log again until the disk works, as a daemon does. Power
+// may be lost before each attempt but the first.
 func reopenUntilWritable(d *fullDisk, newIncarnation func() uint64) (*Log, State, error) {
 	const maxAttempts = 100
 	for range maxAttempts {
@@ -287,6 +287,9 @@
 		if !errors.Is(err, errDiskFull) {
 			return nil, s, fmt.Errorf("open: %w", err)
 		}
+		if d.rand.IntN(2) == 0 {
+			d.losePower()
+		}
 	}
 	return nil, State{}, errors.New("the log can't be opened")
 }
@@ -336,18 +339,26 @@
 
 // Guards against a replica that loses what it has acknowledged, or its identity,
 // or that leaves files behind, because its disk was full for a while. Each operation
-// on the disk fails in turn, with those that follow it, in each way.
+// on the disk fails in turn, in each way, with those that follow it or one of them.
 func TestFullDiskLosesNothing(t *testing.T) {
+	const seeds, maxDistance = 8, 8
+	var patterns []uint64
+	for _, n := range []int{1, 2, 3, 5, 8, 13, 40} {
+		patterns = append(patterns, 1<<n-1)
+	}
+	for distance := 2; distance <= maxDistance; distance++ {
+		patterns = append(patterns, 1|1<<distance)
+	}
 	for fault := range diskFaultCount {
 		t.Run(fault.String(), func(t *testing.T) {
-			is := is.New(t)
+			t.Parallel()
 			undisturbed := newFullDisk(0, fault, 0, 0)
-			is.NoErr(playFullDisk(undisturbed))
+			is.New(t).NoErr(playFullDisk(undisturbed))
 			for failFrom := range undisturbed.operations {
-				for _, failCount := range []int{1, 2, 3, 4, 5, 8, 13, 40} {
-					for seed := range uint64(4) {
-						if err := playFullDisk(newFullDisk(seed, fault, failFrom+1, failCount)); err != nil {
-							t.Fatalf("seed %d, operations %d to %d fail: %v", seed, failFrom+1, failFrom+failCount, err)
+				for _, failures := range patterns {
+					for seed := range uint64(seeds) {
+						if err := playFullDisk(newFullDisk(seed, fault, failFrom+1, failures)); err != nil {
+							t.Fatalf("seed %d, operations %d + the bits of %#x fail: %v", seed, failFrom+1, failures, err)
 						}
 					}
 				}
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -41,6 +41,10 @@
 // damaged or missing; calling Quarantine and then Open again creates a new
 // replica.
 func Open(dir Dir, newIncarnation func() uint64) (*Log, State, error) {
+	// A rename whose sync failed can be seen, but a power loss may undo it.
+	if err := dir.Sync(); err != nil {
+		return nil, State{}, eris.Wrap(err, "sync data directory")
+	}
 	incarnation, err := readIdentity(dir)
 	if errors.Is(err, fs.ErrNotExist) {
 		return createReplica(dir, newIncarnation())
