Close the log when a first start fails on a full disk

A replica that starts for the first time on a full disk is opened again each second. If its log was written but its identity was not, each attempt left the log file open, until the process was out of descriptors and answered nobody any more, also after the disk had room again.

Open now closes the log if it can't write the identity. The other open files were closed already since Open opens the log only at its end.

The test counts open files after each failed Open and at the end.

--- a/galenawal/disk_test.go
+++ b/galenawal/disk_test.go
@@ -280,6 +280,7 @@
 func reopenUntilWritable(d *fullDisk, newIncarnation func() uint64) (*Log, State, error) {
 	const maxAttempts = 100
 	for range maxAttempts {
+		openFiles := d.openFiles
 		l, s, err := Open(d, newIncarnation)
 		if err == nil {
 			return l, s, nil
@@ -287,6 +288,9 @@
 		if !errors.Is(err, errDiskFull) {
 			return nil, s, fmt.Errorf("open: %w", err)
 		}
+		if d.openFiles != openFiles {
+			return nil, s, fmt.Errorf("a failed Open leaves %d files open", d.openFiles-openFiles)
+		}
 		if d.rand.IntN(2) == 0 {
 			d.losePower()
 		}
@@ -327,6 +331,9 @@
 		known = content(s)
 		break
 	}
+	if d.openFiles != 1 {
+		return fmt.Errorf("%d files are open, want 1", d.openFiles)
+	}
 	d.losePower()
 	if _, s, err = reopenUntilWritable(d, newIncarnation); err != nil {
 		return fmt.Errorf("after a power loss: %w", err)
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -87,15 +87,22 @@
 	if err := l.rewriteLog(HardState{}, nil); err != nil {
 		return nil, State{}, err
 	}
+	if err := writeIdentity(dir, incarnation); err != nil {
+		return nil, State{}, errors.Join(err, l.Close())
+	}
+	return l, State{Incarnation: incarnation}, nil
+}
+
+func writeIdentity(dir Dir, incarnation uint64) error {
 	payload, err := cbor.Marshal(incarnation)
 	if err != nil {
-		return nil, State{}, eris.Wrap(err, "encode identity")
+		return eris.Wrap(err, "encode identity")
 	}
 	f, _, err := replaceFile(dir, identityName, encodeRecord(0, 0, payload))
 	if err != nil {
-		return nil, State{}, err
+		return err
 	}
-	return l, State{Incarnation: incarnation}, eris.Wrap(f.Close(), "close identity")
+	return eris.Wrap(f.Close(), "close identity")
 }
 
 func readIdentity(dir Dir) (uint64, error) {
