Keep the outcome of a submission open after a refused repeat

What callers saw: a submission whose first attempt at the owner got no answer within 600 ms was sent again by the entry. If the owner refused that repeat (commits are slow, no configuration, no such queue), the caller was told 429, 503 or 404, so that its job never runs, while the first copy could still arrive, or be committed already. Its work items then started although all attempts of the caller to hand it in were rejected.

Cause: OwnerClient's call returned maybeSent=false with every reply, so the owner's answer to the last attempt counted for all attempts before it. Do used maybeSent only if no attempt was answered at all.

Evidence: TestJobOfLateSubmissionWasNotRefused holds the first copy up for 3 s in the network while commits take 800 ms; the owner accepts it after the repeat was rejected. Before: "owner_client_test.go:312: refused != uncertain". All refusals of submissions and cancellations behaved so: TestRefusedRepeatOfUnansweredRequestIsUncertain, "refused != uncertain", "unready != uncertain", "no_queue != uncertain", "invalid != uncertain".

Ruled out: ErrNotLeader and ErrUnreachable as such attempts. The owner returns the first only before it has queued an operation, the client the second only if it has no connection. A job that is unknown to the owner when it is asked to cancel it stays a certain answer, since no attempt to cancel removes a job, and so do the answers to queries and to requests whose first attempt was answered.

Why this works: the reply is uncertain (504) as soon as a refusal follows an attempt without an answer. It is given at once, with the time to come back of the refusal, and the entry logs it with the owner's refusal as its reason.

--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -76,7 +76,8 @@
 )
 
 // call calls the owner until it answers or ctx ends. maybeSent reports whether an
-// attempt that got no answer may have been carried out.
+// attempt that got no answer may have been carried out, or still may be; the answer to
+// a later attempt does not tell.
 func call[P, R any](ctx context.Context, oc *OwnerClient, method string, params P) (result R, maybeSent bool, err error) {
 	start := time.Now()
 	for attempts := 1; ; attempts++ {
@@ -89,7 +90,7 @@
 			cancel()
 			if err == nil {
 				oc.logReachability(addr, callFailure{})
-				return r, false, nil
+				return r, maybeSent, nil
 			}
 			if isFinal(err) {
 				return r, maybeSent, err
@@ -153,18 +154,26 @@
 func (oc *OwnerClient) Do(ctx context.Context, r Request) Reply {
 	start := time.Now()
 	reply, maybeSent, err := call[Request, Reply](ctx, oc, MethodDo, r)
+	maybeDone := maybeSent && r.changesJob()
+	overruled := false
 	switch {
-	case err == nil:
-	case maybeSent && (r.Kind == RequestSubmit || r.Kind == RequestCancel):
+	case err != nil && maybeDone:
 		reply = Reply{Outcome: OutcomeUncertain, Reason: err.Error()}
-	default:
+	case err != nil:
 		reply = unreadyReply(err.Error())
+	case maybeDone && reply.Outcome.isRefusal():
+		overruled = true
+		reason := "repeat of an attempt without an answer: " + string(reply.Outcome)
+		if reply.Reason != "" {
+			reason += ", " + reply.Reason
+		}
+		reply = Reply{Outcome: OutcomeUncertain, Reason: reason, RetryAfter: reply.RetryAfter}
 	}
 	latency := time.Since(start)
 	oc.Metrics.Latency.Record(string(r.Kind), latency)
 	oc.Metrics.Counters.Add("answer_"+string(reply.Outcome), 1)
-	if err != nil {
-		// The owner logs only the requests that it answers.
+	if err != nil || overruled {
+		// The owner logs only its own answers.
 		galenalog.Info(oc.Logger, "request", requestLine{request: r, reply: reply, latency: latency})
 	}
 	return reply
--- a/galenafleet/owner_client_test.go
+++ b/galenafleet/owner_client_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenatimer"
@@ -79,6 +80,71 @@
 	})
 }
 
+// refusals are the replies by which the owner tells that a request was not carried out.
+var refusals = []Reply{
+	overloadReply(time.Second), unreadyReply("no configuration yet"),
+	{Outcome: OutcomeNoQueue}, {Outcome: OutcomeInvalid},
+}
+
+// ownerThatAnswersLate leaves the first attempt of a request without an answer, and answers
+// the next one with reply.
+func ownerThatAnswersLate(reply Reply) rpcClientFunc {
+	calls := 0
+	return func(ctx context.Context, method string, result any) error {
+		if method == MethodLeaderInfo {
+			return answerLeaderInfo(result)
+		}
+		if calls++; calls == 1 {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		*result.(*Reply) = reply
+		return nil
+	}
+}
+
+// Guards against telling a caller that its job never runs, because the owner refused a
+// repeat, while an earlier attempt without an answer may still be carried out.
+func TestRefusedRepeatOfUnansweredRequestIsUncertain(t *testing.T) {
+	for _, kind := range []RequestKind{RequestSubmit, RequestCancel} {
+		for _, refusal := range refusals {
+			t.Run(string(kind)+" "+string(refusal.Outcome), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					start := time.Now()
+					client := testOwnerClient(ownerThatAnswersLate(refusal))
+					r := doRequest(client, kind)
+					is.Equal(r.Outcome, OutcomeUncertain)
+					is.Equal(r.RetryAfter, refusal.RetryAfter)
+					is.True(time.Since(start) < attemptTimeout+searchInterval+2*attemptPause) // answered at once
+					is.Equal(client.Metrics.Snapshot().Counters["answer_"+string(OutcomeUncertain)], int64(1))
+				})
+			})
+		}
+	}
+}
+
+// Guards against uncertain answers where the owner's answer holds whatever became of the
+// attempts before it, and where nothing was sent before it.
+func TestCertainAnswersStayCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, refusal := range append(refusals, Reply{Outcome: OutcomeNoJob}) {
+			neverSent := testOwnerClient(func(_ context.Context, method string, result any) error {
+				if method == MethodLeaderInfo {
+					return answerLeaderInfo(result)
+				}
+				*result.(*Reply) = refusal
+				return nil
+			})
+			is.Equal(doRequest(neverSent, RequestSubmit), refusal)
+			is.Equal(doRequest(testOwnerClient(ownerThatAnswersLate(refusal)), RequestState), refusal)
+		}
+		// A cancellation deletes no job.
+		is.Equal(doRequest(testOwnerClient(ownerThatAnswersLate(Reply{Outcome: OutcomeNoJob})), RequestCancel).Outcome, OutcomeNoJob)
+	})
+}
+
 // Guards against giving up a request after an attempt without a response, although
 // a retry would be answered.
 func TestRetriesWhenOwnerDoesNotRespond(t *testing.T) {
@@ -195,3 +261,56 @@
 		is.True(eris.Is(mux.Call(t.Context(), method, Empty{}, nil), galenahead.ErrNotLeader))
 	}
 }
+
+// lateNetwork passes requests to an owner. The first request of a job named "late" arrives
+// only after lateBy, when its sender has given it up.
+type lateNetwork struct {
+	owner  *Owner
+	lateBy time.Duration
+	held   atomic.Bool
+}
+
+func (n *lateNetwork) Call(ctx context.Context, _, method string, params, result any) error {
+	if method == MethodLeaderInfo {
+		return answerLeaderInfo(result)
+	}
+	r := params.(Request)
+	if r.Path == "/q/late" && !n.held.Swap(true) {
+		time.AfterFunc(n.lateBy, func() { _, _ = n.owner.Do(context.Background(), r) })
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	reply, err := n.owner.Do(ctx, r)
+	*result.(*Reply) = reply
+	return err
+}
+
+// Guards against a job that runs after its caller was told that it never will, because the
+// first copy of its submission arrived after a repeat was rejected for slow commits.
+func TestJobOfLateSubmissionWasNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		network := &lateNetwork{owner: o, lateBy: 3 * time.Second}
+		client := testOwnerClient(nil)
+		client.RPCClient, client.Directory.RPCClient = network, network
+		go func() { _ = client.Directory.Run(ctx) }()
+		time.Sleep(time.Second)
+
+		spec := &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}
+		log.delay.Store(int64(attemptTimeout + 200*time.Millisecond))
+		go func() { _, _ = o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/other", Spec: spec}) }()
+		requestCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		reply := client.Do(requestCtx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/late", Spec: spec})
+		log.delay.Store(0)
+		time.Sleep(network.lateBy)
+
+		_, _, _, accepted := o.State.JobState("late")
+		is.True(accepted)
+		is.Equal(reply.Outcome, OutcomeUncertain)
+		is.True(reply.RetryAfter > 0)
+		stop()
+	})
+}
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -32,6 +32,9 @@
 	Spec *galenajob.Spec `json:"spec,omitempty"`
 }
 
+// changesJob reports whether the request submits or cancels a job.
+func (r Request) changesJob() bool { return r.Kind == RequestSubmit || r.Kind == RequestCancel }
+
 // Outcome is the outcome of a request.
 type Outcome string
 
@@ -42,7 +45,7 @@
 	OutcomeRejected Outcome = "refused"
 	// OutcomeUnready means that nothing was done, because no owner can answer now.
 	OutcomeUnready Outcome = "unready"
-	// OutcomeUncertain means that the request may have been carried out.
+	// OutcomeUncertain means that the request may have been carried out, or may still be.
 	OutcomeUncertain Outcome = "uncertain"
 	OutcomeNoQueue   Outcome = "no_queue"
 	OutcomeNoJob     Outcome = "no_job"
@@ -51,6 +54,17 @@
 	OutcomeInvalid   Outcome = "invalid"
 )
 
+// isRefusal reports whether the owner did not carry out the attempt that it answered, so
+// that the outcome of the request depends on the other attempts. OutcomeNoJob is none: no
+// attempt to cancel a job makes it unknown.
+func (o Outcome) isRefusal() bool {
+	switch o {
+	case OutcomeRejected, OutcomeUnready, OutcomeNoQueue, OutcomeInvalid:
+		return true
+	}
+	return false
+}
+
 // Reply is the answer to a Request.
 type Reply struct {
 	Outcome Outcome         `json:"outcome"`
@@ -58,7 +72,7 @@
 	Waiting int             `json:"waiting,omitempty"`
 	Reason  string          `json:"reason,omitempty"`
 	// RetryAfter is how long the caller should wait before it sends the request
-	// again; zero if the reply is final.
+	// again; zero if the reply is final or it may do so at once.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
 
