Keep work off a machine whose unanswered move may still be carried out

Callers saw work lost on a machine that the owner had sent elsewhere: everything on the machine ended seconds after the owner had given it work again.

Cause: an order to move a machine that got no answer is sent again, and the answer "busy" to the repeated order was taken for the answer to both. The move was cancelled and the instance took work, while the first order could still be carried out. The machines' service also answers busy when it gets too many orders, so that the answer says nothing of the machine.

Evidence: TestRefusedRepeatKeepsUnansweredMove failed before with "1 != 0 // the instance got work although an order was pending".

A move of which an order had no answer now ends only by an answer that holds for all of its orders: it is carried out (the service answers a repeated order in the same way), or the service rejects the order itself. Until then the instance gets no work and the order is sent again every 500 ms. After 5 s the machine no longer counts as arriving in its new pool, so that the pool gets another one. A first order that is answered busy is still cancelled at once. An order that was never sent for lack of a connection does not count as unanswered.

Ruled out: maintenance orders are not cancelled by busy, and a rejection of one ("not of this wave", "no such machine") holds for all copies.

--- /dev/null
+++ b/galenafleet/late_orders_test.go
@@ -0,0 +1,264 @@
+package galenafleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+// lateMachines is a machines service with one machine, whose instance registers and
+// sends heartbeats. It checks fencing tokens, and may leave an order unanswered and
+// carry it out later.
+type lateMachines struct {
+	MachineClient
+	mu       sync.Mutex
+	owner    *Owner
+	pool     galenahead.ServiceName
+	state    MachineState
+	instance galenahead.InstanceID
+	token    uint64
+	lives    int
+	moves    []galenahead.ServiceName
+	// respond returns how an attempt, counted from 1, is answered: if late is set it is
+	// not answered, and carried out after that time; otherwise it fails with err, or is
+	// carried out at once.
+	respond func(attempt int) (late time.Duration, err error)
+	// noList makes requests for the list fail.
+	noList bool
+	// work holds the instances that run work, and lost those that an order stopped
+	// although they did.
+	work map[galenahead.InstanceID]bool
+	lost []galenahead.InstanceID
+	// lateOutcome is the result of the order that was carried out late.
+	lateDone    bool
+	lateOutcome error
+}
+
+const (
+	lateCallTimeout = 2 * time.Second
+	lateMoveTime    = 1500 * time.Millisecond
+)
+
+func newLateMachines(o *Owner) *lateMachines {
+	f := &lateMachines{owner: o, pool: "counter", state: MachineUp, instance: "i0", work: map[galenahead.InstanceID]bool{}}
+	o.Machines, o.Instances = f, &workingInstances{f}
+	return f
+}
+
+func (f *lateMachines) List(context.Context) ([]Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.noList {
+		return nil, eris.New("no list")
+	}
+	return []Machine{{Name: "m", Pool: f.pool, State: f.state, Instance: f.instance, Capacity: galenajob.Resources{MilliCPU: 1000}}}, nil
+}
+
+func (f *lateMachines) Move(_ context.Context, _ galenahead.VMName, pool galenahead.ServiceName, _ string, token uint64) error {
+	f.mu.Lock()
+	f.moves = append(f.moves, pool)
+	late, err := f.respond(len(f.moves))
+	f.mu.Unlock()
+	switch {
+	case late > 0:
+		time.AfterFunc(late, func() {
+			err := f.move(pool, token)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.lateDone, f.lateOutcome = true, err
+		})
+		time.Sleep(lateCallTimeout)
+		return eris.New("no response")
+	case err != nil:
+		return err
+	}
+	return f.move(pool, token)
+}
+
+// move carries out an order.
+func (f *lateMachines) move(pool galenahead.ServiceName, token uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case token < f.token:
+		return ErrFenced
+	case pool == f.pool:
+		f.token = token
+		return nil
+	case f.state != MachineUp:
+		return ErrBusy
+	}
+	f.token = token
+	f.stop(MachineMoving)
+	time.AfterFunc(lateMoveTime, func() { f.start(pool) })
+	return nil
+}
+
+// stop ends what runs on the machine. f.mu must be held.
+func (f *lateMachines) stop(state MachineState) {
+	if f.work[f.instance] {
+		f.lost = append(f.lost, f.instance)
+	}
+	f.state, f.instance = state, ""
+}
+
+// start brings up the machine in a pool with another instance.
+func (f *lateMachines) start(pool galenahead.ServiceName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives++
+	f.pool, f.state, f.instance = pool, MachineUp, ""
+	if pool != "spare" {
+		f.instance = galenahead.InstanceID(fmt.Sprintf("i%d", f.lives))
+	}
+}
+
+// sendHeartbeats sends heartbeats of the present instance until ctx ends.
+func (f *lateMachines) sendHeartbeats(ctx context.Context) {
+	for n := int64(1); ctx.Err() == nil; n++ {
+		f.mu.Lock()
+		in := testHeartbeat.Instance
+		in.ID, in.Service, in.Born = f.instance, f.pool, int64(f.lives+1)
+		f.mu.Unlock()
+		if in.ID != "" {
+			// An owner may be missing for a while.
+			_, _ = f.owner.Heartbeat(ctx, Heartbeat{Instance: in, Sequence: n, Clock: 1000 + 100*n})
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// attempts returns the number of orders sent.
+func (f *lateMachines) attempts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.moves)
+}
+
+// waitUntil sleeps until done, for at most limit.
+func waitUntil(t *testing.T, limit time.Duration, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached in time")
+		}
+	}
+}
+
+// workingInstances runs all work until its machine stops.
+type workingInstances struct{ f *lateMachines }
+
+func (w *workingInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	w.f.work[a.Instance.ID] = true
+	return galenajob.OutcomeDone, 0, nil
+}
+
+func (w *workingInstances) Stop(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+	return galenajob.OutcomeDone, 0, nil
+}
+
+func (w *workingInstances) Pace(context.Context, galenajob.Action) error { return nil }
+
+func (w *workingInstances) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+	time.Sleep(max(wait, 10*time.Millisecond))
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	if req.Instance.ID != w.f.instance {
+		return galenajob.PollResponse{}, eris.New("no response")
+	}
+	resp := galenajob.PollResponse{Born: req.Instance.Born}
+	if w.f.work[req.Instance.ID] {
+		resp.Runs = []galenajob.Run{{Item: galenajob.ItemID{Job: "j"}, Number: 1001, Percent: 50}}
+	}
+	return resp, nil
+}
+
+// spareConfig is testConfig with a spare pool.
+var spareConfig = Config{
+	Version: 1, Services: []Service{{Name: "counter"}, {Name: "spare", Spare: true}}, Queues: testConfig.Queues,
+}
+
+// startLateMachines starts the owner with a machine that is powered off for lack of
+// work, and returns when the first order has been sent. The owner runs until stop or
+// until the test ends.
+func startLateMachines(t *testing.T, o *Owner, f *lateMachines) (ctx context.Context, stop func()) {
+	t.Helper()
+	apply(t, o.State, Op{Peak: &DemandPeak{Service: "counter", Start: time.Now().Round(0).Add(-peakRiseTime), Machines: 1}})
+	ctx, stop = startOwner(t, o, spareConfig)
+	t.Cleanup(func() {
+		stop()
+		time.Sleep(2 * lateCallTimeout) // until the calls have returned
+	})
+	go f.sendHeartbeats(t.Context())
+	waitUntil(t, 10*time.Second, func() bool { return f.attempts() > 0 })
+	return ctx, stop
+}
+
+// submitWork submits a job of one work item.
+func submitWork(ctx context.Context, t *testing.T, o *Owner) {
+	t.Helper()
+	step := galenajob.Step{Count: 1, Need: galenajob.Resources{MilliCPU: 500}, Estimate: 30 * time.Second}
+	r, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{step}}})
+	if err != nil || r.Outcome != OutcomeAccepted {
+		t.Fatalf("job not accepted: %v, %v", r.Outcome, err)
+	}
+}
+
+// carriedOutLate reports whether the unanswered order has been carried out.
+func (f *lateMachines) carriedOutLate() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lateDone
+}
+
+// works reports whether an instance has got work.
+func (f *lateMachines) works(id galenahead.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.work[id]
+}
+
+// lostWork returns the instances with work that an order stopped.
+func (f *lateMachines) lostWork() []galenahead.InstanceID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// Guards against lost work on a machine whose move was sent twice: the refusal of the
+// second order said nothing about the first one, which had no response and was carried
+// out late, when the instance was at work again.
+func TestRefusedRepeatKeepsUnansweredMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(attempt int) (time.Duration, error) {
+			if attempt == 1 {
+				return 6 * time.Second, nil
+			}
+			if !f.lateDone {
+				return 0, ErrBusy
+			}
+			return 0, nil
+		}
+		ctx, _ := startLateMachines(t, o, f)
+		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 1 })
+		time.Sleep(100 * time.Millisecond)
+		submitWork(ctx, t, o)
+		waitUntil(t, 10*time.Second, f.carriedOutLate)
+		is.Equal(len(f.lostWork()), 0)                                     // the instance got work although an order was pending
+		waitUntil(t, 20*time.Second, func() bool { return f.works("i2") }) // the machine came back for the job
+	})
+}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -38,6 +38,9 @@
 	instance cordonedInstance
 	// confirmed reports that the platform has accepted the move.
 	confirmed bool
+	// unanswered reports that an order had no answer, so that it may still be carried
+	// out.
+	unanswered bool
 	// changedAt is when the move started or was confirmed.
 	changedAt time.Time
 }
@@ -238,11 +241,13 @@
 	return m.pendingMoves[name] != nil || evacuating || m.inFlight[name]
 }
 
-// arriving returns the number of machines that move to a pool.
+// arriving returns the number of machines that move to a pool. A move that is not
+// confirmed in time does not count, so that the pool gets another machine.
 func (m *machineController) arriving(pool galenahead.ServiceName) int {
 	n := 0
 	for _, move := range m.pendingMoves {
-		if move.pool == pool {
+		overdue := move.unanswered && m.Timers.Now().Sub(move.changedAt) > registrationTimeout
+		if move.pool == pool && !overdue {
 			n++
 		}
 	}
@@ -312,13 +317,14 @@
 		move.confirmed, move.changedAt = true, m.Timers.Now()
 		m.markUnavailable(r.name, MachineMoving)
 		return m.removalChange(move.instance)
-	case errors.Is(r.err, ErrBusy), errors.Is(r.err, ErrRejected):
+	case errors.Is(r.err, ErrRejected), errors.Is(r.err, ErrBusy) && !move.unanswered:
 		log.WithError(r.err).Info("machine move rejected")
 		m.cancelMove(r.name)
 	default:
-		// The order may still be carried out. It is sent again until the result is
-		// known.
-		log.WithError(r.err).Info("machine move not confirmed")
+		// An order without an answer may still be carried out, also after a repeated one
+		// was answered busy. It is sent again until the result is known.
+		move.unanswered = move.unanswered || !errors.Is(r.err, ErrBusy) && !errors.Is(r.err, ErrExhausted)
+		log.WithError(r.err).WithField("unanswered", move.unanswered).Info("machine move not confirmed")
 	}
 	return nil
 }
