Exclude a late copy of a machine's earlier order by its fencing token

Callers saw work lost on a machine that had been moved twice: seconds after the second move, the machine left its pool again and everything on it ended.

Cause: all orders of an owner carried its epoch as fencing token. An order that got no answer is sent again, and the repeated order may be carried out first. Once the machine had been sent on by another order, the first copy still was as good as that one, and moved the machine back. The same holds for an answered move of any kind: the repeated order's answer was taken for the end of all copies.

The copies of an order now share a token, and the next order to the machine has a higher one, up to 2^20 orders to a machine in an epoch. The machines' service, which keeps the tokens of each machine separately, rejects the late copy with "fence" as soon as it has carried out the next order; before that, the copy only does what the order asked for.

Ruled out: late copies of a maintenance order after its machine is up again, since the service carries out a wave's order to a machine once; late copies of an earlier owner's order after an order of the present one, since its epoch is higher.

--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -34,9 +34,9 @@
 	respond func(attempt int) (late time.Duration, err error)
 	// noList makes requests for the list fail.
 	noList bool
-	// work holds the instances that run work, and lost those that an order stopped
-	// although they did.
-	work map[galenahead.InstanceID]bool
+	// work holds the runs on each instance, and lost the instances that an order stopped
+	// although they had some.
+	work map[galenahead.InstanceID]map[galenajob.ItemID]int64
 	lost []galenahead.InstanceID
 	// lateOutcome is the result of the order that was carried out late.
 	lateDone    bool
@@ -49,7 +49,7 @@
 )
 
 func newLateMachines(o *Owner) *lateMachines {
-	f := &lateMachines{owner: o, pool: "counter", state: MachineUp, instance: "i0", work: map[galenahead.InstanceID]bool{}}
+	f := &lateMachines{owner: o, pool: "counter", state: MachineUp, instance: "i0", work: map[galenahead.InstanceID]map[galenajob.ItemID]int64{}}
 	o.Machines, o.Instances = f, &workingInstances{f}
 	return f
 }
@@ -105,7 +105,7 @@
 
 // stop ends what runs on the machine. f.mu must be held.
 func (f *lateMachines) stop(state MachineState) {
-	if f.work[f.instance] {
+	if len(f.work[f.instance]) > 0 {
 		f.lost = append(f.lost, f.instance)
 	}
 	f.state, f.instance = state, ""
@@ -160,11 +160,20 @@
 func (w *workingInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
-	w.f.work[a.Instance.ID] = true
+	if a.Instance.ID != w.f.instance {
+		return galenajob.OutcomeUnknown, 0, eris.New("no response")
+	}
+	if w.f.work[a.Instance.ID] == nil {
+		w.f.work[a.Instance.ID] = map[galenajob.ItemID]int64{}
+	}
+	w.f.work[a.Instance.ID][a.Item] = a.Run
 	return galenajob.OutcomeDone, 0, nil
 }
 
-func (w *workingInstances) Stop(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+func (w *workingInstances) Stop(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	delete(w.f.work[a.Instance.ID], a.Item)
 	return galenajob.OutcomeDone, 0, nil
 }
 
@@ -178,8 +187,8 @@
 		return galenajob.PollResponse{}, eris.New("no response")
 	}
 	resp := galenajob.PollResponse{Born: req.Instance.Born}
-	if w.f.work[req.Instance.ID] {
-		resp.Runs = []galenajob.Run{{Item: galenajob.ItemID{Job: "j"}, Number: 1001, Percent: 50}}
+	for item, run := range w.f.work[req.Instance.ID] {
+		resp.Runs = append(resp.Runs, galenajob.Run{Item: item, Number: run, Percent: 50})
 	}
 	return resp, nil
 }
@@ -226,7 +235,7 @@
 func (f *lateMachines) works(id galenahead.InstanceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.work[id]
+	return len(f.work[id]) > 0
 }
 
 // lostWork returns the instances with work that an order stopped.
@@ -262,3 +271,27 @@
 		waitUntil(t, 20*time.Second, func() bool { return f.works("i2") }) // the machine came back for the job
 	})
 }
+
+// Guards against lost work on a machine that has been moved twice: an order of the first
+// move that had no response was carried out after the second move.
+func TestLaterMoveExcludesUnansweredOrderOfEarlierMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(attempt int) (time.Duration, error) {
+			if attempt == 1 {
+				return 12 * time.Second, nil
+			}
+			return 0, nil
+		}
+		ctx, _ := startLateMachines(t, o, f)
+		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 1 })
+		submitWork(ctx, t, o)
+		waitUntil(t, 8*time.Second, func() bool { return f.works("i2") })
+		waitUntil(t, 15*time.Second, f.carriedOutLate)
+		is.Equal(len(f.lostWork()), 0)
+		is.True(eris.Is(f.lateOutcome, ErrFenced))
+		is.Equal(f.attempts(), 3) // to the spare pool twice, and back
+	})
+}
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -30,6 +30,9 @@
 	// orderSendMargin is the longest time between the record of an order and the
 	// order itself.
 	orderSendMargin = 200 * time.Millisecond
+	// ordersPerEpoch bounds the different orders of one owner to one machine, each of
+	// which has a fencing token of its own.
+	ordersPerEpoch = 1 << 20
 )
 
 // machineController carries out maintenance waves and moves machines between pools
@@ -48,6 +51,8 @@
 	maintainedBy map[galenahead.VMName]int64
 	// pendingMoves holds the moves that have not ended, by machine.
 	pendingMoves map[galenahead.VMName]*pendingMove
+	// lastOrders holds the last order to each machine in this session.
+	lastOrders map[galenahead.VMName]sentOrder
 	// inFlight holds the machines with an order whose result is pending.
 	inFlight map[galenahead.VMName]bool
 	// retryAt holds when a machine may be sent an order again after a failed one.
@@ -66,6 +71,19 @@
 	service galenahead.ServiceName
 }
 
+// orderPurpose is what an order does with a machine: a move to a pool, or the
+// maintenance of a wave.
+type orderPurpose struct {
+	pool galenahead.ServiceName
+	wave int64
+}
+
+// sentOrder is the last order to a machine with its fencing token.
+type sentOrder struct {
+	purpose orderPurpose
+	token   uint64
+}
+
 // orderResult is the result of an order to a machine. wave is zero for a move.
 type orderResult struct {
 	name galenahead.VMName
@@ -79,6 +97,7 @@
 		lastListed:   map[galenahead.VMName]time.Time{},
 		evacuating:   map[galenahead.VMName]cordonedInstance{},
 		pendingMoves: map[galenahead.VMName]*pendingMove{},
+		lastOrders:   map[galenahead.VMName]sentOrder{},
 		inFlight:     map[galenahead.VMName]bool{},
 		retryAt:      map[galenahead.VMName]time.Time{},
 		loggedPools:  map[galenahead.ServiceName][4]int{},
@@ -172,6 +191,19 @@
 	return !ok || epoch == m.epoch || m.Timers.Now().Sub(seenAt) > m.MachineLease+orderSendMargin
 }
 
+// fencingToken returns the fencing token of an order to a machine. All copies of an order
+// carry the same token, and the next order a higher one: a copy that is carried out late,
+// when the machine has carried out the next order, is rejected.
+func (m *machineController) fencingToken(name galenahead.VMName, p orderPurpose) uint64 {
+	last, ok := m.lastOrders[name]
+	if ok && last.purpose == p {
+		return last.token
+	}
+	token := max(m.epoch*ordersPerEpoch, last.token+1)
+	m.lastOrders[name] = sentOrder{p, token}
+	return token
+}
+
 // orderRecord returns the record of an order to a machine, which stops the instance
 // there, if one runs.
 func (m *machineController) orderRecord(name galenahead.VMName, id galenahead.InstanceID) Op {
@@ -407,13 +439,13 @@
 		return
 	}
 	m.inFlight[name] = true
-	record := m.orderRecord(name, m.evacuating[name].id)
+	record, token := m.orderRecord(name, m.evacuating[name].id), m.fencingToken(name, orderPurpose{wave: wave})
 	m.spawn(func() error {
 		r := orderResult{name: name, wave: wave}
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
 		}
-		r.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), m.epoch)
+		r.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), token)
 		m.deliverResult(r)
 		return nil
 	})
--- a/galenafleet/platform.go
+++ b/galenafleet/platform.go
@@ -71,7 +71,8 @@
 
 // MachineClient lists the machines and sends them orders, which move them between
 // pools or take them down for maintenance. Orders carry the name of the owner as
-// holder, and its epoch as fencing token.
+// holder, and a fencing token. For each machine, the tokens of an epoch are higher than
+// those of earlier epochs, and the token of an order than those of earlier orders.
 type MachineClient interface {
 	List(ctx context.Context) ([]Machine, error)
 	// Move and Maintain also return nil if the same order was carried out before.
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -293,11 +293,12 @@
 	}
 	m.inFlight[name] = true
 	pool, record := move.pool, m.orderRecord(name, move.instance.id)
+	token := m.fencingToken(name, orderPurpose{pool: pool})
 	m.spawn(func() error {
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
 		}
-		m.deliverResult(orderResult{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), m.epoch)})
+		m.deliverResult(orderResult{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), token)})
 		return nil
 	})
 }
