Keep the later instance of a machine idle while a move has no answer

Callers saw work lost on a machine that had crashed and come back: everything on the new instance ended seconds later, by a move that the owner had given up.

Cause: when the list showed another instance on the machine, the move was cancelled by the list alone, although an order without an answer could still be carried out. While an order was under way, for up to 2 s, the list was not even looked at, and the new instance took work.

Evidence: TestUnansweredMoveKeepsWorkOffLaterInstance failed before in all three cases with "1 != 0 // the later instance was at work although an order was pending".

A move with an order that is under way or unanswered now holds for the machine's next instance as well: it gets no work as soon as the list shows it, the work that it has moves elsewhere, and the order is sent again once it is idle. A move without such an order is still cancelled.

Open: an instance takes work between its registration and the first list that names its machine, 0.5 s and the time of one reading. Instances do not say on which machine they run.

--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// restart ends what runs on the machine, which comes back with another instance. That is
+// not the result of an order.
+func (f *lateMachines) restart() {
+	f.mu.Lock()
+	delete(f.work, f.instance)
+	pool := f.pool
+	f.mu.Unlock()
+	f.start(pool)
+}
+
 // attempts returns the number of orders sent.
 func (f *lateMachines) attempts() int {
 	f.mu.Lock()
@@ -214,10 +224,11 @@
 	return ctx, stop
 }
 
-// submitWork submits a job of one work item.
+// submitWork submits a job of two work items, of which an instance has room for one. One
+// of them may be sent to an instance that has crashed.
 func submitWork(ctx context.Context, t *testing.T, o *Owner) {
 	t.Helper()
-	step := galenajob.Step{Count: 1, Need: galenajob.Resources{MilliCPU: 500}, Estimate: 30 * time.Second}
+	step := galenajob.Step{Count: 2, Need: galenajob.Resources{MilliCPU: 600}, Estimate: 30 * time.Second}
 	r, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{step}}})
 	if err != nil || r.Outcome != OutcomeAccepted {
 		t.Fatalf("job not accepted: %v, %v", r.Outcome, err)
@@ -295,3 +306,47 @@
 		is.Equal(f.attempts(), 3) // to the spare pool twice, and back
 	})
 }
+
+// Guards against lost work on a machine that comes back with another instance while a
+// move of it has no answer. The move was given up, or the instance not kept idle, while
+// the order could still be carried out. Also guards against repeating the order while the
+// other instance has work.
+func TestUnansweredMoveKeepsWorkOffLaterInstance(t *testing.T) {
+	const untilListed = listInterval + 2*controlInterval
+	tests := []struct {
+		name             string
+		restart, workAt  time.Duration
+		busy             bool
+		returnedInstance galenahead.InstanceID
+	}{
+		{"first order under way", 500 * time.Millisecond, 500*time.Millisecond + untilListed, true, "i3"},
+		{"order unanswered", 2500 * time.Millisecond, 2500*time.Millisecond + untilListed, true, "i3"},
+		{"work on the other instance", 1600 * time.Millisecond, 1800 * time.Millisecond, false, "i3"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o, _ := testOwner()
+				f := newLateMachines(o)
+				f.respond = func(attempt int) (time.Duration, error) {
+					if attempt == 1 {
+						return 6 * time.Second, nil
+					}
+					if tt.busy && !f.lateDone {
+						return 0, ErrBusy
+					}
+					return 0, nil
+				}
+				ctx, _ := startLateMachines(t, o, f)
+				time.Sleep(tt.restart)
+				f.restart()
+				time.Sleep(tt.workAt - tt.restart)
+				submitWork(ctx, t, o)
+				waitUntil(t, 10*time.Second, f.carriedOutLate)
+				is.Equal(len(f.lostWork()), 0) // the later instance was at work although an order was pending
+				waitUntil(t, 20*time.Second, func() bool { return f.works(tt.returnedInstance) })
+			})
+		})
+	}
+}
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -405,12 +405,7 @@
 		return true
 	}
 	m.evacuating[v.Name] = in
-	idle := false
-	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		s.SetEvacuating(now, in.id, true)
-		_, idle = s.IdleSince(in.id)
-	})
-	return idle
+	return m.cordon(in)
 }
 
 // instanceOn returns the listed instance of a machine, which may not have registered
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -279,6 +279,17 @@
 	return idle
 }
 
+// cordon keeps new work off an instance, moves the work that it has elsewhere, and
+// reports whether it is idle.
+func (m *machineController) cordon(in cordonedInstance) bool {
+	idle := false
+	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		s.SetEvacuating(now, in.id, true)
+		_, idle = s.IdleSince(in.id)
+	})
+	return idle
+}
+
 // uncordon lets an instance take work again.
 func (m *machineController) uncordon(in cordonedInstance) {
 	if in.id != "" {
@@ -337,19 +348,39 @@
 	m.uncordon(move.instance)
 }
 
-// resendMove sends an unconfirmed move order again. It cancels the move if the machine
-// is not up or has another instance now, on which work may run.
+// resendMove sends an unconfirmed move order again. If the machine is not up or has
+// another instance now, it cancels the move, unless an order may still be carried out.
 func (m *machineController) resendMove(name galenahead.VMName, move *pendingMove) {
-	if m.inFlight[name] || !m.retryDue(name) {
-		return
-	}
 	v, listed := m.machines[name]
+	arrived := v.State == MachineMoving || v.Pool == move.pool
 	sameInstance := v.State == MachineUp && v.Instance == move.instance.id
-	if listed && v.State != MachineMoving && v.Pool != move.pool && !sameInstance {
+	undecided := move.unanswered || m.inFlight[name]
+	idle := true
+	if listed && undecided && !arrived && v.State == MachineUp {
+		idle = m.cordonLaterInstance(move, m.instanceOn(v))
+	}
+	switch {
+	case m.inFlight[name] || !m.retryDue(name):
+	case !listed, arrived, sameInstance && idle:
+		m.sendMoveOrder(name, move)
+	case !move.unanswered:
 		m.cancelMove(name)
-		return
+	case v.State == MachineUp && idle:
+		m.sendMoveOrder(name, move)
+	}
+}
+
+// cordonLaterInstance keeps new work off the present instance of a machine whose move
+// may still be carried out, and reports whether it is idle.
+func (m *machineController) cordonLaterInstance(move *pendingMove, in cordonedInstance) bool {
+	if in.id == "" {
+		return true
+	}
+	if in != move.instance {
+		m.uncordon(move.instance)
+		move.instance = in
 	}
-	m.sendMoveOrder(name, move)
+	return m.cordon(in)
 }
 
 // updateMoves ends the pending moves of machines that have arrived or are overdue,
