--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -30,6 +30,9 @@
 	// orderSendMargin is the longest time between the record of an order and the
 	// order itself.
 	orderSendMargin = 200 * time.Millisecond
+	// ordersPerEpoch bounds the different orders of one owner to one machine, each of
+	// which has a fencing token of its own.
+	ordersPerEpoch = 1 << 20
 )
 
 // machineController carries out maintenance waves and moves machines between pools
@@ -48,6 +51,8 @@
 	maintainedBy map[galenahead.VMName]int64
 	// pendingMoves holds the moves that have not ended, by machine.
 	pendingMoves map[galenahead.VMName]*pendingMove
+	// lastOrders holds the last order to each machine in this session.
+	lastOrders map[galenahead.VMName]sentOrder
 	// inFlight holds the machines with an order whose result is pending.
 	inFlight map[galenahead.VMName]bool
 	// retryAt holds when a machine may be sent an order again after a failed one.
@@ -66,11 +71,26 @@
 	service galenahead.ServiceName
 }
 
-// orderResult is the result of an order to a machine. wave is zero for a move.
-type orderResult struct {
-	name galenahead.VMName
+// orderPurpose is what an order does with a machine: a move to a pool, or the
+// maintenance of a wave.
+type orderPurpose struct {
+	pool galenahead.ServiceName
 	wave int64
-	err  error
+}
+
+// sentOrder is the last order to a machine with its fencing token.
+type sentOrder struct {
+	purpose orderPurpose
+	token   uint64
+}
+
+// orderResult is the result of an order to a machine. wave is zero for a move. instance
+// is the one that ran on the machine when the order was sent.
+type orderResult struct {
+	name     galenahead.VMName
+	wave     int64
+	instance cordonedInstance
+	err      error
 }
 
 func newMachineController(sess *ownerSession) *machineController {
@@ -79,6 +99,7 @@
 		lastListed:   map[galenahead.VMName]time.Time{},
 		evacuating:   map[galenahead.VMName]cordonedInstance{},
 		pendingMoves: map[galenahead.VMName]*pendingMove{},
+		lastOrders:   map[galenahead.VMName]sentOrder{},
 		inFlight:     map[galenahead.VMName]bool{},
 		retryAt:      map[galenahead.VMName]time.Time{},
 		loggedPools:  map[galenahead.ServiceName][4]int{},
@@ -172,11 +193,57 @@
 	return !ok || epoch == m.epoch || m.Timers.Now().Sub(seenAt) > m.MachineLease+orderSendMargin
 }
 
+// fencingToken returns the fencing token of an order to a machine. All copies of an order
+// carry the same token, and the next order a higher one: a copy that is carried out late,
+// when the machine has carried out the next order, is rejected.
+func (m *machineController) fencingToken(name galenahead.VMName, p orderPurpose) uint64 {
+	last, ok := m.lastOrders[name]
+	if ok && last.purpose == p {
+		return last.token
+	}
+	token := max(m.epoch*ordersPerEpoch, last.token+1)
+	m.lastOrders[name] = sentOrder{p, token}
+	return token
+}
+
 // orderRecord returns the record of an order to a machine, which stops the instance
-// there, if one runs.
-func (m *machineController) orderRecord(name galenahead.VMName, id galenahead.InstanceID) Op {
+// there, if one runs. pool is where it moves the machine, unless the result is known.
+func (m *machineController) orderRecord(name galenahead.VMName, id galenahead.InstanceID, pool galenahead.ServiceName) Op {
 	in, _ := m.State.instance(id)
-	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born}}
+	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born, Pool: pool}}
+}
+
+// adoptOrders takes over the orders of earlier owners whose results are not known, since
+// they may still be carried out. It returns the instances that must get no work because
+// of them.
+func (m *machineController) adoptOrders() []cordonedInstance {
+	ordered := map[galenahead.VMName]bool{}
+	for _, w := range m.State.OpenWaves() {
+		for name, step := range w.Steps {
+			ordered[name] = ordered[name] || step == StepOrdered
+		}
+	}
+	var cordoned []cordonedInstance
+	for _, o := range m.State.machineOrders() {
+		var in cordonedInstance
+		if known, ok := m.State.instance(o.Instance); ok {
+			in = cordonedInstance{known.ID, known.Service}
+		}
+		switch {
+		case o.Pool != "":
+			m.pendingMoves[o.Machine] = &pendingMove{pool: o.Pool, instance: in, unanswered: true, changedAt: m.Timers.Now()}
+		case ordered[o.Machine] && in.id != "":
+			m.evacuating[o.Machine] = in
+		default:
+			continue
+		}
+		m.Logger.WithField("machine", o.Machine).WithField("instance", in.id).WithField("to_pool", o.Pool).
+			WithField("order_epoch", o.Epoch).Info("took over a machine order without a result")
+		if in.id != "" {
+			cordoned = append(cordoned, in)
+		}
+	}
+	return cordoned
 }
 
 // removeStoppedInstances removes the instances that an order of an earlier owner has
@@ -373,12 +440,7 @@
 		return true
 	}
 	m.evacuating[v.Name] = in
-	idle := false
-	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		s.SetEvacuating(now, in.id, true)
-		_, idle = s.IdleSince(in.id)
-	})
-	return idle
+	return m.cordon(in)
 }
 
 // instanceOn returns the listed instance of a machine, which may not have registered
@@ -397,23 +459,22 @@
 // is called again until the result is known; the platform carries out a repeated order
 // only once. Before each attempt the machine must be empty, since it may have crashed
 // and come back with another instance after an earlier attempt, or after the previous
-// owner recorded the order.
+// owner recorded the order. That instance gets no work either, also while an attempt is
+// under way.
 func (m *machineController) sendMaintenanceOrder(wave int64, name galenahead.VMName) {
-	if m.inFlight[name] {
-		return
-	}
 	v := m.machines[name]
-	if v.State != MachineUp || !m.evacuate(v) || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
+	if v.State != MachineUp || !m.evacuate(v) || m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
 		return
 	}
 	m.inFlight[name] = true
-	record := m.orderRecord(name, m.evacuating[name].id)
+	in, token := m.evacuating[name], m.fencingToken(name, orderPurpose{wave: wave})
+	record := m.orderRecord(name, in.id, "")
 	m.spawn(func() error {
-		r := orderResult{name: name, wave: wave}
+		r := orderResult{name: name, wave: wave, instance: in}
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
 		}
-		r.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), m.epoch)
+		r.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), token)
 		m.deliverResult(r)
 		return nil
 	})
@@ -472,6 +533,9 @@
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
 		changes := []change{m.stepChange(w, r.name, StepStarted)}
+		if r.instance != m.evacuating[r.name] {
+			changes = append(changes, m.removalChange(r.instance)...)
+		}
 		return append(changes, m.finishEvacuation(r.name)...)
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -38,6 +38,9 @@
 	instance cordonedInstance
 	// confirmed reports that the platform has accepted the move.
 	confirmed bool
+	// unanswered reports that an order had no answer, so that it may still be carried
+	// out.
+	unanswered bool
 	// changedAt is when the move started or was confirmed.
 	changedAt time.Time
 }
@@ -238,11 +241,13 @@
 	return m.pendingMoves[name] != nil || evacuating || m.inFlight[name]
 }
 
-// arriving returns the number of machines that move to a pool.
+// arriving returns the number of machines that move to a pool. A move that is not
+// confirmed in time does not count, so that the pool gets another machine.
 func (m *machineController) arriving(pool galenahead.ServiceName) int {
 	n := 0
 	for _, move := range m.pendingMoves {
-		if move.pool == pool {
+		overdue := move.unanswered && m.Timers.Now().Sub(move.changedAt) > registrationTimeout
+		if move.pool == pool && !overdue {
 			n++
 		}
 	}
@@ -274,6 +279,17 @@
 	return idle
 }
 
+// cordon keeps new work off an instance, moves the work that it has elsewhere, and
+// reports whether it is idle.
+func (m *machineController) cordon(in cordonedInstance) bool {
+	idle := false
+	m.shardFor(in.service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		s.SetEvacuating(now, in.id, true)
+		_, idle = s.IdleSince(in.id)
+	})
+	return idle
+}
+
 // uncordon lets an instance take work again.
 func (m *machineController) uncordon(in cordonedInstance) {
 	if in.id != "" {
@@ -283,16 +299,19 @@
 
 // sendMoveOrder records and sends the order to move a machine.
 func (m *machineController) sendMoveOrder(name galenahead.VMName, move *pendingMove) {
-	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() {
+	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
 		return
 	}
 	m.inFlight[name] = true
-	pool, record := move.pool, m.orderRecord(name, move.instance.id)
+	pool, record := move.pool, m.orderRecord(name, move.instance.id, move.pool)
+	token := m.fencingToken(name, orderPurpose{pool: pool})
+	r := orderResult{name: name, instance: move.instance}
 	m.spawn(func() error {
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
 		}
-		m.deliverResult(orderResult{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), m.epoch)})
+		r.err = m.Machines.Move(m.ctx, name, pool, string(m.Name), token)
+		m.deliverResult(r)
 		return nil
 	})
 }
@@ -311,47 +330,82 @@
 		m.ownerSession.Metrics.Moves.Add(1)
 		move.confirmed, move.changedAt = true, m.Timers.Now()
 		m.markUnavailable(r.name, MachineMoving)
-		return m.removalChange(move.instance)
-	case errors.Is(r.err, ErrBusy), errors.Is(r.err, ErrRejected):
+		changes := append(m.removalChange(move.instance), m.decisionChange(r.name, move))
+		if r.instance != move.instance {
+			changes = append(changes, m.removalChange(r.instance)...)
+		}
+		return changes
+	case errors.Is(r.err, ErrRejected), errors.Is(r.err, ErrBusy) && !move.unanswered:
 		log.WithError(r.err).Info("machine move rejected")
-		m.cancelMove(r.name)
+		return []change{m.cancelMove(r.name)}
 	default:
-		// The order may still be carried out. It is sent again until the result is
-		// known.
-		log.WithError(r.err).Info("machine move not confirmed")
+		// An order without an answer may still be carried out, also after a repeated one
+		// was answered busy. It is sent again until the result is known.
+		move.unanswered = move.unanswered || !errors.Is(r.err, ErrBusy) && !errors.Is(r.err, ErrExhausted)
+		log.WithError(r.err).WithField("unanswered", move.unanswered).Info("machine move not confirmed")
 	}
 	return nil
 }
 
-// cancelMove lets the instance of a machine that does not move take work again.
-func (m *machineController) cancelMove(name galenahead.VMName) {
+// decisionChange returns the record that the result of a move is known.
+func (m *machineController) decisionChange(name galenahead.VMName, move *pendingMove) change {
+	return change{m.orderRecord(name, move.instance.id, ""), func() {}}
+}
+
+// cancelMove lets the instance of a machine that does not move take work again, and
+// returns the change to record.
+func (m *machineController) cancelMove(name galenahead.VMName) change {
 	move := m.pendingMoves[name]
 	delete(m.pendingMoves, name)
 	m.uncordon(move.instance)
+	return m.decisionChange(name, move)
 }
 
-// resendMove sends an unconfirmed move order again. It cancels the move if the machine
-// is not up or has another instance now, on which work may run.
-func (m *machineController) resendMove(name galenahead.VMName, move *pendingMove) {
-	if m.inFlight[name] || !m.retryDue(name) {
-		return
-	}
+// resendMove sends an unconfirmed move order again. If the machine is not up or has
+// another instance now, it cancels the move, unless an order may still be carried out. It
+// returns the changes to record.
+func (m *machineController) resendMove(name galenahead.VMName, move *pendingMove) []change {
 	v, listed := m.machines[name]
+	arrived := v.State == MachineMoving || v.Pool == move.pool
 	sameInstance := v.State == MachineUp && v.Instance == move.instance.id
-	if listed && v.State != MachineMoving && v.Pool != move.pool && !sameInstance {
-		m.cancelMove(name)
-		return
+	undecided := move.unanswered || m.inFlight[name]
+	idle := true
+	if listed && undecided && !arrived && v.State == MachineUp {
+		idle = m.cordonLaterInstance(move, m.instanceOn(v))
+	}
+	switch {
+	case m.inFlight[name] || !m.retryDue(name):
+	case !listed, arrived, sameInstance && idle:
+		m.sendMoveOrder(name, move)
+	case !move.unanswered:
+		return []change{m.cancelMove(name)}
+	case v.State == MachineUp && idle:
+		m.sendMoveOrder(name, move)
+	}
+	return nil
+}
+
+// cordonLaterInstance keeps new work off the present instance of a machine whose move
+// may still be carried out, and reports whether it is idle.
+func (m *machineController) cordonLaterInstance(move *pendingMove, in cordonedInstance) bool {
+	if in.id == "" {
+		return true
+	}
+	if in != move.instance {
+		m.uncordon(move.instance)
+		move.instance = in
 	}
-	m.sendMoveOrder(name, move)
+	return m.cordon(in)
 }
 
 // updateMoves ends the pending moves of machines that have arrived or are overdue,
 // and sends unconfirmed move orders again.
 func (m *machineController) updateMoves(now time.Time) {
+	var changes []change
 	for name, move := range m.pendingMoves {
 		switch {
 		case !move.confirmed:
-			m.resendMove(name, move)
+			changes = append(changes, m.resendMove(name, move)...)
 		case now.Sub(move.changedAt) > registrationTimeout:
 			delete(m.pendingMoves, name)
 		default:
@@ -365,4 +419,5 @@
 			}
 		}
 	}
+	m.record(changes...)
 }
