Acknowledge a repeated heartbeat once the first copy is durable

What callers saw: an instance that reported that it drains, or that it started again, while a commit took longer than the 600 ms of an attempt or the second after which it calls another daemon, got 200 for the repeat before its report was durable. If the owner then lost the log, the next owner did not know that the instance drains and could start work there, although a machine had acknowledged it.

Cause: the repeat has the sequence of the first copy, which the owner records when it arrives. The owner took "not newer than the last heartbeat" for "the last heartbeat has been handled" and answered at once.

Evidence: TestRepeatedHeartbeatWaitsForTheFirstOne commits the first copy within 700 ms and sends the repeat, and a late copy of an earlier heartbeat, after 600 ms. Before: "owner_test.go:264: not true: in.Draining". Its second part, a commit that fails, has the repeat fail too instead of being acknowledged.

Ruled out: leaving (its repeat finds the instance gone only once the removal is applied), configurations (one at a time, and a copy of one in force checks the lease), waves and submissions (a repeat proposes an operation of its own).

Why this works: the calls that concern the registration of one instance take turns, so that a repeat finds what the first copy has made durable. A call that waits fails with ErrNotLeader when the session ends, since the change before it may be lost then.

--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -142,8 +142,8 @@
 	mu     sync.Mutex
 	shards map[galenahead.ServiceName]*shard
 	fences galenajob.Fences
-	// heartbeats holds the newest heartbeat of each instance.
-	heartbeats map[galenahead.InstanceID]lastHeartbeat
+	// registrations holds an element for each instance that this session has heard of.
+	registrations map[galenahead.InstanceID]*registration
 	// submitting counts the submissions of each job whose commit is under way.
 	submitting map[galenahead.JobID]int
 
@@ -213,7 +213,7 @@
 func (sess *ownerSession) loadState() {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	sess.heartbeats = map[galenahead.InstanceID]lastHeartbeat{}
+	sess.registrations = map[galenahead.InstanceID]*registration{}
 	wall := time.Now().Round(0)
 	instances := sess.State.registeredInstances()
 	for _, in := range instances {
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -240,6 +240,42 @@
 	})
 }
 
+// Guards against acknowledging that an instance drains before that is durable, because a
+// repeat of its heartbeat arrived while the first copy was being committed.
+func TestRepeatedHeartbeatWaitsForTheFirstOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		late := testHeartbeat
+		late.Sequence = 2
+		hb := testHeartbeat
+		hb.Sequence, hb.Instance.Draining = 3, true
+
+		log.delay.Store(int64(700 * time.Millisecond))
+		go func() { _, _ = o.Heartbeat(ctx, hb) }()
+		time.Sleep(attemptTimeout)
+		for _, repeat := range []Heartbeat{hb, late} {
+			_, err = o.Heartbeat(ctx, repeat)
+			is.NoErr(err)
+			in, _ := o.State.instance("i")
+			is.True(in.Draining)
+		}
+
+		hb.Sequence, hb.Instance.Born = 1, 2 // started again
+		log.blocked.Store(true)
+		go func() { _, _ = o.Heartbeat(ctx, hb) }()
+		time.Sleep(attemptTimeout)
+		_, err = o.Heartbeat(ctx, hb)
+		in, _ := o.State.instance("i")
+		is.Equal(in.Born, int64(1))
+		is.True(err != nil)
+		stop()
+	})
+}
+
 // Guards against a registered instance that never gets work, because it sent a
 // heartbeat while the scheduler removed it.
 func TestReregisteredInstanceGetsWork(t *testing.T) {
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -240,11 +240,39 @@
 	Clock int64 `json:"clock"`
 }
 
-// lastHeartbeat identifies the newest heartbeat of an instance.
-type lastHeartbeat struct {
+// registration serializes the changes of the registration of one instance, so that each
+// call finds what those before it have made durable.
+type registration struct {
+	// changing holds one element while a call handles the registration.
+	changing chan struct{}
+	// born and sequence identify the newest heartbeat.
 	born, sequence int64
 }
 
+func (r *registration) unlock() { <-r.changing }
+
+// lockRegistration locks the registration of an instance. It fails with ErrNotLeader when
+// the session ends, since the change that it has waited for may be lost then.
+func (sess *ownerSession) lockRegistration(id galenahead.InstanceID) (*registration, error) {
+	sess.mu.Lock()
+	reg := sess.registrations[id]
+	if reg == nil {
+		reg = &registration{changing: make(chan struct{}, 1)}
+		sess.registrations[id] = reg
+	}
+	sess.mu.Unlock()
+	select {
+	case reg.changing <- struct{}{}:
+	case <-sess.ctx.Done():
+		return nil, galenahead.ErrNotLeader
+	}
+	if sess.ctx.Err() != nil {
+		reg.unlock()
+		return nil, galenahead.ErrNotLeader
+	}
+	return reg, nil
+}
+
 // Empty is the parameter or result of an RPC method that has none.
 type Empty struct{}
 
@@ -261,7 +289,12 @@
 func (sess *ownerSession) heartbeat(hb Heartbeat) error {
 	sess.load.heartbeats.Add(1)
 	in := hb.Instance
-	if !sess.recordIfNewer(in, hb.Sequence) {
+	reg, err := sess.lockRegistration(in.ID)
+	if err != nil {
+		return err
+	}
+	defer reg.unlock()
+	if !sess.recordIfNewer(reg, in, hb.Sequence) {
 		sess.Logger.WithField("instance", in.ID).WithField("sequence", hb.Sequence).Info("ignored an out-of-order heartbeat")
 		return nil
 	}
@@ -296,18 +329,15 @@
 }
 
 // recordIfNewer reports whether a heartbeat is newer than all earlier ones of its
-// instance, and if so records it as the newest.
-func (sess *ownerSession) recordIfNewer(in galenajob.Instance, sequence int64) bool {
-	sess.mu.Lock()
-	defer sess.mu.Unlock()
+// instance, and if so records it as the newest. reg must be locked.
+func (sess *ownerSession) recordIfNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
 	if known, ok := sess.State.instance(in.ID); ok && in.Born < known.Born {
 		return false
 	}
-	last := sess.heartbeats[in.ID]
-	if in.Born < last.born || (in.Born == last.born && sequence <= last.sequence) {
+	if in.Born < reg.born || (in.Born == reg.born && sequence <= reg.sequence) {
 		return false
 	}
-	sess.heartbeats[in.ID] = lastHeartbeat{in.Born, sequence}
+	reg.born, reg.sequence = in.Born, sequence
 	return true
 }
 
