Keep an instance that registers while a leave of its past life arrives

What callers saw: an instance that started again under its id lost its registration, and the scheduler its runs, if a late copy of the leave of its earlier life arrived while the new registration was being committed. Its work items counted as free and could start elsewhere while they ran there, until its next heartbeat.

Cause: Leave compared the incarnations before it committed the removal, which names the id only. The registration that was under way became durable first, and the removal deleted it.

Evidence: TestLateLeaveKeepsNewIncarnation commits the registration of the second incarnation within 200 ms and has the leave of the first arrive after 100 ms. Before: "owner_test.go:298: not true: ok" (no registration).

Ruled out: instances that the scheduler gives up (removeGone). They get no work from then on (inst.removing in plan.go), so a heartbeat that arrives in between delays work until the next one and no more.

Why this works: a leave takes its turn with the heartbeats of the same instance, and compares the incarnations after the registration before it is durable.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -276,6 +276,34 @@
 	})
 }
 
+// Guards against a late copy of the deregistration of an earlier incarnation that removes
+// the present one, whose work would then start elsewhere as well, because the present one
+// was being registered when the copy arrived.
+func TestLateLeaveKeepsNewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		again := testHeartbeat
+		again.Instance.Born = 2
+		log.delay.Store(int64(200 * time.Millisecond))
+		go func() { _, _ = o.Heartbeat(ctx, again) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err = o.Leave(ctx, LeaveRequest{ID: "i", Born: 1})
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		in, ok := o.State.instance("i")
+		is.True(ok)
+		is.Equal(in.Born, int64(2))
+		o.session.Load().shardFor("counter").inspect(func(_ time.Time, s *galenajob.Scheduler) {
+			is.Equal(s.Instances(), []galenahead.InstanceID{"i"})
+		})
+		stop()
+	})
+}
+
 // Guards against a registered instance that never gets work, because it sent a
 // heartbeat while the scheduler removed it.
 func TestReregisteredInstanceGetsWork(t *testing.T) {
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -369,6 +369,11 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	reg, err := sess.lockRegistration(l.ID)
+	if err != nil {
+		return Empty{}, err
+	}
+	defer reg.unlock()
 	known, ok := sess.State.instance(l.ID)
 	if !ok || (l.Born != 0 && l.Born < known.Born) {
 		return Empty{}, nil
