Ignore heartbeats of an instance that has left

What callers saw: a late copy of the last heartbeat of an instance, given up by the daemon that forwarded it, arrived after the instance had left and registered it again. Work was sent to an instance that had ended, and waited there until the lease ran out, or for 6 s until the instance counted as gone.

Cause: the owner compared a heartbeat with the heartbeats before it, not with the leave, which carries no sequence.

Evidence: TestLateHeartbeatDoesNotRegisterInstanceThatLeft. Before: "owner_test.go:323: not true: !ok" (registered).

Ruled out: a heartbeat of the next life under the same id; it is born later and registers, as the test shows. An instance that reports no birth is registered again as before.

Why this works: a leave is the last message of an incarnation, so no sequence of that incarnation is newer. The owner that follows does not know this; a copy that arrives only there still registers the instance for 6 s.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -304,6 +304,33 @@
 	})
 }
 
+// Guards against an instance that gets work after it has left, because a late copy of its
+// last heartbeat registered it again.
+func TestLateHeartbeatDoesNotRegisterInstanceThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		_, err = o.Leave(ctx, LeaveRequest{ID: "i", Born: 1})
+		is.NoErr(err)
+		late := testHeartbeat
+		late.Sequence = 2
+		_, err = o.Heartbeat(ctx, late)
+		is.NoErr(err)
+		_, ok := o.State.instance("i")
+		is.True(!ok)
+
+		late.Instance.Born, late.Sequence = 2, 1 // started again
+		_, err = o.Heartbeat(ctx, late)
+		is.NoErr(err)
+		_, ok = o.State.instance("i")
+		is.True(ok)
+		stop()
+	})
+}
+
 // Guards against a registered instance that never gets work, because it sent a
 // heartbeat while the scheduler removed it.
 func TestReregisteredInstanceGetsWork(t *testing.T) {
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"time"
 
@@ -381,6 +382,10 @@
 	if _, err := sess.committer.commit(Op{Remove: &l.ID}); err != nil {
 		return Empty{}, err
 	}
+	if known.Born != 0 {
+		// A heartbeat of this incarnation that is still to arrive is a late copy.
+		reg.born, reg.sequence = known.Born, math.MaxInt64
+	}
 	sess.Logger.WithField("instance", l.ID).Info("instance deregistered")
 	sess.shardFor(known.Service).removeInstance(l.ID)
 	return Empty{}, nil
