--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -240,6 +240,97 @@
 	})
 }
 
+// Guards against acknowledging that an instance drains before that is durable, because a
+// repeat of its heartbeat arrived while the first copy was being committed.
+func TestRepeatedHeartbeatWaitsForTheFirstOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		late := testHeartbeat
+		late.Sequence = 2
+		hb := testHeartbeat
+		hb.Sequence, hb.Instance.Draining = 3, true
+
+		log.delay.Store(int64(700 * time.Millisecond))
+		go func() { _, _ = o.Heartbeat(ctx, hb) }()
+		time.Sleep(attemptTimeout)
+		for _, repeat := range []Heartbeat{hb, late} {
+			_, err = o.Heartbeat(ctx, repeat)
+			is.NoErr(err)
+			in, _ := o.State.instance("i")
+			is.True(in.Draining)
+		}
+
+		hb.Sequence, hb.Instance.Born = 1, 2 // started again
+		log.blocked.Store(true)
+		go func() { _, _ = o.Heartbeat(ctx, hb) }()
+		time.Sleep(attemptTimeout)
+		_, err = o.Heartbeat(ctx, hb)
+		in, _ := o.State.instance("i")
+		is.Equal(in.Born, int64(1))
+		is.True(err != nil)
+		stop()
+	})
+}
+
+// Guards against a late copy of the deregistration of an earlier incarnation that removes
+// the present one, whose work would then start elsewhere as well, because the present one
+// was being registered when the copy arrived.
+func TestLateLeaveKeepsNewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		again := testHeartbeat
+		again.Instance.Born = 2
+		log.delay.Store(int64(200 * time.Millisecond))
+		go func() { _, _ = o.Heartbeat(ctx, again) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err = o.Leave(ctx, LeaveRequest{ID: "i", Born: 1})
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		in, ok := o.State.instance("i")
+		is.True(ok)
+		is.Equal(in.Born, int64(2))
+		o.session.Load().shardFor("counter").inspect(func(_ time.Time, s *galenajob.Scheduler) {
+			is.Equal(s.Instances(), []galenahead.InstanceID{"i"})
+		})
+		stop()
+	})
+}
+
+// Guards against an instance that gets work after it has left, because a late copy of its
+// last heartbeat registered it again.
+func TestLateHeartbeatDoesNotRegisterInstanceThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		_, err = o.Leave(ctx, LeaveRequest{ID: "i", Born: 1})
+		is.NoErr(err)
+		late := testHeartbeat
+		late.Sequence = 2
+		_, err = o.Heartbeat(ctx, late)
+		is.NoErr(err)
+		_, ok := o.State.instance("i")
+		is.True(!ok)
+
+		late.Instance.Born, late.Sequence = 2, 1 // started again
+		_, err = o.Heartbeat(ctx, late)
+		is.NoErr(err)
+		_, ok = o.State.instance("i")
+		is.True(ok)
+		stop()
+	})
+}
+
 // Guards against a registered instance that never gets work, because it sent a
 // heartbeat while the scheduler removed it.
 func TestReregisteredInstanceGetsWork(t *testing.T) {
