Show the longest recent call of each voter when the lease is lost

Cause: only the last call of a voter was kept. The leader tells the voters of the commit right after the slow call, which they answer without a sync, so that the quick call hides the slow one. In the line of a lost lease this takes a slow disk of a voter for a slow network, the case that the line is there to tell apart.

--- a/galenaraft/diagnostics.go
+++ b/galenaraft/diagnostics.go
@@ -40,6 +40,14 @@
 	r.currentWindow = max(r.currentWindow, d)
 }
 
+// maxOrLast returns the longest recent duration, or the last one if none is recent.
+func (r *recentMax) maxOrLast(now time.Duration) time.Duration {
+	if m := r.max(now); m > 0 {
+		return m
+	}
+	return r.last
+}
+
 // max returns the longest recent duration.
 func (r *recentMax) max(now time.Duration) time.Duration {
 	r.roll(now)
@@ -59,8 +67,8 @@
 	syncStart       time.Duration
 	apply, snapshot recentMax
 	proposals       int
-	// calls are the last answered calls, by the replica that was called.
-	calls map[galenahead.ReplicaName]voterCall
+	// calls are the answered calls, by the replica that was called.
+	calls map[galenahead.ReplicaName]*voterCalls
 	// voters are the other voters as the leader knew them last.
 	voters []voterContact
 }
@@ -68,6 +76,9 @@
 // voterCall is the duration of an answered call, and of its handling by the receiver.
 type voterCall struct{ took, handling time.Duration }
 
+// voterCalls are the durations of the answered calls of one replica.
+type voterCalls struct{ took, handling recentMax }
+
 // voterContact is the state of the contact of a leader with another voter.
 type voterContact struct {
 	name galenahead.ReplicaName
@@ -117,13 +128,19 @@
 	r.record(now, v)
 }
 
-func (d *diagnostics) recordCall(name galenahead.ReplicaName, c voterCall) {
+func (d *diagnostics) recordCall(name galenahead.ReplicaName, now time.Duration, c voterCall) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.calls == nil {
-		d.calls = map[galenahead.ReplicaName]voterCall{}
+	calls := d.calls[name]
+	if calls == nil {
+		if d.calls == nil {
+			d.calls = map[galenahead.ReplicaName]*voterCalls{}
+		}
+		calls = &voterCalls{}
+		d.calls[name] = calls
 	}
-	d.calls[name] = c
+	calls.took.record(now, c.took)
+	calls.handling.record(now, c.handling)
 }
 
 // recentDelays returns the longest recent gap of Run and the longest recent sync.
@@ -167,8 +184,9 @@
 	return f
 }
 
-// formatVoters returns the age of each voter's contact and the durations of the last
-// answered call as text. d.mu must be held.
+// formatVoters returns the age of each voter's contact and the durations of the longest
+// recent call as text, since quick calls without a sync follow each slow one. d.mu must be
+// held.
 func (d *diagnostics) formatVoters(vs []voterContact, now time.Duration) string {
 	var out []string
 	for _, v := range vs {
@@ -176,9 +194,12 @@
 			out = append(out, fmt.Sprintf("%s: no response", v.name))
 			continue
 		}
+		var took, handling time.Duration
+		if calls := d.calls[v.name]; calls != nil {
+			took, handling = calls.took.maxOrLast(now), calls.handling.maxOrLast(now)
+		}
 		out = append(out, fmt.Sprintf("%s: request %d ms, response %d ms, call %d ms, handling %d ms", v.name,
-			(now-v.ackedSendTime).Milliseconds(), (now-v.respondedAt).Milliseconds(),
-			d.calls[v.name].took.Milliseconds(), d.calls[v.name].handling.Milliseconds()))
+			(now-v.ackedSendTime).Milliseconds(), (now-v.respondedAt).Milliseconds(), took.Milliseconds(), handling.Milliseconds()))
 	}
 	slices.Sort(out)
 	return strings.Join(out, "; ")
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -373,7 +373,7 @@
 	}
 	took := p.node.now() - start
 	_ = p.node.enqueue(ctx, func(now time.Duration) error {
-		p.node.engine.diagnostics.recordCall(r.Message.From.Name, voterCall{took, r.Handling})
+		p.node.engine.diagnostics.recordCall(r.Message.From.Name, now, voterCall{took, r.Handling})
 		return p.node.engine.core.step(now, *r.Message)
 	})
 }
