Let a cancellation wait for the submission of the job

What callers saw: a job whose submission got no answer in time, and was then cancelled, ran all the same. The cancellation was answered 410 (no such job) while the submission was being committed; a moment later the job was accepted. A long-running job would have run for good.

Cause: the owner took "not in the replicated state" for "never handed in", although it knew of a submission under way whose caller had not been answered. A second order of events ended the same way: the submission passed its job to the scheduler after the cancellation had been committed and had removed nothing there.

Evidence: TestCancelWaitsForSubmission, commits take 300 ms, before: "owner_test.go:292: no_job != accepted". TestJobCancelledDuringSubmissionIsNotScheduled, before: "owner_test.go:329: 4 != 3 // not cancelled yet" (the cancellation was committed before the job was scheduled).

Ruled out: queries. Until the submission is answered, 410 for the state of the job is true.

Why this works: a cancellation waits until all submissions of the job that are under way have passed it to the scheduler, or until the session ends; then it fails and the caller's daemon asks the next owner. A copy of a submission that reaches the owner only after the cancellation was answered is still accepted.

--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
-	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]int{}, configuring: make(chan struct{}, 1)}
+	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1)}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
 	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
@@ -144,8 +144,8 @@
 	fences galenajob.Fences
 	// registrations holds an element for each instance that this session has heard of.
 	registrations map[galenahead.InstanceID]*registration
-	// submitting counts the submissions of each job whose commit is under way.
-	submitting map[galenahead.JobID]int
+	// submitting holds the jobs whose submission is under way.
+	submitting map[galenahead.JobID]*submission
 
 	// configuring holds one element while a configuration is committed and passed to
 	// the shards.
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -276,6 +276,63 @@
 	})
 }
 
+// Guards against a cancelled job that runs, because the cancellation arrived while the job
+// was being submitted and was answered with "no such job".
+func TestCancelWaitsForSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		log.delay.Store(int64(300 * time.Millisecond))
+		submit := Request{Kind: RequestSubmit, Host: "h", Path: "/q/j1", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}}
+		go func() { _, _ = o.Do(ctx, submit) }()
+		time.Sleep(100 * time.Millisecond)
+		r, err := o.Do(ctx, Request{Kind: RequestCancel, Host: "h", Path: "/q/j1"})
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeAccepted)
+		time.Sleep(time.Second)
+		_, _, state, _ := o.State.JobState("j1")
+		is.Equal(state, galenajob.StateCancelled)
+
+		// A submission whose outcome is unknown leaves that of the cancellation open.
+		log.blocked.Store(true)
+		submit.Path = "/q/j2"
+		go func() { _, _ = o.Do(ctx, submit) }()
+		time.Sleep(100 * time.Millisecond)
+		_, err = o.Do(ctx, Request{Kind: RequestCancel, Host: "h", Path: "/q/j2"})
+		is.True(err != nil)
+		stop()
+	})
+}
+
+// Guards against a job that stays scheduled after it was cancelled, because its submission
+// passed it to the scheduler after the cancellation.
+func TestJobCancelledDuringSubmissionIsNotScheduled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		sess := o.session.Load()
+		// The submission is under way until it has passed the job on.
+		is.True(sess.beginSubmit("j1"))
+		_, err := sess.committer.commit(Op{Submit: &galenajob.Job{
+			ID: "j1", Queue: "q", Service: "counter", Spec: galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}},
+		}})
+		is.NoErr(err)
+		before := log.index
+		answered := make(chan Reply, 1)
+		go func() {
+			r, _ := o.Do(ctx, Request{Kind: RequestCancel, Host: "h", Path: "/q/j1"})
+			answered <- r
+		}()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(log.index, before) // not cancelled yet
+		sess.endSubmit("j1")
+		is.Equal((<-answered).Outcome, OutcomeAccepted)
+		stop()
+	})
+}
+
 // Guards against a late copy of the deregistration of an earlier incarnation that removes
 // the present one, whose work would then start elsewhere as well, because the present one
 // was being registered when the copy arrived.
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -184,28 +184,62 @@
 	}
 }
 
+// submission is a job whose submission is under way, also more than once.
+type submission struct {
+	calls int
+	// ended is closed when no call submits the job any more.
+	ended chan struct{}
+}
+
 // beginSubmit reports whether a job may be submitted now. A job that is being submitted
 // already must not be rejected, since it may be accepted.
 func (sess *ownerSession) beginSubmit(id galenahead.JobID) bool {
 	overloaded := sess.committer.delay() > maxCommitDelay
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	if overloaded && sess.submitting[id] == 0 {
-		return false
+	s := sess.submitting[id]
+	if s == nil {
+		if overloaded {
+			return false
+		}
+		s = &submission{ended: make(chan struct{})}
+		sess.submitting[id] = s
 	}
-	sess.submitting[id]++
+	s.calls++
 	return true
 }
 
 func (sess *ownerSession) endSubmit(id galenahead.JobID) {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	if sess.submitting[id]--; sess.submitting[id] == 0 {
+	s := sess.submitting[id]
+	if s.calls--; s.calls == 0 {
 		delete(sess.submitting, id)
+		close(s.ended)
+	}
+}
+
+// awaitSubmit returns once the submissions of a job that are under way have passed it to
+// its scheduler. It fails with ErrNotLeader when the session ends.
+func (sess *ownerSession) awaitSubmit(id galenahead.JobID) error {
+	sess.mu.Lock()
+	s := sess.submitting[id]
+	sess.mu.Unlock()
+	if s == nil {
+		return nil
+	}
+	select {
+	case <-s.ended:
+		return nil
+	case <-sess.ctx.Done():
+		return galenahead.ErrNotLeader
 	}
 }
 
 func (sess *ownerSession) cancel(id galenahead.JobID) (Reply, error) {
+	if err := sess.awaitSubmit(id); err != nil {
+		return Reply{}, err
+	}
 	_, service, _, known := sess.State.JobState(id)
 	if !known {
 		return Reply{Outcome: OutcomeNoJob}, nil
