Refuse a request that is too large for the log by itself

What callers saw: one job or configuration that is valid and within the 4 MiB of a request, but more than 1 MiB as a compressed log entry, ended the owner's session. Nobody was answered until the next session; the request itself was answered as uncertain, so it was sent again and ended the next session as well.

Cause: the log refuses such a command before it appends it (ErrInvalid of Propose), a certain answer about this command. The committer took every error for an entry of unknown outcome, and ended the session for all proposals.

Evidence: TestTooLargeRequestIsRefusedAlone, before: "owner_test.go:353: err: commit: no quorum" for the large job and for four others in the same entry, and "owner_test.go:369: not true: eris.Is(err, galenahead.ErrInvalid)" for a configuration.

Ruled out: ErrNotLeader of Propose as another certain answer; the session ends in any case then.

Why this works: nothing was appended, so the proposals of the batch are made one by one, in order, and the one that is refused again gets ErrInvalid: 400 for a job or a configuration. The session and all other proposals go on.

--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,24 +48,30 @@
 type proposal struct {
 	ops      []Op
 	size     int
-	done     chan<- []Result
+	done     chan<- commitResult
 	queuedAt time.Time
 }
 
+// commitResult holds the results of a proposal, or why the log will never accept it.
+type commitResult struct {
+	results []Result
+	err     error
+}
+
 func newCommitter(log galenahead.ReplicatedLog, ended <-chan struct{}, onFailure context.CancelCauseFunc) *committer {
 	return &committer{log: log, queue: make(chan proposal, maxQueuedProposals), onFailure: onFailure, ended: ended}
 }
 
-// commit returns the results of ops once they are durable and applied. If it
-// returns an error, the session has ended and the outcome of ops is unknown. It is
-// not cancelled with the request that caused it, since the owner must act on every
+// commit returns the results of ops once they are durable and applied. It fails with
+// ErrInvalid if ops are too large for the log, which has recorded nothing then. With any
+// other error, the session has ended and the outcome of ops is unknown. It is not cancelled with the request that caused it, since the owner must act on every
 // operation that is recorded.
 func (c *committer) commit(ops ...Op) ([]Result, error) {
 	size := 0
 	for i := range ops {
 		size += estimateSize(&ops[i])
 	}
-	done := make(chan []Result, 1)
+	done := make(chan commitResult, 1)
 	select {
 	case c.queue <- proposal{ops, size, done, time.Now()}:
 	case <-c.ended:
@@ -72,7 +79,7 @@
 	}
 	select {
 	case r := <-done:
-		return r, nil
+		return r.results, r.err
 	case <-c.ended:
 	}
 	return nil, eris.Wrap(galenahead.ErrNoQuorum, "commit")
@@ -121,7 +128,7 @@
 			}
 		}
 		c.beginProposal(batch[0].queuedAt)
-		if err := c.propose(ctx, batch); err != nil {
+		if err := c.proposeBatch(ctx, batch); err != nil {
 			c.onFailure(err)
 			return nil
 		}
@@ -152,6 +159,25 @@
 	return max(c.lastDelay, time.Since(c.oldest))
 }
 
+// proposeBatch proposes a batch in one log entry. If the log never accepts such an entry,
+// each proposal gets an entry of its own, and one that is not accepted either is refused.
+func (c *committer) proposeBatch(ctx context.Context, batch []proposal) error {
+	err := c.propose(ctx, batch)
+	if !errors.Is(err, galenahead.ErrInvalid) {
+		return err
+	}
+	if len(batch) == 1 {
+		batch[0].done <- commitResult{err: err}
+		return nil
+	}
+	for i := range batch {
+		if err := c.proposeBatch(ctx, batch[i:i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *committer) propose(ctx context.Context, batch []proposal) error {
 	var ops []Op
 	for _, p := range batch {
@@ -178,7 +204,7 @@
 		return eris.Errorf("%d results for %d operations", len(results), len(ops))
 	}
 	for _, p := range batch {
-		p.done <- results[:len(p.ops):len(p.ops)]
+		p.done <- commitResult{results: results[:len(p.ops):len(p.ops)]}
 		results = results[len(p.ops):]
 	}
 	return nil
--- a/galenafleet/owner_bench_test.go
+++ b/galenafleet/owner_bench_test.go
@@ -410,7 +410,7 @@
 				ops = append(ops, Op{End: &EndOp{Job: id, Item: galenajob.ItemKey{Index: i % 8}, How: galenajob.EndDone, At: time.Unix(1e9, 1), Run: 1001}})
 			}
 			c := &committer{log: &applyLog{state: s}}
-			done := make(chan []Result, 1)
+			done := make(chan commitResult, 1)
 			for b.Loop() {
 				if err := c.propose(b.Context(), []proposal{{ops: ops, done: done}}); err != nil {
 					b.Fatal(err)
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -30,7 +30,9 @@
 	holdsLease, blocked atomic.Bool
 	// delay is how long it takes to commit an entry.
 	delay atomic.Int64
-	index uint64
+	// maxCommand is the size of the longest command that is accepted, or zero.
+	maxCommand atomic.Int64
+	index      uint64
 }
 
 func (l *fakeLog) HoldsLease() bool                            { return l.holdsLease.Load() }
@@ -50,6 +52,9 @@
 		return nil, galenahead.ErrNoQuorum
 	case <-time.After(time.Duration(l.delay.Load())):
 	}
+	if limit := l.maxCommand.Load(); limit > 0 && int64(len(command)) > limit {
+		return nil, eris.Wrap(galenahead.ErrInvalid, "command is too long")
+	}
 	l.index++
 	return l.state.Apply(l.index, command), nil
 }
@@ -333,6 +338,42 @@
 	})
 }
 
+// Guards against one job or configuration that is too large for the log and, each time that
+// it is sent, ends the owner's session and leaves the outcome of all other requests open.
+func TestTooLargeRequestIsRefusedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		epoch := o.session.Load().epoch
+		log.maxCommand.Store(4 << 10)
+		log.delay.Store(int64(50 * time.Millisecond))
+		submit := func(path string, steps int) Reply {
+			r, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: path, Spec: &galenajob.Spec{Steps: make([]galenajob.Step, steps)}})
+			is.NoErr(err)
+			return r
+		}
+		var group errgroup.Group
+		for i := range 4 {
+			// These share one log entry, which the large one makes too long.
+			group.Go(func() error { is.Equal(submit(fmt.Sprint("/q/j", i), 1).Outcome, OutcomeAccepted); return nil })
+		}
+		group.Go(func() error { is.Equal(submit("/q/large", 2000).Outcome, OutcomeInvalid); return nil })
+		_ = group.Wait()
+		_, _, _, known := o.State.JobState("large")
+		is.True(!known)
+
+		large := testConfig
+		large.Version, large.Source = 2, make([]byte, 8<<10)
+		_, err := o.Configure(ctx, large)
+		is.True(eris.Is(err, galenahead.ErrInvalid))
+		is.Equal(o.State.Config().Version, uint64(1))
+		time.Sleep(time.Second)
+		is.Equal(o.session.Load().epoch, epoch)
+		stop()
+	})
+}
+
 // Guards against a late copy of the deregistration of an earlier incarnation that removes
 // the present one, whose work would then start elsewhere as well, because the present one
 // was being registered when the copy arrived.
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"strings"
 	"time"
@@ -162,6 +163,9 @@
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
 	}
 	r, err := sess.committer.commit(Op{Submit: j})
+	if errors.Is(err, galenahead.ErrInvalid) {
+		return Reply{Outcome: OutcomeInvalid, Reason: err.Error()}, nil
+	}
 	if err != nil {
 		return Reply{}, err
 	}
