Check leases instead of late leaders of an older term

at 19.015s: a leads term 6 while e holds a lease

The trace: a campaigns in term 6 at 16.795 s, and the votes of c and e, which they give at 16.8 s, are delayed. e is elected in term 7 at 18.96 s and holds a lease. The late votes reach a at 19.015 s, and it leads term 6. That is allowed: the voters are in term 7 by then, a majority will never respond to a in term 6, and so a gets no lease, commits nothing and serves no read.

The check for new leaders now covers leases of earlier terms only. A new check after every event demands that at most one replica holds a lease, which is what the rule is for; before, only the moment of an election was looked at.

--- a/galenaraft/simulation_test.go
+++ b/galenaraft/simulation_test.go
@@ -417,13 +417,14 @@
 	}
 }
 
-// checkLeader checks that a leader is the only one of its term, has every committed
-// entry of earlier terms, and promotes a learner only if the learner has every
-// entry that the leader knows to be committed.
+// checkLeader checks that a leader is the only one of its term and the only one with a
+// lease, has every committed entry of earlier terms, and promotes a learner only if the
+// learner has every entry that the leader knows to be committed.
 func (s *simulation) checkLeader(c *core, r *replica) {
 	if c.role != RoleLeader {
 		return
 	}
+	s.checkLease(r)
 	otherLeader, ok := s.leaders[c.hardState.Term]
 	if ok && otherLeader != r.id {
 		s.fail("%v and %v lead term %d", otherLeader, r.id, c.hardState.Term)
@@ -442,11 +443,29 @@
 	}
 }
 
-// checkNewLeader checks that no other replica holds a lease and that the new leader
-// has the last committed entry of earlier terms.
+// holdsLease reports whether the process runs and its replica holds a lease.
+func (r *replica) holdsLease() bool {
+	return r.engine != nil && r.clock() < r.engine.core.leaseEnd(r.clock())
+}
+
+// checkLease checks that no other replica holds a lease while r does.
+func (s *simulation) checkLease(r *replica) {
+	if !r.holdsLease() {
+		return
+	}
+	for _, o := range s.replicas {
+		if o != r && o.holdsLease() {
+			s.fail("%s holds a lease while %s holds a lease", r.name, o.name)
+		}
+	}
+}
+
+// checkNewLeader checks that no other replica holds a lease of an earlier term and that
+// the new leader has the last committed entry of earlier terms. Late votes can elect a
+// leader in a term that has passed: it never gets a lease.
 func (s *simulation) checkNewLeader(c *core, r *replica) {
 	for _, o := range s.replicas {
-		if o != r && o.engine != nil && o.clock() < o.engine.core.leaseEnd(o.clock()) {
+		if o != r && o.holdsLease() && o.engine.core.hardState.Term < c.hardState.Term {
 			s.fail("%s leads term %d while %s holds a lease", r.name, c.hardState.Term, o.name)
 		}
 	}
