Remove incomplete files before a replica is opened

On a small disk it takes the room that the replica needs to be opened again, so that the disk stays full because of it.

Open now removes temporary files first.

The test looks for temporary files after the log is open again.

--- a/galenawal/disk_test.go
+++ b/galenawal/disk_test.go
@@ -334,6 +334,11 @@
 	if d.openFiles != 1 {
 		return fmt.Errorf("%d files are open, want 1", d.openFiles)
 	}
+	for name := range d.names {
+		if strings.HasSuffix(name, tempSuffix) {
+			return fmt.Errorf("temporary file %s is left", name)
+		}
+	}
 	d.losePower()
 	if _, s, err = reopenUntilWritable(d, newIncarnation); err != nil {
 		return fmt.Errorf("after a power loss: %w", err)
--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -41,6 +41,12 @@
 // damaged or missing; calling Quarantine and then Open again creates a new
 // replica.
 func Open(dir Dir, newIncarnation func() uint64) (*Log, State, error) {
+	// The disk may be full because of files that could not be written completely.
+	for _, name := range []string{identityName, logName, snapshotName} {
+		if err := dir.Remove(name + tempSuffix); err != nil {
+			return nil, State{}, eris.Wrapf(err, "remove %s", name+tempSuffix)
+		}
+	}
 	// A rename whose sync failed can be seen, but a power loss may undo it.
 	if err := dir.Sync(); err != nil {
 		return nil, State{}, eris.Wrap(err, "sync data directory")
