Test a log whose disks are full one after the other

The simulation had disks that crash, but none that fails an operation and lives on.

A full disk fails every operation; a write may be carried out in part, a rename all the same, and what a failed sync should have stored can be read until it is evicted. Replicas are opened again each second, as daemons do. Checked besides the invariants: no replica quarantines its data or starts anew, all voters are back, each leader commits a proposal, and a loss of power at the end loses nothing.

A replica that starts anew or finds its data damaged is a lost disk, and a series of them loses the log.

--- a/galenaraft/simulation_test.go
+++ b/galenaraft/simulation_test.go
@@ -162,6 +162,9 @@
 	case errors.Is(err, errCrash):
 		r.crash(0)
 		return
+	case errors.Is(err, errFull):
+		r.reopen()
+		return
 	case err != nil:
 		s.fail("%s cannot start: %v", r.name, err)
 		return
@@ -221,8 +224,8 @@
 	r.sim.schedule(DefaultTick, r.whileRunning(r.tick))
 }
 
-// handleError crashes the process after a failed write, as Node.Run does. Any other
-// error fails the simulation.
+// handleError ends the process after a failed write, as Node.Run does. Any other error
+// fails the simulation.
 func (r *replica) handleError(err error) {
 	switch {
 	case err == nil:
@@ -230,7 +233,11 @@
 		// Check the committed entries now: after the restart they may be in the
 		// snapshot, where they cannot be checked.
 		r.sim.checkCommitted(r.engine.core, r)
-		r.crash(0)
+		if errors.Is(err, errFull) {
+			r.reopen()
+		} else {
+			r.crash(0)
+		}
 	default:
 		r.sim.fail("%s: %v", r.name, err)
 	}
@@ -273,6 +280,20 @@
 	})
 }
 
+// reopen ends the replica and opens it again after a second with what can be read from
+// its disk, as a daemon does whose disk is full.
+func (r *replica) reopen() {
+	r.engine = nil
+	r.generation++
+	generation := r.generation
+	r.sim.schedule(time.Second, func() {
+		if r.generation == generation {
+			r.disk.evict()
+			r.startProcess()
+		}
+	})
+}
+
 // loseData replaces the disk with an empty one and crashes the process.
 func (r *replica) loseData() {
 	r.disk = newMemDisk(r.sim.rand)
@@ -608,7 +629,7 @@
 	s.faultsEnabled = false
 	for _, r := range s.replicas {
 		r.pausedUntil = 0
-		r.disk.opsUntilCrash = -1
+		r.disk.opsUntilCrash, r.disk.opsUntilFull, r.disk.full = -1, -1, false
 		clear(r.blockedUntil)
 	}
 	for range 60 {
