Close connections to other daemons when a control daemon restarts

While a disk is full, a control daemon restarts within its process each second or two. Each of them left its connections to the other daemons open, at both ends. A disk that is full for long takes the process, and those that it talks to, out of descriptors; they then answer nobody, also after the disk has room again.

The RPC client of a daemon was never closed, since the daemon used to be the process. Run now closes it when it ends. Connections to instances are closed by their idle timeout.

The test fails a daemon's disk after its first call to a peer and reads the connection to its end.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -25,6 +25,7 @@
 type controlDaemon struct {
 	controlBase
 	node       *galenaraft.Node
+	rpcClient  *galenarpc.Client
 	owner      *galenafleet.Owner
 	membership *galenafleet.MembershipManager
 	// diskFailed is closed when the replica cannot continue after a disk failure.
@@ -118,7 +119,7 @@
 	timers := &galenatimer.BootTimeService{}
 	rpcClient := &galenarpc.Client{}
 	state := &galenafleet.State{Timers: timers, ProcessStart: time.Now().Round(0)}
-	c := &controlDaemon{diskFailed: make(chan struct{})}
+	c := &controlDaemon{rpcClient: rpcClient, diskFailed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, RPCClient: rpcClient, Timers: timers, Log: log.Logger,
 		Tick: raftTick, Heartbeat: heartbeatInterval, Lease: leaderLease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
@@ -234,6 +235,7 @@
 // Run serves until ctx ends or the disk fails. When ctx ends, it transfers
 // leadership, and then answers the requests that have arrived.
 func (c *controlDaemon) Run(ctx context.Context) error {
+	defer c.rpcClient.Close()
 	handler := &platform.ControlHandler{
 		Owner: c.ownerClient, Logger: c.log.Logger, OwnerHost: c.leaderHost, Port: int(c.settings.Listen.Operator.Port()),
 	}
--- a/cmd/galena-fleet/command/control_test.go
+++ b/cmd/galena-fleet/command/control_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenasettings"
 )
 
 // fakeDaemon is a control daemon whose disk fails after failAfter, or that runs
@@ -62,3 +66,52 @@
 		is.NoErr(<-ended)
 	})
 }
+
+// loopback is any free port of this machine.
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// listen listens on a free port.
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	ln, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln, ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// newTestControl creates a control daemon with a replica in dir. Its only seed is seed.
+func newTestControl(dir string, operator, seed netip.AddrPort) (*controlDaemon, error) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	f := galenasettings.Fleet{
+		Process: galenasettings.Process{Name: "a"},
+		Listen:  galenasettings.FleetListen{Operator: operator, Peer: loopback, Status: loopback},
+		Control: galenasettings.FleetControl{Seeds: []netip.AddrPort{seed}, PeerPort: int(seed.Port()), DataDirectory: dir},
+	}
+	load := func(string) (galenasettings.Fleet, error) { return f, nil }
+	return newControl("", f, load, &galenadaemon.Log{Logger: logger}, &galenametric.Metrics{})
+}
+
+// Guards against connections to other daemons that stay open when a daemon is restarted
+// within the process, until the process is out of descriptors.
+func TestControlClosesConnectionsWhenDiskFails(t *testing.T) {
+	is := is.New(t)
+	peer, seed := listen(t)
+	c, err := newTestControl(t.TempDir(), loopback, seed)
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(context.Background()) }()
+	conn, err := peer.Accept()
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Read(make([]byte, 1)) // the daemon has begun a call
+	is.NoErr(err)
+	close(c.diskFailed)
+	is.NoErr(<-ended)
+	const closeTimeout = 5 * time.Second
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(closeTimeout)))
+	_, err = io.Copy(io.Discard, conn)
+	is.NoErr(err) // the daemon closed the connection
+}
