Release a replica's files when its daemon can't start

A control daemon that restarts after a failure of its disk opens its replica and then listens. If it could not listen, for example because the process was out of descriptors for a moment, the replica's log and the lock of its data directory stayed open. Every later restart failed with "data directory is used by another process", until the garbage collector happened to close the lock: the replica was down although its disk had room and all processes ran.

Only Node.Run closed the files, and it was never called. Node.Close does so now for a node that was not run, and a failed Open of a node closes its log as well.

The test lets a daemon fail to listen and creates it again.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -236,6 +236,7 @@
 // leadership, and then answers the requests that have arrived.
 func (c *controlDaemon) Run(ctx context.Context) error {
 	defer c.rpcClient.Close()
+	defer c.node.Close()
 	handler := &platform.ControlHandler{
 		Owner: c.ownerClient, Logger: c.log.Logger, OwnerHost: c.leaderHost, Port: int(c.settings.Listen.Operator.Port()),
 	}
--- a/cmd/galena-fleet/command/control_test.go
+++ b/cmd/galena-fleet/command/control_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,18 @@
 	_, err = io.Copy(io.Discard, conn)
 	is.NoErr(err) // the daemon closed the connection
 }
+
+// Guards against a replica that is locked by its own process after a daemon could not
+// listen, so that every restart fails.
+func TestControlReleasesDataDirectoryWhenItCannotListen(t *testing.T) {
+	is := is.New(t)
+	_, used := listen(t)
+	dir := t.TempDir()
+	c, err := newTestControl(dir, used, used)
+	is.NoErr(err)
+	is.True(c.Run(context.Background()) != nil)
+	restarted, err := newTestControl(dir, loopback, used)
+	is.NoErr(err)
+	restarted.node.Close()
+	runtime.KeepAlive(c)
+}
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -102,11 +102,28 @@
 	}
 	c, err := newCore(s, n.cfg.Name, n.cfg.timing(), n.cfg.Rand, n.now())
 	if err != nil {
-		return err
+		return errors.Join(err, w.Close())
 	}
 	n.engine, err = newEngine(c, w, n.cfg.StateMachine, s.Snapshot, n.cfg.snapshotLimits())
+	if err != nil {
+		return errors.Join(err, w.Close())
+	}
 	n.publishState(n.now())
-	return err
+	return nil
+}
+
+// Close closes the files of a Node whose Run has not been called. It has no effect
+// otherwise, since Run closes them.
+func (n *Node) Close() {
+	if !n.started.Swap(true) {
+		n.closeFiles()
+	}
+}
+
+// closeFiles closes the files. Errors don't matter, since all that was written is synced.
+func (n *Node) closeFiles() {
+	_ = n.engine.wal.Close()
+	n.closeDir()
 }
 
 func (n *Node) closeDir() {
@@ -144,8 +161,7 @@
 	n.sendDeferredReplies()
 	close(n.stopped)
 	_ = n.peerGroup.Wait()
-	_ = n.engine.wal.Close()
-	n.closeDir()
+	n.closeFiles()
 	return err
 }
 
