Test the members of a log whose disks are full in turn

The simulation of the log has no MembershipManager, and the simulation of that had no disk failures.

Daemons of 3 to 6 replicas whose disks become full in turn, for 1 to 5 s or so long that the voter is replaced, and one at the first start, are now restarted a second after each failure. Checked: no replica starts anew, the members and voters are complete, and each leader commits and has all that was acknowledged. The daemons' files are no longer synced in these simulations, since none takes the power away.

--- a/galenafleet/membership_test.go
+++ b/galenafleet/membership_test.go
@@ -28,6 +28,7 @@
 	"github.com/galenahead/galenahead/galenaraft"
 	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenatimer"
+	"github.com/galenahead/galenahead/galenawal"
 )
 
 // memberSim is a simulated deployment of control daemons, some without a disk, that
@@ -42,6 +43,9 @@
 	lossy    bool
 	daemons  []*simDaemon
 	injected membershipFaults
+	// snapshotEntries is the number of entries between two snapshots of the log, or zero
+	// for the default.
+	snapshotEntries uint64
 
 	mu   sync.Mutex
 	rand *rand.Rand
@@ -65,6 +69,10 @@
 	state     *recorder
 	metrics   *galenametric.Metrics
 	stop      func()
+	// full makes writes to the disk fail. diskFailed is closed when the node has ended
+	// because of that.
+	full       atomic.Bool
+	diskFailed chan struct{}
 }
 
 // recorder is a state machine that stores its commands.
@@ -199,6 +207,13 @@
 
 // start starts the daemon as a new process.
 func (d *simDaemon) start() {
+	if err := d.tryStart(); err != nil {
+		panic(err)
+	}
+}
+
+// tryStart starts the daemon unless its disk is full.
+func (d *simDaemon) tryStart() error {
 	sim := d.sim
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -211,17 +226,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	d.node = nil
+	closeDir := func() error { return nil }
 	if d.disk {
 		d.state = &recorder{}
+		dir, err := galenawal.OpenDir(d.dataDirectory())
+		if err != nil {
+			cancel()
+			return err
+		}
+		closeDir = dir.Close
+		failed := make(chan struct{})
 		node, err := galenaraft.Open(galenaraft.Config{
-			Name: galenahead.ReplicaName(d.address), Path: d.dataDirectory(), StateMachine: d.state, RPCClient: sim, Timers: timers,
+			Name: galenahead.ReplicaName(d.address), Dir: fullDir{dir, d}, StateMachine: d.state, RPCClient: sim, Timers: timers,
 			Tick: 25 * time.Millisecond, Heartbeat: 120 * time.Millisecond, Lease: 500 * time.Millisecond,
 			MinElectionTimeout: 650 * time.Millisecond, MaxElectionTimeout: 1100 * time.Millisecond, CallTimeout: 400 * time.Millisecond,
+			SnapshotEntries: sim.snapshotEntries, RetainedEntries: sim.snapshotEntries / 2, Fatal: func(error) { close(failed) },
 		})
 		if err != nil {
-			panic(err)
+			cancel()
+			return errors.Join(err, closeDir())
 		}
-		d.node = node
+		d.node, d.diskFailed = node, failed
 		d.metrics = &galenametric.Metrics{}
 		node.Register(mux)
 		self := galenahead.Member{Name: galenahead.ReplicaName(d.address), Address: d.address, Incarnation: node.Status().Incarnation}
@@ -249,7 +274,9 @@
 		d.mux.Store(nil)
 		cancel()
 		_ = group.Wait()
+		_ = closeDir()
 	}
+	return nil
 }
 
 func (d *simDaemon) dataDirectory() string { return filepath.Join(d.sim.dir, d.address) }
@@ -284,7 +311,7 @@
 // leader returns the daemon that leads the log, if there is one.
 func (sim *memberSim) leader() (*simDaemon, bool) {
 	for _, d := range sim.withDisk() {
-		if d.node.HoldsLease() {
+		if d.node != nil && d.node.HoldsLease() {
 			return d, true
 		}
 	}
