--- a/galenawal/log.go
+++ b/galenawal/log.go
@@ -21,7 +21,8 @@
 )
 
 // ErrWriteFailed reports that a write or sync failed. It is then unknown what reached
-// the disk, so the process must exit; all later writes to the Log fail too.
+// the disk, so the data directory must be opened again; all later writes to the Log fail
+// too.
 var ErrWriteFailed = eris.New("write to the data directory failed")
 
 // Log holds the open files of one replica. It is not safe for concurrent use.
