--- a/galenawal/disk_test.go
+++ b/galenawal/disk_test.go
@@ -320,7 +320,7 @@
 		if err := l.Close(); err != nil {
 			return err
 		}
-		l, s, err = reopenUntilWritable(d, newIncarnation)
+		_, s, err = reopenUntilWritable(d, newIncarnation)
 		if err != nil {
 			return fmt.Errorf("%s: %w", step.name, err)
 		}
