--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -322,3 +322,46 @@
 		is.True(a.Status().Incarnation != before)
 	})
 }
+
+// openCounter counts the open files of a directory.
+type openCounter struct {
+	galenawal.Dir
+	open int
+}
+
+type countedFile struct {
+	galenawal.File
+	counter *openCounter
+}
+
+func (c *openCounter) Open(name string) (galenawal.File, error) {
+	f, err := c.Dir.Open(name)
+	if err == nil {
+		c.open++
+	}
+	return countedFile{f, c}, err
+}
+
+func (f countedFile) Close() error {
+	f.counter.open--
+	return f.File.Close()
+}
+
+// unrestorable is a state machine that can't restore a snapshot.
+type unrestorable struct{ byteCounter }
+
+func (*unrestorable) Restore([]byte) error { return errors.New("out of memory") }
+
+// Guards against an Open of a node that fails and leaves the log open, so that the
+// process is out of descriptors after enough attempts.
+func TestFailedOpenClosesLog(t *testing.T) {
+	is := is.New(t)
+	dir := &openCounter{Dir: newMemDisk(nil)}
+	w, _, err := galenawal.Open(dir, func() uint64 { return 1 })
+	is.NoErr(err)
+	is.NoErr(w.SaveSnapshot(galenawal.Snapshot{Index: 1, Term: 1}))
+	is.NoErr(w.Close())
+	_, err = Open(Config{Name: "a", Dir: dir, StateMachine: &unrestorable{}})
+	is.True(err != nil)
+	is.Equal(dir.open, 0)
+}
