Let the next owner go on with a machine order without a result

Callers saw work lost on a machine after the owner had changed: the new owner gave it work, and an order of the earlier owner, carried out late, ended it.

Cause: silence was taken for a refusal by whoever did not know of the order. The record of an order names the machine, but not what becomes of it, so that the next owner did not know that a move could still be carried out; the instances of machines with a maintenance order were kept idle only from the first list of machines on, and the list is missing while the machines' service does not answer. The earlier order carries a lower fencing token, but nothing rejects it before the new owner has sent an order to that machine.

The record of a move now names the pool until its result is recorded, in the same log entry as what follows from it. A new owner takes over moves without a result, and keeps the instances of all machines with such an order idle from before its first plan on. It sends the move again, with its own token, once the machine lease of the earlier owner has passed. A move that was ordered more than 30 s before, as before a stop of all daemons, is dropped (TestNextOwnerDropsMoveOfLongAgo).

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -85,7 +85,8 @@
 }
 
 // MachineOrder records that an owner is about to send an order to a machine, so
-// that the next owner waits before it sends one to the same machine.
+// that the next owner waits before it sends one to the same machine, and takes over a
+// move whose result is not known.
 type MachineOrder struct {
 	Machine galenahead.VMName `cbor:"1,keyasint"`
 	Epoch   uint64            `cbor:"2,keyasint"`
@@ -94,6 +95,9 @@
 	// stops, if one runs on the machine.
 	Instance galenahead.InstanceID `cbor:"4,keyasint,omitempty"`
 	Born     int64                 `cbor:"5,keyasint,omitempty"`
+	// Pool is where the order moves the machine, until the result is recorded. It is
+	// empty for maintenance, whose result is recorded in the wave.
+	Pool galenahead.ServiceName `cbor:"6,keyasint,omitempty"`
 }
 
 // Code is the result code of an operation.
--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -27,7 +27,9 @@
 	instance galenahead.InstanceID
 	token    uint64
 	lives    int
-	moves    []galenahead.ServiceName
+	orders   int
+	// maintained holds the waves whose maintenance the machine has had.
+	maintained map[int64]bool
 	// respond returns how an attempt, counted from 1, is answered: if late is set it is
 	// not answered, and carried out after that time; otherwise it fails with err, or is
 	// carried out at once.
@@ -49,7 +51,10 @@
 )
 
 func newLateMachines(o *Owner) *lateMachines {
-	f := &lateMachines{owner: o, pool: "counter", state: MachineUp, instance: "i0", work: map[galenahead.InstanceID]map[galenajob.ItemID]int64{}}
+	f := &lateMachines{
+		owner: o, pool: "counter", state: MachineUp, instance: "i0",
+		maintained: map[int64]bool{}, work: map[galenahead.InstanceID]map[galenajob.ItemID]int64{},
+	}
 	o.Machines, o.Instances = f, &workingInstances{f}
 	return f
 }
@@ -64,14 +69,23 @@
 }
 
 func (f *lateMachines) Move(_ context.Context, _ galenahead.VMName, pool galenahead.ServiceName, _ string, token uint64) error {
+	return f.handle(func() error { return f.move(pool, token) })
+}
+
+func (f *lateMachines) Maintain(_ context.Context, _ galenahead.VMName, wave int64, _ string, token uint64) error {
+	return f.handle(func() error { return f.maintain(wave, token) })
+}
+
+// handle answers an order, which is carried out by execute.
+func (f *lateMachines) handle(execute func() error) error {
 	f.mu.Lock()
-	f.moves = append(f.moves, pool)
-	late, err := f.respond(len(f.moves))
+	f.orders++
+	late, err := f.respond(f.orders)
 	f.mu.Unlock()
 	switch {
 	case late > 0:
 		time.AfterFunc(late, func() {
-			err := f.move(pool, token)
+			err := execute()
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.lateDone, f.lateOutcome = true, err
@@ -81,26 +95,47 @@
 	case err != nil:
 		return err
 	}
-	return f.move(pool, token)
+	return execute()
 }
 
-// move carries out an order.
+// move carries out an order to move the machine.
 func (f *lateMachines) move(pool galenahead.ServiceName, token uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if done, err := f.check(pool == f.pool, token); done || err != nil {
+		return err
+	}
+	f.stop(MachineMoving)
+	time.AfterFunc(lateMoveTime, func() { f.start(pool) })
+	return nil
+}
+
+// maintain carries out an order to maintain the machine.
+func (f *lateMachines) maintain(wave int64, token uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if done, err := f.check(f.maintained[wave], token); done || err != nil {
+		return err
+	}
+	f.maintained[wave] = true
+	f.stop(MachineMaintenance)
+	pool := f.pool
+	time.AfterFunc(lateMoveTime, func() { f.start(pool) })
+	return nil
+}
+
+// check reports whether an order was carried out before, or why it is rejected. f.mu
+// must be held.
+func (f *lateMachines) check(doneBefore bool, token uint64) (bool, error) {
 	switch {
 	case token < f.token:
-		return ErrFenced
-	case pool == f.pool:
-		f.token = token
-		return nil
+		return false, ErrFenced
+	case doneBefore:
 	case f.state != MachineUp:
-		return ErrBusy
+		return false, ErrBusy
 	}
 	f.token = token
-	f.stop(MachineMoving)
-	time.AfterFunc(lateMoveTime, func() { f.start(pool) })
-	return nil
+	return doneBefore, nil
 }
 
 // stop ends what runs on the machine. f.mu must be held.
@@ -151,7 +186,7 @@
 func (f *lateMachines) attempts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.moves)
+	return f.orders
 }
 
 // waitUntil sleeps until done, for at most limit.
@@ -208,22 +243,36 @@
 	Version: 1, Services: []Service{{Name: "counter"}, {Name: "spare", Spare: true}}, Queues: testConfig.Queues,
 }
 
-// startLateMachines starts the owner with a machine that is powered off for lack of
-// work, and returns when the first order has been sent. The owner runs until stop or
-// until the test ends.
-func startLateMachines(t *testing.T, o *Owner, f *lateMachines) (ctx context.Context, stop func()) {
+// startOwner starts the owner, which runs until stop or until the test ends.
+func (f *lateMachines) startOwner(t *testing.T) (ctx context.Context, stop func()) {
 	t.Helper()
-	apply(t, o.State, Op{Peak: &DemandPeak{Service: "counter", Start: time.Now().Round(0).Add(-peakRiseTime), Machines: 1}})
-	ctx, stop = startOwner(t, o, spareConfig)
+	ctx, stop = startOwner(t, f.owner, spareConfig)
 	t.Cleanup(func() {
 		stop()
 		time.Sleep(2 * lateCallTimeout) // until the calls have returned
 	})
+	return ctx, stop
+}
+
+// startIdle starts the owner with a machine that is powered off for lack of work, and
+// returns when the first order has been sent.
+func (f *lateMachines) startIdle(t *testing.T) (ctx context.Context, stop func()) {
+	t.Helper()
+	start := time.Now().Round(0).Add(-peakRiseTime)
+	apply(t, f.owner.State, Op{Peak: &DemandPeak{Service: "counter", Start: start, Machines: 1}})
+	ctx, stop = f.startOwner(t)
 	go f.sendHeartbeats(t.Context())
 	waitUntil(t, 10*time.Second, func() bool { return f.attempts() > 0 })
 	return ctx, stop
 }
 
+// setList sets whether the list of machines can be read.
+func (f *lateMachines) setList(available bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noList = !available
+}
+
 // submitWork submits a job of two work items, of which an instance has room for one. One
 // of them may be sent to an instance that has crashed.
 func submitWork(ctx context.Context, t *testing.T, o *Owner) {
@@ -273,7 +322,7 @@
 			}
 			return 0, nil
 		}
-		ctx, _ := startLateMachines(t, o, f)
+		ctx, _ := f.startIdle(t)
 		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 1 })
 		time.Sleep(100 * time.Millisecond)
 		submitWork(ctx, t, o)
@@ -296,7 +345,7 @@
 			}
 			return 0, nil
 		}
-		ctx, _ := startLateMachines(t, o, f)
+		ctx, _ := f.startIdle(t)
 		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 1 })
 		submitWork(ctx, t, o)
 		waitUntil(t, 8*time.Second, func() bool { return f.works("i2") })
@@ -338,7 +387,7 @@
 					}
 					return 0, nil
 				}
-				ctx, _ := startLateMachines(t, o, f)
+				ctx, _ := f.startIdle(t)
 				time.Sleep(tt.restart)
 				f.restart()
 				time.Sleep(tt.workAt - tt.restart)
@@ -350,3 +399,112 @@
 		})
 	}
 }
+
+// Guards against lost work after a change of owner: the next owner gave work to an
+// instance whose machine the earlier one had sent elsewhere by an order without a
+// response, which was carried out afterwards.
+func TestNextOwnerKeepsWorkOffMachineWithUnansweredMove(t *testing.T) {
+	for _, noList := range []bool{false, true} {
+		t.Run(fmt.Sprintf("no list %v", noList), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o, _ := testOwner()
+				f := newLateMachines(o)
+				f.respond = func(attempt int) (time.Duration, error) {
+					if attempt == 1 {
+						return 6 * time.Second, nil
+					}
+					return 0, nil
+				}
+				_, stop := f.startIdle(t)
+				time.Sleep(100 * time.Millisecond)
+				stop()
+				time.Sleep(lateCallTimeout + time.Millisecond) // until the call has returned
+				synctest.Wait()
+				f.setList(!noList)
+				ctx, _ := f.startOwner(t)
+				submitWork(ctx, t, o)
+				waitUntil(t, 10*time.Second, f.carriedOutLate)
+				is.Equal(len(f.lostWork()), 0)
+				f.setList(true)
+				waitUntil(t, 20*time.Second, func() bool { return f.works("i2") })
+			})
+		})
+	}
+}
+
+// Guards against a move that a new owner goes on with although it was ordered long ago,
+// before all daemons stopped.
+func TestNextOwnerDropsMoveOfLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(int) (time.Duration, error) { return 0, nil }
+		at := time.Now().Round(0).Add(-2 * lateOrderTime)
+		apply(t, o.State, Op{Order: &MachineOrder{Machine: "m", Epoch: 1, At: at, Instance: "i0", Born: 1, Pool: "spare"}})
+		ctx, _ := f.startOwner(t)
+		go f.sendHeartbeats(t.Context())
+		submitWork(ctx, t, o)
+		time.Sleep(5 * time.Second)
+		is.True(f.works("i0"))
+		is.Equal(f.attempts(), 0)
+	})
+}
+
+// Guards against a machine without work after a change of owner, although its move was
+// rejected before.
+func TestNextOwnerUsesMachineWithRejectedMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(int) (time.Duration, error) { return 0, ErrBusy }
+		_, stop := f.startIdle(t)
+		time.Sleep(100 * time.Millisecond)
+		stop()
+		sent := f.attempts()
+		ctx, _ := f.startOwner(t)
+		submitWork(ctx, t, o)
+		time.Sleep(time.Second)
+		is.True(f.works("i0"))
+		is.Equal(f.attempts(), sent)
+	})
+}
+
+// Guards against lost work after a change of owner: the next owner gave work to an
+// instance whose machine the earlier one had taken for maintenance by an order without a
+// response, while the list of machines could not be read.
+func TestNextOwnerKeepsWorkOffMachineWithUnansweredMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(attempt int) (time.Duration, error) {
+			if attempt == 1 {
+				return 6 * time.Second, nil
+			}
+			return 0, nil
+		}
+		ctx, stop := f.startOwner(t)
+		go f.sendHeartbeats(t.Context())
+		time.Sleep(time.Second)
+		wave := Wave{ID: 1, Machines: []galenahead.VMName{"m"}, Duration: 20 * time.Second, MaxDown: 1}
+		_, err := o.BeginWave(ctx, wave)
+		is.NoErr(err)
+		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 0 })
+		stop()
+		time.Sleep(lateCallTimeout + time.Millisecond) // until the call has returned
+		synctest.Wait()
+		f.setList(false)
+		ctx, _ = f.startOwner(t)
+		submitWork(ctx, t, o)
+		waitUntil(t, 10*time.Second, f.carriedOutLate)
+		is.Equal(len(f.lostWork()), 0)
+		f.setList(true)
+		waitUntil(t, 20*time.Second, func() bool { return f.works("i1") })
+		w, err := o.Wave(ctx, WaveStatus{ID: 1})
+		is.NoErr(err)
+		is.True(w.Completed)
+	})
+}
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -33,6 +33,9 @@
 	// ordersPerEpoch bounds the different orders of one owner to one machine, each of
 	// which has a fencing token of its own.
 	ordersPerEpoch = 1 << 20
+	// lateOrderTime is how long after its record an order without a result may still be
+	// carried out.
+	lateOrderTime = 30 * time.Second
 )
 
 // machineController carries out maintenance waves and moves machines between pools
@@ -205,10 +208,43 @@
 }
 
 // orderRecord returns the record of an order to a machine, which stops the instance
-// there, if one runs.
-func (m *machineController) orderRecord(name galenahead.VMName, id galenahead.InstanceID) Op {
+// there, if one runs. pool is where it moves the machine, unless the result is known.
+func (m *machineController) orderRecord(name galenahead.VMName, id galenahead.InstanceID, pool galenahead.ServiceName) Op {
 	in, _ := m.State.instance(id)
-	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born}}
+	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born, Pool: pool}}
+}
+
+// adoptOrders takes over the orders of earlier owners whose results are not known, since
+// they may still be carried out. It returns the instances that must get no work because
+// of them.
+func (m *machineController) adoptOrders() []cordonedInstance {
+	ordered := map[galenahead.VMName]bool{}
+	for _, w := range m.State.OpenWaves() {
+		for name, step := range w.Steps {
+			ordered[name] = ordered[name] || step == StepOrdered
+		}
+	}
+	var cordoned []cordonedInstance
+	for _, o := range m.State.machineOrders() {
+		var in cordonedInstance
+		if known, ok := m.State.instance(o.Instance); ok {
+			in = cordonedInstance{known.ID, known.Service}
+		}
+		switch {
+		case o.Pool != "" && time.Since(o.At) <= lateOrderTime:
+			m.pendingMoves[o.Machine] = &pendingMove{pool: o.Pool, instance: in, unanswered: true, changedAt: m.Timers.Now()}
+		case ordered[o.Machine] && in.id != "":
+			m.evacuating[o.Machine] = in
+		default:
+			continue
+		}
+		m.Logger.WithField("machine", o.Machine).WithField("instance", in.id).WithField("to_pool", o.Pool).
+			WithField("order_epoch", o.Epoch).Info("took over a machine order without a result")
+		if in.id != "" {
+			cordoned = append(cordoned, in)
+		}
+	}
+	return cordoned
 }
 
 // removeStoppedInstances removes the instances that an order of an earlier owner has
@@ -434,7 +470,7 @@
 		return
 	}
 	m.inFlight[name] = true
-	record, token := m.orderRecord(name, m.evacuating[name].id), m.fencingToken(name, orderPurpose{wave: wave})
+	record, token := m.orderRecord(name, m.evacuating[name].id, ""), m.fencingToken(name, orderPurpose{wave: wave})
 	m.spawn(func() error {
 		r := orderResult{name: name, wave: wave}
 		if _, err := m.committer.commit(record); err != nil {
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -130,6 +130,8 @@
 	resign    context.CancelCauseFunc
 	committer *committer
 	load      ownerLoad
+	// controller carries out orders to machines.
+	controller *machineController
 
 	// committing is done when the committer proposes nothing more.
 	committing sync.WaitGroup
@@ -163,7 +165,7 @@
 	ticks := sess.Timers.Subscribe(sess.ctx, "office", leadershipCheckInterval)
 	sess.spawn(func() error { return sess.expireLoop() })
 	sess.spawn(func() error { return sess.loadLoop() })
-	sess.spawn(func() error { return newMachineController(sess).loop() })
+	sess.spawn(func() error { return sess.controller.loop() })
 	last := time.Now()
 	for {
 		select {
@@ -209,7 +211,8 @@
 
 // loadState creates the shards from the replicated state. It starts them only when they
 // are complete: a poll stops the runs of jobs that the scheduler does not know, and a
-// plan starts work items that may run on instances that it does not know.
+// plan starts work items that may run on instances that it does not know, or on machines
+// that an earlier owner has sent an order.
 func (sess *ownerSession) loadState() {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
@@ -222,6 +225,10 @@
 	for _, j := range sess.State.activeJobs() {
 		sess.shardLocked(j.Service, false).addJob(j, wall.Sub(j.Accepted), true)
 	}
+	sess.controller = newMachineController(sess)
+	for _, in := range sess.controller.adoptOrders() {
+		sess.shardLocked(in.service, false).inspect(func(now time.Time, s *galenajob.Scheduler) { s.SetEvacuating(now, in.id, true) })
+	}
 	for _, sh := range sess.shards {
 		sh.start()
 	}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -299,11 +299,11 @@
 
 // sendMoveOrder records and sends the order to move a machine.
 func (m *machineController) sendMoveOrder(name galenahead.VMName, move *pendingMove) {
-	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() {
+	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
 		return
 	}
 	m.inFlight[name] = true
-	pool, record := move.pool, m.orderRecord(name, move.instance.id)
+	pool, record := move.pool, m.orderRecord(name, move.instance.id, move.pool)
 	token := m.fencingToken(name, orderPurpose{pool: pool})
 	m.spawn(func() error {
 		if _, err := m.committer.commit(record); err != nil {
@@ -328,10 +328,10 @@
 		m.ownerSession.Metrics.Moves.Add(1)
 		move.confirmed, move.changedAt = true, m.Timers.Now()
 		m.markUnavailable(r.name, MachineMoving)
-		return m.removalChange(move.instance)
+		return append(m.removalChange(move.instance), m.decisionChange(r.name, move))
 	case errors.Is(r.err, ErrRejected), errors.Is(r.err, ErrBusy) && !move.unanswered:
 		log.WithError(r.err).Info("machine move rejected")
-		m.cancelMove(r.name)
+		return []change{m.cancelMove(r.name)}
 	default:
 		// An order without an answer may still be carried out, also after a repeated one
 		// was answered busy. It is sent again until the result is known.
@@ -341,16 +341,24 @@
 	return nil
 }
 
-// cancelMove lets the instance of a machine that does not move take work again.
-func (m *machineController) cancelMove(name galenahead.VMName) {
+// decisionChange returns the record that the result of a move is known.
+func (m *machineController) decisionChange(name galenahead.VMName, move *pendingMove) change {
+	return change{m.orderRecord(name, move.instance.id, ""), func() {}}
+}
+
+// cancelMove lets the instance of a machine that does not move take work again, and
+// returns the change to record.
+func (m *machineController) cancelMove(name galenahead.VMName) change {
 	move := m.pendingMoves[name]
 	delete(m.pendingMoves, name)
 	m.uncordon(move.instance)
+	return m.decisionChange(name, move)
 }
 
 // resendMove sends an unconfirmed move order again. If the machine is not up or has
-// another instance now, it cancels the move, unless an order may still be carried out.
-func (m *machineController) resendMove(name galenahead.VMName, move *pendingMove) {
+// another instance now, it cancels the move, unless an order may still be carried out. It
+// returns the changes to record.
+func (m *machineController) resendMove(name galenahead.VMName, move *pendingMove) []change {
 	v, listed := m.machines[name]
 	arrived := v.State == MachineMoving || v.Pool == move.pool
 	sameInstance := v.State == MachineUp && v.Instance == move.instance.id
@@ -364,10 +372,11 @@
 	case !listed, arrived, sameInstance && idle:
 		m.sendMoveOrder(name, move)
 	case !move.unanswered:
-		m.cancelMove(name)
+		return []change{m.cancelMove(name)}
 	case v.State == MachineUp && idle:
 		m.sendMoveOrder(name, move)
 	}
+	return nil
 }
 
 // cordonLaterInstance keeps new work off the present instance of a machine whose move
@@ -386,10 +395,11 @@
 // updateMoves ends the pending moves of machines that have arrived or are overdue,
 // and sends unconfirmed move orders again.
 func (m *machineController) updateMoves(now time.Time) {
+	var changes []change
 	for name, move := range m.pendingMoves {
 		switch {
 		case !move.confirmed:
-			m.resendMove(name, move)
+			changes = append(changes, m.resendMove(name, move)...)
 		case now.Sub(move.changedAt) > registrationTimeout:
 			delete(m.pendingMoves, name)
 		default:
@@ -403,4 +413,5 @@
 			}
 		}
 	}
+	m.record(changes...)
 }
--- a/galenafleet/state_test.go
+++ b/galenafleet/state_test.go
@@ -68,7 +68,7 @@
 		Op{Config: &Config{Version: 7, Source: []byte("x")}},
 		Op{Instance: &galenajob.Instance{ID: "i", Born: 5, Labels: []string{"a"}}},
 		Op{Wave: &Wave{ID: 1, MaxDown: 1, Accepted: baseTime}}, Op{WaveStep: &WaveStepOp{1, "m", StepStarted}},
-		Op{Order: &MachineOrder{"m", 1, baseTime, "i", 5}}, Op{Peak: &DemandPeak{Service: "counter", Start: baseTime, Machines: 5, Over: true}})
+		Op{Order: &MachineOrder{"m", 1, baseTime, "i", 5, "counter"}}, Op{Peak: &DemandPeak{Service: "counter", Start: baseTime, Machines: 5, Over: true}})
 	b, err := s.Snapshot()
 	is.NoErr(err)
 	r := &State{}
