Keep the later instance of a machine idle while its maintenance order is under way

Callers saw work lost on a machine that had crashed and come back during a wave: its new instance was given work, which the maintenance then ended.

Cause: while an attempt of the order was under way, for up to 2 s, the machine's present instance was not looked at. Silence was taken for "not carried out yet and not before the answer". The instance was kept idle only once the attempt had timed out, and work that it had by then stayed for its grace period, while the order could be carried out.

Evidence: TestMaintenanceOrderUnderWayKeepsWorkOffLaterInstance failed before with "1 != 0": one instance with work was stopped.

The instance that the list shows on a machine with a maintenance order is now kept idle at each control step, whether an attempt is under way or not.

--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -508,3 +508,33 @@
 		is.True(w.Completed)
 	})
 }
+
+// Guards against lost work on a machine that comes back with another instance while its
+// maintenance order is under way. The instance was kept idle only after the order had
+// timed out, while it could be carried out.
+func TestMaintenanceOrderUnderWayKeepsWorkOffLaterInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(attempt int) (time.Duration, error) {
+			if attempt == 1 {
+				return lateCallTimeout + 500*time.Millisecond, nil
+			}
+			return 0, ErrBusy
+		}
+		ctx, _ := f.startOwner(t)
+		go f.sendHeartbeats(t.Context())
+		time.Sleep(time.Second)
+		wave := Wave{ID: 1, Machines: []galenahead.VMName{"m"}, Duration: 20 * time.Second, MaxDown: 1}
+		_, err := o.BeginWave(ctx, wave)
+		is.NoErr(err)
+		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 0 })
+		time.Sleep(500 * time.Millisecond)
+		f.restart()
+		time.Sleep(listInterval + 2*controlInterval) // until a list shows the instance
+		submitWork(ctx, t, o)
+		waitUntil(t, 10*time.Second, f.carriedOutLate)
+		is.Equal(len(f.lostWork()), 0)
+	})
+}
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -87,11 +87,13 @@
 	token   uint64
 }
 
-// orderResult is the result of an order to a machine. wave is zero for a move.
+// orderResult is the result of an order to a machine. wave is zero for a move. instance
+// is the one that ran on the machine when the order was sent.
 type orderResult struct {
-	name galenahead.VMName
-	wave int64
-	err  error
+	name     galenahead.VMName
+	wave     int64
+	instance cordonedInstance
+	err      error
 }
 
 func newMachineController(sess *ownerSession) *machineController {
@@ -460,19 +462,18 @@
 // is called again until the result is known; the platform carries out a repeated order
 // only once. Before each attempt the machine must be empty, since it may have crashed
 // and come back with another instance after an earlier attempt, or after the previous
-// owner recorded the order.
+// owner recorded the order. That instance gets no work either, also while an attempt is
+// under way.
 func (m *machineController) sendMaintenanceOrder(wave int64, name galenahead.VMName) {
-	if m.inFlight[name] {
-		return
-	}
 	v := m.machines[name]
-	if v.State != MachineUp || !m.evacuate(v) || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
+	if v.State != MachineUp || !m.evacuate(v) || m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
 		return
 	}
 	m.inFlight[name] = true
-	record, token := m.orderRecord(name, m.evacuating[name].id, ""), m.fencingToken(name, orderPurpose{wave: wave})
+	in, token := m.evacuating[name], m.fencingToken(name, orderPurpose{wave: wave})
+	record := m.orderRecord(name, in.id, "")
 	m.spawn(func() error {
-		r := orderResult{name: name, wave: wave}
+		r := orderResult{name: name, wave: wave, instance: in}
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
 		}
@@ -535,6 +536,9 @@
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
 		changes := []change{m.stepChange(w, r.name, StepStarted)}
+		if r.instance != m.evacuating[r.name] {
+			changes = append(changes, m.removalChange(r.instance)...)
+		}
 		return append(changes, m.finishEvacuation(r.name)...)
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -305,11 +305,13 @@
 	m.inFlight[name] = true
 	pool, record := move.pool, m.orderRecord(name, move.instance.id, move.pool)
 	token := m.fencingToken(name, orderPurpose{pool: pool})
+	r := orderResult{name: name, instance: move.instance}
 	m.spawn(func() error {
 		if _, err := m.committer.commit(record); err != nil {
 			return nil
 		}
-		m.deliverResult(orderResult{name: name, err: m.Machines.Move(m.ctx, name, pool, string(m.Name), token)})
+		r.err = m.Machines.Move(m.ctx, name, pool, string(m.Name), token)
+		m.deliverResult(r)
 		return nil
 	})
 }
@@ -328,7 +330,11 @@
 		m.ownerSession.Metrics.Moves.Add(1)
 		move.confirmed, move.changedAt = true, m.Timers.Now()
 		m.markUnavailable(r.name, MachineMoving)
-		return append(m.removalChange(move.instance), m.decisionChange(r.name, move))
+		changes := append(m.removalChange(move.instance), m.decisionChange(r.name, move))
+		if r.instance != move.instance {
+			changes = append(changes, m.removalChange(r.instance)...)
+		}
+		return changes
 	case errors.Is(r.err, ErrRejected), errors.Is(r.err, ErrBusy) && !move.unanswered:
 		log.WithError(r.err).Info("machine move rejected")
 		return []change{m.cancelMove(r.name)}
