Repeat a pace that an instance may not have or may lose again

Callers saw best-effort work that kept serving work over its target latency for good, or that stayed slow for good though nothing needed it.

Cause: the outcome of a pace command was ignored; a command that had no response, or was refused, counted as executed. It was never sent again, since the work item already had that pace on paper. And an answered command was taken for the last word although an earlier one without a response could still be executed, after newer ones.

A pace without a confirmation is now sent again after each poll, and one that has been confirmed each second while a command with another pace may still be executed, up to 15 s after it was sent. While a command has no outcome, the pace does not change, so that two never overtake each other unless one of them has no response.

Ruled out: late commands to an earlier run or from an earlier owner, which the run number and the fencing token exclude.

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -281,6 +281,7 @@
 // handleOutcome passes the outcome of a command to the scheduler.
 func (sh *shard) handleOutcome(a galenajob.Action, o galenajob.Outcome, clock int64, sent time.Time) {
 	if a.Kind == galenajob.ActPace {
+		sh.inspect(func(_ time.Time, s *galenajob.Scheduler) { s.HandlePaceOutcome(a, o, sent) })
 		return
 	}
 	var p *instancePoller
--- a/galenajob/pace.go
+++ b/galenajob/pace.go
@@ -1,6 +1,9 @@
 package galenajob
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minPaceInterval is the shortest time between two pace changes on an
@@ -12,11 +15,35 @@
 	slowDownAbove   = 0.8
 	speedUpBelow    = 0.5
 	paceStepPercent = 25
+	// lateCommandTime is how long after it was sent a command without a response may
+	// still be executed.
+	lateCommandTime = 15 * time.Second
+	// paceRepeatInterval is the time between repeats of a pace while a command with
+	// another one may still be executed.
+	paceRepeatInterval = time.Second
 )
 
+// paceState is the state of the pace commands to one run.
+type paceState struct {
+	run int64
+	// sentAt is when the last command was sent. inFlight reports that it has no outcome
+	// yet, and confirmed that the instance has executed it.
+	sentAt              time.Time
+	inFlight, confirmed bool
+	// unanswered holds the commands without a response that may still be executed.
+	unanswered []unansweredPace
+}
+
+// unansweredPace is a pace command without a response, which may be executed until the
+// given time.
+type unansweredPace struct {
+	percent int
+	until   time.Time
+}
+
 // adjustPace slows down the best-effort work items of an instance while the tail
 // latency of serving work items there approaches its target, and speeds them up
-// again afterwards.
+// again afterwards. It repeats a pace that the instance may not have.
 func (s *Scheduler) adjustPace(now time.Time, inst *instance) {
 	var worstRatio float64
 	var bestEffort []*item
@@ -31,12 +58,16 @@
 			bestEffort = append(bestEffort, it)
 		}
 	}
-	if len(bestEffort) == 0 || now.Sub(inst.paceChangedAt) < minPaceInterval {
-		return
-	}
+	s.forgetPaces(inst, bestEffort)
+	mayChange := now.Sub(inst.paceChangedAt) >= minPaceInterval
 	for _, it := range bestEffort {
+		p := s.paces[inst.ID][it.id()]
+		if p != nil && p.inFlight {
+			continue
+		}
 		next := it.pace
 		switch {
+		case !mayChange:
 		case worstRatio >= 1:
 			next = 0
 		case worstRatio > slowDownAbove:
@@ -44,14 +75,71 @@
 		case worstRatio < speedUpBelow:
 			next = min(100, it.pace+paceStepPercent)
 		}
-		if next == it.pace {
+		if next != it.pace {
+			it.pace = next
+			inst.paceChangedAt = now
+			s.emitPace(now, it, "tail latency beside it")
 			continue
 		}
-		it.pace = next
-		inst.paceChangedAt = now
-		s.actions = append(s.actions, Action{
-			Kind: ActPace, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run, Percent: next,
-			Reason: "tail latency beside it",
-		})
+		if s.paceInDoubt(now, it, p) {
+			s.emitPace(now, it, reasonRepeated)
+		}
+	}
+}
+
+// forgetPaces drops the state of all runs on the instance but those of items.
+func (s *Scheduler) forgetPaces(inst *instance, items []*item) {
+	for id, p := range s.paces[inst.ID] {
+		if !slices.ContainsFunc(items, func(it *item) bool { return it.id() == id && it.run == p.run }) {
+			delete(s.paces[inst.ID], id)
+		}
+	}
+}
+
+// paceInDoubt reports whether the pace of a run has to be sent again: the instance has
+// not confirmed it, may yet execute an earlier command with another pace, or runs work
+// that an earlier owner may have paced.
+func (s *Scheduler) paceInDoubt(now time.Time, it *item, p *paceState) bool {
+	switch {
+	case p == nil:
+		return false
+	case !p.confirmed:
+		return now.Sub(p.sentAt) >= s.params.ResendInterval
+	}
+	p.unanswered = slices.DeleteFunc(p.unanswered, func(u unansweredPace) bool { return p.sentAt.After(u.until) })
+	overdue := now.Sub(p.sentAt) >= paceRepeatInterval
+	return overdue && slices.ContainsFunc(p.unanswered, func(u unansweredPace) bool { return u.percent != it.pace })
+}
+
+// emitPace sends the pace of a work item.
+func (s *Scheduler) emitPace(now time.Time, it *item, reason string) {
+	inst := it.instance
+	if s.paces[inst.ID] == nil {
+		s.paces[inst.ID] = map[ItemID]*paceState{}
+	}
+	p := s.paces[inst.ID][it.id()]
+	if p == nil {
+		p = &paceState{run: it.run}
+		s.paces[inst.ID][it.id()] = p
+	}
+	p.sentAt, p.inFlight, p.confirmed = now, true, false
+	s.actions = append(s.actions, Action{
+		Kind: ActPace, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run, Percent: it.pace, Reason: reason,
+	})
+}
+
+// HandlePaceOutcome handles the outcome of a pace command that was sent at sent.
+func (s *Scheduler) HandlePaceOutcome(a Action, o Outcome, sent time.Time) {
+	p := s.paces[a.Instance.ID][a.Item]
+	if p == nil || p.run != a.Run {
+		return
+	}
+	p.inFlight = false
+	switch o {
+	case OutcomeDone:
+		p.confirmed = true
+	case OutcomeDeferred, OutcomeUnsent:
+	default:
+		p.unanswered = append(p.unanswered, unansweredPace{a.Percent, sent.Add(lateCommandTime)})
 	}
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -90,6 +90,8 @@
 	actions   []Action
 	gone      []galenahead.InstanceID
 	lateRuns  []LateRun
+	// paces holds the state of the pace commands to the runs on each instance.
+	paces map[galenahead.InstanceID]map[ItemID]*paceState
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
 	// It includes instances that are not registered, so that one that registers
 	// again gets no work before its planned move or maintenance.
@@ -116,6 +118,7 @@
 		queues:      map[string]Queue{},
 		jobs:        map[galenahead.JobID]*job{},
 		instances:   map[galenahead.InstanceID]*instance{},
+		paces:       map[galenahead.InstanceID]map[ItemID]*paceState{},
 		evacuations: map[galenahead.InstanceID]time.Time{},
 	}
 }
@@ -239,6 +242,7 @@
 	}
 	s.markReconciled(inst)
 	delete(s.instances, id)
+	delete(s.paces, id)
 	s.sortedIDs = nil
 }
 
