Set the pace of best-effort work that an earlier owner has started

Callers saw best-effort work that stayed slow for good after a change of owner.

Cause: a new owner takes over the runs that an instance lists, and took their pace to be that of a new run. Lists do not say what the pace is. A run that the earlier owner had paced down already had full speed on paper, so that it was never sent a command.

The new owner now sends the pace of each run that it has not started itself, once.

--- a/galenajob/pace.go
+++ b/galenajob/pace.go
@@ -102,7 +102,7 @@
 func (s *Scheduler) paceInDoubt(now time.Time, it *item, p *paceState) bool {
 	switch {
 	case p == nil:
-		return false
+		return it.startsSent == 0
 	case !p.confirmed:
 		return now.Sub(p.sentAt) >= s.params.ResendInterval
 	}
--- a/galenajob/pace_test.go
+++ b/galenajob/pace_test.go
@@ -109,3 +109,22 @@
 	p.run(20*time.Second, 40)
 	is.Equal(p.sent, before+sent) // nothing is repeated for ever
 }
+
+// Guards against best-effort work that stays slow for ever because an earlier owner has
+// paced it down, and the present one takes its pace to be that of a new run.
+func TestPaceOfAdoptedRunIsSet(t *testing.T) {
+	is := is.New(t)
+	p := newPacedInstance()
+	p.run(2*time.Second, 150)
+	is.Equal(p.percent, 0)
+
+	j := testJob("j", 1)
+	j.Spec.Steps = p.s.jobs["j"].Spec.Steps
+	p.s = NewScheduler("counter", 2, testParams(), &Fences{})
+	p.s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
+	p.s.AddInheritedInstance(p.now, testInstance("a"), p.now.Add(time.Minute))
+	p.s.AddJob(p.now, j, time.Second, true)
+	p.run(3*time.Second, 40)
+	is.Equal(p.percent, 100)
+	is.True(p.sent < 10)
+}
