Change the members of the log only for a replica that answers

Callers saw a healthy voter removed from the log, which then had one fewer for as long as the replica took to join again; with another loss in that time, changes are not committed.

Cause: a daemon describes its replica in its queries, and the last message to arrive was taken for the newest. A query that was sent before the daemon lost its disk may arrive after it has joined again as another incarnation; incarnations are random numbers, so that they have no order. The leader then removed the present voter as if it had lost its disk, or added a replica that no longer exists.

Evidence: TestLateQueryOfEarlierIncarnationChangesNoMembers failed before with "[{remove {b b:1 2 true}}] != <nil>" and "[{add_learner {b b:1 1 false}}] != <nil>".

Before such a change the leader now queries the address and goes on only if the same incarnation answers. Ruled out: late copies of a change itself, which name the incarnation and are judged by the members at the time they enter the log, and are dropped unread once their caller has given up; late messages of the log, which name the incarnations of sender and receiver; a late bootstrap, since a replica with state refuses it.

--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -215,7 +215,7 @@
 	var group errgroup.Group
 	targets, search := d.queryTargets()
 	for _, a := range targets {
-		group.Go(func() error { d.query(ctx, a); return nil })
+		group.Go(func() error { _, _ = d.query(ctx, a); return nil })
 	}
 	_ = group.Wait()
 	d.mu.Lock()
@@ -276,7 +276,16 @@
 	return out
 }
 
-func (d *Directory) query(ctx context.Context, address string) {
+// confirmReplica queries the daemon that runs m and reports whether it still does. A
+// query that the daemon has sent may arrive late, when another incarnation of the replica
+// has taken its place.
+func (d *Directory) confirmReplica(ctx context.Context, m galenahead.Member) bool {
+	info, ok := d.query(ctx, m.Address)
+	return ok && info.Self.Name == m.Name && info.Self.Incarnation == m.Incarnation && info.Self.Address == m.Address
+}
+
+// query queries the daemon at address, and returns its answer if there is one.
+func (d *Directory) query(ctx context.Context, address string) (LeaderInfo, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	var info LeaderInfo
@@ -288,7 +297,7 @@
 		if d.leader == address {
 			d.leader, d.leaderSuspected = "", true
 		}
-		return
+		return LeaderInfo{}, false
 	}
 	now := d.Timers.Now()
 	d.peerInfo[address] = info
@@ -303,7 +312,7 @@
 		if d.leader == address {
 			d.leader, d.leaderSuspected = "", true
 		}
-		return
+		return info, true
 	}
 	if info.Term >= d.term || d.leader == "" {
 		if d.loggedLeader != info.Leader || d.loggedTerm != info.Term {
@@ -312,6 +321,7 @@
 		}
 		d.leader, d.term, d.confirmedAt = info.Leader, info.Term, now
 	}
+	return info, true
 }
 
 // recordMembers stores the member list of info if it is the newest one. d.mu must
--- a/galenafleet/membership.go
+++ b/galenafleet/membership.go
@@ -251,16 +251,22 @@
 			continue
 		}
 		m, ok := byName[info.Self.Name]
-		switch {
-		case !ok:
-			mm.changeMember(ctx, galenahead.MemberAddLearner, info.Self)
-			return
-		case m.Incarnation != info.Self.Incarnation || m.Address != info.Self.Address:
+		if ok && m.Incarnation == info.Self.Incarnation && m.Address == info.Self.Address {
+			continue
+		}
+		if !mm.Directory.confirmReplica(ctx, info.Self) {
+			mm.Logger.WithFields(logrus.Fields{"replica": info.Self.Name, "address": a, "incarnation": info.Self.Incarnation}).
+				Info("replica has not confirmed that it is at its address")
+			continue
+		}
+		if ok {
 			// The replica lost its data directory or has a new address. Its earlier
 			// votes and acknowledgements no longer hold, so it must join again.
 			mm.changeMember(ctx, galenahead.MemberRemove, m)
-			return
+		} else {
+			mm.changeMember(ctx, galenahead.MemberAddLearner, info.Self)
 		}
+		return
 	}
 	lost, hasLost := mm.lostVoter(now, st)
 	for _, m := range st.Members {
