Play machine orders that are carried out late

The fleet simulation answered each order to a machine at once, so that no order was ever carried out after its repetition had been answered. TestLateMachineOrdersEndNoWork leaves one order in four unanswered and carries it out 2 to 12 s later, unless the machine has carried out a later one, while machines crash and owners are replaced. It fails if such an order ends work that has started after a list could show the instance.

--- a/galenafleet/fleet_simulation_test.go
+++ b/galenafleet/fleet_simulation_test.go
@@ -45,6 +45,10 @@
 	// orders counts the moves and maintenances that were carried out, starts the
 	// started runs.
 	orders, starts int
+	// lateOrders makes some orders unanswered and carried out late, as far as their
+	// fencing tokens allow. late counts those that were carried out.
+	lateOrders bool
+	late       int
 }
 
 type simMachine struct {
@@ -57,6 +61,8 @@
 	// lastID is the ID of the last instance.
 	lastID galenahead.InstanceID
 	waves  map[int64]bool
+	// token is the highest fencing token of an order that was carried out.
+	token uint64
 }
 
 // simLife is one life of an instance.
@@ -271,24 +277,31 @@
 	return out, nil
 }
 
-func (sim *fleetSimulation) Move(_ context.Context, name galenahead.VMName, pool galenahead.ServiceName, _ string, _ uint64) error {
-	return sim.order(name, "move", func(m *simMachine) bool { return m.pool == pool }, func(m *simMachine) {
+func (sim *fleetSimulation) Move(_ context.Context, name galenahead.VMName, pool galenahead.ServiceName, _ string, token uint64) error {
+	return sim.order(name, "move", token, func(m *simMachine) bool { return m.pool == pool }, func(m *simMachine) {
 		m.pool, m.state, m.until = pool, MachineMoving, time.Now().Add(simMoveTime)
 	})
 }
 
-func (sim *fleetSimulation) Maintain(_ context.Context, name galenahead.VMName, wave int64, _ string, _ uint64) error {
-	return sim.order(name, "maintenance", func(m *simMachine) bool { return m.waves[wave] }, func(m *simMachine) {
+func (sim *fleetSimulation) Maintain(_ context.Context, name galenahead.VMName, wave int64, _ string, token uint64) error {
+	return sim.order(name, "maintenance", token, func(m *simMachine) bool { return m.waves[wave] }, func(m *simMachine) {
 		m.waves[wave], m.state, m.until = true, MachineMaintenance, time.Now().Add(simMaintenance)
 	})
 }
 
-func (sim *fleetSimulation) order(name galenahead.VMName, kind string, done func(*simMachine) bool, begin func(*simMachine)) error {
+func (sim *fleetSimulation) order(name galenahead.VMName, kind string, token uint64, done func(*simMachine) bool, begin func(*simMachine)) error {
+	if sim.lateOrders && sim.rngIntN(4) == 0 {
+		time.AfterFunc(time.Duration(2000+sim.rngIntN(10000))*time.Millisecond, func() { sim.orderLate(name, kind, token, done, begin) })
+		time.Sleep(lateCallTimeout)
+		return eris.New("no response")
+	}
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	m := sim.machines[name]
 	chance := sim.rng.IntN(10)
 	switch {
+	case token < m.token:
+		return ErrFenced
 	case chance == 0:
 		return ErrBusy
 	case chance == 1:
@@ -300,6 +313,7 @@
 	}
 	sim.endLife(m, kind)
 	begin(m)
+	m.token = token
 	sim.orders++
 	if chance == 2 {
 		return eris.New("the response is lost")
@@ -307,6 +321,31 @@
 	return nil
 }
 
+// orderLate carries out an order that was not answered, unless its machine has carried
+// out a later one. It must not end work that has started after a list could show the
+// instance.
+func (sim *fleetSimulation) orderLate(name galenahead.VMName, kind string, token uint64, done func(*simMachine) bool, begin func(*simMachine)) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	m := sim.machines[name]
+	if token < m.token || done(m) || m.state != MachineUp {
+		return
+	}
+	if l := m.life; l != nil {
+		listed := time.UnixMilli(l.born).Add(listInterval + 4*controlInterval)
+		for id, r := range l.runs {
+			if r.startedAt.After(listed) {
+				sim.violations = append(sim.violations, fmt.Sprintf("after %s: a late %s of %s ends %v on %s",
+					time.Since(sim.startedAt), kind, name, id, l.id))
+			}
+		}
+	}
+	sim.endLife(m, "")
+	begin(m)
+	m.token = token
+	sim.late++
+}
+
 // tick brings machines up again and, while disturbed is set, crashes some.
 func (sim *fleetSimulation) tick(disturbed bool) {
 	sim.mu.Lock()
@@ -353,8 +392,8 @@
 	ctx, stop := startOwner(t, o, c)
 	defer func() {
 		stop()
-		// Polls in progress end.
-		time.Sleep(time.Second)
+		// Polls and orders in progress end.
+		time.Sleep(time.Second + lateCallTimeout)
 	}()
 	sim.heartbeats(ctx, o)
 	time.Sleep(500 * time.Millisecond)
@@ -530,3 +569,28 @@
 		t.Errorf("only %d orders and %d starts in %d simulations", orders, starts, seeds)
 	}
 }
+
+// Guards against work that is lost because an order to its machine, of this owner or an
+// earlier one, had no response and was carried out late, when the machine was in use again.
+func TestLateMachineOrdersEndNoWork(t *testing.T) {
+	seeds := 20
+	if n, err := strconv.Atoi(os.Getenv("GALENA_HISTORIES")); err == nil {
+		seeds = n
+	}
+	late := 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newFleetSimulation(seed)
+			sim.lateOrders = true
+			for _, v := range sim.run(t) {
+				t.Errorf("seed %d: %s", seed, v)
+			}
+			sim.mu.Lock()
+			defer sim.mu.Unlock()
+			late += sim.late
+		})
+	}
+	if late < 2*seeds {
+		t.Errorf("only %d orders were carried out late in %d simulations", late, seeds)
+	}
+}
