Record the later instance of a machine with a pending order

Callers saw work lost after a change of owner on a machine that had crashed and come back while an order to it had no answer: the new owner gave its instance work, and the order ended it.

Cause: the record of an order names the instance that ran when it was sent. The owner keeps a later instance idle too, but the next owner knew only the first one, and learned of the other from its first list of machines, if that could be read.

Evidence: TestNextOwnerKeepsWorkOffLaterInstance failed before for a move and for maintenance, each with "1 != 0": one instance with work was stopped.

The record now follows the machine's instance while an order is pending. It keeps epoch and time of an earlier owner's order, so that the machine lease does not start again (TestLaterInstanceKeepsMachineLeaseOfEarlierOwner). The changes of all machines of a wave share one log entry; with an entry for each, TestWaveEndsInTimeWhileCommitsAreSlow failed.

--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -266,6 +266,21 @@
 	return ctx, stop
 }
 
+// startWave starts the owner and a maintenance wave, and returns when the first order has
+// been sent.
+func (f *lateMachines) startWave(t *testing.T) (ctx context.Context, stop func()) {
+	t.Helper()
+	ctx, stop = f.startOwner(t)
+	go f.sendHeartbeats(t.Context())
+	time.Sleep(time.Second)
+	wave := Wave{ID: 1, Machines: []galenahead.VMName{"m"}, Duration: 20 * time.Second, MaxDown: 1}
+	if _, err := f.owner.BeginWave(ctx, wave); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 0 })
+	return ctx, stop
+}
+
 // setList sets whether the list of machines can be read.
 func (f *lateMachines) setList(available bool) {
 	f.mu.Lock()
@@ -486,18 +501,12 @@
 			}
 			return 0, nil
 		}
-		ctx, stop := f.startOwner(t)
-		go f.sendHeartbeats(t.Context())
-		time.Sleep(time.Second)
-		wave := Wave{ID: 1, Machines: []galenahead.VMName{"m"}, Duration: 20 * time.Second, MaxDown: 1}
-		_, err := o.BeginWave(ctx, wave)
-		is.NoErr(err)
-		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 0 })
+		_, stop := f.startWave(t)
 		stop()
 		time.Sleep(lateCallTimeout + time.Millisecond) // until the call has returned
 		synctest.Wait()
 		f.setList(false)
-		ctx, _ = f.startOwner(t)
+		ctx, _ := f.startOwner(t)
 		submitWork(ctx, t, o)
 		waitUntil(t, 10*time.Second, f.carriedOutLate)
 		is.Equal(len(f.lostWork()), 0)
@@ -523,13 +532,7 @@
 			}
 			return 0, ErrBusy
 		}
-		ctx, _ := f.startOwner(t)
-		go f.sendHeartbeats(t.Context())
-		time.Sleep(time.Second)
-		wave := Wave{ID: 1, Machines: []galenahead.VMName{"m"}, Duration: 20 * time.Second, MaxDown: 1}
-		_, err := o.BeginWave(ctx, wave)
-		is.NoErr(err)
-		waitUntil(t, 5*time.Second, func() bool { return f.attempts() > 0 })
+		ctx, _ := f.startWave(t)
 		time.Sleep(500 * time.Millisecond)
 		f.restart()
 		time.Sleep(listInterval + 2*controlInterval) // until a list shows the instance
@@ -538,3 +541,41 @@
 		is.Equal(len(f.lostWork()), 0)
 	})
 }
+
+// Guards against lost work after a change of owner on a machine that came back with
+// another instance while an order to it had no response: the next owner knew only the
+// instance that ran when the order was sent.
+func TestNextOwnerKeepsWorkOffLaterInstance(t *testing.T) {
+	for _, kind := range []string{"move", "maintenance"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o, _ := testOwner()
+				f := newLateMachines(o)
+				f.respond = func(attempt int) (time.Duration, error) {
+					if attempt == 1 {
+						return 8 * time.Second, nil
+					}
+					return 0, ErrBusy
+				}
+				var stop func()
+				if kind == "move" {
+					_, stop = f.startIdle(t)
+				} else {
+					_, stop = f.startWave(t)
+				}
+				time.Sleep(300 * time.Millisecond)
+				f.restart()
+				time.Sleep(listInterval + 2*controlInterval) // until a list shows the instance
+				stop()
+				time.Sleep(lateCallTimeout) // until the call has returned
+				synctest.Wait()
+				f.setList(false)
+				ctx, _ := f.startOwner(t)
+				submitWork(ctx, t, o)
+				waitUntil(t, 10*time.Second, f.carriedOutLate)
+				is.Equal(len(f.lostWork()), 0)
+			})
+		})
+	}
+}
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -216,6 +216,21 @@
 	return Op{Order: &MachineOrder{Machine: name, Epoch: m.epoch, At: time.Now().Round(0), Instance: in.ID, Born: in.Born, Pool: pool}}
 }
 
+// laterInstanceChange returns the record that a machine has come back with another
+// instance while an order, to move it to pool or for its maintenance, may still be
+// carried out.
+func (m *machineController) laterInstanceChange(name galenahead.VMName, id galenahead.InstanceID, pool galenahead.ServiceName) change {
+	op := m.orderRecord(name, id, pool)
+	op.Order.Instance = id // also if it has not registered yet
+	if _, sent := m.lastOrders[name]; !sent {
+		// The order is that of an earlier owner, whose machine lease stays as it is.
+		if o, ok := m.State.machineOrder(name); ok {
+			op.Order.Epoch, op.Order.At = o.Epoch, o.At
+		}
+	}
+	return change{op, func() {}}
+}
+
 // adoptOrders takes over the orders of earlier owners whose results are not known, since
 // they may still be carried out. It returns the instances that must get no work because
 // of them.
@@ -341,7 +356,7 @@
 	changes = nil
 	for _, name := range w.Machines {
 		if w.Steps[name] == StepOrdered {
-			m.sendMaintenanceOrder(w.ID, name)
+			changes = append(changes, m.sendMaintenanceOrder(w.ID, name)...)
 		}
 	}
 	allowed := m.maintenanceLimit(w, down)
@@ -359,7 +374,7 @@
 		m.maintainedBy[v.Name] = w.ID
 		c := m.stepChange(w, v.Name, StepOrdered)
 		set := c.then
-		c.then = func() { set(); m.sendMaintenanceOrder(w.ID, v.Name) }
+		c.then = func() { set(); _ = m.sendMaintenanceOrder(w.ID, v.Name) }
 		changes = append(changes, c)
 	}
 	m.record(changes...)
@@ -463,14 +478,23 @@
 // only once. Before each attempt the machine must be empty, since it may have crashed
 // and come back with another instance after an earlier attempt, or after the previous
 // owner recorded the order. That instance gets no work either, also while an attempt is
-// under way.
-func (m *machineController) sendMaintenanceOrder(wave int64, name galenahead.VMName) {
+// under way. The changes to record are returned, if no order is sent.
+func (m *machineController) sendMaintenanceOrder(wave int64, name galenahead.VMName) (changes []change) {
 	v := m.machines[name]
-	if v.State != MachineUp || !m.evacuate(v) || m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
-		return
+	if v.State != MachineUp {
+		return nil
+	}
+	before := m.evacuating[name]
+	idle := m.evacuate(v)
+	in := m.evacuating[name]
+	if before.id != "" && in.id != "" && in.id != before.id {
+		changes = append(changes, m.laterInstanceChange(name, in.id, ""))
+	}
+	if !idle || m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
+		return changes
 	}
 	m.inFlight[name] = true
-	in, token := m.evacuating[name], m.fencingToken(name, orderPurpose{wave: wave})
+	token := m.fencingToken(name, orderPurpose{wave: wave})
 	record := m.orderRecord(name, in.id, "")
 	m.spawn(func() error {
 		r := orderResult{name: name, wave: wave, instance: in}
@@ -481,6 +505,7 @@
 		m.deliverResult(r)
 		return nil
 	})
+	return nil // the record of the order names the instance
 }
 
 // retryDue reports whether the pause after the last failed order to the machine is
--- a/galenafleet/machine_controller_test.go
+++ b/galenafleet/machine_controller_test.go
@@ -50,6 +50,24 @@
 	})
 }
 
+// Guards against a machine lease of an earlier owner that starts again with each instance
+// that the machine comes back with.
+func TestLaterInstanceKeepsMachineLeaseOfEarlierOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &State{Timers: &galenatimer.Service{}}
+		apply(t, s, Op{Order: &MachineOrder{Machine: "m", Epoch: 1, At: time.Now().Round(0), Instance: "i"}})
+		m := testController(s, 2)
+		time.Sleep(2900 * time.Millisecond)
+		apply(t, s, m.laterInstanceChange("m", "j", "").op)
+		o, _ := s.machineOrder("m")
+		is.Equal(o.Instance, galenahead.InstanceID("j"))
+		is.True(!m.mayOrder("m"))
+		time.Sleep(time.Second)
+		is.True(m.mayOrder("m"))
+	})
+}
+
 // Guards against waves that miss their deadline, or take down more machines at the
 // same time than necessary.
 func TestMaintenanceLimit(t *testing.T) {
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -297,10 +297,11 @@
 	}
 }
 
-// sendMoveOrder records and sends the order to move a machine.
-func (m *machineController) sendMoveOrder(name galenahead.VMName, move *pendingMove) {
+// sendMoveOrder records and sends the order to move a machine, and reports whether it may
+// be sent now.
+func (m *machineController) sendMoveOrder(name galenahead.VMName, move *pendingMove) bool {
 	if m.inFlight[name] || !m.retryDue(name) || !m.isLeader() || !m.mayOrder(name) {
-		return
+		return false
 	}
 	m.inFlight[name] = true
 	pool, record := move.pool, m.orderRecord(name, move.instance.id, move.pool)
@@ -314,6 +315,7 @@
 		m.deliverResult(r)
 		return nil
 	})
+	return true
 }
 
 // handleMoveResult processes the result of a move order and returns the changes to
@@ -370,32 +372,39 @@
 	sameInstance := v.State == MachineUp && v.Instance == move.instance.id
 	undecided := move.unanswered || m.inFlight[name]
 	idle := true
+	var changes []change
 	if listed && undecided && !arrived && v.State == MachineUp {
-		idle = m.cordonLaterInstance(move, m.instanceOn(v))
+		idle, changes = m.cordonLaterInstance(name, move, m.instanceOn(v))
 	}
+	sent := false
 	switch {
 	case m.inFlight[name] || !m.retryDue(name):
 	case !listed, arrived, sameInstance && idle:
-		m.sendMoveOrder(name, move)
+		sent = m.sendMoveOrder(name, move)
 	case !move.unanswered:
 		return []change{m.cancelMove(name)}
 	case v.State == MachineUp && idle:
-		m.sendMoveOrder(name, move)
+		sent = m.sendMoveOrder(name, move)
 	}
-	return nil
+	if sent {
+		return nil // the record of the order names the instance
+	}
+	return changes
 }
 
 // cordonLaterInstance keeps new work off the present instance of a machine whose move
-// may still be carried out, and reports whether it is idle.
-func (m *machineController) cordonLaterInstance(move *pendingMove, in cordonedInstance) bool {
+// may still be carried out. It reports whether that instance is idle, and returns the
+// changes to record.
+func (m *machineController) cordonLaterInstance(name galenahead.VMName, move *pendingMove, in cordonedInstance) (idle bool, changes []change) {
 	if in.id == "" {
-		return true
+		return true, nil
 	}
 	if in != move.instance {
 		m.uncordon(move.instance)
 		move.instance = in
+		changes = append(changes, m.laterInstanceChange(name, in.id, move.pool))
 	}
-	return m.cordon(in)
+	return m.cordon(in), changes
 }
 
 // updateMoves ends the pending moves of machines that have arrived or are overdue,
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -453,7 +453,11 @@
 // recordOrder stores the last order to a machine and when this replica learned of
 // it.
 func (s *State) recordOrder(o MachineOrder) {
+	last := s.orders[o.Machine]
 	s.orders[o.Machine] = o
+	if last.Epoch == o.Epoch && last.At.Equal(o.At) {
+		return // the machine has another instance now
+	}
 	if o.At.Before(s.ProcessStart) || s.Timers == nil {
 		delete(s.orderSeenAt, o.Machine)
 		return
@@ -471,6 +475,14 @@
 	return o.Epoch, s.orderSeenAt[name], ok
 }
 
+// machineOrder returns the last order to a machine.
+func (s *State) machineOrder(name galenahead.VMName) (MachineOrder, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	o, ok := s.orders[name]
+	return o, ok
+}
+
 // machineOrders returns the last order to each machine.
 func (s *State) machineOrders() []MachineOrder {
 	s.mu.RLock()
