Drop tickets that were issued for an earlier incarnation of an instance

Callers saw starts that an instance rejected for want of a valid ticket, each of which is billed, after an instance had restarted while the advisor was asked.

Cause: the advisor may answer seconds after the request, and its tickets were taken to be for the incarnation that the scheduler knew when the answer arrived, instead of the one that was asked for.

Evidence: TestTicketOfEarlierIncarnationIsNotUsed failed before with "1 != 0": the work item started with the old ticket. TestSecondAdviceKeepsTickets holds before and after.

The scheduler now keeps the incarnations of the candidates of the last request for each set of work items, and ignores tickets for others.

--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -90,6 +90,9 @@
 	actions   []Action
 	gone      []galenahead.InstanceID
 	lateRuns  []LateRun
+	// advised holds the incarnations of the candidates of the last advice request for
+	// each set of work items.
+	advised map[ItemID]map[galenahead.InstanceID]int64
 	// paces holds the state of the pace commands to the runs on each instance.
 	paces map[galenahead.InstanceID]map[ItemID]*paceState
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
@@ -118,6 +121,7 @@
 		queues:      map[string]Queue{},
 		jobs:        map[galenahead.JobID]*job{},
 		instances:   map[galenahead.InstanceID]*instance{},
+		advised:     map[ItemID]map[galenahead.InstanceID]int64{},
 		paces:       map[galenahead.InstanceID]map[ItemID]*paceState{},
 		evacuations: map[galenahead.InstanceID]time.Time{},
 	}
@@ -305,6 +309,7 @@
 	delete(s.jobs, id)
 	for _, sets := range j.sets {
 		for _, set := range sets {
+			delete(s.advised, set.adviceRequest())
 			for i := range set.items {
 				if it := &set.items[i]; it.instance != nil && !it.endUnrecorded {
 					s.stop(now, it, "job is final")
