Use no run numbers for a gang that waits for room

While a gang waits for room, each plan raised the run numbers of its members. After 1,000 plans they were those of the next epoch. The next owner starts its runs from there, below runs that instances have ended, which then answer `old` while the other members wait, or lists an end with a higher number than the run that it has at work, which it gives up.

Cause: the placements of a gang that lacks room for its last members were undone except for the run number.

Ruled out: reuse of a number that was sent. Starts are emitted only once all members have room, after the last point at which the placements are undone.

Why this works: the number that a plan did not use is that of the next plan.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -376,15 +376,18 @@
 		}
 	}
 	run = s.nextRun(run)
+	var earlier []int64
 	for i := range set.items {
 		it := &set.items[i]
 		inst := s.chooseInstance(now, it)
 		if inst == nil {
-			for k := range i {
+			for k, r := range earlier {
 				set.items[k].release(now)
+				set.items[k].run = r
 			}
 			return
 		}
+		earlier = append(earlier, it.run)
 		inst.place(it, run)
 		it.phase = phaseStarting
 	}
