Judge an instance only by responses of its present incarnation

The clock of an instance was taken from a late response of its earlier incarnation. Deadlines of the present one then lay up to the difference of the two clocks in the future, so that it carried out late copies of starts that the owner took for expired, and a refused start waited as long for its deadline.

Cause: the outcome of a command was applied to the instance before its fencing token was compared; polls compare it first.

Evidence: TestOutcomeOfEarlierIncarnationKeepsClock failed before with "incarnation_test.go:32: 1005000 != 5010".

Ruled out: heartbeats, which are compared by incarnation and sequence, and polls.

Why this works: the token is made for one incarnation.

--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -43,7 +43,8 @@
 // clock is the clock reading in the response, or zero.
 func (s *Scheduler) HandleOutcome(now time.Time, a Action, o Outcome, clock int64, sent time.Time) {
 	inst := s.instances[a.Instance.ID]
-	if inst == nil {
+	if inst == nil || a.Fence != inst.fence {
+		// The clock and the silence of an earlier incarnation say nothing about this one.
 		return
 	}
 	switch o {
@@ -54,7 +55,7 @@
 		s.noteResponse(now, inst, clock)
 	}
 	it := inst.items[a.Item]
-	if it == nil || it.run != a.Run || a.Fence != inst.fence || it.phase == phaseStale {
+	if it == nil || it.run != a.Run || it.phase == phaseStale {
 		return
 	}
 	if a.Kind == ActStop {
