Read all ends of an instance before inherited work starts again

A new owner that had read only the first 500 started work items again whose end was among the others. If that end was `done`, they ran twice.

Cause: the first response of an instance was taken for the whole list of its ends. Runs that are missing from the list were already kept until all ends are read.

Evidence: TestInheritedItemWaitsForAllEndsOfAnInstance failed before with "recorded_ends_test.go:58: 1 != 0".

Ruled out: an instance that keeps inherited work waiting for ever. The cursor follows each page of ends, so that the next poll asks for the next one, and the wait ends when the leases of the earlier owner have expired, as before.

Why this works: an inherited item starts only once the ends of all instances are known, or their leases have expired.

--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -70,9 +70,9 @@
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
 	toRecord := s.processEnds(now, inst, resp.Ends)
 	s.reconcileRuns(now, inst, resp)
-	if inst.unreconciled {
-		// All runs that an earlier owner started here are adopted now, and the
-		// fencing token keeps out its delayed commands.
+	if inst.unreconciled && !resp.More {
+		// All runs that an earlier owner started here are adopted now, their ends are
+		// known, and the fencing token keeps out its delayed commands.
 		s.markReconciled(inst)
 	}
 	s.adjustPace(now, inst)
--- a/galenajob/recorded_ends_test.go
+++ b/galenajob/recorded_ends_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
 )
 
 // Guards against a second run of a work item that is done: a new owner finds two ends of
@@ -33,3 +35,30 @@
 	s.ConfirmRecorded(now, "b", 1, done, []bool{true})
 	is.Equal(len(starts(s.Plan(now, now))), 0) // it is done
 }
+
+// Guards against a second run of a work item that is done, because a new owner has read
+// only the first of the ends that an instance lists.
+func TestInheritedItemWaitsForAllEndsOfAnInstance(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler("counter", 2, testParams(), &Fences{})
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 3})
+	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
+	s.AddJob(t0, testJob("j", 1), time.Second, true)
+	s.AddJob(t0, testJob("k", 1), time.Second, true)
+	poll := func(more bool, e End) {
+		req, ok := s.NextPoll(t0, "a")
+		is.True(ok)
+		ends := s.HandlePoll(t0, "a", PollResponse{
+			Fence: req.Fence, Clock: 1000, Born: 1, Cursor: req.Cursor, Sent: t0, Ends: []End{e}, More: more,
+		})
+		is.Equal(len(ends), 1)
+		s.ConfirmRecorded(t0, "a", 1, ends, []bool{true})
+	}
+	poll(true, End{Sequence: 1, Item: ItemID{Job: "j"}, Number: 1001, Reason: EndDone})
+	is.Equal(len(starts(s.Plan(t0, t0))), 0)
+	poll(false, End{Sequence: 2, Item: ItemID{Job: "k"}, Number: 1001, Reason: EndFailed})
+	now := t0.Add(testParams().RestartDelay)
+	next := starts(s.Plan(now, now))
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Item.Job, galenahead.JobID("k"))
+}
