Poll an instance without work until it responds again

What callers saw: capacity that was lost until the owner or the instance changed. An instance with one unanswered call, and no work after that, got no work any more while its heartbeats arrived, and its ends were not read.

Cause: an instance with an unanswered call gets no work before its next response, and one without work was not polled. The silence of one call thus counted for good: after a start that could not be sent, a stop without a response, or runs given up with their lease.

Ruled out: taking a heartbeat for a response. It shows that the instance can reach a daemon, not that calls reach the instance.

Why this works: polls go on, without a lease, until the instance responds or is removed.

--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -22,7 +22,7 @@
 // NextPoll returns the next poll of an instance, and false when none is needed.
 func (s *Scheduler) NextPoll(now time.Time, id galenahead.InstanceID) (PollRequest, bool) {
 	inst := s.instances[id]
-	if inst == nil || inst.removing || (inst.fenceConfirmed && len(inst.items) == 0 && inst.ackedSeq >= inst.seenSeq) {
+	if inst == nil || inst.removing || !inst.needsPoll() {
 		return PollRequest{}, false
 	}
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor}
@@ -38,6 +38,13 @@
 	return req, true
 }
 
+// needsPoll reports whether the scheduler needs a response of the instance. One that has
+// left a call unanswered gets no work before its next response, so that it is polled even
+// if it has no work.
+func (inst *instance) needsPoll() bool {
+	return !inst.fenceConfirmed || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero()
+}
+
 // PollResponse is the response to a poll.
 type PollResponse struct {
 	Fence int64
