Stop the next run of a gang that is done

The members of a gang whose lease had expired were started again; when their instance answered after all and listed the end `done` of the first run, the starts of the next one without a response were still repeated, and its other members waited for them on their capacity.

Cause: members are not stopped when their gang is done, since those of the same run end by themselves.

Evidence: TestDoneGangStopsItsNextRun failed before with "gang_test.go:65: 1 != 0", a repeated start after the record of the end.

Ruled out: members of the same run; their number is that of the recorded end, and they are left alone as before.

Why this works: only a member at work on another run is stopped, as for items of other steps.

--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -251,7 +251,7 @@
 	switch {
 	case !newlyRecorded:
 	case e.Reason == EndDone:
-		s.itemDone(now, inst, it)
+		s.itemDone(now, inst, it, e.Number)
 	default:
 		s.itemFailed(now, inst, it)
 	}
@@ -264,7 +264,8 @@
 	return inst.ID
 }
 
-func (s *Scheduler) itemDone(now time.Time, inst *instance, it *item) {
+// itemDone handles the recorded end of a run that is done.
+func (s *Scheduler) itemDone(now time.Time, inst *instance, it *item, run int64) {
 	if inst != nil {
 		inst.failedJobs, inst.suspectUntil, inst.lastFailedJob = 0, time.Time{}, ""
 	}
@@ -284,7 +285,8 @@
 		}
 		m.done = true
 		m.set.itemsLeft--
-		if m.instance != nil && m.phase != phaseStopping && !m.set.step.Gang {
+		// The other members of the same run of a gang end by themselves.
+		if m.instance != nil && m.phase != phaseStopping && (!m.set.step.Gang || m.run != run) {
 			s.stop(now, m, "another run is done")
 		}
 	}
