Stop late runs of finished work after a restart of their instance

A late copy of a start that the next incarnation carried out before it knew its fencing token ran on after the job had been cancelled, for as long as the instance answered.

Cause: a run of an earlier incarnation can't be stopped when its job ends, and counted as expected when the next incarnation listed it.

Evidence: TestLateRunOfFinalJobIsStoppedAfterRestart failed before with "incarnation_test.go:45: 0 != 1".

Ruled out: members of a gang that is done, which end by themselves.

Why this works: a listed run is stopped if its job is final or its item done.

--- a/galenajob/incarnation_test.go
+++ b/galenajob/incarnation_test.go
@@ -31,3 +31,17 @@
 	next := starts(s.Plan(t0, t0))[0]
 	is.Equal(next.Deadline, 10+testParams().Lease.Milliseconds())
 }
+
+// Guards against a run of a cancelled job that goes on and occupies its instance for good,
+// because a late copy of its start was executed after the instance had restarted.
+func TestLateRunOfFinalJobIsStoppedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	s, late := restartedInstance(t)
+	s.RemoveJob(t0, "j")
+	req, _ := s.NextPoll(t0, "a")
+	runs := []Run{{Item: late.Item, Number: late.Run}}
+	s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: 10, Born: 2, Sent: t0, Runs: runs})
+	as := stops(s.Plan(t0, t0))
+	is.Equal(len(as), 1)
+	is.Equal(as[0].Run, late.Run)
+}
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -159,6 +159,9 @@
 		if it != nil && it.instance == inst && it.run == r.Number {
 			listedItems[r.Item] = true
 			s.confirm(now, it, r)
+			if it.phase == phaseRunning && (it.set.job.final || (it.done && !it.set.step.Gang)) {
+				s.stop(now, it, "unexpected run")
+			}
 			continue
 		}
 		s.noteLateRun(inst, r.Item, r.Number, "")
