Renew no lease of an instance without the lease of the log

An owner whose process was frozen for 1 to 4 s, and which wakes up as the former leader, could renew the leases of its instances for up to 20 ms. The next owner waits for an instance that it can't reach for 4.1 s from the start of its session, which then was too short: it started the work elsewhere while it ran on.

Cause: starts and stops check the lease of the log after their deadline is set, polls did not. The fencing token keeps a former owner out only where the next one has been.

Evidence: TestPollWithoutLeaseOfTheLogRenewsNothing failed before with "shard_test.go:109: 1 != 0", a renewal.

Ruled out: a freeze between the check and the sending. The deadline is set before the check, so that it lies no more than a lease after a moment of leadership.

Why this works: no deadline that was set after the lease of the log had ended is sent.

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -334,6 +334,11 @@
 // pollOnce renews the lease of an instance, reads its runs and ends, and returns
 // the pause until the next poll.
 func (sh *shard) pollOnce(ctx context.Context, id galenahead.InstanceID, p *instancePoller, req galenajob.PollRequest) time.Duration {
+	if !sh.session.isLeader() {
+		// The next owner counts the lease of an instance that it can't reach from the
+		// start of its session. Another one may have begun since the deadline was set.
+		return pollRetryPause
+	}
 	sent := sh.now()
 	wait := time.Duration(0)
 	if req.MayWait {
--- a/galenafleet/shard_test.go
+++ b/galenafleet/shard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,3 +73,44 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// countingInstances counts the polls that renew a lease.
+type countingInstances struct {
+	*fakeInstances
+	renewals atomic.Int64
+}
+
+func (f *countingInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+	if req.Deadline > 0 {
+		f.renewals.Add(1)
+	}
+	return f.fakeInstances.RenewAndPoll(ctx, req, wait)
+}
+
+// Guards against two runs of a work item when an owner loses the lease of the log, for
+// example while its process is frozen: it renewed the leases of instances before it
+// noticed, and the next owner, which could not reach them, took them for expired.
+func TestPollWithoutLeaseOfTheLogRenewsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		f := &countingInstances{fakeInstances: o.Instances.(*fakeInstances)}
+		o.Instances = f
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		time.Sleep(205 * time.Millisecond) // 5 ms after a check of the lease
+		sess := o.session.Load()
+		sh := sess.shardFor("counter")
+		in := testHeartbeat.Instance
+		req := galenajob.PollRequest{Instance: in, Deadline: 5000}
+		log.holdsLease.Store(false)
+		sh.pollOnce(sess.ctx, in.ID, &instancePoller{}, req)
+		is.Equal(f.renewals.Load(), int64(0))
+		log.holdsLease.Store(true)
+		sh.pollOnce(sess.ctx, in.ID, &instancePoller{}, req)
+		is.Equal(f.renewals.Load(), int64(1))
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
