--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -22,7 +22,7 @@
 // NextPoll returns the next poll of an instance, and false when none is needed.
 func (s *Scheduler) NextPoll(now time.Time, id galenahead.InstanceID) (PollRequest, bool) {
 	inst := s.instances[id]
-	if inst == nil || inst.removing || (inst.fenceConfirmed && len(inst.items) == 0 && inst.ackedSeq >= inst.seenSeq) {
+	if inst == nil || inst.removing || !inst.needsPoll() {
 		return PollRequest{}, false
 	}
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor}
@@ -38,6 +38,13 @@
 	return req, true
 }
 
+// needsPoll reports whether the scheduler needs a response of the instance. One that has
+// left a call unanswered gets no work before its next response, so that it is polled even
+// if it has no work.
+func (inst *instance) needsPoll() bool {
+	return !inst.fenceConfirmed || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero()
+}
+
 // PollResponse is the response to a poll.
 type PollResponse struct {
 	Fence int64
@@ -70,9 +77,9 @@
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
 	toRecord := s.processEnds(now, inst, resp.Ends)
 	s.reconcileRuns(now, inst, resp)
-	if inst.unreconciled {
-		// All runs that an earlier owner started here are adopted now, and the
-		// fencing token keeps out its delayed commands.
+	if inst.unreconciled && !resp.More {
+		// All runs that an earlier owner started here are adopted now, their ends are
+		// known, and the fencing token keeps out its delayed commands.
 		s.markReconciled(inst)
 	}
 	s.adjustPace(now, inst)
@@ -152,6 +159,9 @@
 		if it != nil && it.instance == inst && it.run == r.Number {
 			listedItems[r.Item] = true
 			s.confirm(now, it, r)
+			if it.phase == phaseRunning && (it.set.job.final || (it.done && !it.set.step.Gang)) {
+				s.stop(now, it, "unexpected run")
+			}
 			continue
 		}
 		s.noteLateRun(inst, r.Item, r.Number, "")
@@ -244,7 +254,7 @@
 	switch {
 	case !newlyRecorded:
 	case e.Reason == EndDone:
-		s.itemDone(now, inst, it)
+		s.itemDone(now, inst, it, e.Number)
 	default:
 		s.itemFailed(now, inst, it)
 	}
@@ -257,7 +267,8 @@
 	return inst.ID
 }
 
-func (s *Scheduler) itemDone(now time.Time, inst *instance, it *item) {
+// itemDone handles the recorded end of a run that is done.
+func (s *Scheduler) itemDone(now time.Time, inst *instance, it *item, run int64) {
 	if inst != nil {
 		inst.failedJobs, inst.suspectUntil, inst.lastFailedJob = 0, time.Time{}, ""
 	}
@@ -277,7 +288,8 @@
 		}
 		m.done = true
 		m.set.itemsLeft--
-		if m.instance != nil && m.phase != phaseStopping && !m.set.step.Gang {
+		// The other members of the same run of a gang end by themselves.
+		if m.instance != nil && m.phase != phaseStopping && (!m.set.step.Gang || m.run != run) {
 			s.stop(now, m, "another run is done")
 		}
 	}
