--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -51,7 +51,10 @@
 )
 
 func newLateMachines(o *Owner) *lateMachines {
-	f := &lateMachines{owner: o, pool: "counter", state: MachineUp, instance: "i0", maintained: map[int64]bool{}, work: map[galenahead.InstanceID]map[galenajob.ItemID]int64{}}
+	f := &lateMachines{
+		owner: o, pool: "counter", state: MachineUp, instance: "i0",
+		maintained: map[int64]bool{}, work: map[galenahead.InstanceID]map[galenajob.ItemID]int64{},
+	}
 	o.Machines, o.Instances = f, &workingInstances{f}
 	return f
 }
