Bound calls to instances by measured response times

Callers saw: while half of the orders to instances had no answer, items waited 600 ms for each lost command, and a lost poll held up the renewal of a lease for 700 ms beyond its wait, although instances answer within 1 to 5 ms. Leases of live instances expired, and their work started again.

Cause: fixed limits in platform/. Shorter fixed ones would make an owner that is late itself repeat calls that were answered.

The limit now follows the response times that the owner has measured, as a retransmission timer does (RFC 6298): mean and four deviations, of all instances or of this one, whichever is more, and 200 ms and the recent scheduling delay on top; at most 600 and 700 ms as before. A lost call, one that was not sent, and a poll that a run's end answered give no sample. An instance without a sample has the longest limit, so one in a far region is measured before its limit comes down. After three losses without a response between them one call has the longest limit, so that an instance which has become slower is measured again.

The limit can be shorter than the wait for a free connection. A call whose limit passes in that wait was never sent, and counts as deferred, not as a silent instance.

Ruled out: doubling the limit after each loss from the second on. Limits without the wait for a connection, in which that wait was counted apart, were no better for more code.

--- a/galenafleet/fleet_simulation_test.go
+++ b/galenafleet/fleet_simulation_test.go
@@ -186,7 +186,7 @@
 	m.life = nil
 }
 
-func (sim *fleetSimulation) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (sim *fleetSimulation) Start(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	l := sim.find(a.Instance)
@@ -207,7 +207,7 @@
 	return galenajob.OutcomeDone, clock, nil
 }
 
-func (sim *fleetSimulation) Stop(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (sim *fleetSimulation) Stop(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	l := sim.find(a.Instance)
@@ -226,9 +226,9 @@
 	return galenajob.OutcomeDone, time.Now().UnixMilli() - l.born + 1, nil
 }
 
-func (sim *fleetSimulation) Pace(context.Context, galenajob.Action) error { return nil }
+func (sim *fleetSimulation) Pace(context.Context, galenajob.Action, time.Duration) error { return nil }
 
-func (sim *fleetSimulation) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (sim *fleetSimulation) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait, _ time.Duration) (galenajob.PollResponse, error) {
 	time.Sleep(min(wait, 60*time.Millisecond))
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -106,6 +106,7 @@
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
 	exhausted                                                          int64
+	commandLimit, pollLimit                                            time.Duration
 	logGap, logSync                                                    time.Duration
 	pollsFailed, starts, stops, repeats, inFlight, heartbeats, ops     int64
 }
@@ -130,6 +131,8 @@
 	b = galenalog.AppendInt(b, "repeats", l.repeats)
 	b = galenalog.AppendInt(b, "in_flight", l.inFlight)
 	b = appendTotals(b, "commands", "command", l.commands)
+	b = galenalog.AppendInt(b, "command_limit_ms", l.commandLimit.Milliseconds())
+	b = galenalog.AppendInt(b, "poll_limit_ms", l.pollLimit.Milliseconds())
 	b = galenalog.AppendInt(b, "exhausted", l.exhausted)
 	b = appendTotals(b, "requests", "request", l.requests)
 	b = galenalog.AppendInt(b, "heartbeats", l.heartbeats)
@@ -171,6 +174,8 @@
 	m.OwnerMax.Record("plan", l.plans.longest)
 	m.OwnerMax.Record("request", l.requests.longest)
 	m.OwnerMax.Record("commit", l.commits.longest)
+	m.OwnerMax.Record("command_limit", l.commandLimit)
+	m.OwnerMax.Record("poll_limit", l.pollLimit)
 	m.OwnerMax.Record("log_gap", l.logGap)
 	m.OwnerMax.Record("log_sync", l.logSync)
 }
@@ -199,7 +204,9 @@
 // takeLoad returns the load since the last call of takeLoad.
 func (sess *ownerSession) takeLoad() *loadLine {
 	l := &sess.load
+	late := l.recentTickLate()
 	line := &loadLine{
+		commandLimit: sess.commandLimit.typical(late), pollLimit: sess.pollLimit.typical(late),
 		epoch: sess.epoch, goroutines: runtime.NumGoroutine(), commitQueue: len(sess.committer.queue),
 		plans: l.plans.take(), lockWaits: l.lockWaits.take(), polls: l.polls.take(), commands: l.commands.take(),
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -54,13 +54,13 @@
 		epoch: 7, interval: 1001 * time.Millisecond, processor: 450 * time.Millisecond, goroutines: 900, commitQueue: 3,
 		sizes: galenajob.Sizes{Waiting: 120, Active: 80, Instances: 350, Runs: 700},
 		plans: totals(1), lockWaits: totals(2), polls: totals(3), commands: totals(4), requests: totals(5), commits: totals(6), controlSteps: totals(8),
-		tickLate: totals(9), pollsFailed: 10, starts: 11, stops: 12, repeats: 13, inFlight: 14, heartbeats: 15, ops: 16, exhausted: 19, logGap: 17 * time.Millisecond, logSync: 18 * time.Millisecond,
+		tickLate: totals(9), pollsFailed: 10, starts: 11, stops: 12, repeats: 13, inFlight: 14, heartbeats: 15, ops: 16, exhausted: 19, commandLimit: 20 * time.Millisecond, pollLimit: 21 * time.Millisecond, logGap: 17 * time.Millisecond, logSync: 18 * time.Millisecond,
 	}
 	is.Equal(string(l.AppendFields(nil)), `,"epoch":7,"interval_ms":1001,"processor_ms":450,"tick_late_max_us":9000,"goroutines":900`+
 		`,"jobs_waiting":120,"jobs_active":80,"instances":350,"runs":700`+
 		`,"plans":1,"plan_us":10000,"plan_max_us":1000,"lock_waits":2,"lock_wait_us":20000,"lock_wait_max_us":2000`+
 		`,"polls":3,"poll_us":30000,"poll_max_us":3000,"polls_failed":10,"starts":11,"stops":12,"repeats":13,"in_flight":14`+
-		`,"commands":4,"command_us":40000,"command_max_us":4000,"exhausted":19,"requests":5,"request_us":50000,"request_max_us":5000,"heartbeats":15`+
+		`,"commands":4,"command_us":40000,"command_max_us":4000,"command_limit_ms":20,"poll_limit_ms":21,"exhausted":19,"requests":5,"request_us":50000,"request_max_us":5000,"heartbeats":15`+
 		`,"commits":6,"commit_us":60000,"commit_max_us":6000,"commit_ops":16,"commit_queue":3,"log_gap_max_us":17000,"log_sync_max_us":18000`+
 		`,"control_steps":8,"control_step_us":80000,"control_step_max_us":8000`)
 }
@@ -101,6 +101,10 @@
 		is.True(sum(lines, "polls") > 0)
 		is.True(sum(lines, "control_steps") >= 40)
 		is.Equal(lines[0]["commit_max_us"], 30000.0)
+		is.Equal(lines[3]["command_limit_ms"], float64(responseSlack.Milliseconds())) // the instance answers at once
+		is.Equal(lines[3]["poll_limit_ms"], float64(responseSlack.Milliseconds()))
+		is.Equal(o.Metrics.Snapshot().OwnerMax["command_limit"].Count, int64(5))
+		is.Equal(o.Metrics.Snapshot().OwnerMax["poll_limit"].Count, int64(5))
 		counters := o.Metrics.Snapshot().Counters
 		is.Equal(float64(counters["owner_plans"]), sum(lines, "plans"))
 		is.Equal(counters["owner_requests_us"], int64(30000))
@@ -112,7 +116,7 @@
 // tick, or is forgotten when a load line is logged.
 func TestTickLateness(t *testing.T) {
 	is := is.New(t)
-	sess := &ownerSession{Owner: &Owner{Log: &fakeLog{}}, committer: newCommitter(nil, nil, nil)}
+	sess := &ownerSession{Owner: &Owner{Log: &fakeLog{}}, committer: newCommitter(nil, nil, nil), commandLimit: newCallLimit(0), pollLimit: newCallLimit(0)}
 	sess.load.recordTick(leadershipCheckInterval)
 	sess.load.recordTick(leadershipCheckInterval - time.Millisecond)
 	is.Equal(sess.load.recentTickLate(), time.Duration(0))
@@ -181,7 +185,7 @@
 // silentInstances fails every poll and command after a second.
 type silentInstances struct{ InstanceClient }
 
-func (silentInstances) RenewAndPoll(ctx context.Context, _ galenajob.PollRequest, _ time.Duration) (galenajob.PollResponse, error) {
+func (silentInstances) RenewAndPoll(ctx context.Context, _ galenajob.PollRequest, _, _ time.Duration) (galenajob.PollResponse, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Second):
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -104,7 +104,10 @@
 		return nil, err
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
-	sess := &ownerSession{Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]int{}, configuring: make(chan struct{}, 1)}
+	sess := &ownerSession{
+		Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]int{}, configuring: make(chan struct{}, 1),
+		commandLimit: newCallLimit(longestCommandLimit), pollLimit: newCallLimit(longestPollLimit),
+	}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
 	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
@@ -130,6 +133,8 @@
 	resign    context.CancelCauseFunc
 	committer *committer
 	load      ownerLoad
+	// commandLimit and pollLimit bound the calls to instances.
+	commandLimit, pollLimit *callLimit
 
 	// committing is done when the committer proposes nothing more.
 	committing sync.WaitGroup
--- a/galenafleet/owner_bench_test.go
+++ b/galenafleet/owner_bench_test.go
@@ -48,7 +48,7 @@
 
 func (f *benchInstances) clock() int64 { return time.Since(f.began).Milliseconds() + 1000 }
 
-func (f *benchInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (f *benchInstances) Start(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	time.Sleep(benchRoundTrip)
 	f.starts.Add(1)
 	in := f.byID[a.Instance.ID]
@@ -79,15 +79,15 @@
 	notify(in.ended)
 }
 
-func (f *benchInstances) Stop(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (f *benchInstances) Stop(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	time.Sleep(benchRoundTrip)
 	f.end(f.byID[a.Instance.ID], a.Item, galenajob.EndStopped)
 	return galenajob.OutcomeDone, f.clock(), nil
 }
 
-func (f *benchInstances) Pace(context.Context, galenajob.Action) error { return nil }
+func (f *benchInstances) Pace(context.Context, galenajob.Action, time.Duration) error { return nil }
 
-func (f *benchInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (f *benchInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, _ time.Duration) (galenajob.PollResponse, error) {
 	f.polls.Add(1)
 	in := f.byID[req.Instance.ID]
 	time.Sleep(benchRoundTrip)
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -63,20 +63,20 @@
 	onEnd func()
 }
 
-func (f *fakeInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (f *fakeInstances) Start(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running[a.Item] = a.Run
 	return galenajob.OutcomeDone, 1000, nil
 }
 
-func (f *fakeInstances) Stop(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+func (f *fakeInstances) Stop(context.Context, galenajob.Action, time.Duration) (galenajob.Outcome, int64, error) {
 	return galenajob.OutcomeDone, 1000, nil
 }
 
-func (f *fakeInstances) Pace(context.Context, galenajob.Action) error { return nil }
+func (f *fakeInstances) Pace(context.Context, galenajob.Action, time.Duration) error { return nil }
 
-func (f *fakeInstances) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (f *fakeInstances) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait, _ time.Duration) (galenajob.PollResponse, error) {
 	time.Sleep(wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -320,7 +320,7 @@
 // hangingInstances answers no start, and each poll after its wait.
 type hangingInstances struct{ fakeInstances }
 
-func (f *hangingInstances) Start(context.Context, galenajob.Action) (galenajob.Outcome, int64, error) {
+func (f *hangingInstances) Start(context.Context, galenajob.Action, time.Duration) (galenajob.Outcome, int64, error) {
 	time.Sleep(5 * time.Second)
 	return galenajob.OutcomeUnknown, 0, context.DeadlineExceeded
 }
--- a/galenafleet/platform.go
+++ b/galenafleet/platform.go
@@ -26,19 +26,20 @@
 	ErrRejected = eris.New("order rejected")
 )
 
-// InstanceClient sends commands and polls to instances.
+// InstanceClient sends commands and polls to instances. limit is how long a call may
+// take, and a poll beyond its wait.
 type InstanceClient interface {
 	// Start and Stop send a start or stop command. clock is the instance's clock in
 	// milliseconds, or zero if it is unknown. err is for the log only; the outcome
 	// alone decides what happens next.
-	Start(ctx context.Context, a galenajob.Action) (o galenajob.Outcome, clock int64, err error)
-	Stop(ctx context.Context, a galenajob.Action) (o galenajob.Outcome, clock int64, err error)
+	Start(ctx context.Context, a galenajob.Action, limit time.Duration) (o galenajob.Outcome, clock int64, err error)
+	Stop(ctx context.Context, a galenajob.Action, limit time.Duration) (o galenajob.Outcome, clock int64, err error)
 	// Pace sets the pace of a run, in percent.
-	Pace(ctx context.Context, a galenajob.Action) error
+	Pace(ctx context.Context, a galenajob.Action, limit time.Duration) error
 	// RenewAndPoll renews the lease of an instance and returns its runs and ends of
 	// runs. It waits up to wait for an end. It fails with ErrOtherIncarnation,
 	// ErrFenced or ErrExhausted.
-	RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error)
+	RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error)
 }
 
 // Advisor decides which instances may run a step.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -156,6 +156,8 @@
 // removeInstance removes an instance from the scheduler and stops polling it.
 func (sh *shard) removeInstance(id galenahead.InstanceID) {
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.RemoveInstance(now, id) })
+	sh.session.commandLimit.forget(id)
+	sh.session.pollLimit.forget(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if p := sh.pollers[id]; p != nil {
@@ -259,19 +261,28 @@
 	load.countCommand(a)
 	load.inFlight.Add(1)
 	defer load.inFlight.Add(-1)
+	limits := sh.session.commandLimit
+	limit := limits.limit(a.Instance.ID, load.recentTickLate())
 	sent := sh.now()
 	o, clock, err := galenajob.OutcomeUnknown, int64(0), error(nil)
 	switch a.Kind {
 	case galenajob.ActStart:
-		o, clock, err = sh.session.Instances.Start(ctx, a)
+		o, clock, err = sh.session.Instances.Start(ctx, a, limit)
 	case galenajob.ActStop:
-		o, clock, err = sh.session.Instances.Stop(ctx, a)
+		o, clock, err = sh.session.Instances.Stop(ctx, a, limit)
 	case galenajob.ActPace:
-		if err = sh.session.Instances.Pace(ctx, a); err == nil {
+		if err = sh.session.Instances.Pace(ctx, a, limit); err == nil {
 			o = galenajob.OutcomeDone
 		}
 	}
 	latency := sh.now().Sub(sent)
+	switch {
+	case o == galenajob.OutcomeUnsent || o == galenajob.OutcomeDeferred:
+	case o != galenajob.OutcomeUnknown:
+		limits.answered(a.Instance.ID, latency)
+	case latency >= limit && ctx.Err() == nil:
+		limits.unanswered(a.Instance.ID)
+	}
 	load.commands.record(latency)
 	load.countError(err)
 	sh.logCommand(a, o, latency, err)
@@ -338,7 +349,10 @@
 	if req.MayWait {
 		wait = pollWait
 	}
-	resp, err := sh.session.Instances.RenewAndPoll(ctx, req, wait)
+	limits := sh.session.pollLimit
+	limit := limits.limit(id, sh.session.load.recentTickLate())
+	resp, err := sh.session.Instances.RenewAndPoll(ctx, req, wait, limit)
+	beyondWait := sh.now().Sub(sent) - wait
 	switch {
 	case ctx.Err() != nil:
 		return 0
@@ -354,10 +368,18 @@
 	case err != nil:
 		sh.session.Metrics.Counters.Add("looks_failed", 1)
 		sh.session.load.pollsFailed.Add(1)
+		if beyondWait >= limit {
+			limits.unanswered(id)
+		}
 		p.logReachability(sh.session.Logger, id, sh.pollTiming(sent, wait), err)
 		sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.HandleNoResponse(id, sent) })
 		return pollRetryPause
 	}
+	if beyondWait >= 0 {
+		// A response before the end of the wait came when a run ended, and that time is
+		// unknown here.
+		limits.answered(id, beyondWait)
+	}
 	handling := time.Now()
 	p.logReachability(sh.session.Logger, id, pollTiming{}, nil)
 	sh.session.Metrics.Counters.Add("looks", 1)
--- a/galenafleet/shard_test.go
+++ b/galenafleet/shard_test.go
@@ -19,11 +19,11 @@
 // "silent".
 type partlySilentInstances struct{ *fakeInstances }
 
-func (f partlySilentInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (f partlySilentInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
 	if strings.HasPrefix(string(req.Instance.ID), "silent") {
 		return galenajob.PollResponse{}, eris.New("no answer")
 	}
-	return f.fakeInstances.RenewAndPoll(ctx, req, wait)
+	return f.fakeInstances.RenewAndPoll(ctx, req, wait, limit)
 }
 
 // Guards against a service that starts no work while many of its instances are removed
--- a/galenafleet/view_test.go
+++ b/galenafleet/view_test.go
@@ -23,7 +23,7 @@
 // slowInstances accepts every command and never ends a run.
 type slowInstances struct{ fakeInstances }
 
-func (f *slowInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (f *slowInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, _ time.Duration) (galenajob.PollResponse, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait + time.Millisecond):
