--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -105,7 +105,7 @@
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
 	sess := &ownerSession{
-		Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]int{}, configuring: make(chan struct{}, 1),
+		Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1),
 		commandLimit: newCallLimit(longestCommandLimit), pollLimit: newCallLimit(longestPollLimit),
 	}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
@@ -135,6 +135,8 @@
 	load      ownerLoad
 	// commandLimit and pollLimit bound the calls to instances.
 	commandLimit, pollLimit *callLimit
+	// controller carries out orders to machines.
+	controller *machineController
 
 	// committing is done when the committer proposes nothing more.
 	committing sync.WaitGroup
@@ -147,10 +149,10 @@
 	mu     sync.Mutex
 	shards map[galenahead.ServiceName]*shard
 	fences galenajob.Fences
-	// heartbeats holds the newest heartbeat of each instance.
-	heartbeats map[galenahead.InstanceID]lastHeartbeat
-	// submitting counts the submissions of each job whose commit is under way.
-	submitting map[galenahead.JobID]int
+	// registrations holds an element for each instance that this session has heard of.
+	registrations map[galenahead.InstanceID]*registration
+	// submitting holds the jobs whose submission is under way.
+	submitting map[galenahead.JobID]*submission
 
 	// configuring holds one element while a configuration is committed and passed to
 	// the shards.
@@ -168,7 +170,7 @@
 	ticks := sess.Timers.Subscribe(sess.ctx, "office", leadershipCheckInterval)
 	sess.spawn(func() error { return sess.expireLoop() })
 	sess.spawn(func() error { return sess.loadLoop() })
-	sess.spawn(func() error { return newMachineController(sess).loop() })
+	sess.spawn(func() error { return sess.controller.loop() })
 	last := time.Now()
 	for {
 		select {
@@ -214,11 +216,12 @@
 
 // loadState creates the shards from the replicated state. It starts them only when they
 // are complete: a poll stops the runs of jobs that the scheduler does not know, and a
-// plan starts work items that may run on instances that it does not know.
+// plan starts work items that may run on instances that it does not know, or on machines
+// that an earlier owner has sent an order.
 func (sess *ownerSession) loadState() {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	sess.heartbeats = map[galenahead.InstanceID]lastHeartbeat{}
+	sess.registrations = map[galenahead.InstanceID]*registration{}
 	wall := time.Now().Round(0)
 	instances := sess.State.registeredInstances()
 	for _, in := range instances {
@@ -227,6 +230,10 @@
 	for _, j := range sess.State.activeJobs() {
 		sess.shardLocked(j.Service, false).addJob(j, wall.Sub(j.Accepted), true)
 	}
+	sess.controller = newMachineController(sess)
+	for _, in := range sess.controller.adoptOrders() {
+		sess.shardLocked(in.service, false).inspect(func(now time.Time, s *galenajob.Scheduler) { s.SetEvacuating(now, in.id, true) })
+	}
 	for _, sh := range sess.shards {
 		sh.start()
 	}
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"strings"
 	"time"
 
@@ -32,6 +34,9 @@
 	Spec *galenajob.Spec `json:"spec,omitempty"`
 }
 
+// changesJob reports whether the request submits or cancels a job.
+func (r Request) changesJob() bool { return r.Kind == RequestSubmit || r.Kind == RequestCancel }
+
 // Outcome is the outcome of a request.
 type Outcome string
 
@@ -42,7 +47,7 @@
 	OutcomeRejected Outcome = "refused"
 	// OutcomeUnready means that nothing was done, because no owner can answer now.
 	OutcomeUnready Outcome = "unready"
-	// OutcomeUncertain means that the request may have been carried out.
+	// OutcomeUncertain means that the request may have been carried out, or may still be.
 	OutcomeUncertain Outcome = "uncertain"
 	OutcomeNoQueue   Outcome = "no_queue"
 	OutcomeNoJob     Outcome = "no_job"
@@ -51,6 +56,17 @@
 	OutcomeInvalid   Outcome = "invalid"
 )
 
+// isRefusal reports whether the owner did not carry out the attempt that it answered, so
+// that the outcome of the request depends on the other attempts. OutcomeNoJob is none: no
+// attempt to cancel a job makes it unknown.
+func (o Outcome) isRefusal() bool {
+	switch o {
+	case OutcomeRejected, OutcomeUnready, OutcomeNoQueue, OutcomeInvalid:
+		return true
+	}
+	return false
+}
+
 // Reply is the answer to a Request.
 type Reply struct {
 	Outcome Outcome         `json:"outcome"`
@@ -58,7 +74,7 @@
 	Waiting int             `json:"waiting,omitempty"`
 	Reason  string          `json:"reason,omitempty"`
 	// RetryAfter is how long the caller should wait before it sends the request
-	// again; zero if the reply is final.
+	// again; zero if the reply is final or it may do so at once.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 }
 
@@ -147,6 +163,9 @@
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
 	}
 	r, err := sess.committer.commit(Op{Submit: j})
+	if errors.Is(err, galenahead.ErrInvalid) {
+		return Reply{Outcome: OutcomeInvalid, Reason: err.Error()}, nil
+	}
 	if err != nil {
 		return Reply{}, err
 	}
@@ -169,28 +188,62 @@
 	}
 }
 
+// submission is a job whose submission is under way, also more than once.
+type submission struct {
+	calls int
+	// ended is closed when no call submits the job any more.
+	ended chan struct{}
+}
+
 // beginSubmit reports whether a job may be submitted now. A job that is being submitted
 // already must not be rejected, since it may be accepted.
 func (sess *ownerSession) beginSubmit(id galenahead.JobID) bool {
 	overloaded := sess.committer.delay() > maxCommitDelay
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	if overloaded && sess.submitting[id] == 0 {
-		return false
+	s := sess.submitting[id]
+	if s == nil {
+		if overloaded {
+			return false
+		}
+		s = &submission{ended: make(chan struct{})}
+		sess.submitting[id] = s
 	}
-	sess.submitting[id]++
+	s.calls++
 	return true
 }
 
 func (sess *ownerSession) endSubmit(id galenahead.JobID) {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
-	if sess.submitting[id]--; sess.submitting[id] == 0 {
+	s := sess.submitting[id]
+	if s.calls--; s.calls == 0 {
 		delete(sess.submitting, id)
+		close(s.ended)
+	}
+}
+
+// awaitSubmit returns once the submissions of a job that are under way have passed it to
+// its scheduler. It fails with ErrNotLeader when the session ends.
+func (sess *ownerSession) awaitSubmit(id galenahead.JobID) error {
+	sess.mu.Lock()
+	s := sess.submitting[id]
+	sess.mu.Unlock()
+	if s == nil {
+		return nil
+	}
+	select {
+	case <-s.ended:
+		return nil
+	case <-sess.ctx.Done():
+		return galenahead.ErrNotLeader
 	}
 }
 
 func (sess *ownerSession) cancel(id galenahead.JobID) (Reply, error) {
+	if err := sess.awaitSubmit(id); err != nil {
+		return Reply{}, err
+	}
 	_, service, _, known := sess.State.JobState(id)
 	if !known {
 		return Reply{Outcome: OutcomeNoJob}, nil
@@ -226,11 +279,39 @@
 	Clock int64 `json:"clock"`
 }
 
-// lastHeartbeat identifies the newest heartbeat of an instance.
-type lastHeartbeat struct {
+// registration serializes the changes of the registration of one instance, so that each
+// call finds what those before it have made durable.
+type registration struct {
+	// changing holds one element while a call handles the registration.
+	changing chan struct{}
+	// born and sequence identify the newest heartbeat.
 	born, sequence int64
 }
 
+func (r *registration) unlock() { <-r.changing }
+
+// lockRegistration locks the registration of an instance. It fails with ErrNotLeader when
+// the session ends, since the change that it has waited for may be lost then.
+func (sess *ownerSession) lockRegistration(id galenahead.InstanceID) (*registration, error) {
+	sess.mu.Lock()
+	reg := sess.registrations[id]
+	if reg == nil {
+		reg = &registration{changing: make(chan struct{}, 1)}
+		sess.registrations[id] = reg
+	}
+	sess.mu.Unlock()
+	select {
+	case reg.changing <- struct{}{}:
+	case <-sess.ctx.Done():
+		return nil, galenahead.ErrNotLeader
+	}
+	if sess.ctx.Err() != nil {
+		reg.unlock()
+		return nil, galenahead.ErrNotLeader
+	}
+	return reg, nil
+}
+
 // Empty is the parameter or result of an RPC method that has none.
 type Empty struct{}
 
@@ -247,7 +328,12 @@
 func (sess *ownerSession) heartbeat(hb Heartbeat) error {
 	sess.load.heartbeats.Add(1)
 	in := hb.Instance
-	if !sess.recordIfNewer(in, hb.Sequence) {
+	reg, err := sess.lockRegistration(in.ID)
+	if err != nil {
+		return err
+	}
+	defer reg.unlock()
+	if !sess.recordIfNewer(reg, in, hb.Sequence) {
 		sess.Logger.WithField("instance", in.ID).WithField("sequence", hb.Sequence).Info("ignored an out-of-order heartbeat")
 		return nil
 	}
@@ -282,18 +368,15 @@
 }
 
 // recordIfNewer reports whether a heartbeat is newer than all earlier ones of its
-// instance, and if so records it as the newest.
-func (sess *ownerSession) recordIfNewer(in galenajob.Instance, sequence int64) bool {
-	sess.mu.Lock()
-	defer sess.mu.Unlock()
+// instance, and if so records it as the newest. reg must be locked.
+func (sess *ownerSession) recordIfNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
 	if known, ok := sess.State.instance(in.ID); ok && in.Born < known.Born {
 		return false
 	}
-	last := sess.heartbeats[in.ID]
-	if in.Born < last.born || (in.Born == last.born && sequence <= last.sequence) {
+	if in.Born < reg.born || (in.Born == reg.born && sequence <= reg.sequence) {
 		return false
 	}
-	sess.heartbeats[in.ID] = lastHeartbeat{in.Born, sequence}
+	reg.born, reg.sequence = in.Born, sequence
 	return true
 }
 
@@ -325,6 +408,11 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	reg, err := sess.lockRegistration(l.ID)
+	if err != nil {
+		return Empty{}, err
+	}
+	defer reg.unlock()
 	known, ok := sess.State.instance(l.ID)
 	if !ok || (l.Born != 0 && l.Born < known.Born) {
 		return Empty{}, nil
@@ -332,6 +420,10 @@
 	if _, err := sess.committer.commit(Op{Remove: &l.ID}); err != nil {
 		return Empty{}, err
 	}
+	if known.Born != 0 {
+		// A heartbeat of this incarnation that is still to arrive is a late copy.
+		reg.born, reg.sequence = known.Born, math.MaxInt64
+	}
 	sess.Logger.WithField("instance", l.ID).Info("instance deregistered")
 	sess.shardFor(known.Service).removeInstance(l.ID)
 	return Empty{}, nil
