--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -202,7 +202,7 @@
 // workingInstances runs all work until its machine stops.
 type workingInstances struct{ f *lateMachines }
 
-func (w *workingInstances) Start(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (w *workingInstances) Start(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
 	if a.Instance.ID != w.f.instance {
@@ -215,16 +215,16 @@
 	return galenajob.OutcomeDone, 0, nil
 }
 
-func (w *workingInstances) Stop(_ context.Context, a galenajob.Action) (galenajob.Outcome, int64, error) {
+func (w *workingInstances) Stop(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
 	delete(w.f.work[a.Instance.ID], a.Item)
 	return galenajob.OutcomeDone, 0, nil
 }
 
-func (w *workingInstances) Pace(context.Context, galenajob.Action) error { return nil }
+func (w *workingInstances) Pace(context.Context, galenajob.Action, time.Duration) error { return nil }
 
-func (w *workingInstances) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (w *workingInstances) RenewAndPoll(_ context.Context, req galenajob.PollRequest, wait, _ time.Duration) (galenajob.PollResponse, error) {
 	time.Sleep(max(wait, 10*time.Millisecond))
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
