--- a/galenafleet/shard_test.go
+++ b/galenafleet/shard_test.go
@@ -80,11 +80,11 @@
 	renewals atomic.Int64
 }
 
-func (f *countingInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (f *countingInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
 	if req.Deadline > 0 {
 		f.renewals.Add(1)
 	}
-	return f.fakeInstances.RenewAndPoll(ctx, req, wait)
+	return f.fakeInstances.RenewAndPoll(ctx, req, wait, limit)
 }
 
 // Guards against two runs of a work item when an owner loses the lease of the log, for
