Check promotions at once in the simulation of full disks

A trial with 80 positions and 5 seeds failed: 3 replicas, full at operation 56, seed 1: at 15.355s: c promoted a, which has 305 of 306 entries.

The trace: c had committed entry 305 and a had acknowledged it when c appended the promotion. Before the invariants were checked, the response of b to entry 306 arrived, and c committed that. The check compares a with the commit index at the time of the check, so the driver has to check the invariants right after it changes the members, as the random simulations do.

--- a/galenaraft/full_disk_test.go
+++ b/galenaraft/full_disk_test.go
@@ -28,6 +28,7 @@
 		if s.rand.IntN(4) == 0 {
 			s.repair()
 		}
+		s.checkInvariants() // before later events, since a promotion is checked against the commit index
 		s.run(50 * time.Millisecond)
 		s.checkFiles()
 	}
