--- a/test/galena-mutants/mutate/run.go
+++ b/test/galena-mutants/mutate/run.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -124,7 +125,7 @@
 
 // base returns the result of the mutation's test on the sources as they are.
 func (r *runner) base(ctx context.Context, m *Mutation) result {
-	key := strings.Join(append([]string{m.Package, m.Test}, m.Env...), " ")
+	key := strings.Join(slices.Concat([]string{m.Package, m.Test}, m.Env, m.Args), " ")
 	r.mu.Lock()
 	if r.unchanged == nil {
 		r.unchanged = map[string]func() result{}
@@ -150,7 +151,7 @@
 	defer func() { _ = os.Remove(bin) }()
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	cmd := exec.CommandContext(ctx, bin, "-test.run", m.Test, "-test.count=1")
+	cmd := exec.CommandContext(ctx, bin, append([]string{"-test.run", m.Test, "-test.count=1"}, m.Args...)...)
 	cmd.Dir = filepath.Join(r.root, m.Package)
 	cmd.Env = append(append(os.Environ(), "NO_COLOR=1"), m.Env...)
 	cmd.WaitDelay = time.Second
--- a/test/galena-mutants/mutate/table.go
+++ b/test/galena-mutants/mutate/table.go
@@ -33,6 +33,8 @@
 	Package, Test string
 	// Env holds settings of the test's environment as name=value.
 	Env []string
+	// Args are further flags of the test.
+	Args []string
 }
 
 // Replacement replaces a text of the source file.
@@ -141,6 +143,8 @@
 		m.Test = value
 	case "env":
 		m.Env = append(m.Env, value)
+	case "args":
+		m.Args = append(m.Args, strings.Fields(value)...)
 	default:
 		return false
 	}
