--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -554,3 +555,37 @@
 		})
 	}
 }
+
+// Guards against a job that runs although it is cancelled, because its cancellation came
+// between its record and its arrival at the scheduler.
+func TestJobCancelledDuringItsSubmissionDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		sess := o.session.Load()
+		for i := range 3000 {
+			id := galenahead.JobID(fmt.Sprint("j", i))
+			r := Request{Host: "h", Path: "/q/" + string(id), Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}}
+			var g errgroup.Group
+			g.Go(func() error {
+				r.Kind = RequestSubmit
+				_, err := o.Do(ctx, r)
+				return err
+			})
+			for {
+				if _, _, _, known := o.State.JobState(id); known {
+					break
+				}
+				runtime.Gosched()
+			}
+			_, err := sess.cancel(id)
+			is.NoErr(err)
+			is.NoErr(g.Wait())
+			active := false
+			sess.shardFor("counter").inspect(func(now time.Time, s *galenajob.Scheduler) { _, active = s.ViewJob(now, id) })
+			is.True(!active)
+		}
+		stop()
+	})
+}
