--- a/galenafleet/guards_test.go
+++ b/galenafleet/guards_test.go
@@ -20,11 +20,11 @@
 	fences map[galenahead.ServiceName]int64
 }
 
-func (r *fenceRecorder) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait time.Duration) (galenajob.PollResponse, error) {
+func (r *fenceRecorder) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
 	r.mu.Lock()
 	r.fences[req.Instance.Service] = req.Fence
 	r.mu.Unlock()
-	return r.fakeInstances.RenewAndPoll(ctx, req, wait)
+	return r.fakeInstances.RenewAndPoll(ctx, req, wait, limit)
 }
 
 // Guards against a delayed command to an instance that is executed by its next life, because
