Check that simulated jobs end and instances return after the last fault

The simulation checked only what must not happen, so that instances which got no work for good did not show. Each history now ends with a minute without faults, after which all jobs must have ended, and all instances must be idle and ready for work.

--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -32,6 +32,8 @@
 	starts    int
 	// refusals lets instances refuse commands and polls that they could execute.
 	refusals bool
+	// calm ends all faults and random events.
+	calm bool
 	// commits are the records of ends that are not durable yet.
 	commits []pendingCommit
 }
@@ -205,7 +207,7 @@
 
 func (sim *simulation) execute(inst *fakeInstance, a Action) Outcome {
 	inst.expireLease(sim.now)
-	if sim.refusals && sim.rng.IntN(8) == 0 {
+	if sim.refusals && sim.fault(8) {
 		if a.Kind == ActStop {
 			return OutcomeBusy
 		}
@@ -217,19 +219,22 @@
 	return sim.startRun(inst, a)
 }
 
+// fault reports whether a fault happens that happens once in n times.
+func (sim *simulation) fault(n int) bool { return !sim.calm && sim.rng.IntN(n) == 0 }
+
 // deliver executes a command, loses it or its response, or delays it.
 func (sim *simulation) deliver(a Action) {
 	inst := sim.instances[a.Instance.ID]
 	switch {
 	case a.Kind != ActStart && a.Kind != ActStop:
-	case inst == nil || inst.dead || sim.now.Before(inst.unreachableUntil) || sim.rng.IntN(20) == 0:
+	case inst == nil || inst.dead || sim.now.Before(inst.unreachableUntil) || sim.fault(20):
 		sim.sched.HandleOutcome(sim.now, a, OutcomeUnknown, 0, sim.now)
-	case sim.rng.IntN(15) == 0:
+	case sim.fault(15):
 		sim.delayed = append(sim.delayed, delayedCommand{sim.now.Add(time.Duration(sim.rng.Int64N(int64(maxDelay)))), a, inst.Born})
 		sim.sched.HandleOutcome(sim.now, a, OutcomeUnknown, 0, sim.now)
 	default:
 		o := sim.execute(inst, a)
-		if sim.rng.IntN(25) == 0 {
+		if sim.fault(25) {
 			o = OutcomeUnknown // the response is lost
 		}
 		sim.sched.HandleOutcome(sim.now, a, o, inst.clock(sim.now), sim.now)
@@ -243,12 +248,12 @@
 		return
 	}
 	inst := sim.instances[id]
-	if inst == nil || inst.dead || sim.now.Before(inst.unreachableUntil) || sim.rng.IntN(25) == 0 {
+	if inst == nil || inst.dead || sim.now.Before(inst.unreachableUntil) || sim.fault(25) {
 		sim.sched.HandleNoResponse(id, sim.now)
 		return
 	}
 	inst.expireLease(sim.now)
-	if sim.refusals && sim.rng.IntN(16) == 0 {
+	if sim.refusals && sim.fault(16) {
 		sim.sched.HandleNoResponse(id, sim.now)
 		return
 	}
@@ -414,11 +419,15 @@
 	}
 	sim.delayed = remaining
 	sim.finishCommits()
-	sim.runRandomEvent(n)
+	if !sim.calm {
+		sim.runRandomEvent(n)
+	}
 	for _, id := range sim.instanceIDs() {
 		inst := sim.instances[id]
 		if !inst.dead && !sim.now.Before(inst.unreachableUntil) && n%10 == 0 {
-			sim.sched.Heartbeat(sim.now, id, inst.clock(sim.now))
+			if known := sim.sched.Heartbeat(sim.now, id, inst.clock(sim.now)); !known && sim.calm {
+				sim.sched.AddInstance(sim.now, inst.Instance)
+			}
 		}
 		if n%5 == 0 || sim.rng.IntN(4) == 0 {
 			sim.poll(id)
@@ -437,6 +446,28 @@
 	}
 }
 
+// settle ends all faults, and checks that all jobs end, and that all instances can take
+// work then.
+func (sim *simulation) settle() {
+	const settleTime = time.Minute
+	sim.calm = true
+	sim.now = sim.now.Add(time.Millisecond)
+	sim.startInstance("last")
+	for n := range int(settleTime / tickInterval) {
+		sim.tick(n)
+	}
+	for _, id := range sim.jobIDs() {
+		if !sim.finalJobs[id] {
+			sim.fail("%s has not ended", id)
+		}
+	}
+	for _, v := range sim.sched.ViewInstances(sim.now) {
+		if v.State != "ready" || v.Items > 0 || v.Used != (Resources{}) {
+			sim.fail("%s is %s with %d items, which use %+v", v.ID, v.State, v.Items, v.Used)
+		}
+	}
+}
+
 func (sim *simulation) runRandomEvent(n int) {
 	ids := sim.sched.Instances()
 	if len(ids) == 0 {
@@ -472,9 +503,9 @@
 }
 
 // Guards against two runs of a work item at a time, runs after a recorded end
-// or before the steps that they depend on, and instances over their capacity.
-// Commands and responses are lost or delayed, and owners and instances are
-// replaced.
+// or before the steps that they depend on, instances over their capacity, and jobs that
+// never end or instances that get no work after the last fault. Commands and responses
+// are lost or delayed, and owners and instances are replaced.
 func TestRandomSimulations(t *testing.T) { runSimulations(t, false) }
 
 // Guards against two runs of a work item after an instance that did not answer the first
@@ -501,6 +532,7 @@
 		for n := range steps {
 			sim.tick(n)
 		}
+		sim.settle()
 		starts += sim.starts
 	}
 	if starts < seeds*20 {
