Remove and add an instance and its poller in one step

An instance that registered while the scheduler gave it up, or while an order to its machine was carried out, could end up registered without being polled. It got no work, and what an earlier owner had started there was not seen, until it left or the owner changed.

Cause: the scheduler's instance and its poll loop were removed, and added, in two steps under the lock. A registration between the steps of a removal found the old loop, which was then cancelled. The reverse left a loop for an instance that was gone.

Ruled out: leaves and changes of the service, which take turns with the heartbeats of the instance. Removals of silent instances and after machine orders don't.

Why this works: both steps happen under one hold of the lock.

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -144,30 +144,35 @@
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.AddInheritedInstance(now, in, now.Add(leaseTimeout)) })
 }
 
-// addInstance adds or updates an instance that has sent a heartbeat.
+// addInstance adds or updates an instance that has sent a heartbeat, and polls it.
 func (sh *shard) addInstance(in galenajob.Instance, clock int64) {
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
 		s.AddInstance(now, in)
 		s.Heartbeat(now, in.ID, clock)
+		sh.startPollingLocked(in.ID)
 	})
-	sh.startPolling(in.ID)
 }
 
 // removeInstance removes an instance from the scheduler and stops polling it.
 func (sh *shard) removeInstance(id galenahead.InstanceID) {
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.RemoveInstance(now, id) })
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if p := sh.pollers[id]; p != nil {
-		p.cancel()
-		delete(sh.pollers, id)
-	}
+	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		s.RemoveInstance(now, id)
+		if p := sh.pollers[id]; p != nil {
+			p.cancel()
+			delete(sh.pollers, id)
+		}
+	})
 }
 
 // startPolling starts the poll loop of an instance, or wakes it up if it runs.
 func (sh *shard) startPolling(id galenahead.InstanceID) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	sh.startPollingLocked(id)
+}
+
+// startPollingLocked is startPolling for callers that hold mu.
+func (sh *shard) startPollingLocked(id galenahead.InstanceID) {
 	if p, ok := sh.pollers[id]; ok {
 		notify(p.wake)
 		return
--- a/galenafleet/shard_test.go
+++ b/galenafleet/shard_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
@@ -114,3 +115,31 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Guards against an instance that is never polled, and so gets no work, because it
+// registered again while its removal was half done.
+func TestInstanceThatRegistersDuringItsRemovalIsPolled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		_, stop := startOwner(t, o, testConfig)
+		sh := o.session.Load().shardFor("counter")
+		in := testHeartbeat.Instance
+		for range 2000 {
+			sh.addInstance(in, 1000)
+			var g errgroup.Group
+			g.Go(func() error { sh.removeInstance(in.ID); return nil })
+			g.Go(func() error { sh.addInstance(in, 1000); return nil })
+			is.NoErr(g.Wait())
+			registered := false
+			sh.inspect(func(now time.Time, s *galenajob.Scheduler) { registered = s.Heartbeat(now, in.ID, 1000) })
+			sh.mu.Lock()
+			polled := sh.pollers[in.ID] != nil
+			sh.mu.Unlock()
+			is.Equal(registered, polled)
+			sh.removeInstance(in.ID)
+		}
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
