Wait for the stops of an earlier owner before starting work beside them

A run that an owner had stopped just before it was replaced ran beside the next run of its item for up to the stop timeout, if its instance no longer listed it, and other work got the capacity that it still took.

Cause: a new owner took a run that is missing from the first list of an instance for one that does not exist. An owner that has sent a stop itself waits for the stop timeout before it does so.

Evidence: TestInheritedItemWaitsForTheStopsOfAnEarlierOwner failed before with "recorded_ends_test.go:80: 1 != 0", and without the condition for new work with "recorded_ends_test.go:85: 1 != 0".

Ruled out: stops of the earlier owner that are carried out later; the fencing token of the first poll keeps them out.

Why this works: after the first poll no stop of an earlier owner can begin, and all that had begun have ended a stop timeout later. The next poll lists their ends. Work starts on inherited instances later by the stop timeout and a poll. They are polled without a delay meanwhile, even if nothing runs there.

--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -5,7 +5,8 @@
 // canStart reports whether the work item may start on the instance now.
 func (s *Scheduler) canStart(inst *instance, it *item) bool {
 	set := it.set
-	if !inst.fenceConfirmed || inst.Draining || inst.evacuating || inst.removing || !inst.hasLabel(set.step.Label) || !inst.unansweredSince.IsZero() {
+	if !inst.fenceConfirmed || inst.unreconciled || inst.Draining || inst.evacuating || inst.removing ||
+		!inst.hasLabel(set.step.Label) || !inst.unansweredSince.IsZero() {
 		return false
 	}
 	if !inst.free().Covers(set.step.reservation()) {
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -31,7 +31,7 @@
 	}
 	// After a call without a response, the answer to the next one matters more than
 	// what it says, since the lease is not renewed before.
-	req.MayWait = inst.unansweredSince.IsZero()
+	req.MayWait = inst.unansweredSince.IsZero() && !inst.unreconciled
 	if !s.unresponsive(now, inst) {
 		req.Deadline = inst.extendDeadline(now, s.params.Lease)
 	}
@@ -42,7 +42,7 @@
 // left a call unanswered gets no work before its next response, so that it is polled even
 // if it has no work.
 func (inst *instance) needsPoll() bool {
-	return !inst.fenceConfirmed || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero()
+	return !inst.fenceConfirmed || inst.unreconciled || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero()
 }
 
 // PollResponse is the response to a poll.
@@ -73,13 +73,16 @@
 		return nil
 	}
 	s.noteResponse(now, inst, resp.Clock)
-	inst.fenceConfirmed = true
+	if !inst.fenceConfirmed {
+		inst.fenceConfirmed, inst.fencedAt = true, now
+	}
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
 	toRecord := s.processEnds(now, inst, resp.Ends)
 	s.reconcileRuns(now, inst, resp)
-	if inst.unreconciled && !resp.More {
+	if inst.unreconciled && !resp.More && !resp.Sent.Before(inst.fencedAt.Add(s.params.StopTimeout)) {
 		// All runs that an earlier owner started here are adopted now, their ends are
-		// known, and the fencing token keeps out its delayed commands.
+		// known, and the fencing token keeps out its delayed commands. Its last stops,
+		// whose runs may be missing from the list, have ended.
 		s.markReconciled(inst)
 	}
 	s.adjustPace(now, inst)
--- a/galenajob/recorded_ends_test.go
+++ b/galenajob/recorded_ends_test.go
@@ -45,20 +45,49 @@
 	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
 	s.AddJob(t0, testJob("j", 1), time.Second, true)
 	s.AddJob(t0, testJob("k", 1), time.Second, true)
+	s.AddJob(t0, testJob("l", 1), time.Second, true)
+	now := t0
 	poll := func(more bool, e End) {
-		req, ok := s.NextPoll(t0, "a")
+		req, ok := s.NextPoll(now, "a")
 		is.True(ok)
-		ends := s.HandlePoll(t0, "a", PollResponse{
-			Fence: req.Fence, Clock: 1000, Born: 1, Cursor: req.Cursor, Sent: t0, Ends: []End{e}, More: more,
+		ends := s.HandlePoll(now, "a", PollResponse{
+			Fence: req.Fence, Clock: 1000, Born: 1, Cursor: req.Cursor, Sent: now, Ends: []End{e}, More: more,
 		})
 		is.Equal(len(ends), 1)
-		s.ConfirmRecorded(t0, "a", 1, ends, []bool{true})
+		s.ConfirmRecorded(now, "a", 1, ends, []bool{true})
+		now = now.Add(testParams().StopTimeout)
 	}
 	poll(true, End{Sequence: 1, Item: ItemID{Job: "j"}, Number: 1001, Reason: EndDone})
-	is.Equal(len(starts(s.Plan(t0, t0))), 0)
-	poll(false, End{Sequence: 2, Item: ItemID{Job: "k"}, Number: 1001, Reason: EndFailed})
-	now := t0.Add(testParams().RestartDelay)
+	is.Equal(len(starts(s.Plan(now, now))), 0)
+	poll(true, End{Sequence: 2, Item: ItemID{Job: "l"}, Number: 1001, Reason: EndDone})
+	is.Equal(len(starts(s.Plan(now, now))), 0)
+	poll(false, End{Sequence: 3, Item: ItemID{Job: "k"}, Number: 1001, Reason: EndFailed})
 	next := starts(s.Plan(now, now))
 	is.Equal(len(next), 1)
 	is.Equal(next[0].Item.Job, galenahead.JobID("k"))
 }
+
+// Guards against a second run of a work item that an earlier owner has just stopped: its
+// instance may no longer list the run, while it still takes time to end. Guards also
+// against new work on the capacity that it takes until then.
+func TestInheritedItemWaitsForTheStopsOfAnEarlierOwner(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler("counter", 2, testParams(), &Fences{})
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 3})
+	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
+	s.AddJob(t0, testJob("j", 1), time.Second, true)
+	s.AddJob(t0, testJob("new", 1), 0, false)
+	for now := t0; now.Before(t0.Add(testParams().StopTimeout)); now = now.Add(20 * time.Millisecond) {
+		req, ok := s.NextPoll(now, "a")
+		is.True(ok)
+		is.True(!req.MayWait) // inherited work waits for the poll
+		s.HandlePoll(now, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: now})
+		is.Equal(len(starts(s.Plan(now, now))), 0)
+	}
+	now := t0.Add(testParams().StopTimeout)
+	req, ok := s.NextPoll(now, "a")
+	is.True(ok)
+	end := End{Sequence: 1, Item: ItemID{Job: "j"}, Number: 1001, Reason: EndStopped}
+	s.HandlePoll(now, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: now, Ends: []End{end}})
+	is.Equal(len(starts(s.Plan(now, now))), 2)
+}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -212,8 +212,11 @@
 	// fenceConfirmed is set once the instance has seen the fence. It then rejects
 	// commands from earlier owners and for earlier incarnations.
 	fenceConfirmed bool
+	// fencedAt is when the fence was first confirmed.
+	fencedAt time.Time
 	// unreconciled marks an instance that may still run work started by an
-	// earlier owner. It is cleared by the first poll response, or at reconciledBy
+	// earlier owner. It is cleared by a poll response later than StopTimeout after the
+	// first one, which lists all that is left to end, or at reconciledBy
 	// when that owner's leases have expired.
 	unreconciled bool
 	reconciledBy time.Time
