Simulate slow stops, late answers, pages of ends and evacuations

The simulated instances stopped runs at once, listed all ends together, and were never evacuated, and outcomes of commands were known at once. Stops now take up to the stop timeout, in which the run is not listed but takes capacity; outcomes arrive up to 600 ms late, after newer ones; an instance lists three ends at a time; some runs are longer than an evacuated instance is given; responses of polls are lost after the lease was renewed.

--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -27,6 +27,8 @@
 	sched     *Scheduler
 	instances map[galenahead.InstanceID]*fakeInstance
 	delayed   []delayedCommand
+	// responses are the outcomes that have not arrived yet.
+	responses []delayedResponse
 	records   map[galenahead.JobID]*Job
 	finalJobs map[galenahead.JobID]bool
 	starts    int
@@ -71,6 +73,9 @@
 	number int64
 	endsAt time.Time
 	fails  bool
+	// stopping is set while the run is being stopped. It is not listed then, but still
+	// takes capacity.
+	stopping bool
 }
 
 // delayedCommand is a command that the instance executes late and without a
@@ -81,9 +86,22 @@
 	born   int64
 }
 
+// delayedResponse is the outcome of a command that arrives late.
+type delayedResponse struct {
+	at      time.Time
+	action  Action
+	outcome Outcome
+	clock   int64
+	sent    time.Time
+}
+
 const (
 	tickInterval = 20 * time.Millisecond
 	maxDelay     = 6 * time.Second
+	// maxResponseTime is the longest time after which an outcome arrives.
+	maxResponseTime = 600 * time.Millisecond
+	// maxSimulatedEnds is how many ends an instance lists at a time.
+	maxSimulatedEnds = 3
 )
 
 func (inst *fakeInstance) clock(now time.Time) int64 {
@@ -147,7 +165,7 @@
 		return OutcomeDeadlinePassed
 	}
 	inst.deadline = max(inst.deadline, a.Deadline)
-	if r := inst.runs[a.Item]; r != nil && r.number == a.Run {
+	if r := inst.runs[a.Item]; r != nil && r.number == a.Run && !r.stopping {
 		return OutcomeDone
 	}
 	if a.Run <= inst.highestEnded[a.Item] {
@@ -158,7 +176,11 @@
 		return OutcomeNoRoom
 	}
 	sim.checkStart(inst, a)
-	inst.runs[a.Item] = &fakeRun{a.Run, sim.now.Add(time.Duration(100+sim.rng.IntN(900)) * time.Millisecond), sim.rng.IntN(12) == 0}
+	duration := time.Duration(100+sim.rng.IntN(900)) * time.Millisecond
+	if sim.rng.IntN(6) == 0 {
+		duration *= 4 // longer than an evacuated instance is given
+	}
+	inst.runs[a.Item] = &fakeRun{number: a.Run, endsAt: sim.now.Add(duration), fails: sim.rng.IntN(12) == 0}
 	sim.starts++
 	return OutcomeDone
 }
@@ -193,13 +215,15 @@
 }
 
 // stopRun executes a stop command.
-func (inst *fakeInstance) stopRun(a Action) Outcome {
+func (sim *simulation) stopRun(inst *fakeInstance, a Action) Outcome {
 	if a.Fence < inst.fence {
 		return OutcomeFenced
 	}
 	inst.fence = a.Fence
-	if r := inst.runs[a.Item]; r != nil && r.number <= a.Run {
-		inst.endRun(a.Item, r, EndStopped)
+	if r := inst.runs[a.Item]; r != nil && r.number <= a.Run && !r.stopping {
+		r.stopping = true
+		stopTime := time.Duration(sim.rng.Int64N(int64(testParams().StopTimeout - tickInterval)))
+		r.endsAt = sim.now.Add(stopTime)
 	}
 	inst.highestEnded[a.Item] = max(inst.highestEnded[a.Item], a.Run)
 	return OutcomeDone
@@ -214,7 +238,7 @@
 		return []Outcome{OutcomeBusy, OutcomeNoRoom, OutcomeNoTicket, OutcomeInvalid}[sim.rng.IntN(4)]
 	}
 	if a.Kind == ActStop {
-		return inst.stopRun(a)
+		return sim.stopRun(inst, a)
 	}
 	return sim.startRun(inst, a)
 }
@@ -228,17 +252,43 @@
 	switch {
 	case a.Kind != ActStart && a.Kind != ActStop:
 	case inst == nil || inst.dead || sim.now.Before(inst.unreachableUntil) || sim.fault(20):
-		sim.sched.HandleOutcome(sim.now, a, OutcomeUnknown, 0, sim.now)
+		sim.respond(a, OutcomeUnknown, 0)
 	case sim.fault(15):
 		sim.delayed = append(sim.delayed, delayedCommand{sim.now.Add(time.Duration(sim.rng.Int64N(int64(maxDelay)))), a, inst.Born})
-		sim.sched.HandleOutcome(sim.now, a, OutcomeUnknown, 0, sim.now)
+		sim.respond(a, OutcomeUnknown, 0)
 	default:
 		o := sim.execute(inst, a)
 		if sim.fault(25) {
 			o = OutcomeUnknown // the response is lost
 		}
-		sim.sched.HandleOutcome(sim.now, a, o, inst.clock(sim.now), sim.now)
+		sim.respond(a, o, inst.clock(sim.now))
+	}
+}
+
+// respond passes the outcome of a command to the scheduler, now or later.
+func (sim *simulation) respond(a Action, o Outcome, clock int64) {
+	if o == OutcomeUnknown {
+		clock = 0
+	}
+	at := sim.now
+	if sim.fault(3) {
+		at = at.Add(time.Duration(sim.rng.Int64N(int64(maxResponseTime))))
 	}
+	sim.responses = append(sim.responses, delayedResponse{at, a, o, clock, sim.now})
+	sim.finishResponses()
+}
+
+// finishResponses passes the outcomes that have arrived to the scheduler.
+func (sim *simulation) finishResponses() {
+	remaining := sim.responses[:0]
+	for _, r := range sim.responses {
+		if sim.now.Before(r.at) {
+			remaining = append(remaining, r)
+			continue
+		}
+		sim.sched.HandleOutcome(sim.now, r.action, r.outcome, r.clock, r.sent)
+	}
+	sim.responses = remaining
 }
 
 // poll polls an instance, unless the request or its response is lost.
@@ -264,12 +314,20 @@
 	if req.Deadline > 0 {
 		inst.deadline = max(inst.deadline, req.Deadline)
 	}
+	if sim.fault(25) {
+		sim.sched.HandleNoResponse(id, sim.now)
+		return
+	}
 	for len(inst.ends) > 0 && inst.ends[0].Sequence <= req.Cursor {
 		inst.ends = inst.ends[1:]
 	}
 	resp := PollResponse{Fence: req.Fence, Clock: inst.clock(sim.now), Born: inst.Born, Cursor: req.Cursor, Sent: sim.now}
-	resp.Ends = append(resp.Ends, inst.ends...)
+	resp.Ends = append(resp.Ends, inst.ends[:min(len(inst.ends), maxSimulatedEnds)]...)
+	resp.More = len(resp.Ends) == maxSimulatedEnds
 	for item, r := range inst.runs {
+		if r.stopping {
+			continue
+		}
 		resp.Runs = append(resp.Runs, Run{Item: item, Number: r.number})
 	}
 	slices.SortFunc(resp.Runs, func(x, y Run) int { return cmp.Compare(itemName(x.Item), itemName(y.Item)) })
@@ -356,6 +414,7 @@
 // replaceOwner replaces the scheduler by that of a new owner.
 func (sim *simulation) replaceOwner() {
 	sim.loseCommits()
+	sim.responses = nil
 	sim.epoch++
 	old := sim.sched
 	p := testParams()
@@ -400,8 +459,14 @@
 		inst.expireLease(sim.now)
 		for _, id := range inst.sortedItems() {
 			r := inst.runs[id]
-			if sim.now.After(r.endsAt) {
-				inst.endRun(id, r, map[bool]EndReason{true: EndFailed, false: EndDone}[r.fails])
+			switch {
+			case !sim.now.After(r.endsAt):
+			case r.stopping:
+				inst.endRun(id, r, EndStopped)
+			case r.fails:
+				inst.endRun(id, r, EndFailed)
+			default:
+				inst.endRun(id, r, EndDone)
 			}
 		}
 	}
@@ -419,6 +484,7 @@
 	}
 	sim.delayed = remaining
 	sim.finishCommits()
+	sim.finishResponses()
 	if !sim.calm {
 		sim.runRandomEvent(n)
 	}
@@ -452,6 +518,9 @@
 	const settleTime = time.Minute
 	sim.calm = true
 	sim.now = sim.now.Add(time.Millisecond)
+	for _, id := range sim.instanceIDs() {
+		sim.sched.SetEvacuating(sim.now, id, false)
+	}
 	sim.startInstance("last")
 	for n := range int(settleTime / tickInterval) {
 		sim.tick(n)
@@ -491,6 +560,8 @@
 		if inst := sim.instances[id]; inst.dead {
 			sim.startInstance(id)
 		}
+	case 16, 17:
+		sim.sched.SetEvacuating(sim.now, id, sim.rng.IntN(2) == 0)
 	case 14:
 		for _, jid := range sim.jobIDs() {
 			if !sim.finalJobs[jid] && sim.rng.IntN(8) == 0 {
