Test the records of ends after the stops of an earlier owner have ended

The tests planned before that wait was over, when nothing starts anyway. They now poll once more after the stop timeout, and check that no instance is waited for.

--- a/galenajob/recorded_ends_test.go
+++ b/galenajob/recorded_ends_test.go
@@ -28,6 +28,12 @@
 	failed := poll(testInstance("a"), End{Sequence: 1, Item: item, Number: 1001, Reason: EndFailed})
 	done := poll(testInstance("b"), End{Sequence: 1, Item: item, Number: 1002, Reason: EndDone})
 	is.Equal(len(failed)+len(done), 2)
+	for _, id := range []string{"a", "b"} {
+		later := t0.Add(testParams().StopTimeout)
+		req, _ := s.NextPoll(later, galenahead.InstanceID(id))
+		s.HandlePoll(later, galenahead.InstanceID(id), PollResponse{Fence: req.Fence, Clock: 1200, Born: 1, Sent: later})
+	}
+	is.Equal(s.unreconciled, 0)
 
 	s.ConfirmRecorded(t0, "a", 1, failed, []bool{false})
 	now := t0.Add(time.Second)
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -72,9 +72,14 @@
 	req, ok := s.NextPoll(t0, "a")
 	is.True(ok)
 	end := End{Sequence: 1, Item: ItemID{Job: "j"}, Number: 1001, Reason: EndDone}
-	record := s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Ends: []End{end}})
+	resp := PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Ends: []End{end}}
+	record := s.HandlePoll(t0, "a", resp)
 	is.Equal(record, []End{end})
-	is.Equal(len(starts(s.Plan(t0, t0))), 0) // its end is not recorded yet
+	now := t0.Add(testParams().StopTimeout)
+	resp.Sent = now
+	is.Equal(len(s.HandlePoll(now, "a", resp)), 0)
+	is.Equal(s.unreconciled, 0)
+	is.Equal(len(starts(s.Plan(now, now))), 0) // its end is not recorded yet
 
 	s.ConfirmRecorded(t0, "a", 1, record, []bool{true})
 	is.Equal(len(starts(s.Plan(t0, t0))), 0) // it is done
