--- a/galenajob/silent_test.go
+++ b/galenajob/silent_test.go
@@ -46,3 +46,24 @@
 		})
 	}
 }
+
+// Guards against a second run of a work item on another instance while the lease that a
+// poll has renewed keeps the first one at work.
+func TestLeaseOfPollIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.AddJob(t0, testJob("j", 1), 0, false)
+	first := starts(s.Plan(t0, t0))[0]
+	s.HandleOutcome(t0, first, OutcomeDone, 1000, t0)
+	renewed := t0.Add(testParams().Lease / 2)
+	_, ok := s.NextPoll(renewed, "a")
+	is.True(ok)
+	s.HandleNoResponse("a", renewed) // it may be executed all the same
+	s.AddInstance(renewed, testInstance("b"))
+	req, _ := s.NextPoll(renewed, "b")
+	s.HandlePoll(renewed, "b", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: renewed})
+	now := renewed.Add(testParams().Lease - time.Millisecond)
+	is.Equal(len(starts(s.Plan(now, now))), 0)
+	now = renewed.Add(testParams().Lease * 104 / 100)
+	is.Equal(len(starts(s.Plan(now, now))), 1)
+}
