Give an inherited instance no work before all its ends are read

Callers saw (in simulations only): a work item that is done runs again under a new owner.

Cause: the first page of an instance's ends (500 each on the platform) let the new owner use the instance and renew its lease, while further pages were unread. If the instance fell silent then, the leases of earlier owners counted as over at reconciledBy, but the renewed one had kept the instance and its ends: their work items were started elsewhere. Until its last page an inherited instance now gets neither work nor a lease, so that reconciledBy holds for it.

Pages hold 3 ends in TestNetworkSimulations now.

--- /dev/null
+++ b/galenajob/inherited_ends_test.go
@@ -0,0 +1,35 @@
+package galenajob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a second run of a work item that is done, because a new owner counts an
+// instance as reconciled before it has read all pages of its ends.
+func TestInheritedInstanceIsReconciledByItsLastPage(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler("counter", 2, testParams(), &Fences{})
+	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
+	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
+	s.AddJob(t0, testJob("j", 1), time.Second, true)
+	s.AddJob(t0, testJob("new", 1), 0, false)
+	s.AddInstance(t0, testInstance("b"))
+	s.HandlePoll(t0, "b", pollResponse(t, s, t0, "b"))
+	poll := func(e End, more bool) []End {
+		req, ok := s.NextPoll(t0, "a")
+		is.True(ok)
+		is.Equal(req.Deadline, int64(0)) // the lease of the earlier owner is not prolonged
+		return s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Ends: []End{e}, More: more})
+	}
+	is.Equal(len(poll(End{Sequence: 1, Item: ItemID{Job: "removed"}, Number: 1001, Reason: EndDone}, true)), 0)
+	as := starts(s.Plan(t0, t0))
+	is.Equal(len(as), 1)
+	is.Equal(string(as[0].Item.Job), "new")
+	is.Equal(string(as[0].Instance.ID), "b")
+	record := poll(End{Sequence: 2, Item: ItemID{Job: "j"}, Number: 1001, Reason: EndDone}, false)
+	is.Equal(len(record), 1)
+	is.Equal(len(starts(s.Plan(t0, t0))), 0)
+}
--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -19,7 +19,7 @@
 	// netTimeout is how long the owner waits for a response.
 	netTimeout = 600 * time.Millisecond
 	// netPage is the largest number of ends in one response.
-	netPage = 500
+	netPage = 3
 	// netStep is the interval between two plans.
 	netStep = 20 * time.Millisecond
 	// netFaultsFor is how long faults occur, and netCalm how long the simulation goes on
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -73,7 +73,9 @@
 		return nil
 	}
 	s.noteResponse(now, inst, resp.Clock)
-	inst.fenceConfirmed = true
+	// Before all ends of an inherited instance are read, it gets no work and no lease, so that
+	// what runs there ends by reconciledBy.
+	inst.fenceConfirmed = inst.fenceConfirmed || !inst.unreconciled || !resp.More
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
 	toRecord := s.processEnds(now, inst, resp.Ends)
 	s.reconcileRuns(now, inst, resp)
