Acknowledge no ends with a poll that a restarted instance may answer

Callers would see a work item that is done run again: an instance restarts under its id, executes a start that is repeated since its first copy had no response, and the next poll, which still carries the cursor of the earlier incarnation, makes it delete the end of that run unread.

Cause: ends are counted anew in each incarnation, and a poll names the instance by its id only. The first response after a call without one says which incarnation answers, so that polls acknowledge nothing until then.

Open: a poll that was sent before the restart and arrives after it. The simulation leaves it out.

TestUnrecordedEndKeepsItemAndCursor now lets its silent instance answer before it asks for the cursor.

--- a/galenajob/guards_test.go
+++ b/galenajob/guards_test.go
@@ -170,6 +170,7 @@
 	is.True(!idle)
 	s.ConfirmRecorded(late, id, 1, record, []bool{true})
 	is.Equal(len(starts(s.Plan(late, late))), 0) // it is done
+	s.HandlePoll(late, id, resp)                 // the instance answers again
 	is.Equal(pollResponse(t, s, late, id).Cursor, int64(1))
 }
 
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -26,6 +26,10 @@
 		return PollRequest{}, false
 	}
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor}
+	if !inst.unansweredSince.IsZero() {
+		// A later incarnation may answer, whose ends begin at 1 again.
+		req.Cursor = 0
+	}
 	if !inst.fenceConfirmed || len(inst.items) == 0 {
 		return req, true
 	}
