--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -26,6 +26,10 @@
 		return PollRequest{}, false
 	}
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor}
+	if !inst.unansweredSince.IsZero() {
+		// A later incarnation may answer, whose ends begin at 1 again.
+		req.Cursor = 0
+	}
 	if !inst.fenceConfirmed || len(inst.items) == 0 {
 		return req, true
 	}
@@ -73,8 +77,11 @@
 		return nil
 	}
 	s.noteResponse(now, inst, resp.Clock)
-	if !inst.fenceConfirmed {
-		inst.fenceConfirmed, inst.fencedAt = true, now
+	// Before all ends of an inherited instance are read, it gets no work and no lease, so that
+	// what runs there ends by reconciledBy.
+	inst.fenceConfirmed = inst.fenceConfirmed || !inst.unreconciled || !resp.More
+	if inst.fencedAt.IsZero() {
+		inst.fencedAt = now
 	}
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
 	toRecord := s.processEnds(now, inst, resp.Ends)
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -206,7 +206,7 @@
 func (s *Scheduler) beginIncarnation(now time.Time, inst *instance, born int64) {
 	inst.Born = born
 	inst.fence = s.fences.next(inst.ID, inst.fence)
-	inst.fenceConfirmed = false
+	inst.fenceConfirmed, inst.fencedAt = false, time.Time{}
 	inst.Draining, inst.drainingSince = false, time.Time{}
 	inst.clock, inst.clockAt, inst.maxDeadline, inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, now, 0, 0, 0, 0, false
 	inst.lateRuns = nil
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -212,7 +212,7 @@
 	// fenceConfirmed is set once the instance has seen the fence. It then rejects
 	// commands from earlier owners and for earlier incarnations.
 	fenceConfirmed bool
-	// fencedAt is when the fence was first confirmed.
+	// fencedAt is when the instance first responded to a poll with the fence, or zero.
 	fencedAt time.Time
 	// unreconciled marks an instance that may still run work started by an
 	// earlier owner. It is cleared by a poll response later than StopTimeout after the
