Stop a start that gets no certain answer for a lease

Callers would see an item that waits for ever although another instance is free: its instance answers polls, so that it does not count as silent, but no starts. Only refused starts were bounded.

Cause: each attempt without an answer prolonged the time until which the earlier ones can be executed. Now the run is stopped once a lease has passed since the first attempt without an answer, refused or not; the item starts elsewhere when the stop is acknowledged or the deadlines have passed.

--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -67,6 +67,9 @@
 	}
 	it.inFlight = false
 	if o == OutcomeUnknown {
+		if it.uncertainSince.IsZero() {
+			it.uncertainSince = now
+		}
 		it.unansweredUntil = max(it.unansweredUntil, a.Deadline)
 	}
 	s.handleStartOutcome(now, inst, it, o)
@@ -99,9 +102,8 @@
 
 // handleRefusedStart handles the outcome of an attempt that did not execute the start.
 // The work item may start elsewhere if no earlier attempt can still execute it.
-// Otherwise the same start is repeated, which soonest tells whether the run exists. The
-// run is stopped if a repeat would be refused as well, or if repeats have not helped for
-// a whole lease, so that no more attempts prolong the uncertainty.
+// Otherwise the same start is repeated, which soonest tells whether the run exists, or
+// stopped if a repeat would be refused as well.
 func (s *Scheduler) handleRefusedStart(now time.Time, inst *instance, it *item, o Outcome) {
 	uncertain := it.unansweredUntil != 0
 	if !uncertain {
@@ -125,11 +127,8 @@
 	if !uncertain {
 		return
 	}
-	if it.refusedAt.IsZero() {
-		it.refusedAt = now
-	}
 	repeatable := o == OutcomeBusy || o == OutcomeUnsent || o == OutcomeDeferred
-	if !repeatable || now.Sub(it.refusedAt) > s.params.Lease {
+	if !repeatable {
 		s.stop(now, it, "start refused")
 	}
 }
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -124,8 +124,9 @@
 	}
 }
 
-// resendCommands repeats start and stop commands without a result. On an instance that
-// leaves, a start is stopped in place of repeated.
+// resendCommands repeats start and stop commands without a result. A start is stopped in
+// place of repeated on an instance that leaves, or if repeats have given no certainty for
+// the time of a lease, so that no more attempts prolong the uncertainty.
 func (s *Scheduler) resendCommands(now time.Time, inst *instance) {
 	if s.unresponsive(now, inst) {
 		return
@@ -146,9 +147,13 @@
 		}
 		switch it.phase {
 		case phaseStarting:
-			if inst.Draining || inst.evacuating {
+			switch {
+			case inst.Draining || inst.evacuating:
 				s.stop(now, it, "instance leaves")
-			} else {
+			case !it.uncertainSince.IsZero() && now.Sub(it.uncertainSince) > s.params.Lease:
+				it.failedOn = inst.ID
+				s.stop(now, it, "start without certainty")
+			default:
 				s.emitStart(now, it, reasonRepeated)
 			}
 		case phaseStopping:
--- a/galenajob/start_copies_test.go
+++ b/galenajob/start_copies_test.go
@@ -149,3 +149,22 @@
 		})
 	}
 }
+
+// Guards against an item that never starts because its instance answers polls but no
+// commands, while another instance is free.
+func TestUnansweredStartEndsWithTheDeadlineOfItsCopies(t *testing.T) {
+	r := newRefusedStart(t, OutcomeUnknown)
+	for r.now.Before(t0.Add(4 * testParams().Lease)) {
+		r.now = r.now.Add(50 * time.Millisecond)
+		for _, a := range r.plan() {
+			if a.Kind == ActStart && a.Run != r.start.Run {
+				r.is.True(a.Instance.ID != r.start.Instance.ID)
+				return
+			}
+			r.answer(a, OutcomeUnknown)
+		}
+		r.poll()
+		r.Heartbeat(r.now, "b", r.clock())
+	}
+	t.Fatal("the item did not start elsewhere")
+}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -52,9 +52,8 @@
 	// may still execute one of them, whatever it answers to others. Both are on the
 	// instance's clock.
 	startDeadline, unansweredUntil int64
-	// refusedAt is when a start was first refused while an earlier one had no response,
-	// or zero.
-	refusedAt time.Time
+	// uncertainSince is when a start first got no response, or zero.
+	uncertainSince time.Time
 	// absentClock is the first reading of the instance's clock after unansweredUntil at
 	// which it did not list the run, or zero.
 	absentClock int64
@@ -334,7 +333,7 @@
 	it.instance, it.run, it.placementSeq = inst, run, inst.placements
 	it.confirmed, it.percent, it.usage, it.pace = time.Time{}, 0, 0, 100
 	it.endUnrecorded, it.startsSent = false, 0
-	it.startDeadline, it.unansweredUntil, it.refusedAt, it.absentClock = 0, 0, time.Time{}, 0
+	it.startDeadline, it.unansweredUntil, it.uncertainSince, it.absentClock = 0, 0, time.Time{}, 0
 	inst.items[it.id()] = it
 	inst.used = inst.used.Add(it.set.step.reservation())
 }
