Keep the instance that is back from maintenance when the answer comes late

While the machines' service is slow, the list takes 2.5 s, results wait for it, and the machine is back before the answer is handled. Its new instance, at work, took the place of the one that the order had ended, and the answer removed it with its runs; it registered again with its next heartbeat.

Now the answer removes only the instance that ran when the order was sent, and the present one may take work again. If that one was ended by the order after all, its work waits for its lease.

TestLateAnswerToMaintenanceOrderKeepsLaterInstance failed before ('not true: registered()'). Moves are not affected: a machine that is in its new pool is not kept idle.

--- a/galenafleet/late_orders_test.go
+++ b/galenafleet/late_orders_test.go
@@ -34,6 +34,8 @@
 	// not answered, and carried out after that time; otherwise it fails with err, or is
 	// carried out at once.
 	respond func(attempt int) (late time.Duration, err error)
+	// answerTime is how long the answer to an order that was carried out takes.
+	answerTime time.Duration
 	// noList makes requests for the list fail.
 	noList bool
 	// work holds the runs on each instance, and lost the instances that an order stopped
@@ -95,7 +97,9 @@
 	case err != nil:
 		return err
 	}
-	return execute()
+	err = execute()
+	time.Sleep(f.answerTime)
+	return err
 }
 
 // move carries out an order to move the machine.
@@ -542,6 +546,30 @@
 	})
 }
 
+// Guards against two runs of the work on a machine that is back from its maintenance when
+// the answer to the order is handled: the answer removed the present instance, with its
+// runs, in place of the one that the order had ended.
+func TestLateAnswerToMaintenanceOrderKeepsLaterInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := newLateMachines(o)
+		f.respond = func(int) (time.Duration, error) { return 0, nil }
+		f.answerTime = lateMoveTime + 2*listInterval
+		ctx, _ := f.startWave(t)
+		registered := func() bool {
+			_, ok := o.State.instance("i1")
+			return ok
+		}
+		waitUntil(t, 5*time.Second, registered)
+		submitWork(ctx, t, o)
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			is.True(registered())
+		}
+	})
+}
+
 // Guards against lost work after a change of owner on a machine that came back with
 // another instance while an order to it had no response: the next owner knew only the
 // instance that ran when the order was sent.
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -561,10 +561,12 @@
 		log.Info("maintenance started")
 		m.markUnavailable(r.name, MachineMaintenance)
 		changes := []change{m.stepChange(w, r.name, StepStarted)}
-		if r.instance != m.evacuating[r.name] {
-			changes = append(changes, m.removalChange(r.instance)...)
+		if r.instance == m.evacuating[r.name] {
+			return append(changes, m.finishEvacuation(r.name)...)
 		}
-		return append(changes, m.finishEvacuation(r.name)...)
+		// The present instance may have started after the maintenance.
+		m.cancelEvacuation(r.name)
+		return append(changes, m.removalChange(r.instance)...)
 	case errors.Is(r.err, ErrRejected):
 		log.WithError(r.err).Warn("maintenance order rejected")
 		m.cancelEvacuation(r.name)
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -173,12 +173,7 @@
 		return Reply{Outcome: OutcomeAccepted, Reason: "known job"}, nil
 	}
 	j.Items = map[galenajob.ItemKey]galenajob.ItemRecord{}
-	sess.shardFor(q.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		// A cancellation may have overtaken this call since the job is recorded.
-		if _, _, state, _ := sess.State.JobState(id); !state.Final() {
-			s.AddJob(now, j, 0, false)
-		}
-	})
+	sess.shardFor(q.Service).addJob(j, 0, false)
 	return Reply{Outcome: OutcomeAccepted}, nil
 }
 
