Make two tests of inherited instances need their guard

One test lacked another instance that could take the work, the other a run whose lease could be renewed.

--- a/galenajob/inherited_ends_test.go
+++ b/galenajob/inherited_ends_test.go
@@ -15,6 +15,7 @@
 	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2})
 	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
 	s.AddJob(t0, testJob("j", 1), time.Second, true)
+	s.AddJob(t0, testJob("running", 1), time.Second, true)
 	s.AddJob(t0, testJob("new", 1), 0, false)
 	s.AddInstance(t0, testInstance("b"))
 	s.HandlePoll(t0, "b", pollResponse(t, s, t0, "b"))
@@ -22,7 +23,8 @@
 		req, ok := s.NextPoll(t0, "a")
 		is.True(ok)
 		is.Equal(req.Deadline, int64(0)) // the lease of the earlier owner is not prolonged
-		return s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Ends: []End{e}, More: more})
+		runs := []Run{{Item: ItemID{Job: "running"}, Number: 1001}}
+		return s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Runs: runs, Ends: []End{e}, More: more})
 	}
 	is.Equal(len(poll(End{Sequence: 1, Item: ItemID{Job: "removed"}, Number: 1001, Reason: EndDone}, true)), 0)
 	as := starts(s.Plan(t0, t0))
--- a/galenajob/recorded_ends_test.go
+++ b/galenajob/recorded_ends_test.go
@@ -49,6 +49,8 @@
 	s := NewScheduler("counter", 2, testParams(), &Fences{})
 	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 3})
 	s.AddInheritedInstance(t0, testInstance("a"), t0.Add(time.Minute))
+	s.AddInstance(t0, testInstance("b"))
+	s.HandlePoll(t0, "b", pollResponse(t, s, t0, "b"))
 	s.AddJob(t0, testJob("j", 1), time.Second, true)
 	s.AddJob(t0, testJob("k", 1), time.Second, true)
 	s.AddJob(t0, testJob("l", 1), time.Second, true)
