Keep the state of paces and advice with the items that they belong to

Two maps of the scheduler, by instance and item and by advice request, held what belongs to a placed run and to a set of items, with rules of their own for when it ends. As fields they end with the placement and the job. Behaviour is the same, but that a run of a restarted instance counts as unpaced, which it is.

--- a/galenajob/advice.go
+++ b/galenajob/advice.go
@@ -34,23 +34,16 @@
 	slices.Sort(ids)
 	ids = ids[:min(len(ids), maxAdviceCandidates)]
 	set.adviceRequestedAt = now
-	incarnations := make(map[galenahead.InstanceID]int64, len(ids))
+	set.advised = make(map[galenahead.InstanceID]int64, len(ids))
 	for _, id := range ids {
-		incarnations[id] = s.instances[id].Born
+		set.advised[id] = s.instances[id].Born
 	}
-	request := set.adviceRequest()
-	s.advised[request] = incarnations
 	s.actions = append(s.actions, Action{
-		Kind: ActAdvise, Item: request, Candidates: ids,
+		Kind: ActAdvise, Item: ItemID{set.job.ID, ItemKey{set.occurrence, set.index, 0}}, Candidates: ids,
 	})
 	return false
 }
 
-// adviceRequest returns the work item by which the advisor and the scheduler know the set.
-func (set *itemSet) adviceRequest() ItemID {
-	return ItemID{set.job.ID, ItemKey{set.occurrence, set.index, 0}}
-}
-
 // hasTicket reports whether the set has a valid ticket for the instance.
 func (set *itemSet) hasTicket(now time.Time, inst *instance) bool {
 	t, ok := set.tickets[inst.ID]
@@ -59,7 +52,6 @@
 
 // HandleAdvice handles the advisor's response. A nil map means that there was none.
 func (s *Scheduler) HandleAdvice(now time.Time, a Action, tickets map[galenahead.InstanceID]string, validity time.Duration) {
-	incarnations := s.advised[a.Item]
 	j := s.jobs[a.Item.Job]
 	if j == nil {
 		return
@@ -76,7 +68,7 @@
 	set.tickets = make(map[galenahead.InstanceID]ticket, len(tickets))
 	for id, text := range tickets {
 		// A ticket for an earlier incarnation is not valid for the present one.
-		if inst := s.instances[id]; inst != nil && inst.Born == incarnations[id] {
+		if inst := s.instances[id]; inst != nil && inst.Born == set.advised[id] {
 			set.tickets[id] = ticket{text, inst.Born, now.Add(validity)}
 		}
 	}
--- a/galenajob/pace.go
+++ b/galenajob/pace.go
@@ -23,9 +23,8 @@
 	paceRepeatInterval = time.Second
 )
 
-// paceState is the state of the pace commands to one run.
+// paceState is the state of the pace commands to the current run of a work item.
 type paceState struct {
-	run int64
 	// sentAt is when the last command was sent. inFlight reports that it has no outcome
 	// yet, and confirmed that the instance has executed it.
 	sentAt              time.Time
@@ -58,11 +57,9 @@
 			bestEffort = append(bestEffort, it)
 		}
 	}
-	s.forgetPaces(inst, bestEffort)
 	mayChange := now.Sub(inst.paceChangedAt) >= minPaceInterval
 	for _, it := range bestEffort {
-		p := s.paces[inst.ID][it.id()]
-		if p != nil && p.inFlight {
+		if it.pacing.inFlight {
 			continue
 		}
 		next := it.pace
@@ -81,27 +78,19 @@
 			s.emitPace(now, it, "tail latency beside it")
 			continue
 		}
-		if s.paceInDoubt(now, it, p) {
+		if s.paceInDoubt(now, it) {
 			s.emitPace(now, it, reasonRepeated)
 		}
 	}
 }
 
-// forgetPaces drops the state of all runs on the instance but those of items.
-func (s *Scheduler) forgetPaces(inst *instance, items []*item) {
-	for id, p := range s.paces[inst.ID] {
-		if !slices.ContainsFunc(items, func(it *item) bool { return it.id() == id && it.run == p.run }) {
-			delete(s.paces[inst.ID], id)
-		}
-	}
-}
-
 // paceInDoubt reports whether the pace of a run has to be sent again: the instance has
 // not confirmed it, may yet execute an earlier command with another pace, or runs work
 // that an earlier owner may have paced.
-func (s *Scheduler) paceInDoubt(now time.Time, it *item, p *paceState) bool {
+func (s *Scheduler) paceInDoubt(now time.Time, it *item) bool {
+	p := &it.pacing
 	switch {
-	case p == nil:
+	case p.sentAt.IsZero():
 		return it.startsSent == 0
 	case !p.confirmed:
 		return now.Sub(p.sentAt) >= s.params.ResendInterval
@@ -113,15 +102,7 @@
 
 // emitPace sends the pace of a work item.
 func (s *Scheduler) emitPace(now time.Time, it *item, reason string) {
-	inst := it.instance
-	if s.paces[inst.ID] == nil {
-		s.paces[inst.ID] = map[ItemID]*paceState{}
-	}
-	p := s.paces[inst.ID][it.id()]
-	if p == nil {
-		p = &paceState{run: it.run}
-		s.paces[inst.ID][it.id()] = p
-	}
+	inst, p := it.instance, &it.pacing
 	p.sentAt, p.inFlight, p.confirmed = now, true, false
 	s.actions = append(s.actions, Action{
 		Kind: ActPace, Instance: inst.Instance, Fence: inst.fence, Item: it.id(), Run: it.run, Percent: it.pace, Reason: reason,
@@ -130,10 +111,15 @@
 
 // HandlePaceOutcome handles the outcome of a pace command that was sent at sent.
 func (s *Scheduler) HandlePaceOutcome(a Action, o Outcome, sent time.Time) {
-	p := s.paces[a.Instance.ID][a.Item]
-	if p == nil || p.run != a.Run {
+	inst := s.instances[a.Instance.ID]
+	if inst == nil {
+		return
+	}
+	it := inst.items[a.Item]
+	if it == nil || it.run != a.Run {
 		return
 	}
+	p := &it.pacing
 	p.inFlight = false
 	switch o {
 	case OutcomeDone:
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -90,11 +90,6 @@
 	actions   []Action
 	gone      []galenahead.InstanceID
 	lateRuns  []LateRun
-	// advised holds the incarnations of the candidates of the last advice request for
-	// each set of work items.
-	advised map[ItemID]map[galenahead.InstanceID]int64
-	// paces holds the state of the pace commands to the runs on each instance.
-	paces map[galenahead.InstanceID]map[ItemID]*paceState
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
 	// It includes instances that are not registered, so that one that registers
 	// again gets no work before its planned move or maintenance.
@@ -121,8 +116,6 @@
 		queues:      map[string]Queue{},
 		jobs:        map[galenahead.JobID]*job{},
 		instances:   map[galenahead.InstanceID]*instance{},
-		advised:     map[ItemID]map[galenahead.InstanceID]int64{},
-		paces:       map[galenahead.InstanceID]map[ItemID]*paceState{},
 		evacuations: map[galenahead.InstanceID]time.Time{},
 	}
 }
@@ -212,6 +205,7 @@
 	inst.lateRuns = nil
 	for _, it := range inst.items {
 		it.phase, it.inFlight = phaseStale, false
+		it.pace, it.pacing = 100, paceState{}
 	}
 }
 
@@ -246,7 +240,6 @@
 	}
 	s.markReconciled(inst)
 	delete(s.instances, id)
-	delete(s.paces, id)
 	s.sortedIDs = nil
 }
 
@@ -309,7 +302,6 @@
 	delete(s.jobs, id)
 	for _, sets := range j.sets {
 		for _, set := range sets {
-			delete(s.advised, set.adviceRequest())
 			for i := range set.items {
 				if it := &set.items[i]; it.instance != nil && !it.endUnrecorded {
 					s.stop(now, it, "job is final")
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -66,6 +66,7 @@
 	percent        int
 	usage          int64
 	pace           int
+	pacing         paceState
 }
 
 func (it *item) id() ItemID {
@@ -91,6 +92,8 @@
 	// adviceRequestedAt is when the last advice request without a usable response
 	// was sent, or zero.
 	adviceRequestedAt time.Time
+	// advised holds the incarnations of the candidates of the last advice request.
+	advised map[galenahead.InstanceID]int64
 }
 
 // ticket is the advisor's permission to start work items of one step on an
@@ -331,7 +334,8 @@
 func (inst *instance) place(it *item, run int64) {
 	inst.placements++
 	it.instance, it.run, it.placementSeq = inst, run, inst.placements
-	it.confirmed, it.percent, it.usage, it.pace = time.Time{}, 0, 0, 100
+	it.confirmed, it.percent, it.usage = time.Time{}, 0, 0
+	it.pace, it.pacing = 100, paceState{}
 	it.endUnrecorded, it.startsSent = false, 0
 	it.startDeadline, it.unansweredUntil, it.uncertainSince, it.absentClock = 0, 0, time.Time{}, 0
 	inst.items[it.id()] = it
