--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -397,10 +397,11 @@
 	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
 	var ends []galenajob.End
 	var lateRuns []galenajob.LateRun
+	var pause time.Duration
 	needsPlan := !req.MayWait
 	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
 		ends = s.HandlePoll(now, id, resp)
-		lateRuns = s.TakeLateRuns()
+		lateRuns, pause = s.TakeLateRuns(), s.PollPause(now, id)
 		// Ends that must be recorded call for a plan only after that.
 		needsPlan = needsPlan || s.HasActions() || len(ends) < len(resp.Ends)
 	})
@@ -414,7 +415,7 @@
 	took := time.Since(handling)
 	sh.session.load.polls.record(took)
 	// While records take long, more polls would only find fewer ends each.
-	return max(pollPause, took)
+	return max(pollPause, took, pause)
 }
 
 // logLateRuns logs and counts runs that were carried out after they were given up.
--- a/galenajob/inherited_ends_test.go
+++ b/galenajob/inherited_ends_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
 )
 
 // Guards against a second run of a work item that is done, because a new owner counts an
@@ -35,3 +37,29 @@
 	is.Equal(len(record), 1)
 	is.Equal(len(starts(s.Plan(t0, t0))), 0)
 }
+
+// Guards against an owner that polls all instances again and again at the start of its
+// session, and against one that renews no lease meanwhile.
+func TestPollsOfInheritedInstancePause(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler("counter", 2, testParams(), &Fences{})
+	for _, id := range []string{"idle", "busy"} {
+		s.AddInheritedInstance(t0, testInstance(id), t0.Add(time.Minute))
+	}
+	s.AddJob(t0, testJob("j", 1), time.Second, true)
+	poll := func(id galenahead.InstanceID, runs ...Run) (PollRequest, time.Duration) {
+		req, ok := s.NextPoll(t0, id)
+		is.True(ok)
+		s.HandlePoll(t0, id, PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Runs: runs})
+		return req, s.PollPause(t0, id)
+	}
+	_, pause := poll("idle")
+	is.Equal(pause, testParams().StopTimeout)
+	run := Run{Item: ItemID{Job: "j"}, Number: 1001}
+	_, pause = poll("busy", run)
+	is.Equal(pause, time.Duration(0))
+	req, pause := poll("busy", run)
+	is.True(req.Deadline > 0)
+	is.Equal(pause, testParams().StopTimeout)
+	is.Equal(s.PollPause(t0.Add(time.Minute), "busy"), time.Duration(0))
+}
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -49,6 +49,19 @@
 	return !inst.fenceConfirmed || inst.unreconciled || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero()
 }
 
+// PollPause returns how long another poll of the instance would be of no use: one that
+// may still be stopping runs of an earlier owner is polled again when it has done so.
+func (s *Scheduler) PollPause(now time.Time, id galenahead.InstanceID) time.Duration {
+	inst := s.instances[id]
+	if inst == nil || !inst.unreconciled || !inst.fenceConfirmed {
+		return 0
+	}
+	if len(inst.items) > 0 && inst.maxDeadline == 0 {
+		return 0 // the lease is not renewed yet
+	}
+	return max(0, inst.fencedAt.Add(s.params.StopTimeout).Sub(now))
+}
+
 // PollResponse is the response to a poll.
 type PollResponse struct {
 	Fence int64
