--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -64,8 +64,9 @@
 
 // commit returns the results of ops once they are durable and applied. It fails with
 // ErrInvalid if ops are too large for the log, which has recorded nothing then. With any
-// other error, the session has ended and the outcome of ops is unknown. It is not cancelled with the request that caused it, since the owner must act on every
-// operation that is recorded.
+// other error, the session has ended and the outcome of ops is unknown. It is not
+// cancelled with the request that caused it, since the owner must act on every operation
+// that is recorded.
 func (c *committer) commit(ops ...Op) ([]Result, error) {
 	size := 0
 	for i := range ops {
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -105,7 +105,8 @@
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
 	sess := &ownerSession{
-		Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{}, submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1),
+		Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{},
+		submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1),
 		commandLimit: newCallLimit(longestCommandLimit), pollLimit: newCallLimit(longestPollLimit),
 	}
 	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -201,7 +201,8 @@
 		if listedItems[id] || it.endUnrecorded || resp.More {
 			continue
 		}
-		if it.phase == phaseStale || (!it.confirmed.IsZero() && it.confirmed.Before(resp.Sent)) || it.startExpired(resp.Clock, s.params.StopTimeout) {
+		missing := !it.confirmed.IsZero() && it.confirmed.Before(resp.Sent)
+		if missing || it.phase == phaseStale || it.startExpired(resp.Clock, s.params.StopTimeout) {
 			s.abandonRun(now, it)
 		}
 	}
