--- a/cmd/galenactl/client/client.go
+++ b/cmd/galenactl/client/client.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
 	"github.com/galenahead/galenahead"
@@ -92,13 +93,27 @@
 	return checkChange(r, err)
 }
 
+// ErrOutcomeUnknown reports that a change was rejected after a reply was lost. The change
+// may have been made, and may be the reason for the rejection.
+var ErrOutcomeUnknown = eris.New("outcome unknown")
+
 // ChangeMember adds, promotes or removes a replica. It returns the same errors as
-// Apply.
+// Apply, or ErrOutcomeUnknown, since such a request has no id that would let a daemon
+// recognize a repeat.
 func (c *Client) ChangeMember(ctx context.Context, req *galenapb.ChangeMemberRequest) (*galenapb.ChangeReply, error) {
+	lost := false
 	r, err := call(ctx, c, 0, func(ctx context.Context, cc galenapb.ControlClient) (*galenapb.ChangeReply, error) {
-		return cc.ChangeMember(ctx, req)
+		var p peer.Peer
+		r, err := cc.ChangeMember(ctx, req, grpc.Peer(&p))
+		// There is no peer if the request was not sent.
+		lost = lost || p.Addr != nil && retryable(err) && status.Code(err) != codes.FailedPrecondition
+		return r, err
 	})
-	return checkChange(r, err)
+	r, err = checkChange(r, err)
+	if err != nil && lost && !errors.Is(err, ErrNoLeader) {
+		return r, eris.Wrapf(ErrOutcomeUnknown, "the reply to an earlier attempt was lost, and a repeat was rejected (%v); see galenactl cluster status", err)
+	}
+	return r, err
 }
 
 // Get returns the records of one kind from the control state, or all records if
--- a/cmd/galenactl/root/fake_test.go
+++ b/cmd/galenactl/root/fake_test.go
@@ -27,6 +27,8 @@
 	leader string
 	// replyErr is what Apply and Bootstrap return after recording the request.
 	replyErr error
+	// memberErr is what ChangeMember returns after recording the request.
+	memberErr error
 	// unresponsive makes Apply record the request without ever replying.
 	unresponsive bool
 
@@ -77,6 +79,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.members = append(d.members, r)
+	if d.memberErr != nil {
+		return nil, d.memberErr
+	}
 	return &galenapb.ChangeReply{Revision: 9}, d.checkLeader()
 }
 
--- a/cmd/galenactl/root/root_test.go
+++ b/cmd/galenactl/root/root_test.go
@@ -139,6 +139,28 @@
 	is.Equal(len(d.applied), 1)
 }
 
+// Guards against a replica change that is reported as rejected after it was made: the reply
+// to the first attempt is lost, and the daemon rejects the repeat because of the first one.
+func TestRejectedRepeatOfMemberChangeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	const other = "127.0.0.2:2"
+	lost := status.Error(codes.Unavailable, "connection closed")
+	rejected := status.Error(codes.Aborted, "replica c4 is a member with incarnation 5; remove it first")
+	first, second := &fakeControl{memberErr: lost}, &fakeControl{memberErr: rejected}
+	add := []string{"cluster", "member", "add", "c4", "--address", "127.0.0.4:8090", "--incarnation", "5", "--control", controlAddress + "," + other}
+	code, _, errOut := runCommand(t, map[string]*fakeControl{controlAddress: first, other: second}, false, add...)
+	is.Equal(len(first.members), 1)
+	is.Equal(len(second.members), 1)
+	is.Equal(code, cli.ExitFailure)
+	is.True(strings.Contains(errOut, "outcome unknown"))
+
+	// A daemon that could not be reached has made no change.
+	second = &fakeControl{memberErr: rejected}
+	code, _, errOut = runCommand(t, map[string]*fakeControl{other: second}, false, add...)
+	is.Equal(code, cli.ExitConflict)
+	is.True(!strings.Contains(errOut, "outcome unknown"))
+}
+
 // Guards against a second cluster that starts when the reply to bootstrap is lost
 // and the request is resent to another daemon.
 func TestBootstrapIsNotResent(t *testing.T) {
