Log lapsed runs, the time of a takeover and steps over their budget

Schedules do not change.

A run that an instance lists as lapsed is counted in 'owner load'; long-running ones have a line each, with the epoch that started them.

--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -46,6 +46,8 @@
 type ownerLoad struct {
 	plans, lockWaits, polls, commands, requests, controlSteps durationStat
 	pollsFailed, starts, stops, repeats, heartbeats           atomic.Int64
+	// lapsed counts the runs that were found to have lapsed.
+	lapsed atomic.Int64
 	// exhausted counts the polls and commands that failed with ErrExhausted.
 	exhausted atomic.Int64
 	// inFlight is the number of commands without an outcome.
@@ -105,7 +107,7 @@
 	sizes                                                              galenajob.Sizes
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
-	exhausted                                                          int64
+	exhausted, lapsed                                                  int64
 	commandLimit, pollLimit                                            time.Duration
 	logGap, logSync                                                    time.Duration
 	pollsFailed, starts, stops, repeats, inFlight, heartbeats, ops     int64
@@ -122,6 +124,8 @@
 	b = galenalog.AppendInt(b, "jobs_active", int64(l.sizes.Active))
 	b = galenalog.AppendInt(b, "instances", int64(l.sizes.Instances))
 	b = galenalog.AppendInt(b, "runs", int64(l.sizes.Runs))
+	b = galenalog.AppendInt(b, "steps_over_budget", int64(l.sizes.OverBudget))
+	b = galenalog.AppendInt(b, "lapsed", l.lapsed)
 	b = appendTotals(b, "plans", "plan", l.plans)
 	b = appendTotals(b, "lock_waits", "lock_wait", l.lockWaits)
 	b = appendTotals(b, "polls", "poll", l.polls)
@@ -168,6 +172,7 @@
 	count("polls_failed", l.pollsFailed)
 	count("repeats", l.repeats)
 	count("exhausted", l.exhausted)
+	count("lapsed_runs", l.lapsed)
 	count("heartbeats", l.heartbeats)
 	count("commit_ops", l.ops)
 	m.OwnerMax.Record("tick_late", l.tickLate.longest)
@@ -212,7 +217,7 @@
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
 		repeats: l.repeats.Swap(0), inFlight: l.inFlight.Load(), heartbeats: l.heartbeats.Swap(0),
-		exhausted: l.exhausted.Swap(0), ops: sess.committer.ops.Swap(0),
+		exhausted: l.exhausted.Swap(0), lapsed: l.lapsed.Swap(0), ops: sess.committer.ops.Swap(0),
 	}
 	line.logGap, line.logSync = sess.Log.RecentDelays()
 	l.lastTickLate.Store(int64(line.tickLate.longest))
--- a/galenafleet/log_lines.go
+++ b/galenafleet/log_lines.go
@@ -81,6 +81,17 @@
 	return galenalog.AppendString(b, "found", string(l.run.Reason))
 }
 
+// lapsedRunLine is the log line of a run whose lease nothing has renewed in time.
+type lapsedRunLine struct{ run galenajob.LapsedRun }
+
+// AppendFields implements galenalog.Line.
+func (l lapsedRunLine) AppendFields(b []byte) []byte {
+	b = appendItem(b, l.run.Item)
+	b = galenalog.AppendInt(b, "run", l.run.Number)
+	b = galenalog.AppendString(b, "instance", string(l.run.Instance))
+	return galenalog.AppendInt(b, "started_in_epoch", int64(l.run.Epoch()))
+}
+
 // requestLine is the log line of a caller's request.
 type requestLine struct {
 	request Request
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -44,6 +44,8 @@
 	pollers   map[galenahead.InstanceID]*instancePoller
 	// adviceRequests queues the requests to the advisor.
 	adviceRequests chan galenajob.Action
+	// takenOver is set once the work of earlier owners is known. Only plan uses it.
+	takenOver bool
 }
 
 // instancePoller is the state of the loop that polls one instance.
@@ -215,8 +217,16 @@
 	start := time.Now()
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone := sh.scheduler.TakeGone()
+	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
+	if reconciled && !sh.takenOver {
+		sizes = sh.scheduler.Sizes()
+	}
 	sh.session.load.plans.record(time.Since(start))
 	sh.mu.Unlock()
+	if reconciled && !sh.takenOver {
+		sh.takenOver = true
+		sh.logTakeover(sizes)
+	}
 	for _, a := range actions {
 		sh.dispatch(ctx, a)
 	}
@@ -226,6 +236,14 @@
 	}
 }
 
+// logTakeover logs how long this owner took to learn the work of earlier owners.
+func (sh *shard) logTakeover(z galenajob.Sizes) {
+	sh.session.Logger.WithFields(logrus.Fields{
+		"service": sh.service, "epoch": sh.session.epoch, "took_ms": sh.now().Sub(sh.session.startedAt).Milliseconds(),
+		"instances": z.Instances, "runs": z.Runs, "steps_over_budget": z.OverBudget,
+	}).Info("work of earlier owners is known")
+}
+
 // removeGone removes instances that the scheduler has given up, because they showed
 // no sign of life for Params.GoneAfter.
 func (sh *shard) removeGone(ids []galenahead.InstanceID) {
@@ -397,11 +415,12 @@
 	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
 	var ends []galenajob.End
 	var lateRuns []galenajob.LateRun
+	var lapsedRuns []galenajob.LapsedRun
 	var pause time.Duration
 	needsPlan := !req.MayWait
 	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
 		ends = s.HandlePoll(now, id, resp)
-		lateRuns, pause = s.TakeLateRuns(), s.PollPause(now, id)
+		lateRuns, lapsedRuns, pause = s.TakeLateRuns(), s.TakeLapsedRuns(), s.PollPause(now, id)
 		// Ends that must be recorded call for a plan only after that.
 		needsPlan = needsPlan || s.HasActions() || len(ends) < len(resp.Ends)
 	})
@@ -409,6 +428,7 @@
 		sh.requestPlan()
 	}
 	sh.logLateRuns(lateRuns)
+	sh.logLapsedRuns(lapsedRuns)
 	if len(ends) > 0 {
 		sh.recordEnds(id, req.Instance.Born, ends)
 	}
@@ -426,6 +446,17 @@
 	}
 }
 
+// logLapsedRuns logs and counts runs that ended because nothing renewed their lease. Only
+// the long-running ones have a line each: with many instances all others may lapse at once.
+func (sh *shard) logLapsedRuns(runs []galenajob.LapsedRun) {
+	sh.session.load.lapsed.Add(int64(len(runs)))
+	for _, r := range runs {
+		if r.LongRunning {
+			galenalog.Info(sh.session.Logger, "run lapsed", lapsedRunLine{r})
+		}
+	}
+}
+
 func (sh *shard) pollTiming(sent time.Time, wait time.Duration) pollTiming {
 	return pollTiming{wait: wait, took: sh.now().Sub(sent), tickLate: sh.session.load.recentTickLate()}
 }
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -130,6 +130,9 @@
 		if hasResult && !ours {
 			s.noteLateRun(inst, e.Item, e.Number, e.Reason)
 		}
+		if e.Reason == EndLeaseExpired {
+			s.noteLapsedRun(inst, e, it)
+		}
 		if it == nil {
 			continue
 		}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -90,6 +90,8 @@
 	actions   []Action
 	gone      []galenahead.InstanceID
 	lateRuns  []LateRun
+	// lapsedRuns holds what TakeLapsedRuns returns next.
+	lapsedRuns []LapsedRun
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
 	// It includes instances that are not registered, so that one that registers
 	// again gets no work before its planned move or maintenance.
@@ -243,6 +245,9 @@
 	s.sortedIDs = nil
 }
 
+// Reconciled reports whether the work of earlier owners is known on all instances.
+func (s *Scheduler) Reconciled() bool { return s.unreconciled == 0 }
+
 func (s *Scheduler) markReconciled(inst *instance) {
 	if inst.unreconciled {
 		inst.unreconciled = false
--- a/galenajob/sizes.go
+++ b/galenajob/sizes.go
@@ -7,6 +7,9 @@
 	Instances       int
 	// Runs is the number of runs on instances, from the start command to the end.
 	Runs int
+	// OverBudget is the number of long-running steps of which more work items do not
+	// serve than the scheduler may stop at a time.
+	OverBudget int
 }
 
 // Add adds the sizes of another Scheduler.
@@ -15,6 +18,7 @@
 	s.Active += o.Active
 	s.Instances += o.Instances
 	s.Runs += o.Runs
+	s.OverBudget += o.OverBudget
 }
 
 // Sizes returns the current sizes.
@@ -26,6 +30,7 @@
 		} else {
 			z.Waiting++
 		}
+		z.OverBudget += j.stepsOverBudget()
 	}
 	for _, inst := range s.instances {
 		z.Runs += len(inst.items)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -115,6 +115,20 @@
 	return n
 }
 
+// stepsOverBudget counts the long-running steps of which more work items do not serve than
+// may be stopped at a time. Steps without a limit and work that has not started don't count.
+func (j *job) stepsOverBudget() int {
+	n := 0
+	for _, sets := range j.sets {
+		for _, set := range sets {
+			if j.started && set.step.LongRunning && set.step.MaxUnavailable > 0 && set.unavailable() > set.step.MaxUnavailable {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // job is the scheduling state of a job that is not final.
 type job struct {
 	*Job
