Keep the owner's session through a gap in the lease of the log

Cause: a session ended as soon as the lease of the log was found expired, also by a few milliseconds and with the replica still leading the same term. The next session polls every instance twice before it has renewed all leases, on a processor that was already short, so it is lost in turn, and what runs lapses 4 s after the last session that lasted.

Now a session belongs to a term. While the lease is missing, it sends, answers and commits nothing, as before; it goes on when the lease is valid again in the same term, and ends with the term. This is sound because the voters that renew a lease of a term have not voted in a later one before, so no other replica has led in between. Proposals name their term, so none of an old session is appended when its replica leads again; before, a lease that was back within the 20 ms between two checks hid a change of term.

Ruled out: a longer lease of the log, which makes each real change of leader as much slower.

--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -17,6 +17,9 @@
 	// commitTimeout bounds one proposal. The owner's session ends if the log does
 	// not answer within it.
 	commitTimeout = 2 * time.Second
+	// leaseRetryPause is the pause before a proposal is made again that the log did not
+	// append because its lease had expired.
+	leaseRetryPause = 10 * time.Millisecond
 	// maxBatchOps and maxBatchBytes bound one log entry. They are well below the
 	// largest command that the log accepts.
 	maxBatchOps   = 512
@@ -28,7 +31,9 @@
 // committer proposes operations to the log. It batches concurrent operations into
 // one log entry, so that they share one fsync.
 type committer struct {
-	log   galenahead.ReplicatedLog
+	log termLog
+	// term is the only term in which the log may append the proposals.
+	term  uint64
 	queue chan proposal
 	// onFailure ends the session after a proposal whose outcome is unknown.
 	onFailure context.CancelCauseFunc
@@ -58,8 +63,14 @@
 	err     error
 }
 
-func newCommitter(log galenahead.ReplicatedLog, ended <-chan struct{}, onFailure context.CancelCauseFunc) *committer {
-	return &committer{log: log, queue: make(chan proposal, maxQueuedProposals), onFailure: onFailure, ended: ended}
+// termLog is the part of a Log that a committer uses.
+type termLog interface {
+	LeaderTerm() (term uint64, leased bool)
+	ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error)
+}
+
+func newCommitter(log termLog, term uint64, ended <-chan struct{}, onFailure context.CancelCauseFunc) *committer {
+	return &committer{log: log, term: term, queue: make(chan proposal, maxQueuedProposals), onFailure: onFailure, ended: ended}
 }
 
 // commit returns the results of ops once they are durable and applied. It fails with
@@ -179,6 +190,25 @@
 	return nil
 }
 
+// proposeInTerm proposes a command once the lease of the log is valid, as long as the term
+// goes on.
+func (c *committer) proposeInTerm(ctx context.Context, command []byte) ([]byte, error) {
+	for {
+		out, err := c.log.ProposeInTerm(ctx, c.term, command)
+		if !errors.Is(err, galenahead.ErrNotLeader) || ctx.Err() != nil {
+			return out, err
+		}
+		// The log has not appended the command.
+		if term, _ := c.log.LeaderTerm(); term != c.term {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leaseRetryPause):
+		}
+	}
+}
+
 func (c *committer) propose(ctx context.Context, batch []proposal) error {
 	var ops []Op
 	for _, p := range batch {
@@ -191,7 +221,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	start := time.Now()
-	out, err := c.log.Propose(callCtx, b)
+	out, err := c.proposeInTerm(callCtx, b)
 	c.commits.record(time.Since(start))
 	c.ops.Add(int64(len(ops)))
 	if err != nil {
--- a/galenafleet/fleet_simulation_test.go
+++ b/galenafleet/fleet_simulation_test.go
@@ -429,8 +429,13 @@
 			go submit(fmt.Sprintf("%s%d", simBatchPrefix, n), spec)
 		}
 		if disturbed && sim.rngIntN(250) == 0 {
-			l.holdsLease.Store(false)
-			time.AfterFunc(200*time.Millisecond, func() { l.holdsLease.Store(true) })
+			if n%2 == 0 {
+				l.gap.Store(true)
+				time.AfterFunc(100*time.Millisecond, func() { l.gap.Store(false) })
+			} else {
+				l.holdsLease.Store(false)
+				time.AfterFunc(200*time.Millisecond, func() { l.holdsLease.Store(true) })
+			}
 		}
 		time.Sleep(step)
 	}
--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -116,7 +116,7 @@
 // tick, or is forgotten when a load line is logged.
 func TestTickLateness(t *testing.T) {
 	is := is.New(t)
-	sess := &ownerSession{Owner: &Owner{Log: &fakeLog{}}, committer: newCommitter(nil, nil, nil), commandLimit: newCallLimit(0), pollLimit: newCallLimit(0)}
+	sess := &ownerSession{Owner: &Owner{Log: &fakeLog{}}, committer: newCommitter(nil, 0, nil, nil), commandLimit: newCallLimit(0), pollLimit: newCallLimit(0)}
 	sess.load.recordTick(leadershipCheckInterval)
 	sess.load.recordTick(leadershipCheckInterval - time.Millisecond)
 	is.Equal(sess.load.recentTickLate(), time.Duration(0))
@@ -165,7 +165,7 @@
 		is.Equal(len(lines), 1)
 		is.Equal(lines[0]["replica"], "a") // a field of Diagnostics
 		is.Equal(lines[0]["epoch"], 1.0)
-		is.Equal(lines[0]["error"], errLeaseLost.Error())
+		is.Equal(lines[0]["error"], errTermEnded.Error())
 		is.Equal(lines[0]["tick_late_max_us"], 0.0)
 		is.Equal(lines[0]["commit_queue"], 0.0)
 	})
--- a/galenafleet/machine_controller_test.go
+++ b/galenafleet/machine_controller_test.go
@@ -21,7 +21,7 @@
 	o := &Owner{State: s, Timers: s.Timers, MachineLease: 3 * time.Second}
 	ended := make(chan struct{})
 	close(ended)
-	return newMachineController(&ownerSession{Owner: o, epoch: epoch, committer: newCommitter(nil, ended, nil)})
+	return newMachineController(&ownerSession{Owner: o, epoch: epoch, committer: newCommitter(nil, 0, ended, nil)})
 }
 
 // Guards against orders of two owners to one machine that alternate within the
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -21,6 +21,12 @@
 	// HoldsLease reports whether this replica is the leader of the log and its
 	// lease is valid now.
 	HoldsLease() bool
+	// LeaderTerm returns the term in which this replica leads, or zero if it does not
+	// lead, and whether its lease is valid now. A lease that becomes valid again in the
+	// same term was that of no other replica in between.
+	LeaderTerm() (term uint64, leased bool)
+	// ProposeInTerm is Propose, but fails with ErrNotLeader in another term.
+	ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error)
 	// Diagnostics returns log fields that say why the lease was lost.
 	Diagnostics() map[string]any
 	// RecentDelays returns the longest recent gap between two passes of the log over
@@ -72,18 +78,19 @@
 			return nil
 		case <-ticks:
 		}
-		if !o.Log.HoldsLease() {
+		term, leased := o.Log.LeaderTerm()
+		if !leased {
 			continue
 		}
-		if err := o.runSession(ctx); err != nil {
+		if err := o.runSession(ctx, term); err != nil {
 			o.Logger.WithError(err).Warn("owner session ended")
 		}
 	}
 }
 
-// runSession starts a session and serves until it ends.
-func (o *Owner) runSession(ctx context.Context) error {
-	sess, err := o.startSession(ctx)
+// runSession starts a session in a term of the log and serves until it ends.
+func (o *Owner) runSession(ctx context.Context, term uint64) error {
+	sess, err := o.startSession(ctx, term)
 	if err != nil {
 		return err
 	}
@@ -97,7 +104,7 @@
 
 // startSession records this replica as the owner in the replicated state, which
 // increments the epoch, and loads the schedulers.
-func (o *Owner) startSession(ctx context.Context) (*ownerSession, error) {
+func (o *Owner) startSession(ctx context.Context, term uint64) (*ownerSession, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readBarrierTimeout)
 	defer cancel()
 	if err := o.Log.ReadBarrier(callCtx); err != nil {
@@ -105,11 +112,11 @@
 	}
 	sessionCtx, resign := context.WithCancelCause(ctx)
 	sess := &ownerSession{
-		Owner: o, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{},
+		Owner: o, term: term, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{},
 		submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1),
 		commandLimit: newCallLimit(longestCommandLimit), pollLimit: newCallLimit(longestPollLimit),
 	}
-	sess.committer = newCommitter(o.Log, sessionCtx.Done(), resign)
+	sess.committer = newCommitter(o.Log, term, sessionCtx.Done(), resign)
 	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
 	if err != nil {
@@ -123,17 +130,22 @@
 	return sess, nil
 }
 
-// ownerSession is a period during which this replica owns the fleet. Each session
-// has an epoch of its own.
+// ownerSession is a period during which this replica owns the fleet, within one term of
+// the log. Each session has an epoch of its own. While the lease of the log has expired
+// in that term, the session sends and answers nothing.
 type ownerSession struct {
 	*Owner
 	epoch     uint64
+	term      uint64
 	startedAt time.Time
 	ctx       context.Context
 	// resign ends the session with a cause.
 	resign    context.CancelCauseFunc
 	committer *committer
 	load      ownerLoad
+	// leaseMissingSince is when the lease of the log was first seen to have expired, or
+	// zero. Only run uses it.
+	leaseMissingSince time.Time
 	// commandLimit and pollLimit bound the calls to instances.
 	commandLimit, pollLimit *callLimit
 	// controller carries out orders to machines.
@@ -164,9 +176,9 @@
 	lastMachines atomic.Pointer[machineSnapshot]
 }
 
-var errLeaseLost = eris.New("lost the lease as leader of the log")
+var errTermEnded = eris.New("no longer the leader of the log in the term of this session")
 
-// run serves until the lease is lost, a commit fails or the context ends.
+// run serves until the term of the session ends, a commit fails or the context ends.
 func (sess *ownerSession) run() error {
 	ticks := sess.Timers.Subscribe(sess.ctx, "office", leadershipCheckInterval)
 	sess.spawn(func() error { return sess.expireLoop() })
@@ -184,13 +196,30 @@
 			now := time.Now()
 			sess.load.recordTick(now.Sub(last))
 			last = now
-			if !sess.Log.HoldsLease() {
-				sess.resign(errLeaseLost)
-			}
+			sess.checkTerm(now)
 		}
 	}
 }
 
+// checkTerm ends the session if its term has ended, and logs a lease that was missing. A
+// missing lease alone does not end the session: the next one would poll all instances
+// anew while their leases run out, and a replica that is late would be later still.
+func (sess *ownerSession) checkTerm(now time.Time) {
+	term, leased := sess.Log.LeaderTerm()
+	switch {
+	case term != sess.term:
+		sess.resign(errTermEnded)
+	case !leased && sess.leaseMissingSince.IsZero():
+		sess.leaseMissingSince = now
+		sess.Metrics.Counters.Add("owner_lease_gaps", 1)
+	case leased && !sess.leaseMissingSince.IsZero():
+		sess.Logger.WithField("epoch", sess.epoch).WithField("gap_ms", now.Sub(sess.leaseMissingSince).Milliseconds()).
+			WithField("tick_late_max_us", sess.load.recentTickLate().Microseconds()).
+			Info("the lease of the log is valid again")
+		sess.leaseMissingSince = time.Time{}
+	}
+}
+
 // spawn runs fn in a goroutine of the session, unless the session is closing.
 func (sess *ownerSession) spawn(fn func() error) {
 	sess.spawnMu.Lock()
@@ -306,4 +335,7 @@
 
 // isLeader reports whether the session is still valid, so that it may answer from
 // its state.
-func (sess *ownerSession) isLeader() bool { return sess.ctx.Err() == nil && sess.Log.HoldsLease() }
+func (sess *ownerSession) isLeader() bool {
+	term, leased := sess.Log.LeaderTerm()
+	return sess.ctx.Err() == nil && leased && term == sess.term
+}
--- a/galenafleet/owner_bench_test.go
+++ b/galenafleet/owner_bench_test.go
@@ -422,12 +422,11 @@
 }
 
 // applyLog applies commands at once.
-type applyLog struct {
-	galenahead.ReplicatedLog
-	state *State
-}
+type applyLog struct{ state *State }
+
+func (l *applyLog) LeaderTerm() (term uint64, leased bool) { return 1, true }
 
-func (l *applyLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+func (l *applyLog) ProposeInTerm(_ context.Context, _ uint64, command []byte) ([]byte, error) {
 	return l.state.Apply(1, command), nil
 }
 
--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -28,7 +28,10 @@
 type fakeLog struct {
 	galenahead.ReplicatedLog
 	state               *State
-	holdsLease, blocked atomic.Bool
+	// holdsLease is whether the replica leads. gap takes away the lease alone.
+	holdsLease, gap, blocked atomic.Bool
+	// terms counts the terms before the present one, which is 1 in the zero value.
+	terms atomic.Uint64
 	// delay is how long it takes to commit an entry.
 	delay atomic.Int64
 	// maxCommand is the size of the longest command that is accepted, or zero.
@@ -36,13 +39,27 @@
 	index      uint64
 }
 
-func (l *fakeLog) HoldsLease() bool                            { return l.holdsLease.Load() }
+func (l *fakeLog) HoldsLease() bool                            { return l.holdsLease.Load() && !l.gap.Load() }
 func (l *fakeLog) Diagnostics() map[string]any                 { return map[string]any{"replica": "a"} }
 func (l *fakeLog) RecentDelays() (loopGap, sync time.Duration) { return 0, 0 }
 func (l *fakeLog) ReadBarrier(context.Context) error           { return nil }
 func (l *fakeLog) Status() galenahead.LogStatus {
 	return galenahead.LogStatus{Members: []galenahead.Member{{Name: "a", Voter: true}}}
 }
+func (l *fakeLog) LeaderTerm() (term uint64, leased bool) {
+	if !l.holdsLease.Load() {
+		return 0, false
+	}
+	return 1 + l.terms.Load(), l.HoldsLease()
+}
+
+func (l *fakeLog) ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error) {
+	if leads, leased := l.LeaderTerm(); leads != term || !leased {
+		return nil, galenahead.ErrNotLeader
+	}
+	return l.Propose(ctx, command)
+}
+
 func (l *fakeLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if l.blocked.Load() {
 		<-ctx.Done()
--- a/galenaraft/api.go
+++ b/galenaraft/api.go
@@ -54,10 +54,20 @@
 // Propose implements galenahead.ReplicatedLog. It also fails with
 // galenahead.ErrInvalid if the command is longer than MaxCommandBytes.
 func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return n.ProposeInTerm(ctx, 0, command)
+}
+
+// ProposeInTerm is Propose for a command that must not be appended in another term of
+// this replica as leader. Term 0 stands for any.
+func (n *Node) ProposeInTerm(ctx context.Context, term uint64, command []byte) ([]byte, error) {
 	if len(command) > MaxCommandBytes {
 		return nil, eris.Wrapf(galenahead.ErrInvalid, "command of %d bytes is longer than %d", len(command), MaxCommandBytes)
 	}
 	return n.submit(ctx, func(now time.Duration, done func([]byte, error)) {
+		if term != 0 && term != n.engine.core.hardState.Term {
+			done(nil, galenahead.ErrNotLeader)
+			return
+		}
 		n.engine.propose(now, command, done)
 	})
 }
@@ -86,6 +96,18 @@
 // now.
 func (n *Node) HoldsLease() bool { return n.now() < n.published.Load().leaseEnd }
 
+// LeaderTerm returns the term in which this replica leads, or zero if it does not lead,
+// and whether its lease is valid now. A lease that has expired may become valid again in
+// the same term. No other replica has led in between: the voters whose answers renew the
+// lease have not voted in a later term before.
+func (n *Node) LeaderTerm() (term uint64, leased bool) {
+	p := n.published.Load()
+	if p.status.Role != string(RoleLeader) {
+		return 0, false
+	}
+	return p.status.Term, n.now() < p.leaseEnd
+}
+
 // Syncs returns the number of records that this replica has synced to its log
 // since Open.
 func (n *Node) Syncs() uint64 { return n.published.Load().syncs }
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -227,6 +227,49 @@
 	})
 }
 
+// Guards against a gap in the lease that is taken for the end of a term, and against a
+// command of an earlier term that is appended when its replica leads again.
+func TestLeaderTermOutlivesGapInLease(t *testing.T) {
+	root := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const lease = 500 * time.Millisecond // ends some heartbeats before the leader steps down
+		c := startCluster(t, root, Config{Lease: lease}, "a", "b", "c")
+		defer c.stop()
+		time.Sleep(electionWait)
+		l := c.leader()
+		term, leased := l.LeaderTerm()
+		is.True(leased)
+
+		c.isolated.Store(string(l.Status().Name))
+		time.Sleep(lease + DefaultTick)
+		gapTerm, leased := l.LeaderTerm()
+		is.Equal(gapTerm, term)
+		is.True(!leased)
+		c.isolated.Store("")
+		time.Sleep(2 * DefaultHeartbeat)
+		backTerm, leased := l.LeaderTerm()
+		is.Equal(backTerm, term)
+		is.True(leased)
+		_, err := l.ProposeInTerm(t.Context(), term, []byte("x"))
+		is.NoErr(err)
+
+		c.isolated.Store(string(l.Status().Name))
+		time.Sleep(electionWait)
+		lostTerm, leased := l.LeaderTerm()
+		is.Equal(lostTerm, uint64(0))
+		is.True(!leased)
+		c.isolated.Store("")
+		for c.leader() != l {
+			is.NoErr(c.leader().TransferLeadership(t.Context()))
+			time.Sleep(electionWait)
+		}
+		_, err = l.ProposeInTerm(t.Context(), term, []byte("y"))
+		is.True(errors.Is(err, galenahead.ErrNotLeader))
+		is.Equal(l.stateMachine.total.Load(), uint64(1))
+	})
+}
+
 // Guards against a leader that stops after a transfer before the target has
 // received the TimeoutNow message, so that the others wait for an election timeout.
 func TestNewLeaderIsReadyWhenOldLeaderStops(t *testing.T) {
