Send heartbeats of the log beside slow calls, and no outdated ones

Cause: messages to a voter waited for the answer to the one before. Up to four heartbeats, 120 ms apart, queued behind a call, and the oldest was sent first. With answers that a late leader handles after 200 to 400 ms, each heartbeat was sent up to half a second after it was made; the lease counts from that moment, so it was over when the answer came ('request 666 ms, response 0 ms, call 379 ms' for a voter, where handling takes 14 ms). Besides, calls were given up after 400 ms although their answer would still have kept the leader.

Now a heartbeat replaces a queued one, four calls to a voter may be under way, as many as heartbeats in the time of a lease, and a call waits for as long as its answer can keep the leader. Messages that overtake each other are what the log expects of its network.

Evidence: TestLeaseHoldsWhileResponsesAreSlow (responses take 300 ms, heartbeats are 120 ms apart, the lease is 500 ms) loses the lease before and holds it for 10 s now.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -47,9 +47,8 @@
 	// campaign at the same time.
 	minElectionTimeout = 650 * time.Millisecond
 	maxElectionTimeout = 1100 * time.Millisecond
-	// raftCallTimeout is longer than a call that waits for a sync of a loaded disk
-	// (9 ms), and shorter than the leader lease.
-	raftCallTimeout = 400 * time.Millisecond
+	// raftCallTimeout is the time after which a response can no longer keep a leader.
+	raftCallTimeout = minElectionTimeout
 )
 
 // instanceLease is the time for which a command lets an instance work. It is
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -320,8 +321,8 @@
 	Handling time.Duration `json:"handling,omitempty"`
 }
 
-// peer sends messages to one address. It sends one at a time, so that messages
-// queued behind a slow call can be dropped instead of being sent late.
+// peer sends messages to one address. It has few calls under way, so that messages
+// queued behind slow calls can be dropped instead of being sent late.
 type peer struct {
 	node    *Node
 	address string
@@ -331,14 +332,26 @@
 	queue []Message
 }
 
-// maxQueuedMessages is the maximum number of messages queued for one peer. The
-// oldest message is dropped if the queue is full; the core sends it again if it is
-// still needed.
-const maxQueuedMessages = 4
+const (
+	// maxQueuedMessages is the maximum number of messages queued for one peer. The
+	// oldest message is dropped if the queue is full; the core sends it again if it is
+	// still needed.
+	maxQueuedMessages = 4
+	// maxCalls is the maximum number of calls to one peer at a time. As many heartbeats
+	// are sent in the time of a lease, so that none waits for the response to another.
+	maxCalls = 4
+)
+
+// isHeartbeat reports whether m is an append request without entries.
+func (m *Message) isHeartbeat() bool { return m.Kind == KindAppend && len(m.Entries) == 0 }
 
 func (p *peer) enqueue(m Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if m.isHeartbeat() {
+		// The lease counts from the time at which the message was made.
+		p.queue = slices.DeleteFunc(p.queue, func(q Message) bool { return q.isHeartbeat() })
+	}
 	if len(p.queue) == maxQueuedMessages {
 		p.queue = p.queue[1:]
 	}
@@ -361,6 +374,9 @@
 }
 
 func (p *peer) run(ctx context.Context) error {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	slots := make(chan struct{}, maxCalls)
 	for {
 		select {
 		case <-ctx.Done():
@@ -368,11 +384,16 @@
 		case <-p.wake:
 		}
 		for ctx.Err() == nil {
+			slots <- struct{}{}
 			m, ok := p.dequeue()
 			if !ok {
+				<-slots
 				break
 			}
-			p.roundTrip(ctx, m)
+			calls.Go(func() {
+				p.roundTrip(ctx, m)
+				<-slots
+			})
 		}
 	}
 }
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -52,6 +52,8 @@
 	root     string
 	nodes    sync.Map     // from name to *runningNode
 	isolated atomic.Value // the name of the node whose messages are lost
+	// responseTime is how long each response is on its way.
+	responseTime atomic.Int64
 	fatalErr atomic.Value // the error passed to Config.Fatal
 }
 
@@ -81,6 +83,11 @@
 	if err != nil {
 		return err
 	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(c.cluster.responseTime.Load())):
+	}
 	return convertViaJSON(r, result)
 }
 
@@ -270,6 +277,34 @@
 	})
 }
 
+// Guards against a leader that loses its lease while all voters answer, because its
+// heartbeats wait for the answers to earlier ones, which it handles late.
+func TestLeaseHoldsWhileResponsesAreSlow(t *testing.T) {
+	root := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cfg := Config{
+			Tick: 25 * time.Millisecond, Heartbeat: 120 * time.Millisecond, Lease: 500 * time.Millisecond,
+			MinElectionTimeout: 650 * time.Millisecond, MaxElectionTimeout: 1100 * time.Millisecond, CallTimeout: 650 * time.Millisecond,
+		}
+		c := startCluster(t, root, cfg, "a", "b", "c")
+		defer c.stop()
+		time.Sleep(electionWait)
+		l := c.leader()
+		term, _ := l.LeaderTerm()
+		// Together with the time between two heartbeats it is less than the lease.
+		c.responseTime.Store(int64(300 * time.Millisecond))
+		for range 500 {
+			time.Sleep(20 * time.Millisecond)
+			now, leased := l.LeaderTerm()
+			is.Equal(now, term)
+			is.True(leased)
+		}
+		_, err := l.Propose(t.Context(), []byte("x"))
+		is.NoErr(err)
+	})
+}
+
 // Guards against a leader that stops after a transfer before the target has
 // received the TimeoutNow message, so that the others wait for an election timeout.
 func TestNewLeaderIsReadyWhenOldLeaderStops(t *testing.T) {
