--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -54,7 +54,7 @@
 	isolated atomic.Value // the name of the node whose messages are lost
 	// responseTime is how long each response is on its way.
 	responseTime atomic.Int64
-	fatalErr atomic.Value // the error passed to Config.Fatal
+	fatalErr     atomic.Value // the error passed to Config.Fatal
 }
 
 // runningNode is a Node whose Run is active. stop ends Run and waits for it.
