Close connections between daemons whose data stays unacknowledged

Cause: a connection was replaced once no call on it had been answered for 2 s. The leader of the log does without answers for 0.65 s, and the connections of the candidates after it may be silent too, each noticed 2 s after its first use: over 4 s without an owner, which is the lease of instances.

Now the kernel closes a connection whose data is unacknowledged for 400 ms (TCP_USER_TIMEOUT). Unlike a shorter limit on answers, it does not take a peer that is late for one that can't be reached: its kernel still acknowledges.

Evidence: TestConnectionsLimitUnackedTime.

--- a/galenarpc/client.go
+++ b/galenarpc/client.go
@@ -18,8 +18,8 @@
 	// the next attempt to the same peer, so that an unreachable peer costs little.
 	redialDelay = 200 * time.Millisecond
 	// maxUnansweredTime is how long calls may go without any reply before a call
-	// that times out closes the connection. Without it, a network partition that
-	// silently drops packets would leave the connection open.
+	// that times out closes the connection. The peer's process may have stopped while
+	// its kernel still acknowledges what arrives.
 	maxUnansweredTime = 2 * time.Second
 )
 
@@ -114,8 +114,7 @@
 	if p.dialErr != nil && time.Since(p.dialFailedAt) < redialDelay {
 		return nil, p.dialErr
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := dial(ctx, addr)
 	if err != nil {
 		p.dialFailedAt = time.Now()
 		p.dialErr = eris.Wrapf(galenahead.ErrUnreachable, "connect to %s: %v", addr, err)
@@ -128,6 +127,12 @@
 	return p.conn, nil
 }
 
+// dial opens a connection whose data does not stay unacknowledged for long.
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, Control: limitUnackedTime}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // recordCallStart records that a call starts on conn.
 func (p *peer) recordCallStart(conn *Conn) {
 	p.mu.Lock()
