Ask a step's limit again before an eviction is repeated

Cause: only the first stop of an evacuation asks how many items are unavailable. One without an answer is sent again every 150 ms, also after other items of the step have failed or lost their instance in between, and then ends an item that is still at work.

Now such a stop is sent again only while the limit allows it, counted like the first one; not so for a cancelled job or an instance that drains by itself.

Evidence: TestRepeatedEvictionAsksBudgetAgain (a stop without an answer, another item fails, the run is still listed) sent the stop again before. The other stops that ask nothing were read again: 'instance leaves' and 'start without certainty' concern starts that no list has shown at work, 'unexpected run' a run that the scheduler has replaced, after the lease of the one before.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -157,11 +157,19 @@
 				s.emitStart(now, it, reasonRepeated)
 			}
 		case phaseStopping:
-			s.emitStop(now, it, reasonRepeated)
+			if s.mayStopNow(it) {
+				s.emitStop(now, it, reasonRepeated)
+			}
 		}
 	}
 }
 
+// mayStopNow reports whether the stop of a work item may be sent again. One that its step's
+// limit allowed may still be at work while others have become unavailable since.
+func (s *Scheduler) mayStopNow(it *item) bool {
+	return !it.evicted || it.set.job.final || it.instance.Draining || s.mayEvict(it)
+}
+
 // startPending reports whether the item's start counts against MaxStarting. A repeated
 // start, or one whose result is late, waits for an instance that is probably gone, and
 // takes the owner nothing meanwhile.
@@ -188,7 +196,9 @@
 		step := it.set.step
 		switch {
 		case step.LongRunning:
-			if inst.Draining || step.MaxUnavailable == 0 || s.mayEvict(it) {
+			limited := !inst.Draining && step.MaxUnavailable > 0
+			if !limited || s.mayEvict(it) {
+				it.evicted = limited
 				s.stop(now, it, "instance leaves")
 			}
 		case inst.Draining && step.Checkpointing && now.Sub(inst.drainingSince) > s.params.DrainGracePeriod/2:
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -45,6 +45,9 @@
 	// stop command it is the time by which the end must be listed.
 	confirmed time.Time
 	inFlight  bool
+	// evicted is set while the run is stopped because its instance is evacuated, within
+	// the step's limit of unavailable work items.
+	evicted bool
 	// startsSent counts the start commands sent for the run.
 	startsSent int
 	// startDeadline is the deadline of the last start command. unansweredUntil is the
@@ -350,7 +353,7 @@
 	it.instance, it.run, it.placementSeq = inst, run, inst.placements
 	it.confirmed, it.percent, it.usage = time.Time{}, 0, 0
 	it.pace, it.pacing = 100, paceState{}
-	it.endUnrecorded, it.startsSent = false, 0
+	it.endUnrecorded, it.evicted, it.startsSent = false, false, 0
 	it.startDeadline, it.unansweredUntil, it.uncertainSince, it.absentClock = 0, 0, time.Time{}, 0
 	inst.items[it.id()] = it
 	inst.used = inst.used.Add(it.set.step.reservation())
