--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -139,7 +139,7 @@
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Instances:    &platform.InstanceClient{Client: client},
 		Advisor:      &platform.Advisor{Client: client, Address: f.Platform.Advisor.String()},
-		Machines:     &platform.MachineClient{Client: client, Address: f.Platform.Machines.String()},
+		Machines:     &platform.MachineClient{Client: client, Address: f.Platform.Machines.String(), Logger: log.Logger},
 		Params:       schedulerParams(f),
 		MachineLease: f.Instances.MachineLease, FinalJobRetention: f.Instances.FinalJobRetention,
 	}
