Check that a lease is never valid after a later term has had a leader

The simulations of the log check that after every event: a replica that holds a lease has the highest term in which any held one or committed an entry.

--- a/galenaraft/simulation_test.go
+++ b/galenaraft/simulation_test.go
@@ -37,9 +37,11 @@
 	leaders          map[uint64]galenawal.ID
 	committed        []galenawal.Entry // index 0 is unused
 	stateHashes      []uint64          // state hash after each index
-	maxCommittedTerm uint64            // highest term of a committed entry
-	ackedIndex       uint64            // highest index of an acknowledged command
-	rejectedCommands map[string]bool   // commands reported as not appended
+	maxCommittedTerm uint64
+	// maxLeasedTerm is the highest term in which a replica has held a lease.
+	maxLeasedTerm    uint64          // highest term of a committed entry
+	ackedIndex       uint64          // highest index of an acknowledged command
+	rejectedCommands map[string]bool // commands reported as not appended
 	proposals        int
 	succeeded        int
 	reads            int
@@ -469,7 +471,9 @@
 	return r.engine != nil && r.clock() < r.engine.core.leaseEnd(r.clock())
 }
 
-// checkLease checks that no other replica holds a lease while r does.
+// checkLease checks that no other replica holds a lease while r does, and that none of a
+// later term has held one or committed an entry. So a lease that is valid again after a gap
+// has been that of no other replica in between.
 func (s *simulation) checkLease(r *replica) {
 	if !r.holdsLease() {
 		return
@@ -479,6 +483,11 @@
 			s.fail("%s holds a lease while %s holds a lease", r.name, o.name)
 		}
 	}
+	term := r.engine.core.hardState.Term
+	if latest := max(s.maxLeasedTerm, s.maxCommittedTerm); term < latest {
+		s.fail("%s holds a lease in term %d after term %d has had a leader", r.name, term, latest)
+	}
+	s.maxLeasedTerm = max(s.maxLeasedTerm, term)
 }
 
 // checkNewLeader checks that no other replica holds a lease of an earlier term and that
