Let other work start beside a work item that is cleared of suspicion

An instance kept a pointer to the last suspect that was placed on it. When the same item started there again after a run had cleared it, other work had to wait for the end of its probation. Found by TestSecondCrashBesideOtherNewWorkDoesNotCount (one start in place of two), which also checks that the second crash of such an item does not count beside other new work.

--- a/galenafleet/lease_gap_test.go
+++ b/galenafleet/lease_gap_test.go
@@ -72,6 +72,12 @@
 		sess := o.session.Load()
 		log.terms.Add(1) // the lease is valid at the next check again
 		is.True(!sess.isLeader())
+		time.Sleep(100 * time.Millisecond)
+		is.True(o.session.Load() != sess)
+		is.Equal(o.session.Load().epoch, uint64(2))
+
+		sess = o.session.Load()
+		log.terms.Add(1)
 		next := testConfig
 		next.Version = 2
 		_, err := sess.committer.commit(Op{Config: &next})
@@ -79,7 +85,7 @@
 		is.Equal(o.State.Config().Version, uint64(1))
 		time.Sleep(100 * time.Millisecond)
 		is.True(o.session.Load() != sess)
-		is.Equal(o.session.Load().epoch, uint64(2))
+		is.Equal(o.session.Load().epoch, uint64(3))
 		stop()
 		time.Sleep(2 * time.Second)
 	})
--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -74,8 +74,11 @@
 			it.alone, other.alone = false, false
 		}
 	}
-	if it.suspect() {
+	switch {
+	case it.suspect():
 		inst.isolated = it
+	case inst.isolated == it:
+		inst.isolated = nil // cleared since its last run here
 	}
 }
 
--- a/galenajob/crash_test.go
+++ b/galenajob/crash_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/galenahead/galenahead"
 )
 
@@ -323,6 +325,54 @@
 	return false
 }
 
+// Guards against a second crash that counts against a work item although new work of another
+// job was beside it, since its last run had cleared it of suspicion.
+func TestSecondCrashBesideOtherNewWorkDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	j := testJob("j", 1)
+	j.Spec.Steps[0].LongRunning = true
+	s.AddJob(t0, j, 0, false)
+	in := testInstance("a")
+	now := t0
+	start := func() (out []Run) {
+		for _, a := range starts(s.Plan(now, now)) {
+			s.HandleOutcome(now, a, OutcomeDone, 1000, now)
+			out = append(out, Run{Item: a.Item, Number: a.Run, Percent: 100})
+		}
+		return out
+	}
+	poll := func(runs []Run, ends ...End) {
+		req, _ := s.NextPoll(now, "a")
+		resp := PollResponse{Fence: req.Fence, Clock: 1000 + now.Sub(t0).Milliseconds(), Born: in.Born, Sent: now, Runs: runs, Ends: ends}
+		record := s.HandlePoll(now, "a", resp)
+		s.ConfirmRecorded(now, "a", in.Born, record, make([]bool, len(record)))
+	}
+	crash := func() []Crash {
+		in.Born++
+		s.AddInstance(now, in)
+		poll(nil)
+		return s.TakeCrashes()
+	}
+
+	first := start()
+	is.Equal(len(first), 1)
+	crashes := crash()
+	is.Equal(crashes, []Crash{{"a", first[0].Item, first[0].Number, false}})
+	s.ConfirmCrash(crashes[0])
+	second := start()
+	now = now.Add(2 * probation)
+	poll(second) // off probation
+	poll(nil, End{Sequence: 1, Item: second[0].Item, Number: second[0].Number, Reason: EndFailed})
+
+	now = now.Add(time.Second)
+	s.AddJob(now, testJob("k", 1), 0, false)
+	is.Equal(len(start()), 2)
+	crashes = crash()
+	is.Equal(len(crashes), 1)
+	is.Equal(crashes[0].Item.Job, galenahead.JobID("k"))
+}
+
 // Guards against an instance that is out of reach, and whose lease has expired, that is
 // taken for a crash of the work that it had just started.
 func TestUnreachableInstanceIsNoCrash(t *testing.T) {
