Wait without a channel timer for responses of simulated replicas

Traced: the race detector itself crashes (arm64, go1.26.8), as SIGSEGV in runtime.(*timer).maybeRunChan or as 'ThreadSanitizer: CHECK failed: tsan_rtl.cpp:282', when a select in a synctest bubble finds a channel timer that has expired; time.After(0) always has. The cluster of node_test.go got such a select with TestLeaseHoldsWhileResponsesAreSlow.

Six runs of the package with -race side by side: four had crashed within 150 s, always in a test of that cluster. With time.Sleep in its place, four runs of its tests, 12 times each: none. Checks are as they were.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -65,10 +65,12 @@
 		<-ctx.Done()
 		return nil, galenahead.ErrNoQuorum
 	}
-	select {
-	case <-ctx.Done():
-		return nil, galenahead.ErrNoQuorum
-	case <-time.After(time.Duration(l.delay.Load())):
+	if delay := time.Duration(l.delay.Load()); delay > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, galenahead.ErrNoQuorum
+		case <-time.After(delay):
+		}
 	}
 	if limit := l.maxCommand.Load(); limit > 0 && int64(len(command)) > limit {
 		return nil, eris.Wrap(galenahead.ErrInvalid, "command is too long")
--- a/galenaraft/node_test.go
+++ b/galenaraft/node_test.go
@@ -83,10 +83,9 @@
 	if err != nil {
 		return err
 	}
-	select {
-	case <-ctx.Done():
+	time.Sleep(time.Duration(c.cluster.responseTime.Load()))
+	if ctx.Err() != nil {
 		return ctx.Err()
-	case <-time.After(time.Duration(c.cluster.responseTime.Load())):
 	}
 	return convertViaJSON(r, result)
 }
