--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -84,8 +84,9 @@
 
 // endProbation clears a work item of suspicion once its run is off probation.
 func (it *item) endProbation() {
-	if it.losses > 0 && !it.onProbation() {
+	if it.suspect() && !it.onProbation() {
 		it.losses = 0
+		it.set.suspects--
 	}
 }
 
@@ -158,6 +159,9 @@
 		return nil
 	}
 	counts := it.crashes == 0 || it.alone
+	if !it.suspect() {
+		it.set.suspects++
+	}
 	it.losses++
 	if !counts {
 		return nil
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -367,9 +367,12 @@
 		if s.StartsExhausted() {
 			return
 		}
-		// An instance that is kept free for a suspect has no room for others.
+		// What has no room for others may be kept free for a suspect.
 		full = full || s.isTooLarge(set)
-		if full && !it.suspect() {
+		switch {
+		case full && set.suspects == 0:
+			return
+		case full && !it.suspect():
 			continue
 		}
 		inst := s.chooseInstance(now, it)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -98,7 +98,9 @@
 	index      int
 	items      []item
 	itemsLeft  int
-	tickets    map[galenahead.InstanceID]ticket
+	// suspects counts the work items that are suspects.
+	suspects int
+	tickets  map[galenahead.InstanceID]ticket
 	// adviceRequestedAt is when the last advice request without a usable response
 	// was sent, or zero.
 	adviceRequestedAt time.Time
@@ -191,7 +193,10 @@
 				continue
 			}
 			it.done, it.failures, it.crashes = record.Done, len(record.Failed), len(record.Crashed)+len(record.Uncertain)
-			it.losses = it.crashes
+			if it.crashes > 0 {
+				it.losses = it.crashes
+				set.suspects++
+			}
 			if record.Done {
 				set.itemsLeft--
 			}
