Allocate no port of a daemon to a relay in galena-capacity

The log of that daemon was not kept, so this cause fits but is not proved for that run: the ports of the daemons were released before the relays took theirs, and a relay could get one of them. The daemon then ends at once with status 1, the others go on, and the check fails at its end.

Now the relays listen before the ports are released. No product code changes.

--- a/test/galena-capacity/fleet/fleet.go
+++ b/test/galena-capacity/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -107,13 +108,16 @@
 			name: fmt.Sprintf("control-%d", i+1), peerAddress: ports.next(), operatorAddress: ports.next(), statusAddress: ports.next(),
 		})
 	}
+	// The relays get no port that was allocated to a daemon, as long as it is taken.
+	for _, c := range f.Controls {
+		if err := c.openRelays(); err != nil {
+			return "", errors.Join(err, ports.close())
+		}
+	}
 	if err := ports.close(); err != nil {
 		return "", err
 	}
 	for _, c := range f.Controls {
-		if err := c.openRelays(); err != nil {
-			return "", err
-		}
 		path := filepath.Join(f.options.Dir, c.name+".ini")
 		if err := os.WriteFile(path, []byte(f.controlSettings(c, platformAddr)), 0o644); err != nil {
 			return "", eris.Wrap(err, "write settings")
