Do not count crashes of instances before a run that has served

A long-running job was shown as failed, and all its work stopped, after two instances had crashed by chance just after starts of one of its work items.

Cause: a run that outlives its probation cleared the work item of suspicion, but not of its recorded crashes.

Ruled out: the simulated instances had no address, so that each registration counted as reuse of the address of all others.

Why it works: work that crashes the instances that start it does so within milliseconds, so a run that lasts shows that it does not. The number of that run goes into the record with the next crash, which makes earlier ones void in any order of recording.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -73,6 +73,9 @@
 	Run int64 `cbor:"4,keyasint"`
 	// Uncertain reports that the instance may have crashed before it started the run.
 	Uncertain bool `cbor:"5,keyasint,omitempty"`
+	// Cleared is the number of the work item's last run that has outlived its probation, so
+	// that crashes under it and earlier runs no longer count.
+	Cleared int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // StepState is the maintenance state of a machine in a wave.
--- a/galenafleet/crash_test.go
+++ b/galenafleet/crash_test.go
@@ -41,6 +41,26 @@
 	is.Equal(rs[1].Code, CodeUnchanged)
 }
 
+// Guards against a job that fails although a run of its work item has outlived probation
+// between the crashes, and against crashes before that run which are recorded late.
+func TestClearedCrashesDoNotCount(t *testing.T) {
+	is := is.New(t)
+	s := &State{}
+	apply(t, s, submitOp("p", 1))
+	second := crashOp(0, 1003, false)
+	second.Crash.Cleared = 1002
+	rs := apply(t, s, crashOp(0, 1001, false), second)
+	is.Equal(rs[1].Code, CodeDone)
+	is.Equal(rs[1].JobState, galenajob.StateQueued)
+	b, err := s.Snapshot()
+	is.NoErr(err)
+	restored := &State{}
+	is.NoErr(restored.Restore(b))
+	rs = apply(t, restored, crashOp(0, 1002, false), crashOp(0, 2001, false))
+	is.Equal(rs[0].Code, CodeUnchanged)
+	is.Equal(rs[1].JobState, galenajob.StateFailed)
+}
+
 // Guards against a job that goes on, or is shown as running, after a work item of it has
 // crashed two instances.
 func TestJobWithCrashingItemIsShownAsFailed(t *testing.T) {
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -268,7 +268,7 @@
 	at := time.Now().Round(0)
 	ops := make([]Op, len(crashes))
 	for i, c := range crashes {
-		ops[i] = Op{Crash: &CrashOp{Job: c.Item.Job, Item: c.Item.Item, At: at, Run: c.Number, Uncertain: c.Uncertain}}
+		ops[i] = Op{Crash: &CrashOp{Job: c.Item.Job, Item: c.Item.Item, At: at, Run: c.Number, Uncertain: c.Uncertain, Cleared: c.Cleared}}
 	}
 	results, err := sh.session.committer.commit(ops...)
 	if err != nil {
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -185,10 +185,10 @@
 	}
 	record := j.Items[c.Item]
 	unknown := c.Item.Step < 0 || c.Item.Step >= len(j.Spec.Steps)
-	if j.State.Final() || unknown || record.Done || record.CrashedIn(c.Run) {
+	if j.State.Final() || unknown || record.Done || record.CrashedIn(c.Run) || c.Run <= record.Cleared {
 		return Result{Code: CodeUnchanged, JobState: j.State}
 	}
-	record = record.WithCrash(c.Run, c.Uncertain)
+	record = record.WithCleared(c.Cleared).WithCrash(c.Run, c.Uncertain)
 	j.Items[c.Item] = record
 	if record.CrashesExhausted() {
 		s.finishJob(j, galenajob.StateFailed, c.At)
--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// MaxCrashes is the number of recorded crashes of instances under one work item after
-	// which its job fails, as the users define it.
+	// MaxCrashes is the number of recorded crashes of instances under one work item, without
+	// a run between them that has outlived its probation, after which its job fails, as the
+	// users define it.
 	MaxCrashes = 2
 	// MaxUncertainCrashes is the same with the crashes that have been recorded as uncertain.
 	MaxUncertainCrashes = 4
@@ -39,6 +40,8 @@
 	// Uncertain reports that the instance did not answer the start, so that it may have
 	// crashed before.
 	Uncertain bool
+	// Cleared is the number of the work item's last run that has outlived its probation.
+	Cleared int64
 }
 
 // lostInstance is an instance whose lease has expired without a response.
@@ -82,10 +85,15 @@
 	}
 }
 
-// endProbation clears a work item of suspicion once its run is off probation.
+// endProbation clears a work item of suspicion once its run is off probation: work that
+// crashes instances would have crashed this one.
 func (it *item) endProbation() {
-	if it.suspect() && !it.onProbation() {
-		it.losses = 0
+	if it.onProbation() {
+		return
+	}
+	it.cleared = max(it.cleared, it.run)
+	if it.suspect() {
+		it.losses, it.crashes = 0, 0
 		it.set.suspects--
 	}
 }
@@ -166,7 +174,7 @@
 	if !counts {
 		return nil
 	}
-	return []Crash{{inst.ID, it.id(), it.run, it.runningSince.IsZero()}}
+	return []Crash{{Instance: inst.ID, Item: it.id(), Number: it.run, Uncertain: it.runningSince.IsZero()}}
 }
 
 // noteLostInstance remembers the runs that were on probation on an instance that does not
@@ -201,18 +209,24 @@
 }
 
 // TakeCrashes returns the crashes that were found since the last call of TakeCrashes and
-// must be recorded.
+// must be recorded. Those before a run that has outlived its probation are left out.
 func (s *Scheduler) TakeCrashes() []Crash {
-	c := s.crashes
+	var out []Crash
+	for _, c := range s.crashes {
+		if it := s.activeItem(c.Item); it != nil {
+			c.Cleared = it.cleared
+		}
+		if c.Number > c.Cleared {
+			out = append(out, c)
+		}
+	}
 	s.crashes = nil
-	return c
+	return out
 }
 
 // ConfirmCrash updates the schedule by a crash that is now durable.
 func (s *Scheduler) ConfirmCrash(c Crash) {
-	if j := s.jobs[c.Item.Job]; j != nil {
-		if it := j.item(c.Item.Item); it != nil {
-			it.crashes++
-		}
+	if it := s.activeItem(c.Item); it != nil && c.Number > it.cleared {
+		it.crashes++
 	}
 }
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -170,6 +170,11 @@
 	if it := inst.items[id]; it != nil {
 		return it
 	}
+	return s.activeItem(id)
+}
+
+// activeItem returns a work item of an active job, or nil.
+func (s *Scheduler) activeItem(id ItemID) *item {
 	if j := s.jobs[id.Job]; j != nil {
 		return j.item(id.Item)
 	}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -46,8 +46,10 @@
 	confirmed time.Time
 	inFlight  bool
 	// crashes counts the recorded crashes of instances under the work item, and losses the
-	// instances that were lost under its runs on probation since one was off it.
+	// instances that were lost under its runs on probation, both since a run has outlived it.
 	crashes, losses int
+	// cleared is the number of the last run that has outlived its probation.
+	cleared int64
 	// runningSince is when the instance first confirmed that the run is at work, or zero.
 	runningSince time.Time
 	// alone is set while no run on probation of another job is beside the present run.
@@ -193,6 +195,7 @@
 				continue
 			}
 			it.done, it.failures, it.crashes = record.Done, len(record.Failed), len(record.Crashed)+len(record.Uncertain)
+			it.cleared = record.Cleared
 			if it.crashes > 0 {
 				it.losses = it.crashes
 				set.suspects++
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -188,6 +188,21 @@
 	// Uncertain those that it may have started before it crashed.
 	Crashed   []int64 `cbor:"3,keyasint,omitempty"`
 	Uncertain []int64 `cbor:"4,keyasint,omitempty"`
+	// Cleared is the number of the last run that is known to have outlived its probation
+	// when a crash was recorded. Crashes under it and earlier runs do not count.
+	Cleared int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// WithCleared returns the record after a run that has outlived its probation.
+func (r ItemRecord) WithCleared(run int64) ItemRecord {
+	if run <= r.Cleared {
+		return r
+	}
+	r.Cleared = run
+	cleared := func(n int64) bool { return n <= run }
+	r.Crashed = slices.DeleteFunc(slices.Clone(r.Crashed), cleared)
+	r.Uncertain = slices.DeleteFunc(slices.Clone(r.Uncertain), cleared)
+	return r
 }
 
 // WithCrash returns the record with a run under which an instance has crashed.
