Record clearances of work items with recorded crashes

Cause: only the owner in whose session a run outlived its probation knew that it had cleared the work item. The next owner read the crash from the log.

Ruled out: the order of concurrent commits, since each crash carries the clearance that was known when it was found.

Why it works: the clearance is an entry of the log, one for each work item with recorded crashes, so work that never crashes an instance costs nothing.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -39,6 +39,7 @@
 	Order    *MachineOrder          `cbor:"11,keyasint,omitempty"`
 	Peak     *DemandPeak            `cbor:"12,keyasint,omitempty"`
 	Crash    *CrashOp               `cbor:"13,keyasint,omitempty"`
+	Clear    *ClearOp               `cbor:"14,keyasint,omitempty"`
 }
 
 // OwnerOp starts the session of a new owner. Its result contains the session's
@@ -78,6 +79,14 @@
 	Cleared int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// ClearOp records that a run of a work item has outlived its probation, so that crashes
+// under it and earlier runs no longer count.
+type ClearOp struct {
+	Job  galenahead.JobID  `cbor:"1,keyasint"`
+	Item galenajob.ItemKey `cbor:"2,keyasint"`
+	Run  int64             `cbor:"3,keyasint"`
+}
+
 // StepState is the maintenance state of a machine in a wave.
 type StepState string
 
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -216,7 +216,7 @@
 	sh.lock()
 	start := time.Now()
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
-	gone, crashes := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes()
+	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
 	if reconciled && !sh.takenOver {
 		sizes = sh.scheduler.Sizes()
@@ -233,6 +233,9 @@
 	if len(crashes) > 0 {
 		sh.session.spawn(func() error { sh.recordCrashes(crashes); return nil })
 	}
+	if len(clearances) > 0 {
+		sh.session.spawn(func() error { sh.recordClearances(clearances); return nil })
+	}
 	if len(gone) > 0 {
 		// Work must not wait for the log.
 		sh.session.spawn(func() error { sh.removeGone(gone); return nil })
@@ -290,6 +293,16 @@
 	}
 }
 
+// recordClearances records runs that clear their work items of crashes.
+func (sh *shard) recordClearances(clearances []galenajob.Clearance) {
+	ops := make([]Op, len(clearances))
+	for i, c := range clearances {
+		ops[i] = Op{Clear: &ClearOp{Job: c.Item.Job, Item: c.Item.Item, Run: c.Number}}
+	}
+	// An error means that the session has ended; the next owner finds the runs at work.
+	_, _ = sh.session.committer.commit(ops...)
+}
+
 func (sh *shard) dispatch(ctx context.Context, a galenajob.Action) {
 	if a.Kind == galenajob.ActAdvise {
 		select {
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -91,6 +91,8 @@
 		return s.applyEnd(op.End)
 	case op.Crash != nil:
 		return s.applyCrash(op.Crash)
+	case op.Clear != nil:
+		return s.applyClear(op.Clear)
 	case op.Instance != nil:
 		s.instances[op.Instance.ID] = *op.Instance
 		return Result{Code: CodeDone}
@@ -196,6 +198,20 @@
 	return Result{Code: CodeDone, JobState: j.State}
 }
 
+// applyClear forgets the crashes under a run of a work item and under earlier ones.
+func (s *State) applyClear(c *ClearOp) Result {
+	j, ok := s.jobs[c.Job]
+	if !ok {
+		return Result{Code: CodeNotFound}
+	}
+	record, ok := j.Items[c.Item]
+	if !ok || j.State.Final() || c.Run <= record.Cleared {
+		return Result{Code: CodeUnchanged, JobState: j.State}
+	}
+	j.Items[c.Item] = record.WithCleared(c.Run)
+	return Result{Code: CodeDone, JobState: j.State}
+}
+
 // countEnd adds the end of a run to the record of its work item. A successful end in
 // a gang step completes all members of the gang.
 func (s *State) countEnd(j *galenajob.Job, step *galenajob.Step, e *EndOp) {
--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -44,6 +44,13 @@
 	Cleared int64
 }
 
+// Clearance is a run that has outlived its probation, of a work item with recorded crashes.
+// It must be recorded, so that later owners know it.
+type Clearance struct {
+	Item   ItemID
+	Number int64
+}
+
 // lostInstance is an instance whose lease has expired without a response.
 type lostInstance struct {
 	born    int64
@@ -87,11 +94,14 @@
 
 // endProbation clears a work item of suspicion once its run is off probation: work that
 // crashes instances would have crashed this one.
-func (it *item) endProbation() {
+func (s *Scheduler) endProbation(it *item) {
 	if it.onProbation() {
 		return
 	}
 	it.cleared = max(it.cleared, it.run)
+	if it.crashes > 0 {
+		s.clearances = append(s.clearances, Clearance{it.id(), it.cleared})
+	}
 	if it.suspect() {
 		it.losses, it.crashes = 0, 0
 		it.set.suspects--
@@ -226,7 +236,20 @@
 
 // ConfirmCrash updates the schedule by a crash that is now durable.
 func (s *Scheduler) ConfirmCrash(c Crash) {
-	if it := s.activeItem(c.Item); it != nil && c.Number > it.cleared {
+	it := s.activeItem(c.Item)
+	switch {
+	case it == nil:
+	case c.Number > it.cleared:
 		it.crashes++
+	default:
+		s.clearances = append(s.clearances, Clearance{c.Item, it.cleared})
 	}
 }
+
+// TakeClearances returns the clearances since the last call of TakeClearances, which must
+// be recorded.
+func (s *Scheduler) TakeClearances() []Clearance {
+	c := s.clearances
+	s.clearances = nil
+	return c
+}
--- a/galenajob/crash_test.go
+++ b/galenajob/crash_test.go
@@ -430,6 +430,24 @@
 	// One that was being recorded when the run outlived its probation.
 	s.ConfirmCrash(Crash{Instance: "b", Item: first[0].Item, Number: first[0].Number - 1})
 	is.Equal(it.crashes, 0)
+	is.Equal(s.TakeClearances(), []Clearance{{first[0].Item, first[0].Number}})
+}
+
+// Guards against a new owner that counts a crash before a run that has served, because its
+// clearance was known only to the owner before.
+func TestClearanceOfRecordedCrashIsRecorded(t *testing.T) {
+	is := is.New(t)
+	s := newCrashingScheduler()
+	s.start()
+	s.crash()
+	runs := s.start()
+	s.poll(runs)
+	is.Equal(len(s.TakeClearances()), 0) // still on probation
+	s.now = s.now.Add(2 * probation)
+	s.poll(runs)
+	s.poll(runs)
+	is.Equal(s.TakeClearances(), []Clearance{{runs[0].Item, runs[0].Number}}) // once
+	is.Equal(s.record.WithCleared(runs[0].Number), ItemRecord{Crashed: []int64{}, Cleared: runs[0].Number})
 }
 
 // Guards against an instance that is out of reach, and whose lease has expired, that is
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -237,7 +237,7 @@
 		it.confirmRunning(now)
 	}
 	it.unansweredUntil = 0
-	it.endProbation()
+	s.endProbation(it)
 	it.set.job.started = true
 	it.percent, it.usage = r.Percent, r.Usage
 	if r.Checkpoint != "" && it.set.step.Checkpointing {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -94,6 +94,8 @@
 	// TakeCrashes returns next.
 	lost    map[galenahead.InstanceID]lostInstance
 	crashes []Crash
+	// clearances is what TakeClearances returns next.
+	clearances []Clearance
 	// held is the instance that is kept free for a suspect until heldUntil, or nil.
 	held      *instance
 	heldUntil time.Time
