Count crashes under runs of earlier owners as uncertain

Cause: probation of an adopted run begins when the new owner first sees it, since the poll does not say when it began. Its crash then counted like that of a run that has just started.

Evidence: TestCrashUnderRunOfEarlierOwnerIsUncertain fails without the change (the crash of the adopted run is a certain one). Ruled out: work that does crash its instances is hardly ever adopted, since it runs for some ten milliseconds, and four uncertain crashes still fail its job.

--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -37,8 +37,8 @@
 	Instance galenahead.InstanceID
 	Item     ItemID
 	Number   int64
-	// Uncertain reports that the instance did not answer the start, so that it may have
-	// crashed before.
+	// Uncertain reports that the run may not have been new: the instance did not answer the
+	// start, so that it may have crashed before, or an earlier owner has started the run.
 	Uncertain bool
 	// Cleared is the number of the work item's last run that has outlived its probation.
 	Cleared int64
@@ -184,7 +184,7 @@
 	if !counts {
 		return nil
 	}
-	return []Crash{{Instance: inst.ID, Item: it.id(), Number: it.run, Uncertain: it.runningSince.IsZero()}}
+	return []Crash{{Instance: inst.ID, Item: it.id(), Number: it.run, Uncertain: it.runningSince.IsZero() || it.ageUnknown}}
 }
 
 // noteLostInstance remembers the runs that were on probation on an instance that does not
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -249,6 +249,7 @@
 // delayed command has started it.
 func (s *Scheduler) adopt(now time.Time, inst *instance, it *item, r Run) {
 	inst.place(it, r.Number)
+	it.ageUnknown = true
 	it.confirmRunning(now)
 	s.confirm(now, it, r)
 }
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -52,6 +52,8 @@
 	cleared int64
 	// runningSince is when the instance first confirmed that the run is at work, or zero.
 	runningSince time.Time
+	// ageUnknown is set for a run of an earlier owner, which may have been at work for long.
+	ageUnknown bool
 	// alone is set while no run on probation of another job is beside the present run.
 	alone bool
 	// evicted is set while the run is stopped because its instance is evacuated, within
@@ -377,7 +379,7 @@
 	it.confirmed, it.percent, it.usage = time.Time{}, 0, 0
 	it.pace, it.pacing = 100, paceState{}
 	it.endUnrecorded, it.evicted, it.startsSent = false, false, 0
-	it.runningSince = time.Time{}
+	it.runningSince, it.ageUnknown = time.Time{}, false
 	inst.beginProbation(it)
 	it.startDeadline, it.unansweredUntil, it.uncertainSince, it.absentClock = 0, 0, time.Time{}, 0
 	inst.items[it.id()] = it
