Count a crash before a start as uncertain although the start was answered

Cause: a start names the instance's ID only, so a later incarnation under the same ID carries it out and answers. The scheduler took the answer for one of the incarnation that it knew, and the restart that it saw next for the work's doing.

Evidence: TestCrashBeforeStartIsUncertain fails without the change. Ruled out: a delayed answer; the reading counts only if it is lower than one that was known when the start was sent, and the clock of an incarnation never goes back.

Why it works: such a run has no certain start until the later incarnation lists it, as with a start that was not answered. Then its probation begins.

--- a/galenajob/crash_test.go
+++ b/galenajob/crash_test.go
@@ -343,16 +343,18 @@
 	return s
 }
 
+func (s *crashingScheduler) clock() int64 { return 1000 + s.now.Sub(t0).Milliseconds() }
+
 func (s *crashingScheduler) start() (out []Run) {
 	for _, a := range starts(s.Plan(s.now, s.now)) {
-		s.HandleOutcome(s.now, a, OutcomeDone, 1000, s.now)
+		s.HandleOutcome(s.now, a, OutcomeDone, s.clock(), s.now)
 		out = append(out, Run{Item: a.Item, Number: a.Run, Percent: 100})
 	}
 	return out
 }
 
 func (s *crashingScheduler) poll(runs []Run, ends ...End) {
-	resp := PollResponse{Fence: s.instances["a"].fence, Clock: 1000 + s.now.Sub(t0).Milliseconds(), Born: s.in.Born, Sent: s.now, Runs: runs, Ends: ends}
+	resp := PollResponse{Fence: s.instances["a"].fence, Clock: s.clock(), Born: s.in.Born, Sent: s.now, Runs: runs, Ends: ends}
 	record := s.HandlePoll(s.now, "a", resp)
 	s.ConfirmRecorded(s.now, "a", s.in.Born, record, make([]bool, len(record)))
 }
@@ -445,6 +447,26 @@
 	is.True(!s.record.CrashesExhausted())
 }
 
+// Guards against a crash that counts against work which the instance has started only after
+// it had crashed and come back under its ID.
+func TestCrashBeforeStartIsUncertain(t *testing.T) {
+	is := is.New(t)
+	s := newCrashingScheduler()
+	s.now = s.now.Add(time.Second)
+	a := starts(s.Plan(s.now, s.now))[0]
+	s.HandleOutcome(s.now, a, OutcomeDone, 20, s.now) // the clock was at 1000 before
+	run := Run{Item: a.Item, Number: a.Run, Percent: 100}
+	s.in.Born++
+	s.poll([]Run{run})
+	is.Equal(s.TakeCrashes(), []Crash{{Instance: "a", Item: a.Item, Number: a.Run, Uncertain: true}})
+
+	// The run is on probation in the new incarnation.
+	s.poll([]Run{run})
+	s.in.Born++
+	s.poll(nil)
+	is.Equal(s.TakeCrashes(), []Crash{{Instance: "a", Item: a.Item, Number: a.Run}})
+}
+
 // Guards against a new owner that counts a crash before a run that has served, because its
 // clearance was known only to the owner before.
 func TestClearanceOfRecordedCrashIsRecorded(t *testing.T) {
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -47,6 +47,7 @@
 		// The clock and the silence of an earlier incarnation say nothing about this one.
 		return
 	}
+	restarted := clock > 0 && clock < inst.clock && sent.After(inst.clockAt)
 	switch o {
 	case OutcomeUnknown, OutcomeUnsent:
 		s.HandleNoResponse(inst.ID, sent)
@@ -73,6 +74,10 @@
 		it.unansweredUntil = max(it.unansweredUntil, a.Deadline)
 	}
 	s.handleStartOutcome(now, inst, it, o)
+	if restarted {
+		// The crash that the next poll shows was before this run.
+		it.runningSince = time.Time{}
+	}
 }
 
 func (s *Scheduler) handleStartOutcome(now time.Time, inst *instance, it *item, o Outcome) {
