Keep what a job's rank depends on between plans

Each plan worked out the remaining time and work of every job from its steps, although they change only when a work item is done.

--- a/galenajob/crash_test.go
+++ b/galenajob/crash_test.go
@@ -144,7 +144,7 @@
 			sim.pollInVain(inst)
 		}
 	}
-	for _, a := range sim.sched.Plan(sim.now, sim.now) {
+	for _, a := range planChecked(sim.t, sim.sched, sim.now) {
 		o, clock := sim.carryOut(a)
 		sim.sched.HandleOutcome(sim.now, a, o, clock, sim.now)
 	}
--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -505,7 +505,7 @@
 	if sim.faulty {
 		sim.disturb(n)
 	}
-	for _, a := range sim.sched.Plan(sim.now, sim.now) {
+	for _, a := range planChecked(sim.t, sim.sched, sim.now) {
 		sim.send(a)
 	}
 	for _, id := range sim.sched.TakeGone() {
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -276,25 +276,46 @@
 }
 
 func (s *Scheduler) rank(now time.Time, j *job) sortKey {
-	if j.Spec.LongRunning() {
+	if j.longRunning {
 		return sortKey{class: classLongRunning, priority: j.queue.Priority, due: j.acceptedAt}
 	}
-	objective := j.objective()
-	if j.Spec.Repetitions > 0 {
-		return sortKey{class: classOnTime, priority: j.queue.Priority, due: j.acceptedAt.Add(objective)}
+	if !j.estimates.valid {
+		j.estimates = j.estimate()
 	}
-	left := j.remainingTime()
-	spent := now.Sub(j.acceptedAt)
-	k := sortKey{classHopeless, j.queue.Priority, j.remainingWork(), j.acceptedAt.Add(objective)}
+	e := &j.estimates
+	k := sortKey{classHopeless, j.queue.Priority, e.work, e.due}
 	switch {
-	case spent+left <= objective:
+	case j.Spec.Repetitions > 0:
+		k.class, k.remainingWork = classOnTime, 0
+	case !now.After(e.onTimeUntil):
 		k.class = classOnTime
-	case spent+left <= hopelessFactor*objective:
+	case !now.After(e.lateUntil):
 		k.class = classLate
 	}
 	return k
 }
 
+// jobEstimates is what the rank of a job depends on beside the time. It is valid until a
+// work item of the job is done or the configuration of its queue changes.
+type jobEstimates struct {
+	valid bool
+	// work is the remaining work, in core milliseconds.
+	work int64
+	due  time.Time
+	// onTimeUntil and lateUntil are the latest times at which the job, if all of it starts
+	// then, is done within its objective, and before it is of no use.
+	onTimeUntil, lateUntil time.Time
+}
+
+func (j *job) estimate() jobEstimates {
+	objective := j.objective()
+	accepted, left := j.acceptedAt, j.remainingTime()
+	return jobEstimates{
+		valid: true, work: j.remainingWork(), due: accepted.Add(objective),
+		onTimeUntil: accepted.Add(objective - left), lateUntil: accepted.Add(hopelessFactor*objective - left),
+	}
+}
+
 func (j *job) objective() time.Duration {
 	return time.Duration(j.queue.Stretch*float64(j.criticalPath)) + j.queue.TargetLatency
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -142,7 +142,7 @@
 	}
 	for _, j := range s.jobs {
 		if q, ok := s.queues[j.Queue]; ok {
-			j.queue = q
+			j.queue, j.estimates.valid = q, false
 		}
 	}
 }
@@ -155,10 +155,10 @@
 	}
 	j := &job{
 		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{},
-		criticalPath: criticalPath(&record.Spec), acceptedAt: now.Add(-age), inherited: inherited, started: len(record.Items) > 0,
+		criticalPath: criticalPath(&record.Spec), longRunning: record.Spec.LongRunning(), acceptedAt: now.Add(-age), inherited: inherited, started: len(record.Items) > 0,
 	}
 	s.jobs[record.ID] = j
-	if !inherited && !record.Spec.LongRunning() {
+	if !inherited && !j.longRunning {
 		s.arrivals = append(s.arrivals, arrival{now, j.remainingWork()})
 	}
 }
--- a/galenajob/simulation_test.go
+++ b/galenajob/simulation_test.go
@@ -499,7 +499,7 @@
 			sim.poll(id)
 		}
 	}
-	for _, a := range sim.sched.Plan(sim.now, sim.now) {
+	for _, a := range planChecked(sim.t, sim.sched, sim.now) {
 		sim.deliver(a)
 	}
 	for _, id := range sim.sched.TakeGone() {
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -154,6 +154,8 @@
 	// criticalPath is the estimated duration of the longest chain of dependent
 	// steps.
 	criticalPath time.Duration
+	longRunning  bool
+	estimates    jobEstimates
 	// acceptedAt is when the job was accepted, on the monotonic clock.
 	acceptedAt time.Time
 	// inherited marks a job accepted under an earlier owner. Its work items may
