Keep jobs in scheduling order between plans

Between two plans, some milliseconds apart, few jobs change their place.

Now the order of the last plan is kept. Jobs whose rank has changed, and new ones, are sorted and merged into the rest, which gives the same order, since it has no ties.

One change besides: while instances are not reconciled, inherited jobs now have a rank too, so that work of no use does not count as demand for machines.

--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -64,7 +64,10 @@
 		s.resendCommands(now, inst)
 	}
 	s.tooLarge = s.tooLarge[:0]
-	for _, j := range s.rankedJobs(now) {
+	for _, j := range s.order.update(now) {
+		if j.inherited && s.unreconciled > 0 {
+			continue // it may run on instances that are not reconciled
+		}
 		for _, set := range s.readySets(j) {
 			if !s.StartsExhausted() {
 				s.startItems(now, set)
--- a/galenajob/rank.go
+++ b/galenajob/rank.go
@@ -28,23 +28,57 @@
 	due           time.Time
 }
 
-// rankedJobs returns the jobs in scheduling order. Inherited jobs wait until all
-// instances are reconciled.
-func (s *Scheduler) rankedJobs(now time.Time) []*job {
-	jobs := make([]*job, 0, len(s.jobs))
-	for _, j := range s.jobs {
-		if j.inherited && s.unreconciled > 0 {
-			continue
+// jobOrder keeps the jobs of a scheduler in scheduling order. Few of them change their
+// place between two plans, so that only these are sorted. Its zero value is ready to use.
+type jobOrder struct {
+	// sorted holds the jobs in the order of the last plan, and added those since.
+	sorted, added []*job
+	// moved and spare are buffers.
+	moved, spare []*job
+}
+
+func (o *jobOrder) add(j *job) { o.added = append(o.added, j) }
+
+// update removes final jobs and returns the others in scheduling order, which is valid
+// until the next call.
+func (o *jobOrder) update(now time.Time) []*job {
+	kept := o.sorted[:0]
+	o.moved = o.moved[:0]
+	for _, j := range o.sorted {
+		switch k := j.rank(now); {
+		case j.final:
+		case k == j.key:
+			kept = append(kept, j)
+		default:
+			j.key = k
+			o.moved = append(o.moved, j)
+		}
+	}
+	for _, j := range o.added {
+		if !j.final {
+			j.key = j.rank(now)
+			o.moved = append(o.moved, j)
+		}
+	}
+	slices.SortFunc(o.moved, compareJobs)
+	merged := o.spare[:0]
+	rest := o.moved
+	for _, j := range kept {
+		for len(rest) > 0 && compareJobs(rest[0], j) < 0 {
+			merged, rest = append(merged, rest[0]), rest[1:]
 		}
-		j.key = s.rank(now, j)
-		jobs = append(jobs, j)
+		merged = append(merged, j)
 	}
-	slices.SortFunc(jobs, compareJobs)
-	return jobs
+	merged = append(merged, rest...)
+	// The buffers must not keep final jobs.
+	clear(o.sorted)
+	clear(o.moved)
+	clear(o.added)
+	o.sorted, o.spare, o.added = merged, o.sorted, o.added[:0]
+	return o.sorted
 }
 
-// compareJobs compares two jobs by their scheduling order. It compares only as much
-// as it needs, since each plan sorts all jobs.
+// compareJobs compares two jobs by their scheduling order.
 func compareJobs(a, b *job) int {
 	if c := cmp.Compare(a.key.class, b.key.class); c != 0 {
 		return c
@@ -61,7 +95,8 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-func (s *Scheduler) rank(now time.Time, j *job) sortKey {
+// rank returns the scheduling order of the job at a time.
+func (j *job) rank(now time.Time) sortKey {
 	if j.longRunning {
 		return sortKey{class: classLongRunning, priority: j.queue.Priority, due: j.acceptedAt}
 	}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -84,6 +84,7 @@
 
 	queues    map[string]Queue
 	jobs      map[galenahead.JobID]*job
+	order     jobOrder
 	instances map[galenahead.InstanceID]*instance
 	// sortedIDs holds the keys of instances in order, or nil after a change.
 	sortedIDs []galenahead.InstanceID
@@ -158,6 +159,7 @@
 		criticalPath: criticalPath(&record.Spec), longRunning: record.Spec.LongRunning(), acceptedAt: now.Add(-age), inherited: inherited, started: len(record.Items) > 0,
 	}
 	s.jobs[record.ID] = j
+	s.order.add(j)
 	if !inherited && !j.longRunning {
 		s.arrivals = append(s.arrivals, arrival{now, j.remainingWork()})
 	}
--- a/galenajob/view.go
+++ b/galenajob/view.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		v.Jobs++
-		if s.rank(now, j).class == classHopeless {
+		if j.rank(now).class == classHopeless {
 			v.Hopeless++
 		}
 		if !j.started {
@@ -151,7 +151,7 @@
 
 func (s *Scheduler) viewJob(now time.Time, j *job) JobView {
 	v := JobView{
-		ID: j.ID, Queue: j.Queue, Service: j.Service, State: StateQueued, Class: classNames[s.rank(now, j).class],
+		ID: j.ID, Queue: j.Queue, Service: j.Service, State: StateQueued, Class: classNames[j.rank(now).class],
 		AgeMS: now.Sub(j.acceptedAt).Milliseconds(), ObjectiveMS: j.objective().Milliseconds(),
 	}
 	if j.started {
