Let pools that the owner cannot fill give up their idle machines

Cause: all work that waits counted as a lack of machines, less the idle ones. While the owner's processor limits how much it starts, what waits grows far beyond the idle machines; the pool then takes still more of them and, since it lacks some, gives none to other pools.

Now a pool in which work has waited for 0.7 s, and a quarter of whose machines have been idle for as long, lacks none, and what has been idle for as long may move to other pools. As soon as its work takes the idle machines it lacks some again. A few idle machines do not count: they may lack a label that the work needs.

--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -62,6 +62,8 @@
 	retryAt    map[galenahead.VMName]time.Time
 	results    chan orderResult
 	forecaster *forecaster
+	// workWaitsSince is when the present wait of work in each pool began.
+	workWaitsSince map[galenahead.ServiceName]time.Time
 	// loggedPools holds the values of the last log line of each pool.
 	loggedPools map[galenahead.ServiceName][4]int
 }
@@ -98,16 +100,17 @@
 
 func newMachineController(sess *ownerSession) *machineController {
 	return &machineController{
-		ownerSession: sess,
-		lastListed:   map[galenahead.VMName]time.Time{},
-		evacuating:   map[galenahead.VMName]cordonedInstance{},
-		pendingMoves: map[galenahead.VMName]*pendingMove{},
-		lastOrders:   map[galenahead.VMName]sentOrder{},
-		inFlight:     map[galenahead.VMName]bool{},
-		retryAt:      map[galenahead.VMName]time.Time{},
-		loggedPools:  map[galenahead.ServiceName][4]int{},
-		results:      make(chan orderResult, maxQueuedResults),
-		forecaster:   newForecaster(sess.State.recentPeaks()),
+		ownerSession:   sess,
+		lastListed:     map[galenahead.VMName]time.Time{},
+		evacuating:     map[galenahead.VMName]cordonedInstance{},
+		pendingMoves:   map[galenahead.VMName]*pendingMove{},
+		lastOrders:     map[galenahead.VMName]sentOrder{},
+		inFlight:       map[galenahead.VMName]bool{},
+		retryAt:        map[galenahead.VMName]time.Time{},
+		workWaitsSince: map[galenahead.ServiceName]time.Time{},
+		loggedPools:    map[galenahead.ServiceName][4]int{},
+		results:        make(chan orderResult, maxQueuedResults),
+		forecaster:     newForecaster(sess.State.recentPeaks()),
 	}
 }
 
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -26,6 +26,10 @@
 	// grows during the 1.7 s that a machine takes to arrive, if the machine is sent
 	// 1.7 s after the start of the peak.
 	rateGrowth = 2
+	// unusedShare is the share of a pool's machines that must have been idle for
+	// idleBeforePowerOff, while work waits, for the pool to have more than the owner can
+	// start work on. Fewer may lack what the work needs.
+	unusedShare = 0.25
 	// registrationTimeout is how long a moved machine counts as part of its new pool
 	// without a registered instance there.
 	registrationTimeout = 5 * time.Second
@@ -54,6 +58,9 @@
 	shortfall, sent int
 	// expected is how many machines a forecast peak needs.
 	expected int
+	// startLimited reports that machines stay idle although work waits, because the owner
+	// cannot start it faster.
+	startLimited bool
 }
 
 // balancePools moves idle machines to the pools that need more, and powers off
@@ -114,7 +121,7 @@
 			if len(pools[i].usage.Idle)-k <= pools[i].idleToKeep() {
 				break
 			}
-			if ok && now.Sub(idle.Since) > idleBeforePowerOff && !m.reserved(v.Name) {
+			if ok && longIdle(idle, now) && !m.reserved(v.Name) {
 				m.startMove(v, spare, now)
 			}
 		}
@@ -178,10 +185,35 @@
 	if !m.forecaster.pastRise(p.service, wall) {
 		arrivalShortfall = int(math.Ceil(rateGrowth*rate)) - p.usage.Instances
 	}
+	if m.detectStartLimit(p); p.startLimited {
+		waitingShortfall, arrivalShortfall = 0, 0
+	}
 	p.shortfall = max(0, waitingShortfall, arrivalShortfall) - m.arriving(p.service)
 	p.expected = m.forecaster.expectedMachines(p.service, wall)
 }
 
+// detectStartLimit sets whether the pool has more machines than the owner can start work
+// on.
+func (m *machineController) detectStartLimit(p *poolStatus) {
+	if p.usage.Demand == (galenajob.Resources{}) {
+		delete(m.workWaitsSince, p.service)
+		return
+	}
+	now := m.Timers.Now()
+	since, ok := m.workWaitsSince[p.service]
+	if !ok {
+		m.workWaitsSince[p.service] = now
+		return
+	}
+	unused := 0
+	for _, idle := range p.usage.Idle {
+		if idle.Usable && longIdle(idle, now) {
+			unused++
+		}
+	}
+	p.startLimited = now.Sub(since) > idleBeforePowerOff && float64(unused) >= unusedShare*float64(p.usage.Instances)
+}
+
 // usableIdle returns the number of idle machines on which work may start. Work that
 // waits although there are some waits for another reason, for example until it may
 // leave its instance.
@@ -195,6 +227,12 @@
 	return n
 }
 
+// longIdle reports whether the machine has been idle for so long that its pool does not
+// need it.
+func longIdle(idle galenajob.IdleInstance, now time.Time) bool {
+	return now.Sub(idle.Since) > idleBeforePowerOff
+}
+
 // idleToKeep returns how many idle machines stay in the pool for a forecast peak.
 func (p *poolStatus) idleToKeep() int {
 	return max(0, p.expected-(p.usage.Instances-len(p.usage.Idle)))
@@ -217,6 +255,7 @@
 // findIdleMachine returns an idle machine of another pool that may move to the pool
 // given by to.
 func (m *machineController) findIdleMachine(pools []poolStatus, to *poolStatus, byInstance map[galenahead.InstanceID]Machine) (Machine, bool) {
+	now := m.Timers.Now()
 	for i := range pools {
 		from := &pools[i]
 		if from.service == to.service || from.shortfall > 0 {
@@ -226,6 +265,9 @@
 			if to.shortfall <= to.sent && len(from.usage.Idle)-k <= from.idleToKeep() {
 				break
 			}
+			if from.startLimited && !longIdle(idle, now) {
+				break // the next work may start there
+			}
 			if v, ok := byInstance[idle.ID]; ok && !m.reserved(v.Name) {
 				return v, true
 			}
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"testing"
@@ -108,3 +109,60 @@
 		is.Equal(shortfall(2500), 3) // waiting work still counts
 	})
 }
+
+// Guards against a pool that takes more and more machines, and gives none to others, while
+// half of those that it has are idle, because the owner cannot start work faster.
+func TestPoolLimitedByStartsGivesIdleMachines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := testController(&State{Timers: &galenatimer.Service{}}, 1)
+		m.machines = map[galenahead.VMName]Machine{}
+		byInstance := map[galenahead.InstanceID]Machine{}
+		var idle []galenajob.IdleInstance
+		for _, name := range []galenahead.VMName{"m0", "m1", "m2", "m3"} {
+			id := galenahead.InstanceID(name)
+			v := Machine{Name: name, Pool: "counter", State: MachineUp, Instance: id, Capacity: galenajob.Resources{MilliCPU: 1000}}
+			m.machines[name], byInstance[id] = v, v
+			idle = append(idle, galenajob.IdleInstance{ID: id, Since: time.Now(), Usable: true})
+		}
+		estimate := func(waiting int64, idle []galenajob.IdleInstance) poolStatus {
+			p := poolStatus{service: "counter", usage: galenajob.Usage{
+				Instances: 8, BatchInstances: 4, Batch: galenajob.Resources{MilliCPU: 4000 + waiting}, Idle: idle,
+				Demand: galenajob.Resources{MilliCPU: waiting},
+			}}
+			m.estimateDemand(&p)
+			return p
+		}
+		other := poolStatus{service: "other", shortfall: 9}
+		give := func(from poolStatus) int {
+			left := maps.Clone(byInstance)
+			for {
+				v, ok := m.findIdleMachine([]poolStatus{from}, &other, left)
+				if !ok {
+					return len(byInstance) - len(left)
+				}
+				delete(left, v.Instance)
+			}
+		}
+
+		time.Sleep(time.Minute)
+		p := estimate(20000, idle)
+		is.Equal(p.shortfall, 16) // work has just come
+		is.Equal(give(p), 0)
+		time.Sleep(idleBeforePowerOff / 2)
+		is.Equal(estimate(20000, idle).shortfall, 16)
+		time.Sleep(idleBeforePowerOff)
+		p = estimate(20000, idle)
+		is.Equal(p.shortfall, 0)
+		is.Equal(give(p), 4)
+
+		// One machine may lack what the work needs.
+		is.Equal(estimate(20000, idle[:1]).shortfall, 19)
+		// A machine that has just become idle may take the next work.
+		idle[3].Since = time.Now()
+		is.Equal(give(estimate(20000, idle)), 3)
+		// Another wait of work begins anew.
+		is.Equal(estimate(0, idle).shortfall, 0)
+		is.Equal(estimate(20000, idle).shortfall, 16)
+	})
+}
