Count only work that needs room against idle machines of a pool

Usage now tells the part of what waits that any idle machine could take; only that part no longer counts as a lack. TestPoolLimitedByStartsGivesIdleMachines fails for the gang on the code before (shortfall 0, not 6); TestStartableDemandNeedsRoomOnly checks the parts.

--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -28,7 +28,7 @@
 	rateGrowth = 2
 	// unusedShare is the share of a pool's machines that must have been idle for
 	// idleBeforePowerOff, while work waits, for the pool to have more than the owner can
-	// start work on. Fewer may lack what the work needs.
+	// start work on.
 	unusedShare = 0.25
 	// registrationTimeout is how long a moved machine counts as part of its new pool
 	// without a registered instance there.
@@ -180,14 +180,15 @@
 			return nil
 		})
 	}
-	waitingShortfall := int(math.Ceil(machinesFor(p.usage.Demand, size))) - p.usableIdle()
+	waiting := p.usage.Demand
+	if m.detectStartLimit(p); p.startLimited {
+		waiting = waiting.Sub(p.usage.Startable)
+	}
+	waitingShortfall := int(math.Ceil(machinesFor(waiting, size))) - p.usableIdle()
 	arrivalShortfall := 0
-	if !m.forecaster.pastRise(p.service, wall) {
+	if !p.startLimited && !m.forecaster.pastRise(p.service, wall) {
 		arrivalShortfall = int(math.Ceil(rateGrowth*rate)) - p.usage.Instances
 	}
-	if m.detectStartLimit(p); p.startLimited {
-		waitingShortfall, arrivalShortfall = 0, 0
-	}
 	p.shortfall = max(0, waitingShortfall, arrivalShortfall) - m.arriving(p.service)
 	p.expected = m.forecaster.expectedMachines(p.service, wall)
 }
@@ -195,7 +196,7 @@
 // detectStartLimit sets whether the pool has more machines than the owner can start work
 // on.
 func (m *machineController) detectStartLimit(p *poolStatus) {
-	if p.usage.Demand == (galenajob.Resources{}) {
+	if p.usage.Startable == (galenajob.Resources{}) {
 		delete(m.workWaitsSince, p.service)
 		return
 	}
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -125,10 +125,11 @@
 			m.machines[name], byInstance[id] = v, v
 			idle = append(idle, galenajob.IdleInstance{ID: id, Since: time.Now(), Usable: true})
 		}
+		bound := int64(0) // work that waits for more than room
 		estimate := func(waiting int64, idle []galenajob.IdleInstance) poolStatus {
 			p := poolStatus{service: "counter", usage: galenajob.Usage{
 				Instances: 8, BatchInstances: 4, Batch: galenajob.Resources{MilliCPU: 4000 + waiting}, Idle: idle,
-				Demand: galenajob.Resources{MilliCPU: waiting},
+				Demand: galenajob.Resources{MilliCPU: waiting + bound}, Startable: galenajob.Resources{MilliCPU: waiting},
 			}}
 			m.estimateDemand(&p)
 			return p
@@ -156,7 +157,14 @@
 		is.Equal(p.shortfall, 0)
 		is.Equal(give(p), 4)
 
-		// One machine may lack what the work needs.
+		// A gang that needs ten machines at once.
+		bound = 10000
+		p = estimate(20000, idle)
+		is.Equal(p.shortfall, 6)
+		is.Equal(give(p), 0)
+		bound = 0
+
+		// Less than a quarter of the machines.
 		is.Equal(estimate(20000, idle[:1]).shortfall, 19)
 		// A machine that has just become idle may take the next work.
 		idle[3].Since = time.Now()
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -286,7 +286,7 @@
 // is all that they need. It holds for the current plan, in which no room becomes
 // free.
 func (s *Scheduler) recordTooLarge(set *itemSet) {
-	if set.step.Label == "" && set.step.MaxPerInstance == 0 && !set.job.queue.RequiresAdvice {
+	if set.startableAnywhere() {
 		s.tooLarge = append(s.tooLarge, set.step.reservation())
 	}
 }
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -29,6 +29,9 @@
 	// thousandths of a core. It is zero while there are too few arrivals for an
 	// estimate.
 	ArrivalMilliCPU int64
+	// Startable is the part of Demand that could start on any idle instance, one work item
+	// at a time.
+	Startable Resources
 	// Idle lists the instances on which nothing runs, longest idle first.
 	Idle []IdleInstance
 }
@@ -117,6 +120,9 @@
 			for _, set := range sets {
 				d := set.demand(now)
 				u.Demand = u.Demand.Add(d)
+				if set.startableAnywhere() {
+					u.Startable = u.Startable.Add(d)
+				}
 				if !set.step.LongRunning {
 					u.Batch = u.Batch.Add(d)
 				}
@@ -134,6 +140,11 @@
 	return Resources{}
 }
 
+// startableAnywhere reports whether room is all that a work item of the set needs.
+func (set *itemSet) startableAnywhere() bool {
+	return set.step.Label == "" && set.step.MaxPerInstance == 0 && !set.step.Gang && !set.job.queue.RequiresAdvice
+}
+
 // demand returns the total reservation of the work items that wait for an
 // instance.
 func (set *itemSet) demand(now time.Time) Resources {
--- a/galenajob/usage_test.go
+++ b/galenajob/usage_test.go
@@ -39,3 +39,25 @@
 	is.True(simultaneous <= 13*work) // five simultaneous jobs count as spread over minArrivalSpan
 	is.True(demandAfter(12, 30*time.Millisecond, small) > 0)
 }
+
+// Guards against idle instances that count as enough for work which needs more than room: a
+// label, several instances at once, or advice.
+func TestStartableDemandNeedsRoomOnly(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler("s", 1, Params{}, &Fences{})
+	s.SetQueues([]Queue{{Name: "q"}, {Name: "advised", RequiresAdvice: true}})
+	now := time.Unix(100, 0)
+	add := func(id galenahead.JobID, queue string, step Step) {
+		step.Need = Resources{MilliCPU: 1000}
+		s.AddJob(now, &Job{ID: id, Queue: queue, Spec: Spec{Steps: []Step{step}}}, 0, false)
+	}
+	add("any", "q", Step{Count: 2})
+	add("label", "q", Step{Count: 3, Label: "l"})
+	add("gang", "q", Step{Count: 4, Gang: true})
+	add("spread", "q", Step{Count: 5, MaxPerInstance: 1})
+	add("advised", "advised", Step{Count: 6})
+	s.Plan(now, now)
+	u := s.Usage(now)
+	is.Equal(u.Demand.MilliCPU, int64(20000))
+	is.Equal(u.Startable.MilliCPU, int64(2000))
+}
