--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -267,7 +267,7 @@
 				break
 			}
 			if from.startLimited && !longIdle(idle, now) {
-				break // the next work may start there
+				break // nor have the rest, on which the next work may start
 			}
 			if v, ok := byInstance[idle.ID]; ok && !m.reserved(v.Name) {
 				return v, true
--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -101,9 +101,10 @@
 	it.cleared = max(it.cleared, it.run)
 	if it.crashes > 0 {
 		s.clearances = append(s.clearances, Clearance{it.id(), it.cleared})
+		it.crashes = 0
 	}
 	if it.suspect() {
-		it.losses, it.crashes = 0, 0
+		it.losses = 0
 		it.set.suspects--
 	}
 }
