Give a pool without machines what its work needs

What callers would have seen: a service all of whose machines had been moved away got none for its next work, since 0.7 s after it began to wait the pool counted as one with idle machines: none is a quarter of none.

TestPoolLimitedByStartsGivesIdleMachines now has an empty pool, shortfall 0 before and 1 after. A pool is limited by starts only if at least one machine is idle.

--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -212,7 +212,8 @@
 			unused++
 		}
 	}
-	p.startLimited = now.Sub(since) > idleBeforePowerOff && float64(unused) >= unusedShare*float64(p.usage.Instances)
+	limit := max(1, unusedShare*float64(p.usage.Instances))
+	p.startLimited = now.Sub(since) > idleBeforePowerOff && float64(unused) >= limit
 }
 
 // usableIdle returns the number of idle machines on which work may start. Work that
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -169,6 +169,12 @@
 		// A machine that has just become idle may take the next work.
 		idle[3].Since = time.Now()
 		is.Equal(give(estimate(20000, idle)), 3)
+		// A pool without machines has none to spare.
+		empty := poolStatus{service: "counter", usage: galenajob.Usage{
+			Demand: galenajob.Resources{MilliCPU: 1000}, Startable: galenajob.Resources{MilliCPU: 1000},
+		}}
+		m.estimateDemand(&empty)
+		is.Equal(empty.shortfall, 1)
 		// Another wait of work begins anew.
 		is.Equal(estimate(0, idle).shortfall, 0)
 		is.Equal(estimate(20000, idle).shortfall, 16)
