Count only work that fits on an idle instance as startable

A pool whose idle machines are all too small for what waits would lack none after 0.7 s, and wait until they are switched off. TestStartableDemandNeedsRoomOnly has an idle instance of half the size: 2,000 in place of 0 before.

--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -29,8 +29,8 @@
 	// thousandths of a core. It is zero while there are too few arrivals for an
 	// estimate.
 	ArrivalMilliCPU int64
-	// Startable is the part of Demand that could start on any idle instance, one work item
-	// at a time.
+	// Startable is the part of Demand that could start on an idle instance, one work item at
+	// a time.
 	Startable Resources
 	// Idle lists the instances on which nothing runs, longest idle first.
 	Idle []IdleInstance
@@ -120,7 +120,7 @@
 			for _, set := range sets {
 				d := set.demand(now)
 				u.Demand = u.Demand.Add(d)
-				if set.startableAnywhere() {
+				if d != (Resources{}) && set.startableAnywhere() && s.fitsIdle(set, u.Idle) {
 					u.Startable = u.Startable.Add(d)
 				}
 				if !set.step.LongRunning {
@@ -140,6 +140,12 @@
 	return Resources{}
 }
 
+// fitsIdle reports whether a work item of the set fits on an idle instance.
+func (s *Scheduler) fitsIdle(set *itemSet, idle []IdleInstance) bool {
+	need := set.step.reservation()
+	return slices.ContainsFunc(idle, func(i IdleInstance) bool { return i.Usable && s.instances[i.ID].Capacity.Covers(need) })
+}
+
 // startableAnywhere reports whether room is all that a work item of the set needs.
 func (set *itemSet) startableAnywhere() bool {
 	return set.step.Label == "" && set.step.MaxPerInstance == 0 && !set.step.Gang && !set.job.queue.RequiresAdvice
