Give services of the platform connections of their own

Cause: connections of the control daemon were divided among all addresses, also the machines service and the advisor. And the division was no bound: two connections for each address, kept for 20 s, are more than the descriptors once machines move.

Ruled out: the rate limit of the service (all errors are 'no free connections'), its latency.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -138,8 +138,8 @@
 	c.owner = &galenafleet.Owner{
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Instances:    &platform.InstanceClient{Client: client},
-		Advisor:      &platform.Advisor{Client: client, Address: f.Platform.Advisor.String()},
-		Machines:     &platform.MachineClient{Client: client, Address: f.Platform.Machines.String(), Logger: log.Logger},
+		Advisor:      &platform.Advisor{Client: platform.NewServiceClient(), Address: f.Platform.Advisor.String()},
+		Machines:     &platform.MachineClient{Client: platform.NewServiceClient(), Address: f.Platform.Machines.String(), Logger: log.Logger},
 		Params:       schedulerParams(f),
 		MachineLease: f.Instances.MachineLease, FinalJobRetention: f.Instances.FinalJobRetention,
 	}
--- a/galenadaemon/command.go
+++ b/galenadaemon/command.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -86,17 +87,30 @@
 	Run(ctx context.Context) error
 }
 
-// Run opens the log, sets GOMAXPROCS if the settings limit it, and runs the
-// daemon that start returns.
+// memoryLimitPart is the part of the machine's memory beyond which garbage is collected
+// more often. The rest is for what the limit does not count, such as received bytes that
+// the process has not read, and for another process on the machine.
+const memoryLimitPart = 2
+
+// limitResources applies the limits of the settings to the Go runtime.
+func limitResources(process galenasettings.Process) {
+	if process.MaxProcs > 0 {
+		runtime.GOMAXPROCS(process.MaxProcs)
+	}
+	if process.MachineMemoryMB > 0 {
+		debug.SetMemoryLimit(int64(process.MachineMemoryMB) << 20 / memoryLimitPart)
+	}
+}
+
+// Run opens the log, applies the limits of the settings and runs the daemon that start
+// returns.
 func Run(ctx context.Context, process galenasettings.Process, start func(*Log) (Runner, error)) error {
 	log, err := OpenLog(process.LogFile, process.LogLevel)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	if process.MaxProcs > 0 {
-		runtime.GOMAXPROCS(process.MaxProcs)
-	}
+	limitResources(process)
 	daemon, err := start(log)
 	if err != nil {
 		return err
--- a/galenasettings/sections.go
+++ b/galenasettings/sections.go
@@ -43,6 +43,7 @@
 	p.LogLevel, _ = optional(r, section, "log_level", logLevel(), logrus.InfoLevel)
 	p.LogFile, _ = optional(r, section, "log_file", text("a path, or - for standard error"), "-")
 	p.MaxOpenFiles, _ = optional(r, section, "max_open_files", integer(minOpenFiles, openFilesLimit, "descriptors"), defaultOpenFiles)
+	p.MachineMemoryMB, _ = optional(r, section, "machine_memory_mb", integer(0, maxMemoryMB, "MB, 0 for no limit"), 0)
 	p.MaxProcs, _ = optional(r, section, "max_procs", integer(0, maxProcsLimit, "cores, 0 for no limit"), 0)
 	return p
 }
--- a/galenasettings/settings.go
+++ b/galenasettings/settings.go
@@ -31,6 +31,10 @@
 	// MaxOpenFiles is how many descriptors the process may have open. The default is
 	// 1024.
 	MaxOpenFiles int
+	// MachineMemoryMB is the memory that the process may take before the platform ends
+	// it, in MB. Beyond half of it the process collects garbage more often. 0 (the
+	// default) sets no limit.
+	MachineMemoryMB int
 	// MaxProcs limits GOMAXPROCS; 0 (the default) sets no limit.
 	MaxProcs int
 }
