Make plans and usage cost what changes, not what waits

Each plan ranked all jobs and looked at the work items of each; the usage compared each waiting step with each idle instance; the mean size of machines was worked out for each pool.

Now only jobs whose rank may have changed are ranked anew (a heap says when a class ends by itself), jobs whose smallest need has no room are skipped whole, a plan ends once no more starts are allowed, idle instances are compared by their different capacities, and two plans are at least 8 ms apart, short compared with a work item.

--- a/galenafleet/machine_controller_test.go
+++ b/galenafleet/machine_controller_test.go
@@ -113,7 +113,7 @@
 	m.machines = map[galenahead.VMName]Machine{"m": {Name: "m", Pool: "counter", State: MachineUp, Instance: "i", Capacity: size}}
 	shortfall := func(idle ...galenajob.IdleInstance) int {
 		p := poolStatus{service: "counter", usage: galenajob.Usage{Instances: 3, Demand: galenajob.Resources{MilliCPU: 900}, Idle: idle}}
-		m.estimateDemand(&p)
+		m.estimateDemand(&p, m.machineSize())
 		return p.shortfall
 	}
 	is.Equal(shortfall(), 1)
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -131,6 +131,7 @@
 // poolStatuses returns the status of every pool but the spare one, the pool with the
 // highest relative shortfall first, and the name of the spare pool.
 func (m *machineController) poolStatuses(cfg *Config) (pools []poolStatus, spare galenahead.ServiceName) {
+	size := m.machineSize()
 	for _, svc := range cfg.Services {
 		if svc.Spare {
 			spare = svc.Name
@@ -138,7 +139,7 @@
 		}
 		p := poolStatus{service: svc.Name}
 		m.shardFor(svc.Name).inspect(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
-		m.estimateDemand(&p)
+		m.estimateDemand(&p, size)
 		pools = append(pools, p)
 		m.logPool(p)
 	}
@@ -164,11 +165,10 @@
 	galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(p.service)})
 }
 
-// estimateDemand sets how many machines a pool lacks for waiting work and arrivals,
-// and how many a forecast peak needs.
-func (m *machineController) estimateDemand(p *poolStatus) {
+// estimateDemand sets how many machines of the given size a pool lacks for waiting work
+// and arrivals, and how many a forecast peak needs.
+func (m *machineController) estimateDemand(p *poolStatus, size galenajob.Resources) {
 	wall := time.Now().Round(0)
-	size := m.machineSize()
 	rate := machinesFor(galenajob.Resources{MilliCPU: p.usage.ArrivalMilliCPU}, size)
 	load := max(machinesFor(p.usage.Batch, size), rate)
 	if changed := m.forecaster.observe(p.service, load, p.usage.BatchInstances, wall); changed != nil {
--- a/galenafleet/pools_test.go
+++ b/galenafleet/pools_test.go
@@ -97,7 +97,7 @@
 				Instances: 3, BatchInstances: 3, ArrivalMilliCPU: 8000, Batch: galenajob.Resources{MilliCPU: 3000 + waiting},
 				Demand: galenajob.Resources{MilliCPU: waiting},
 			}}
-			m.estimateDemand(&p)
+			m.estimateDemand(&p, m.machineSize())
 			return p.shortfall
 		}
 		risingShortfall := int(math.Ceil(8*rateGrowth)) - 3 // the arrival rate needs 8 machines now
@@ -131,7 +131,7 @@
 				Instances: 8, BatchInstances: 4, Batch: galenajob.Resources{MilliCPU: 4000 + waiting}, Idle: idle,
 				Demand: galenajob.Resources{MilliCPU: waiting + bound}, Startable: galenajob.Resources{MilliCPU: waiting},
 			}}
-			m.estimateDemand(&p)
+			m.estimateDemand(&p, m.machineSize())
 			return p
 		}
 		other := poolStatus{service: "other", shortfall: 9}
@@ -173,7 +173,7 @@
 		empty := poolStatus{service: "counter", usage: galenajob.Usage{
 			Demand: galenajob.Resources{MilliCPU: 1000}, Startable: galenajob.Resources{MilliCPU: 1000},
 		}}
-		m.estimateDemand(&empty)
+		m.estimateDemand(&empty, m.machineSize())
 		is.Equal(empty.shortfall, 1)
 		// Another wait of work begins anew.
 		is.Equal(estimate(0, idle).shortfall, 0)
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -17,8 +17,8 @@
 	// planInterval is how often a shard plans if no event requests a plan earlier.
 	planInterval = 100 * time.Millisecond
 	// minPlanPause is the shortest time between two plans, so that events at nearly
-	// the same time share one plan.
-	minPlanPause = 2 * time.Millisecond
+	// the same time share one plan. It is short compared with a work item (0.6 to 2.1 s).
+	minPlanPause = 8 * time.Millisecond
 	// planPauseFactor is how many times the duration of a plan the next one waits, so
 	// that planning leaves most of the processor to the calls that it causes.
 	planPauseFactor = 4
--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -105,7 +105,7 @@
 	}
 	if it.suspect() {
 		it.losses = 0
-		it.set.suspects--
+		it.set.addSuspects(-1)
 	}
 }
 
@@ -148,8 +148,7 @@
 	if s.held != nil {
 		return
 	}
-	for _, id := range s.Instances() {
-		inst := s.instances[id]
+	for _, inst := range s.sortedInstances() {
 		if s.held == nil || inst.used.MilliCPU < s.held.used.MilliCPU {
 			if s.fits(inst, it) && inst.takesStartsOf(it.set.job) {
 				s.held = inst
@@ -179,7 +178,7 @@
 	}
 	counts := it.crashes == 0 || it.alone
 	if !it.suspect() {
-		it.set.suspects++
+		it.set.addSuspects(1)
 	}
 	it.losses++
 	if !counts {
--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -39,7 +39,7 @@
 func (s *Scheduler) chooseInstance(now time.Time, it *item) *instance {
 	var best *instance
 	var bestScore float64
-	for _, inst := range s.instances {
+	for _, inst := range s.sortedInstances() {
 		if !s.canStart(inst, it) || now.Before(inst.suspectUntil) {
 			continue
 		}
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -58,16 +58,21 @@
 	s.starting = 0
 	s.checkLiveness(now)
 	s.releaseHeld(now)
-	for _, id := range s.Instances() {
-		inst := s.instances[id]
+	for _, inst := range s.sortedInstances() {
 		s.evacuate(now, inst)
 		s.resendCommands(now, inst)
 	}
 	s.tooLarge = s.tooLarge[:0]
 	for _, j := range s.order.update(now) {
+		if s.StartsExhausted() {
+			break
+		}
 		if j.inherited && s.unreconciled > 0 {
 			continue // it may run on instances that are not reconciled
 		}
+		if s.hasNoRoom(j) {
+			continue
+		}
 		s.ready = s.readySets(j, s.ready[:0])
 		for _, set := range s.ready {
 			if !s.StartsExhausted() {
@@ -83,8 +88,7 @@
 // checkLiveness gives up runs whose lease has expired, and finds instances that
 // have shown no sign of life for GoneAfter.
 func (s *Scheduler) checkLiveness(now time.Time) {
-	for _, id := range s.Instances() {
-		inst := s.instances[id]
+	for _, inst := range s.sortedInstances() {
 		if inst.unreconciled && now.After(inst.reconciledBy) {
 			s.markReconciled(inst)
 		}
@@ -97,7 +101,7 @@
 		}
 		if now.Sub(last) > s.params.GoneAfter && inst.leaseExpired(now) && !inst.unreconciled && !inst.removing {
 			inst.removing = true
-			s.gone = append(s.gone, id)
+			s.gone = append(s.gone, inst.ID)
 		}
 	}
 }
@@ -291,10 +295,20 @@
 	}
 }
 
+// hasNoRoom reports whether no instance has room for any work item of the job, as far as
+// smaller ones have shown in the current plan. With a long backlog that is most of what a
+// plan needs to know.
+func (s *Scheduler) hasNoRoom(j *job) bool {
+	// A suspect may have an instance kept free, a recurring job gets due, and advice is
+	// requested before there is room.
+	return j.suspects == 0 && j.Spec.Repetitions == 0 && !j.queue.RequiresAdvice && s.lacksRoomFor(j.smallest)
+}
+
 // isTooLarge reports whether no instance has room for the set's work items, as far as
 // smaller ones have shown in the current plan.
-func (s *Scheduler) isTooLarge(set *itemSet) bool {
-	need := set.step.reservation()
+func (s *Scheduler) isTooLarge(set *itemSet) bool { return s.lacksRoomFor(set.step.reservation()) }
+
+func (s *Scheduler) lacksRoomFor(need Resources) bool {
 	return slices.ContainsFunc(s.tooLarge, func(r Resources) bool { return need.Covers(r) })
 }
 
--- a/galenajob/rank.go
+++ b/galenajob/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 )
@@ -28,56 +29,100 @@
 	due           time.Time
 }
 
-// jobOrder keeps the jobs of a scheduler in scheduling order. Few of them change their
-// place between two plans, so that only these are sorted. Its zero value is ready to use.
+// jobOrder keeps the jobs of a scheduler in scheduling order. Only jobs whose rank may have
+// changed since the last plan are ranked anew, so that a plan does not cost what waits. Its
+// zero value is ready to use.
 type jobOrder struct {
-	// sorted holds the jobs in the order of the last plan, and added those since.
-	sorted, added []*job
-	// moved and spare are buffers.
-	moved, spare []*job
+	sorted []*job
+	// stale holds the jobs whose rank may have changed, each once.
+	stale []*job
+	// transitions holds when the classes of jobs change by themselves.
+	transitions transitionHeap
 }
 
-func (o *jobOrder) add(j *job) { o.added = append(o.added, j) }
+// touch makes the next update rank the job anew, or for the first time.
+func (o *jobOrder) touch(j *job) {
+	if !j.rankStale {
+		j.rankStale = true
+		o.stale = append(o.stale, j)
+	}
+}
+
+// remove removes a job, if it has been ranked.
+func (o *jobOrder) remove(j *job) {
+	if !j.ranked {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(o.sorted, j, compareJobs)
+	o.sorted = slices.Delete(o.sorted, i, i+1)
+	j.ranked = false
+}
 
-// update removes final jobs and returns the others in scheduling order, which is valid
-// until the next call.
+// update returns the jobs that are not final in scheduling order, which is valid until the
+// next call.
 func (o *jobOrder) update(now time.Time) []*job {
-	kept := o.sorted[:0]
-	o.moved = o.moved[:0]
-	for _, j := range o.sorted {
-		switch k := j.rank(now); {
-		case j.final:
-		case k == j.key:
-			kept = append(kept, j)
-		default:
-			j.key = k
-			o.moved = append(o.moved, j)
-		}
+	for len(o.transitions) > 0 && now.After(o.transitions[0].at) {
+		j := heap.Pop(&o.transitions).(transition).job
+		j.transitionAt = time.Time{}
+		o.touch(j)
 	}
-	for _, j := range o.added {
-		if !j.final {
-			j.key = j.rank(now)
-			o.moved = append(o.moved, j)
+	for _, j := range o.stale {
+		j.rankStale = false
+		if j.final {
+			continue
 		}
-	}
-	slices.SortFunc(o.moved, compareJobs)
-	merged := o.spare[:0]
-	rest := o.moved
-	for _, j := range kept {
-		for len(rest) > 0 && compareJobs(rest[0], j) < 0 {
-			merged, rest = append(merged, rest[0]), rest[1:]
+		if k := j.rank(now); !j.ranked || k != j.key {
+			o.remove(j)
+			j.key, j.ranked = k, true
+			i, _ := slices.BinarySearchFunc(o.sorted, j, compareJobs)
+			o.sorted = slices.Insert(o.sorted, i, j)
 		}
-		merged = append(merged, j)
-	}
-	merged = append(merged, rest...)
-	// The buffers must not keep final jobs.
-	clear(o.sorted)
-	clear(o.moved)
-	clear(o.added)
-	o.sorted, o.spare, o.added = merged, o.sorted, o.added[:0]
+		o.awaitTransition(j)
+	}
+	clear(o.stale) // the buffer must not keep final jobs
+	o.stale = o.stale[:0]
 	return o.sorted
 }
 
+// awaitTransition schedules when the job is ranked anew because its class changes.
+func (o *jobOrder) awaitTransition(j *job) {
+	at, ok := j.classEnds()
+	if ok && (j.transitionAt.IsZero() || at.Before(j.transitionAt)) {
+		j.transitionAt = at
+		heap.Push(&o.transitions, transition{at, j})
+	}
+}
+
+// transition is the time at which the class of a job may change by itself.
+type transition struct {
+	at  time.Time
+	job *job
+}
+
+// transitionHeap is a heap of transitions, the earliest first.
+type transitionHeap []transition
+
+// Len implements heap.Interface.
+func (h transitionHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h transitionHeap) Less(i, k int) bool { return h[i].at.Before(h[k].at) }
+
+// Swap implements heap.Interface.
+func (h transitionHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+// Push implements heap.Interface.
+func (h *transitionHeap) Push(x any) { *h = append(*h, x.(transition)) }
+
+// Pop implements heap.Interface.
+func (h *transitionHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = transition{}
+	*h = (*h)[:last]
+	return t
+}
+
 // compareJobs compares two jobs by their scheduling order.
 func compareJobs(a, b *job) int {
 	if c := cmp.Compare(a.key.class, b.key.class); c != 0 {
@@ -116,6 +161,18 @@
 	return k
 }
 
+// classEnds returns until when the job keeps its present class, if it does not stay in it.
+func (j *job) classEnds() (at time.Time, ok bool) {
+	switch {
+	case j.longRunning, j.Spec.Repetitions > 0:
+	case j.key.class == classOnTime:
+		return j.estimates.onTimeUntil, true
+	case j.key.class == classLate:
+		return j.estimates.lateUntil, true
+	}
+	return time.Time{}, false
+}
+
 // jobEstimates is what the rank of a job depends on beside the time. It is valid until a
 // work item of the job is done or the configuration of its queue changes.
 type jobEstimates struct {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -1,6 +1,8 @@
 package galenajob
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -86,11 +88,11 @@
 	jobs      map[galenahead.JobID]*job
 	order     jobOrder
 	instances map[galenahead.InstanceID]*instance
-	// sortedIDs holds the keys of instances in order, or nil after a change.
-	sortedIDs []galenahead.InstanceID
-	actions   []Action
-	gone      []galenahead.InstanceID
-	lateRuns  []LateRun
+	// sorted holds the instances in the order of their IDs, or nil after a change.
+	sorted   []*instance
+	actions  []Action
+	gone     []galenahead.InstanceID
+	lateRuns []LateRun
 	// lost holds the instances that were lost under runs on probation, and crashes what
 	// TakeCrashes returns next.
 	lost    map[galenahead.InstanceID]lostInstance
@@ -146,6 +148,7 @@
 	for _, j := range s.jobs {
 		if q, ok := s.queues[j.Queue]; ok {
 			j.queue, j.estimates.valid = q, false
+			s.order.touch(j)
 		}
 	}
 }
@@ -158,10 +161,10 @@
 	}
 	j := &job{
 		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{},
-		criticalPath: criticalPath(&record.Spec), longRunning: record.Spec.LongRunning(), acceptedAt: now.Add(-age), inherited: inherited, started: len(record.Items) > 0,
+		criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(), acceptedAt: now.Add(-age), inherited: inherited, started: len(record.Items) > 0,
 	}
 	s.jobs[record.ID] = j
-	s.order.add(j)
+	s.order.touch(j)
 	if !inherited && !j.longRunning {
 		s.arrivals = append(s.arrivals, arrival{now, j.remainingWork()})
 	}
@@ -198,7 +201,7 @@
 		s.noteReturn(now, in)
 		inst.evacuationDeadline, inst.evacuating = s.evacuations[in.ID]
 		s.instances[in.ID] = inst
-		s.sortedIDs = nil
+		s.sorted = nil
 		return inst
 	}
 	if in.Born != inst.Born {
@@ -268,7 +271,7 @@
 		delete(s.lost, id) // it has left, or was ordered away
 	}
 	delete(s.instances, id)
-	s.sortedIDs = nil
+	s.sorted = nil
 }
 
 // Reconciled reports whether the work of earlier owners is known on all instances.
@@ -330,6 +333,7 @@
 		return
 	}
 	j.final = true
+	s.order.remove(j)
 	delete(s.jobs, id)
 	for _, sets := range j.sets {
 		for _, set := range sets {
@@ -411,15 +415,20 @@
 	return g
 }
 
-// Instances returns the IDs of all instances in order. The caller must not change
-// the slice.
+// Instances returns the IDs of all instances in order.
 func (s *Scheduler) Instances() []galenahead.InstanceID {
-	if s.sortedIDs == nil {
-		s.sortedIDs = make([]galenahead.InstanceID, 0, len(s.instances))
-		for id := range s.instances {
-			s.sortedIDs = append(s.sortedIDs, id)
-		}
-		slices.Sort(s.sortedIDs)
+	out := make([]galenahead.InstanceID, 0, len(s.instances))
+	for _, inst := range s.sortedInstances() {
+		out = append(out, inst.ID)
+	}
+	return out
+}
+
+// sortedInstances returns all instances in the order of their IDs. The caller must not
+// change the slice.
+func (s *Scheduler) sortedInstances() []*instance {
+	if s.sorted == nil {
+		s.sorted = slices.SortedFunc(maps.Values(s.instances), func(a, b *instance) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	return s.sortedIDs
+	return s.sorted
 }
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -112,6 +112,11 @@
 	advised map[galenahead.InstanceID]int64
 }
 
+func (set *itemSet) addSuspects(n int) {
+	set.suspects += n
+	set.job.suspects += n
+}
+
 // ticket is the advisor's permission to start work items of one step on an
 // instance.
 type ticket struct {
@@ -167,6 +172,29 @@
 	// dueOccurrences is the number of occurrences whose start time has come.
 	dueOccurrences int
 	key            sortKey
+	// ranked is set while the job is in scheduling order by key, and rankStale while it
+	// waits to be ranked anew. transitionAt is the earliest time at which that happens by
+	// itself, or zero.
+	ranked, rankStale bool
+	transitionAt      time.Time
+	// smallest is not more than any of the job's work items needs.
+	smallest Resources
+	// suspects counts the work items that are suspects.
+	suspects int
+}
+
+// smallestNeed returns reservations that each step of the spec needs at least.
+func smallestNeed(spec *Spec) Resources {
+	var least Resources
+	for i := range spec.Steps {
+		r := spec.Steps[i].reservation()
+		if i == 0 {
+			least = r
+			continue
+		}
+		least = Resources{MilliCPU: min(least.MilliCPU, r.MilliCPU), MemoryMB: min(least.MemoryMB, r.MemoryMB), GPU: min(least.GPU, r.GPU)}
+	}
+	return least
 }
 
 // item returns the work item with a key, or nil when the job has none.
@@ -202,7 +230,7 @@
 			it.cleared = record.Cleared
 			if it.crashes > 0 {
 				it.losses = it.crashes
-				set.suspects++
+				set.addSuspects(1)
 			}
 			if record.Done {
 				set.itemsLeft--
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -112,6 +112,7 @@
 		}
 	}
 	slices.SortFunc(u.Idle, func(a, b IdleInstance) int { return a.Since.Compare(b.Since) })
+	capacities := s.idleCapacities(u.Idle)
 	for _, j := range s.jobs {
 		if j.key.class == classHopeless {
 			continue
@@ -120,7 +121,7 @@
 			for _, set := range sets {
 				d := set.demand(now)
 				u.Demand = u.Demand.Add(d)
-				if d != (Resources{}) && set.startableAnywhere() && s.fitsIdle(set, u.Idle) {
+				if d != (Resources{}) && set.startableAnywhere() && fitsAny(set, capacities) {
 					u.Startable = u.Startable.Add(d)
 				}
 				if !set.step.LongRunning {
@@ -140,10 +141,21 @@
 	return Resources{}
 }
 
-// fitsIdle reports whether a work item of the set fits on an idle instance.
-func (s *Scheduler) fitsIdle(set *itemSet, idle []IdleInstance) bool {
+// idleCapacities returns the different capacities of the usable idle instances.
+func (s *Scheduler) idleCapacities(idle []IdleInstance) []Resources {
+	var out []Resources
+	for _, i := range idle {
+		if c := s.instances[i.ID].Capacity; i.Usable && !slices.Contains(out, c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// fitsAny reports whether a work item of the set fits into one of the capacities.
+func fitsAny(set *itemSet, capacities []Resources) bool {
 	need := set.step.reservation()
-	return slices.ContainsFunc(idle, func(i IdleInstance) bool { return i.Usable && s.instances[i.ID].Capacity.Covers(need) })
+	return slices.ContainsFunc(capacities, func(c Resources) bool { return c.Covers(need) })
 }
 
 // startableAnywhere reports whether room is all that a work item of the set needs.
--- a/galenajob/view.go
+++ b/galenajob/view.go
@@ -175,10 +175,9 @@
 // ViewInstances returns the instances in order of their IDs.
 func (s *Scheduler) ViewInstances(now time.Time) []InstanceView {
 	out := make([]InstanceView, 0, len(s.instances))
-	for _, id := range s.Instances() {
-		inst := s.instances[id]
+	for _, inst := range s.sortedInstances() {
 		out = append(out, InstanceView{
-			ID: id, Service: s.Service, Zone: inst.Zone, Address: inst.Address, State: s.instanceState(now, inst), Items: len(inst.items),
+			ID: inst.ID, Service: s.Service, Zone: inst.Zone, Address: inst.Address, State: s.instanceState(now, inst), Items: len(inst.items),
 			Used: inst.used, Capacity: inst.Capacity, AnsweredMS: now.Sub(inst.respondedAt).Milliseconds(),
 		})
 	}
