Make calls to instances through other control daemons

Cause: with 1,100 instances the owner makes 2,000 to 5,000 calls a second, and system calls and wake-ups cost several times what the decisions cost: 0.22 s of each second for 640 heartbeats and 142 polls before any work starts. Four other control daemons with the same machine and disk hardly work.

Weighed: an owner for each service moves the same cost to one other machine, as the services have their peaks in turn, and needs leases, epochs and handovers for each of them. Relays share the peak of one service, decide nothing and hold no permission; to the owner they are a part of the network, and fencing tokens and deadlines protect as before. A relay that is lost costs a direct poll, and no instance counts as silent for it.

Owner and relay collect calls and results for 4 ms each. The relayed share follows the rate of calls: below 500 a second all are direct, as on small sites. A relay drops calls older than 1 s. The bound on starts without a result grows with the relayed share.

Tests: package galenarelay (results and errors keep their meaning, lost and silent relays, late and odd batches, suspended relays, shares).

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -14,6 +14,7 @@
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenaraft"
+	"github.com/galenahead/galenahead/galenarelay"
 	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenasettings"
 	"github.com/galenahead/galenahead/galenatimer"
@@ -28,6 +29,10 @@
 	rpcClient  *galenarpc.Client
 	owner      *galenafleet.Owner
 	membership *galenafleet.MembershipManager
+	// relays makes this daemon's calls to instances through others, and relayServer makes
+	// those of others.
+	relays      *galenarelay.Client
+	relayServer *galenarelay.Server
 	// diskFailed is closed when the replica cannot continue after a disk failure.
 	diskFailed chan struct{}
 }
@@ -135,9 +140,15 @@
 		ownerClient: &galenafleet.OwnerClient{Directory: directory, RPCClient: rpcClient, Logger: log.Logger, Metrics: metrics},
 	}
 	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
+	instances := &platform.InstanceClient{Client: client}
+	c.relays = &galenarelay.Client{
+		Direct: instances, RPCClient: rpcClient, Timers: timers, Logger: log.Logger, Self: f.Listen.Peer.String(), Peers: c.otherReplicas,
+	}
+	c.relayServer = &galenarelay.Server{Instances: instances, RPCClient: rpcClient, Timers: timers, Logger: log.Logger}
 	c.owner = &galenafleet.Owner{
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
-		Instances:    &platform.InstanceClient{Client: client},
+		Instances:    c.relays,
+		MaxStarting:  c.relays.MaxStarting,
 		Advisor:      &platform.Advisor{Client: platform.NewServiceClient(), Address: f.Platform.Advisor.String()},
 		Machines:     &platform.MachineClient{Client: platform.NewServiceClient(), Address: f.Platform.Machines.String(), Logger: log.Logger},
 		Params:       schedulerParams(f),
@@ -150,6 +161,8 @@
 	node.Register(&c.mux)
 	directory.Register(&c.mux)
 	c.owner.Register(&c.mux)
+	c.relays.Register(&c.mux)
+	c.relayServer.Register(&c.mux)
 	return c, nil
 }
 
@@ -213,6 +226,18 @@
 	}
 }
 
+// otherReplicas returns the addresses of the other members of the replicated log.
+func (c *controlDaemon) otherReplicas() []string {
+	var addrs []string
+	self := c.settings.Listen.Peer.String()
+	for _, m := range c.node.Status().Members {
+		if m.Address != self {
+			addrs = append(addrs, m.Address)
+		}
+	}
+	return addrs
+}
+
 // leaderInfo returns what other daemons may learn about the leader and the
 // members.
 func (c *controlDaemon) leaderInfo() galenafleet.LeaderInfo {
@@ -245,6 +270,7 @@
 			workers.Go(func() error { return c.node.Run(ctx) })
 			workers.Go(func() error { return c.membership.Run(ctx) })
 			workers.Go(func() error { return c.owner.Run(ctx) })
+			workers.Go(func() error { return c.relays.Run(ctx) })
 		},
 		failed:     c.diskFailed,
 		beforeStop: c.transferLeadership,
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -46,6 +46,9 @@
 	Logger    *logrus.Logger
 	Metrics   *galenametric.Metrics
 	Params    galenajob.Params
+	// MaxStarting returns how many starts a service may have under way now, given
+	// Params.MaxStarting. If it is nil, that is the bound.
+	MaxStarting func(direct int) int
 	// MachineLease is how long this owner waits after an order of an earlier owner
 	// to a machine before it sends its own orders to that machine.
 	MachineLease time.Duration
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -352,6 +352,9 @@
 	return s.params.MaxStarting > 0 && s.starting >= s.params.MaxStarting
 }
 
+// SetMaxStarting changes Params.MaxStarting.
+func (s *Scheduler) SetMaxStarting(n int) { s.params.MaxStarting = n }
+
 // HasActions reports whether actions wait for the next plan.
 func (s *Scheduler) HasActions() bool { return len(s.actions) > 0 }
 
