Divide machines among pools by fair shares, and keep room for long-running work

Now each pool has a share: what it wants if there are enough machines, else max-min fair, first for work that can still be done in time. A pool above its share empties machines for the others: no new work there, those that are empty soonest first; nothing that runs is ended for it, and long-running work moves only within the limits of its steps and if its pool has room. Jobs without a waiting work item are skipped by plans. The pool line says share, vacating and urgent work.

--- a/galenafleet/log_lines.go
+++ b/galenafleet/log_lines.go
@@ -132,8 +132,10 @@
 
 // poolLine is the log line of the status of a pool.
 type poolLine struct {
-	status   poolStatus
-	arriving int
+	status poolStatus
+	// arriving and vacating are the machines on their way to the pool and those that become
+	// empty for others.
+	arriving, vacating int
 }
 
 // AppendFields implements galenalog.Line.
@@ -143,10 +145,13 @@
 	b = galenalog.AppendInt(b, "instances", int64(u.Instances))
 	b = galenalog.AppendInt(b, "idle", int64(len(u.Idle)))
 	b = galenalog.AppendInt(b, "arriving", int64(l.arriving))
+	b = galenalog.AppendInt(b, "vacating", int64(l.vacating))
 	b = galenalog.AppendInt(b, "capacity_milli_cpu", u.Capacity.MilliCPU)
 	b = galenalog.AppendInt(b, "used_milli_cpu", u.Used.MilliCPU)
 	b = galenalog.AppendInt(b, "waiting_milli_cpu", u.Demand.MilliCPU)
+	b = galenalog.AppendInt(b, "urgent_milli_cpu", u.Urgent.MilliCPU)
 	b = galenalog.AppendInt(b, "waiting_memory_mb", u.Demand.MemoryMB)
 	b = galenalog.AppendInt(b, "expected_machines", int64(l.status.expected))
+	b = galenalog.AppendInt(b, "share", int64(l.status.share))
 	return galenalog.AppendInt(b, "lacking", int64(l.status.shortfall))
 }
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -49,6 +49,8 @@
 	// evacuating holds the instances of the machines that are evacuated for
 	// maintenance.
 	evacuating map[galenahead.VMName]cordonedInstance
+	// vacating holds the machines that become empty for other pools.
+	vacating map[galenahead.VMName]vacating
 	// maintainedBy holds the waves that have ordered the maintenance of a machine and not
 	// recorded its end.
 	maintainedBy map[galenahead.VMName]int64
@@ -65,7 +67,7 @@
 	// workWaitsSince is when the present wait of work in each pool began.
 	workWaitsSince map[galenahead.ServiceName]time.Time
 	// loggedPools holds the values of the last log line of each pool.
-	loggedPools map[galenahead.ServiceName][4]int
+	loggedPools map[galenahead.ServiceName][6]int
 }
 
 // cordonedInstance identifies an instance that gets no work because of an order to
@@ -103,12 +105,13 @@
 		ownerSession:   sess,
 		lastListed:     map[galenahead.VMName]time.Time{},
 		evacuating:     map[galenahead.VMName]cordonedInstance{},
+		vacating:       map[galenahead.VMName]vacating{},
 		pendingMoves:   map[galenahead.VMName]*pendingMove{},
 		lastOrders:     map[galenahead.VMName]sentOrder{},
 		inFlight:       map[galenahead.VMName]bool{},
 		retryAt:        map[galenahead.VMName]time.Time{},
 		workWaitsSince: map[galenahead.ServiceName]time.Time{},
-		loggedPools:    map[galenahead.ServiceName][4]int{},
+		loggedPools:    map[galenahead.ServiceName][6]int{},
 		results:        make(chan orderResult, maxQueuedResults),
 		forecaster:     newForecaster(sess.State.recentPeaks()),
 	}
@@ -460,6 +463,7 @@
 	if in.id == "" {
 		return true
 	}
+	delete(m.vacating, v.Name)
 	m.evacuating[v.Name] = in
 	return m.cordon(in)
 }
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -56,8 +56,13 @@
 	// shortfall is how many more machines the pool needs now, and sent how many of
 	// them this balancing step has sent there.
 	shortfall, sent int
+	// arrivalShortfall is how many more machines than it has the pool needs for the work that
+	// arrives, or negative.
+	arrivalShortfall int
 	// expected is how many machines a forecast peak needs.
 	expected int
+	// has is how many machines the pool has or will get, and share how many it should have.
+	has, share int
 	// startLimited reports that machines stay idle although work waits, because the owner
 	// cannot start it faster.
 	startLimited bool
@@ -89,9 +94,20 @@
 		}
 	}
 	slices.SortFunc(spareMachines, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
+	m.setShares(pools, m.machineSize(), len(spareMachines))
+	for i := range pools {
+		m.logPool(pools[i])
+	}
+	vacated := m.takeVacated(pools, now)
 	fillPool := func(to *poolStatus, n int) {
 		for ; n > 0; n-- {
-			v, ok := m.findIdleMachine(pools, to, byInstance)
+			var v Machine
+			ok := len(vacated) > 0
+			if ok {
+				v, vacated = vacated[0], vacated[1:]
+			} else {
+				v, ok = m.findIdleMachine(pools, to, byInstance)
+			}
 			if !ok && len(spareMachines) > 0 {
 				v, spareMachines, ok = spareMachines[0], spareMachines[1:], true
 			}
@@ -102,9 +118,13 @@
 			to.sent++
 		}
 	}
-	for i := range pools {
-		fillPool(&pools[i], pools[i].shortfall)
+	for p := neediest(pools); p != nil; p = neediest(pools) {
+		sent := p.sent
+		if fillPool(p, 1); p.sent == sent {
+			break // there are no more machines
+		}
 	}
+	m.vacate(pools, byInstance, now)
 	// Waiting work of all pools comes before forecast peaks.
 	for i := range pools {
 		p := &pools[i]
@@ -141,7 +161,6 @@
 		m.shardFor(svc.Name).inspect(func(at time.Time, s *galenajob.Scheduler) { p.usage = s.Usage(at) })
 		m.estimateDemand(&p, size)
 		pools = append(pools, p)
-		m.logPool(p)
 	}
 	slices.SortFunc(pools, func(a, b poolStatus) int { return cmp.Compare(m.relativeShortfall(&b), m.relativeShortfall(&a)) })
 	return pools, spare
@@ -157,12 +176,18 @@
 // logPool logs the status of a pool if the values that balancing depends on have
 // changed since the last log line.
 func (m *machineController) logPool(p poolStatus) {
-	values := [4]int{p.usage.Instances, p.shortfall, p.expected, m.arriving(p.service)}
+	vacating := 0
+	for _, x := range m.vacating {
+		if x.instance.service == p.service {
+			vacating++
+		}
+	}
+	values := [6]int{p.usage.Instances, p.shortfall, p.expected, m.arriving(p.service), p.share, vacating}
 	if m.loggedPools[p.service] == values {
 		return
 	}
 	m.loggedPools[p.service] = values
-	galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(p.service)})
+	galenalog.Info(m.Logger, "pool", poolLine{p, m.arriving(p.service), vacating})
 }
 
 // estimateDemand sets how many machines of the given size a pool lacks for waiting work
@@ -185,11 +210,11 @@
 		waiting = waiting.Sub(p.usage.Startable)
 	}
 	waitingShortfall := int(math.Ceil(machinesFor(waiting, size))) - p.usableIdle()
-	arrivalShortfall := 0
+	p.arrivalShortfall = -p.usage.Instances
 	if !p.startLimited && !m.forecaster.pastRise(p.service, wall) {
-		arrivalShortfall = int(math.Ceil(rateGrowth*rate)) - p.usage.Instances
+		p.arrivalShortfall += int(math.Ceil(rateGrowth * rate))
 	}
-	p.shortfall = max(0, waitingShortfall, arrivalShortfall) - m.arriving(p.service)
+	p.shortfall = max(0, waitingShortfall, p.arrivalShortfall) - m.arriving(p.service)
 	p.expected = m.forecaster.expectedMachines(p.service, wall)
 }
 
@@ -282,7 +307,8 @@
 // order in flight.
 func (m *machineController) reserved(name galenahead.VMName) bool {
 	_, evacuating := m.evacuating[name]
-	return m.pendingMoves[name] != nil || evacuating || m.inFlight[name]
+	_, vacating := m.vacating[name]
+	return m.pendingMoves[name] != nil || evacuating || vacating || m.inFlight[name]
 }
 
 // arriving returns the number of machines that move to a pool. A move that is not
@@ -304,6 +330,7 @@
 	if !m.cordonIfIdle(move.instance) {
 		return
 	}
+	delete(m.vacating, v.Name)
 	m.pendingMoves[v.Name] = move
 	m.sendMoveOrder(v.Name, move)
 }
--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -9,18 +9,17 @@
 
 // fits reports whether the instance takes work and has room for the work item.
 func (s *Scheduler) fits(inst *instance, it *item) bool {
+	return s.takesWork(inst, it) && inst.free().Covers(it.set.step.reservation())
+}
+
+// takesWork reports whether the instance takes work and, but for room, the work item.
+func (s *Scheduler) takesWork(inst *instance, it *item) bool {
 	set := it.set
 	if !inst.fenceConfirmed || inst.unreconciled || inst.Draining || inst.evacuating || inst.removing ||
 		!inst.hasLabel(set.step.Label) || !inst.unansweredSince.IsZero() {
 		return false
 	}
-	if !inst.free().Covers(set.step.reservation()) {
-		return false
-	}
-	if set.step.MaxPerInstance > 0 && set.countOn(inst) >= set.step.MaxPerInstance {
-		return false
-	}
-	return true
+	return set.step.MaxPerInstance == 0 || set.countOn(inst) < set.step.MaxPerInstance
 }
 
 // countOn counts the work items of the set that occupy the instance.
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -58,6 +58,7 @@
 	s.starting = 0
 	s.checkLiveness(now)
 	s.releaseHeld(now)
+	s.releaseReservations(now, nil)
 	for _, inst := range s.sortedInstances() {
 		s.evacuate(now, inst)
 		s.resendCommands(now, inst)
@@ -70,15 +71,18 @@
 		if j.inherited && s.unreconciled > 0 {
 			continue // it may run on instances that are not reconciled
 		}
-		if s.hasNoRoom(j) {
+		if j.settled || s.hasNoRoom(j) {
 			continue
 		}
 		s.ready = s.readySets(j, s.ready[:0])
+		settled := j.Spec.Repetitions == 0
 		for _, set := range s.ready {
 			if !s.StartsExhausted() {
 				s.startItems(now, set)
 			}
+			settled = settled && set.pending() == 0
 		}
+		j.settled = settled
 	}
 	out := s.actions
 	s.actions = nil
@@ -156,7 +160,7 @@
 				s.emitStart(now, it, reasonRepeated)
 			}
 		case phaseStopping:
-			if s.mayStopNow(it) {
+			if s.mayStopNow(now, it) {
 				s.emitStop(now, it, reasonRepeated)
 			}
 		}
@@ -165,8 +169,8 @@
 
 // mayStopNow reports whether the stop of a work item may be sent again. One that its step's
 // limit allowed may still be at work while others have become unavailable since.
-func (s *Scheduler) mayStopNow(it *item) bool {
-	return !it.evicted || it.set.job.final || it.instance.Draining || s.mayEvict(it)
+func (s *Scheduler) mayStopNow(now time.Time, it *item) bool {
+	return !it.evicted || it.set.job.final || it.instance.Draining || s.mayEvict(now, it)
 }
 
 // startPending reports whether the item's start counts against MaxStarting. A repeated
@@ -196,21 +200,31 @@
 		switch {
 		case step.LongRunning:
 			limited := !inst.Draining && step.MaxUnavailable > 0
-			if !limited || s.mayEvict(it) {
+			if inst.vacating() && !limited {
+				continue
+			}
+			if !limited || s.mayEvict(now, it) {
 				it.evicted = limited
 				s.stop(now, it, "instance leaves")
 			}
 		case inst.Draining && step.Checkpointing && now.Sub(inst.drainingSince) > s.params.DrainGracePeriod/2:
 			s.stop(now, it, "instance leaves")
-		case inst.evacuating && !inst.Draining && now.After(inst.evacuationDeadline):
+		case inst.evacuating && !inst.Draining && !inst.vacating() && now.After(inst.evacuation.deadline):
 			s.stop(now, it, "instance leaves")
 		}
 	}
 }
 
+// vacating reports whether the instance is emptied only because another pool wants its
+// machine.
+func (inst *instance) vacating() bool {
+	return inst.evacuating && inst.evacuation.vacating && !inst.Draining
+}
+
 // mayEvict reports whether the step's limit of unavailable work items allows the
-// work item to stop, and another instance can run it.
-func (s *Scheduler) mayEvict(it *item) bool {
+// work item to stop, and another instance can run it. If only room is missing, it reserves
+// some.
+func (s *Scheduler) mayEvict(now time.Time, it *item) bool {
 	unavailable := it.set.unavailable()
 	if !it.serving() {
 		// The work item may still serve, so that it does not count as unavailable.
@@ -224,6 +238,7 @@
 			return true
 		}
 	}
+	s.reserveFor(now, it)
 	return false
 }
 
@@ -276,12 +291,18 @@
 			s.holdForSuspect(now, it)
 			continue
 		case inst == nil:
+			if set.step.LongRunning {
+				s.reserveFor(now, it)
+			}
 			s.recordTooLarge(set)
 			full = true
 			continue
 		case inst == s.held:
 			s.endHold()
 		}
+		if set.step.LongRunning {
+			s.useReservation(set.job, inst)
+		}
 		s.startItem(now, it, inst, s.nextRun(it.run))
 	}
 }
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -323,7 +323,7 @@
 		}
 		m.done = true
 		m.set.itemsLeft--
-		m.set.job.estimates.valid = false
+		m.set.job.estimates.valid, m.set.job.settled = false, false
 		s.order.touch(m.set.job)
 		// The other members of the same run of a gang end by themselves.
 		if m.instance != nil && m.phase != phaseStopping && (!m.set.step.Gang || m.run != run) {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -102,12 +102,14 @@
 	// held is the instance that is kept free for a suspect until heldUntil, or nil.
 	held      *instance
 	heldUntil time.Time
+	// reservations are the instances that are kept free for long-running work.
+	reservations []reservation
 	// lapsedRuns holds what TakeLapsedRuns returns next.
 	lapsedRuns []LapsedRun
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
 	// It includes instances that are not registered, so that one that registers
 	// again gets no work before its planned move or maintenance.
-	evacuations map[galenahead.InstanceID]time.Time
+	evacuations map[galenahead.InstanceID]evacuation
 	// starting counts the work items whose start counts against MaxStarting, as of the
 	// current plan.
 	starting int
@@ -132,7 +134,7 @@
 		queues:      map[string]Queue{},
 		jobs:        map[galenahead.JobID]*job{},
 		instances:   map[galenahead.InstanceID]*instance{},
-		evacuations: map[galenahead.InstanceID]time.Time{},
+		evacuations: map[galenahead.InstanceID]evacuation{},
 		lost:        map[galenahead.InstanceID]lostInstance{},
 	}
 }
@@ -199,7 +201,7 @@
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
 		s.noteReturn(now, in)
-		inst.evacuationDeadline, inst.evacuating = s.evacuations[in.ID]
+		inst.evacuation, inst.evacuating = s.evacuations[in.ID]
 		s.instances[in.ID] = inst
 		s.sorted = nil
 		return inst
@@ -267,6 +269,7 @@
 	if s.held == inst {
 		s.endHold()
 	}
+	s.releaseReservations(now, inst)
 	if !inst.removing {
 		delete(s.lost, id) // it has left, or was ordered away
 	}
@@ -289,21 +292,44 @@
 	it.release(now)
 }
 
+// evacuation is the evacuation of an instance.
+type evacuation struct {
+	// deadline is when the runs that are left are stopped, as far as their steps allow.
+	deadline time.Time
+	// vacating marks an instance that is only wanted for another pool: runs on it may end
+	// by themselves, and its long-running work items move only within the limits of their
+	// steps.
+	vacating bool
+}
+
 // SetEvacuating starts or cancels the evacuation of an instance before a planned move
 // or maintenance. An evacuating instance gets no new work, and its work items move
 // elsewhere as their steps allow. The evacuation continues if the instance is removed
 // and registers again, and may start before the instance registers.
 func (s *Scheduler) SetEvacuating(now time.Time, id galenahead.InstanceID, evacuating bool) {
-	if _, ok := s.evacuations[id]; ok == evacuating {
+	if e, ok := s.evacuations[id]; ok == evacuating && !e.vacating {
 		return
 	}
 	if evacuating {
-		s.evacuations[id] = now.Add(s.params.DrainGracePeriod)
+		s.evacuations[id] = evacuation{deadline: now.Add(s.params.DrainGracePeriod)}
 	} else {
 		delete(s.evacuations, id)
 	}
+	s.updateEvacuation(id)
+}
+
+// SetVacating keeps new work off an instance, so that it becomes idle when what runs there
+// has ended. It has no effect on an instance that is evacuated. SetEvacuating cancels it.
+func (s *Scheduler) SetVacating(id galenahead.InstanceID) {
+	if _, ok := s.evacuations[id]; !ok {
+		s.evacuations[id] = evacuation{vacating: true}
+		s.updateEvacuation(id)
+	}
+}
+
+func (s *Scheduler) updateEvacuation(id galenahead.InstanceID) {
 	if inst := s.instances[id]; inst != nil {
-		inst.evacuationDeadline, inst.evacuating = s.evacuations[id]
+		inst.evacuation, inst.evacuating = s.evacuations[id]
 	}
 }
 
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -177,6 +177,9 @@
 	// itself, or zero.
 	ranked, rankStale bool
 	transitionAt      time.Time
+	// settled is set while no work item of the job waits for an instance, as of the last
+	// plan: until a run ends, a plan has nothing to do for it.
+	settled bool
 	// smallest is not more than any of the job's work items needs.
 	smallest Resources
 	// suspects counts the work items that are suspects.
@@ -323,15 +326,15 @@
 	// removing is set once the scheduler has given up the instance, until the owner
 	// removes it.
 	removing bool
-	// evacuating is set before a planned move or maintenance.
+	// evacuating is set before a planned move or maintenance, with the evacuation.
 	evacuating bool
+	evacuation evacuation
 	// maintenanceDue is set when the instance is to be taken down for maintenance
 	// later.
-	maintenanceDue     bool
-	evacuationDeadline time.Time
-	drainingSince      time.Time
-	idleSince          time.Time
-	paceChangedAt      time.Time
+	maintenanceDue bool
+	drainingSince  time.Time
+	idleSince      time.Time
+	paceChangedAt  time.Time
 	// lateRuns holds the latest late run of each work item that was reported.
 	lateRuns map[ItemID]int64
 }
@@ -433,6 +436,7 @@
 		inst.idleSince = now
 	}
 	it.instance, it.phase, it.confirmed, it.inFlight = nil, phasePending, time.Time{}, false
+	it.set.job.settled = false
 	it.endUnrecorded = false
 	it.percent, it.usage, it.notBefore = 0, 0, time.Time{}
 }
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -1,6 +1,7 @@
 package galenajob
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,6 +20,9 @@
 	// the long-running work items that have to leave theirs. Work items of hopeless
 	// jobs do not count.
 	Demand Resources
+	// Urgent is the part of Used and Demand of long-running work and of jobs that can still
+	// be done within their objective.
+	Urgent Resources
 	// Batch is the total need of the work items that run or wait and are not
 	// long-running.
 	Batch Resources
@@ -93,8 +97,12 @@
 func (s *Scheduler) Usage(now time.Time) Usage {
 	u := Usage{ArrivalMilliCPU: s.arrivalDemand(now)}
 	for _, inst := range s.instances {
+		if inst.vacating() {
+			continue
+		}
 		if inst.Draining || inst.evacuating {
 			u.Demand = u.Demand.Add(inst.longRunningUse())
+			u.Urgent = u.Urgent.Add(inst.longRunningUse())
 		}
 		if inst.Draining || inst.evacuating || inst.removing || s.unresponsive(now, inst) {
 			continue
@@ -102,6 +110,7 @@
 		u.Instances++
 		u.Capacity = u.Capacity.Add(inst.Capacity)
 		u.Used = u.Used.Add(inst.used)
+		u.Urgent = u.Urgent.Add(inst.urgentUse())
 		batch := inst.used.Sub(inst.longRunningUse())
 		u.Batch = u.Batch.Add(batch)
 		if batch != (Resources{}) {
@@ -114,13 +123,16 @@
 	slices.SortFunc(u.Idle, func(a, b IdleInstance) int { return a.Since.Compare(b.Since) })
 	capacities := s.idleCapacities(u.Idle)
 	for _, j := range s.jobs {
-		if j.key.class == classHopeless {
+		if j.settled || j.key.class == classHopeless {
 			continue
 		}
 		for _, sets := range j.sets {
 			for _, set := range sets {
 				d := set.demand(now)
 				u.Demand = u.Demand.Add(d)
+				if j.urgent() {
+					u.Urgent = u.Urgent.Add(d)
+				}
 				if d != (Resources{}) && set.startableAnywhere() && fitsAny(set, capacities) {
 					u.Startable = u.Startable.Add(d)
 				}
@@ -133,6 +145,46 @@
 	return u
 }
 
+// VacateOrder returns the instances that take work, in the order in which they could be
+// emptied: those without long-running work first, then by the time until the last run has
+// ended. If longRunning is not set, those with long-running work are left out.
+func (s *Scheduler) VacateOrder(now time.Time, longRunning bool) []galenahead.InstanceID {
+	type candidate struct {
+		id          galenahead.InstanceID
+		longRunning int
+		left        time.Duration
+	}
+	var out []candidate
+	for _, inst := range s.sortedInstances() {
+		if inst.Draining || inst.evacuating || inst.removing || inst.unreconciled || s.unresponsive(now, inst) {
+			continue
+		}
+		c := candidate{id: inst.ID}
+		for _, it := range inst.items {
+			if it.set.step.LongRunning {
+				c.longRunning++
+				continue
+			}
+			left := it.set.step.Estimate
+			if !it.runningSince.IsZero() {
+				left -= now.Sub(it.runningSince)
+			}
+			c.left = max(c.left, left)
+		}
+		if c.longRunning == 0 || longRunning {
+			out = append(out, c)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.longRunning, b.longRunning), cmp.Compare(a.left, b.left))
+	})
+	ids := make([]galenahead.InstanceID, len(out))
+	for i := range out {
+		ids[i] = out[i].id
+	}
+	return ids
+}
+
 // UsedOn returns the used capacity of an instance.
 func (s *Scheduler) UsedOn(id galenahead.InstanceID) Resources {
 	if inst := s.instances[id]; inst != nil {
@@ -179,6 +231,20 @@
 	return d
 }
 
+// urgent reports whether the job lasts, or can still be done within its objective.
+func (j *job) urgent() bool { return j.key.class <= classOnTime }
+
+// urgentUse returns the total reservation of the work items of urgent jobs on the instance.
+func (inst *instance) urgentUse() Resources {
+	var d Resources
+	for _, it := range inst.items {
+		if it.set.job.urgent() {
+			d = d.Add(it.set.step.reservation())
+		}
+	}
+	return d
+}
+
 // longRunningUse returns the total reservation of the long-running work items on
 // the instance.
 func (inst *instance) longRunningUse() Resources {
