Collect heartbeats at other replicas, and bound calls that answer at once

Cause: 600 heartbeats a second took the owner 0.2 s of each second, through a connection of each instance and one of the process to itself.

Ruled out: the processor (480 of 900 ms a second used while ticks were 250 ms late), the disk (its syncs only waited for the processor).

Now at most 64 direct calls without a wait are under way, more go through relays, which bound theirs as well; calls to the process's own methods need no connection; beyond 150 instances, heartbeats are sent to other replicas, which forward those of 25 ms in one message.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +34,7 @@
 	// those of others.
 	relays      *galenarelay.Client
 	relayServer *galenarelay.Server
+	heartbeats  *galenafleet.HeartbeatCollector
 	// diskFailed is closed when the replica cannot continue after a disk failure.
 	diskFailed chan struct{}
 }
@@ -137,8 +139,12 @@
 	directory.SetSeeds(f.Control.SeedPeers())
 	c.controlBase.baseDaemon = baseDaemon{
 		path: path, settings: f, load: load, log: log, timers: timers, directory: directory,
-		ownerClient: &galenafleet.OwnerClient{Directory: directory, RPCClient: rpcClient, Logger: log.Logger, Metrics: metrics},
+		ownerClient: &galenafleet.OwnerClient{
+			Directory: directory, RPCClient: &galenarpc.LocalFirst{RPCClient: rpcClient, Self: f.Listen.Peer.String(), Mux: &c.mux},
+			Logger: log.Logger, Metrics: metrics,
+		},
 	}
+	c.heartbeats = &galenafleet.HeartbeatCollector{Owner: c.ownerClient, Timers: timers, Self: f.Listen.Peer.String()}
 	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
 	instances := &platform.InstanceClient{Client: client}
 	c.relays = &galenarelay.Client{
@@ -238,6 +244,41 @@
 	return addrs
 }
 
+// collectingOwner forwards the heartbeats of instances in batches.
+type collectingOwner struct {
+	*galenafleet.OwnerClient
+	heartbeats *galenafleet.HeartbeatCollector
+}
+
+// Heartbeat implements platform.FleetOwner.
+func (o collectingOwner) Heartbeat(ctx context.Context, hb galenafleet.Heartbeat) error {
+	return o.heartbeats.Heartbeat(ctx, hb)
+}
+
+// heartbeatHost returns the host to which an instance should send its heartbeats: that of
+// the owner, or of another replica if the owner would get too many.
+func (c *controlDaemon) heartbeatHost(id galenahead.InstanceID) (string, bool) {
+	owner, ok := c.directory.Leader()
+	if !ok {
+		return "", false
+	}
+	spread, owns := c.owner.HeartbeatSpread()
+	if !owns {
+		spread = c.heartbeats.Spread()
+	}
+	addr := owner
+	if galenafleet.SpreadPosition(id) < spread {
+		members := c.node.Status().Members
+		i := galenafleet.SpreadOver(id, len(members),
+			func(i int) string { return members[i].Address }, func(i int) bool { return members[i].Address != owner })
+		if i >= 0 {
+			addr = members[i].Address
+		}
+	}
+	host, _, err := net.SplitHostPort(addr)
+	return host, err == nil
+}
+
 // leaderInfo returns what other daemons may learn about the leader and the
 // members.
 func (c *controlDaemon) leaderInfo() galenafleet.LeaderInfo {
@@ -262,7 +303,8 @@
 	defer c.rpcClient.Close()
 	defer c.node.Close()
 	handler := &platform.ControlHandler{
-		Owner: c.ownerClient, Logger: c.log.Logger, OwnerHost: c.leaderHost, Port: int(c.settings.Listen.Operator.Port()),
+		Owner: collectingOwner{c.ownerClient, c.heartbeats}, Logger: c.log.Logger, HeartbeatHost: c.heartbeatHost,
+		Port: int(c.settings.Listen.Operator.Port()),
 	}
 	return c.serve(ctx, controlWork{
 		handle: handler.Handle,
@@ -271,6 +313,7 @@
 			workers.Go(func() error { return c.membership.Run(ctx) })
 			workers.Go(func() error { return c.owner.Run(ctx) })
 			workers.Go(func() error { return c.relays.Run(ctx) })
+			workers.Go(func() error { return c.heartbeats.Run(ctx) })
 		},
 		failed:     c.diskFailed,
 		beforeStop: c.transferLeadership,
--- /dev/null
+++ b/galenafleet/heartbeats.go
@@ -0,0 +1,223 @@
+package galenafleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenarpc"
+)
+
+const (
+	// heartbeatPause is how long heartbeats are collected before they are forwarded, short
+	// compared with the second within which they must be acknowledged.
+	heartbeatPause = 25 * time.Millisecond
+	// heartbeatBatchTimeout is how long the owner works on a batch. Heartbeats that it has
+	// not handled by then fail, and the instances send them again.
+	heartbeatBatchTimeout = 500 * time.Millisecond
+	// ownHeartbeats is how many instances send their heartbeats to the owner itself. Others
+	// send them to other replicas, which forward many in one message.
+	ownHeartbeats = 150
+)
+
+// HeartbeatBatch holds heartbeats that a control daemon has collected.
+type HeartbeatBatch struct {
+	Heartbeats []Heartbeat `json:"heartbeats"`
+}
+
+// HeartbeatReply is the answer of the owner to a HeartbeatBatch.
+type HeartbeatReply struct {
+	// Failed lists the indexes of the heartbeats that were not handled.
+	Failed []int `json:"failed,omitempty"`
+	// Spread is the share of the instances that send their heartbeats to other replicas
+	// than the owner's.
+	Spread float64 `json:"spread,omitempty"`
+}
+
+// Heartbeats handles heartbeats that another daemon has collected.
+func (o *Owner) Heartbeats(_ context.Context, b HeartbeatBatch) (HeartbeatReply, error) {
+	sess, err := o.currentSession()
+	if err != nil {
+		return HeartbeatReply{}, err
+	}
+	w := &batchWork{session: sess, handled: make([]bool, len(b.Heartbeats)), done: make(chan struct{})}
+	w.left = len(b.Heartbeats)
+	for i := range b.Heartbeats {
+		go w.run(i, b.Heartbeats[i])
+	}
+	if len(b.Heartbeats) > 0 {
+		select {
+		case <-w.done:
+		case <-o.Timers.After(sess.ctx, heartbeatBatchTimeout):
+		case <-sess.ctx.Done():
+		}
+	}
+	if sess.ctx.Err() != nil {
+		return HeartbeatReply{}, galenahead.ErrNotLeader
+	}
+	return HeartbeatReply{Failed: w.failed(), Spread: sess.heartbeatSpread()}, nil
+}
+
+// batchWork is the work on a batch of heartbeats.
+type batchWork struct {
+	session *ownerSession
+	mu      sync.Mutex
+	handled []bool
+	left    int
+	// done is closed when no heartbeat is left.
+	done chan struct{}
+}
+
+func (w *batchWork) run(i int, hb Heartbeat) {
+	err := w.session.heartbeat(hb)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handled[i] = err == nil
+	if w.left--; w.left == 0 {
+		close(w.done)
+	}
+}
+
+func (w *batchWork) failed() []int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []int
+	for i, ok := range w.handled {
+		if !ok {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// heartbeatSpread returns the share of the instances whose heartbeats other replicas collect.
+func (sess *ownerSession) heartbeatSpread() float64 {
+	n := sess.State.instanceCount()
+	return max(0, 1-float64(ownHeartbeats)/float64(max(1, n)))
+}
+
+// HeartbeatSpread returns the share of the instances that should send their heartbeats to
+// other replicas, or false if this daemon does not own the fleet.
+func (o *Owner) HeartbeatSpread() (float64, bool) {
+	sess, err := o.currentSession()
+	if err != nil {
+		return 0, false
+	}
+	return sess.heartbeatSpread(), true
+}
+
+// errHeartbeatNotHandled reports a heartbeat that the owner did not handle in time.
+var errHeartbeatNotHandled = eris.New("the owner did not handle the heartbeat in time")
+
+// HeartbeatCollector forwards heartbeats to the owner in batches. Its zero value with Owner
+// and Timers is ready to use once Run runs.
+type HeartbeatCollector struct {
+	Owner  *OwnerClient
+	Timers galenahead.Timers
+	// Self is the address of this daemon. While it owns the fleet, it collects nothing.
+	Self string
+
+	mu      sync.Mutex
+	pending []collectedHeartbeat
+	wake    chan struct{}
+	spread  float64
+}
+
+type collectedHeartbeat struct {
+	heartbeat Heartbeat
+	done      chan error
+}
+
+// Heartbeat forwards a heartbeat with others, and returns once the owner has handled it.
+func (c *HeartbeatCollector) Heartbeat(ctx context.Context, hb Heartbeat) error {
+	if addr, known := c.Owner.Directory.Leader(); known && addr == c.Self {
+		return c.Owner.Heartbeat(ctx, hb)
+	}
+	x := collectedHeartbeat{hb, make(chan error, 1)}
+	c.mu.Lock()
+	c.initLocked()
+	c.pending = append(c.pending, x)
+	wake := c.wake
+	c.mu.Unlock()
+	notify(wake)
+	select {
+	case err := <-x.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *HeartbeatCollector) initLocked() {
+	if c.wake == nil {
+		c.wake = make(chan struct{}, 1)
+	}
+}
+
+// Spread returns the share of the instances that should send their heartbeats to other
+// replicas than the owner's, as the owner said last.
+func (c *HeartbeatCollector) Spread() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.spread
+}
+
+// Run forwards heartbeats until ctx ends.
+func (c *HeartbeatCollector) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.initLocked()
+	c.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		}
+		<-c.Timers.After(ctx, heartbeatPause)
+		c.mu.Lock()
+		batch := c.pending
+		c.pending = nil
+		c.mu.Unlock()
+		if len(batch) > 0 {
+			go c.run(ctx, batch)
+		}
+	}
+}
+
+// run forwards one batch.
+func (c *HeartbeatCollector) run(ctx context.Context, batch []collectedHeartbeat) {
+	callCtx, cancel := context.WithTimeout(ctx, heartbeatBatchTimeout+attemptTimeout/2)
+	defer cancel()
+	params := HeartbeatBatch{Heartbeats: make([]Heartbeat, len(batch))}
+	for i := range batch {
+		params.Heartbeats[i] = batch[i].heartbeat
+	}
+	reply, _, err := call[HeartbeatBatch, HeartbeatReply](callCtx, c.Owner, MethodHeartbeats, params)
+	errs := make([]error, len(batch))
+	switch {
+	case galenarpc.IsUnknownMethod(err):
+		// The owner is of an earlier version.
+		for i := range batch {
+			errs[i] = c.Owner.Heartbeat(callCtx, batch[i].heartbeat)
+		}
+	case err != nil:
+		for i := range errs {
+			errs[i] = err
+		}
+	default:
+		c.mu.Lock()
+		c.spread = reply.Spread
+		c.mu.Unlock()
+		for _, i := range reply.Failed {
+			if i >= 0 && i < len(errs) {
+				errs[i] = errHeartbeatNotHandled
+			}
+		}
+	}
+	for i, x := range batch {
+		x.done <- errs[i]
+	}
+}
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -19,7 +19,9 @@
 const (
 	MethodDo        = "fleet.do"
 	MethodHeartbeat = "fleet.heartbeat"
-	MethodLeave     = "fleet.leave"
+	// MethodHeartbeats takes several heartbeats at once.
+	MethodHeartbeats = "fleet.heartbeats"
+	MethodLeave      = "fleet.leave"
 	// MethodConfigure is called by daemons of earlier versions only.
 	MethodConfigure     = "fleet.configure"
 	MethodPutConfig     = "fleet.put_config"
@@ -33,6 +35,7 @@
 func (o *Owner) Register(mux *galenarpc.Mux) {
 	galenarpc.Handle(mux, MethodDo, o.Do)
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
+	galenarpc.Handle(mux, MethodHeartbeats, o.Heartbeats)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
 	galenarpc.Handle(mux, MethodConfigure, o.Configure)
 	galenarpc.Handle(mux, MethodPutConfig, o.ConfigureEncoded)
@@ -46,7 +49,7 @@
 // the fleet. They fail with ErrNotLeader.
 func RegisterNotOwner(mux *galenarpc.Mux) {
 	for _, method := range []string{
-		MethodDo, MethodHeartbeat, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+		MethodDo, MethodHeartbeat, MethodHeartbeats, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
 	} {
 		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
 			return nil, galenahead.ErrNotLeader
@@ -116,7 +119,8 @@
 // isFinal reports whether err is an answer of the owner that a retry would not
 // change.
 func isFinal(err error) bool {
-	return errors.Is(err, galenahead.ErrInvalid) || errors.Is(err, galenahead.ErrNotFound) || errors.Is(err, galenahead.ErrConflict)
+	return errors.Is(err, galenahead.ErrInvalid) || errors.Is(err, galenahead.ErrNotFound) || errors.Is(err, galenahead.ErrConflict) ||
+		galenarpc.IsUnknownMethod(err)
 }
 
 // callFailure describes a failed attempt of a call to the owner. Its zero value is
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -480,6 +480,13 @@
 	return slices.Collect(maps.Values(s.instances))
 }
 
+// instanceCount returns the number of registered instances.
+func (s *State) instanceCount() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.instances)
+}
+
 // instance returns the registration of an instance.
 func (s *State) instance(id galenahead.InstanceID) (galenajob.Instance, bool) {
 	s.mu.RLock()
--- a/galenarelay/client.go
+++ b/galenarelay/client.go
@@ -20,7 +20,7 @@
 
 const (
 	// batchPause is how long calls are collected before they are handed to a relay.
-	batchPause = 4 * time.Millisecond
+	batchPause = 10 * time.Millisecond
 	// handOverTimeout bounds the answer of a relay that it has the calls. A relay that does
 	// not answer in time gets none for relayRestTime.
 	handOverTimeout = 300 * time.Millisecond
@@ -29,6 +29,10 @@
 	relaySlack = 100 * time.Millisecond
 	// directTime is how long an instance is called directly after a relay did not reach it.
 	directTime = 5 * time.Second
+	// maxDirect bounds the direct calls under way, without polls that wait for an end. More
+	// go through relays. When many answers come at once, all else in the process waits for
+	// them, also the log.
+	maxDirect = 64
 	// peersInterval is how often the list of relays is read.
 	peersInterval = time.Second
 )
@@ -53,7 +57,9 @@
 	// Peers returns the addresses of the other control daemons that relay calls.
 	Peers func() []string
 
-	load    loadMeter
+	load loadMeter
+	// direct counts the direct calls under way that do not wait for an end.
+	direct  atomic.Int64
 	nextID  atomic.Uint64
 	session uint64
 
@@ -135,6 +141,7 @@
 func (c *Client) Pace(ctx context.Context, a galenajob.Action, limit time.Duration) error {
 	r, err := c.do(ctx, newCommand(kindPace, &a, limit))
 	if errors.Is(err, errNoRelay) {
+		defer c.beginDirect(0)()
 		return c.Direct.Pace(ctx, a, limit)
 	}
 	if err == nil {
@@ -149,6 +156,7 @@
 	r, err := c.do(ctx, newCommand(k, a, limit))
 	switch {
 	case errors.Is(err, errNoRelay):
+		defer c.beginDirect(0)()
 		return direct(ctx, *a, limit)
 	case err != nil:
 		// The relay may have sent the command, or may still do so.
@@ -167,6 +175,7 @@
 func (c *Client) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
 	r, err := c.do(ctx, newPoll(&req, wait, limit))
 	if errors.Is(err, errNoRelay) {
+		defer c.beginDirect(wait)()
 		return c.Direct.RenewAndPoll(ctx, req, wait, limit)
 	}
 	if err == nil {
@@ -179,9 +188,19 @@
 		return galenajob.PollResponse{}, err
 	}
 	c.callDirectly(req.Instance.ID)
+	defer c.beginDirect(0)()
 	return c.Direct.RenewAndPoll(ctx, req, 0, limit)
 }
 
+// beginDirect counts a direct call, until the returned function is called.
+func (c *Client) beginDirect(wait time.Duration) (end func()) {
+	if wait > 0 {
+		return func() {}
+	}
+	c.direct.Add(1)
+	return func() { c.direct.Add(-1) }
+}
+
 // callDirectly makes the next calls to an instance direct.
 func (c *Client) callDirectly(id galenahead.InstanceID) {
 	c.mu.Lock()
@@ -218,7 +237,8 @@
 // enqueue queues a call for the relay of its instance, and returns the channel of its
 // result. It returns no relay if the call is to be made directly.
 func (c *Client) enqueue(now time.Time, share float64, x *call) (*relay, chan result) {
-	if share == 0 || position(x.Instance) >= share {
+	busy := x.Wait == 0 && c.direct.Load() >= maxDirect
+	if galenafleet.SpreadPosition(x.Instance) >= share && !busy {
 		return nil, nil
 	}
 	c.mu.Lock()
@@ -244,36 +264,13 @@
 // relayFor returns the relay of an instance, which stays the same while the relays do. c.mu
 // must be held.
 func (c *Client) relayFor(now time.Time, id galenahead.InstanceID) *relay {
-	var best *relay
-	var bestWeight uint64
-	for _, r := range c.relays {
-		if now.Before(r.restUntil) {
-			continue
-		}
-		if w := weight(id, r.addr); best == nil || w > bestWeight {
-			best, bestWeight = r, w
-		}
-	}
-	return best
-}
-
-// position returns the place of an instance in the order in which instances are handed to
-// relays, from 0 to 1.
-func position(id galenahead.InstanceID) float64 {
-	return float64(weight(id, "")%1024) / 1024
-}
-
-func weight(id galenahead.InstanceID, addr string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211 // FNV-1a
-	x := uint64(offset)
-	for _, s := range [2]string{addr, string(id)} {
-		for i := range len(s) {
-			x = (x ^ uint64(s[i])) * prime
-		}
+	i := galenafleet.SpreadOver(id, len(c.relays),
+		func(i int) string { return c.relays[i].addr },
+		func(i int) bool { return !now.Before(c.relays[i].restUntil) })
+	if i < 0 {
+		return nil
 	}
-	// The last bytes of the input hardly change the upper bits.
-	x = (x ^ x>>32) * 0x9e3779b97f4a7c15
-	return x ^ x>>29
+	return c.relays[i]
 }
 
 // handleResults passes results to the calls that wait for them.
--- a/galenarelay/relay_test.go
+++ b/galenarelay/relay_test.go
@@ -316,7 +316,7 @@
 		is := is.New(t)
 		f, _ := startFixture(t)
 		out := f.server.outbox(callBatch{Session: 1, ReplyTo: ownerAddr})
-		f.server.inFlight = 1
+		is.True(f.server.begin())
 		f.server.run(out, newCommand(kindStart, &testAction, time.Second), time.Now().Add(-2*maxCallAge))
 		commands, _ := f.relayed.counts()
 		is.Equal(commands, 0)
@@ -365,6 +365,41 @@
 	})
 }
 
+// Guards against hundreds of direct calls at once, when a new owner polls all instances.
+func TestCallsBeyondBoundAreRelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, ctx := startFixture(t)
+		f.client.load.relayed = 0
+		answer := make(chan struct{})
+		f.client.Direct = &heldInstances{instances: f.direct, answer: answer}
+		var wg sync.WaitGroup
+		for range 3 * maxDirect {
+			wg.Go(func() {
+				time.Sleep(time.Microsecond)
+				_, _ = f.client.RenewAndPoll(ctx, testPoll, 0, time.Minute)
+			})
+		}
+		time.Sleep(time.Second)
+		_, polls := f.relayed.counts()
+		is.Equal(polls, 2*maxDirect)
+		close(answer)
+		wg.Wait()
+		is.Equal(f.client.direct.Load(), int64(0))
+	})
+}
+
+// heldInstances answers polls when answer is closed.
+type heldInstances struct {
+	*instances
+	answer <-chan struct{}
+}
+
+func (h *heldInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
+	<-h.answer
+	return h.instances.RenewAndPoll(ctx, req, wait, limit)
+}
+
 // Guards against a message for each call, which is what relays are to spare the owner.
 func TestCallsShareMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/galenarelay/server.go
+++ b/galenarelay/server.go
@@ -20,8 +20,12 @@
 	maxCallAge = time.Second
 	// maxCallsAtOnce bounds the calls of a relay that are under way.
 	maxCallsAtOnce = 4096
+	// maxSendingAtOnce bounds the calls that do not wait for an end and are under way at the
+	// same time; the others wait for them. When many answers come at once, all else in the
+	// process waits for them, also the log.
+	maxSendingAtOnce = 64
 	// resultPause is how long results are collected before they are sent together.
-	resultPause = 4 * time.Millisecond
+	resultPause = 10 * time.Millisecond
 	// resultTimeout bounds the delivery of results. Results that are not delivered count
 	// as lost, as if the instance had not answered.
 	resultTimeout = 500 * time.Millisecond
@@ -45,6 +49,8 @@
 
 	mu       sync.Mutex
 	inFlight int
+	// sending holds an element for each call under way that does not wait for an end.
+	sending  chan struct{}
 	outboxes map[uint64]*outbox
 }
 
@@ -79,6 +85,9 @@
 	if s.inFlight >= maxCallsAtOnce {
 		return false
 	}
+	if s.sending == nil {
+		s.sending = make(chan struct{}, maxSendingAtOnce)
+	}
 	s.inFlight++
 	return true
 }
@@ -93,6 +102,10 @@
 func (s *Server) run(out *outbox, c call, received time.Time) {
 	defer s.end()
 	r := result{ID: c.ID}
+	if c.Wait == 0 {
+		s.sending <- struct{}{}
+		defer func() { <-s.sending }()
+	}
 	if s.Timers.Now().Sub(received) > maxCallAge {
 		r.Outcome = galenajob.OutcomeDeferred
 		r.setError(eris.Wrap(galenafleet.ErrExhausted, ErrLate.Error()))
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -120,6 +120,13 @@
 	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 }
 
+// IsUnknownMethod reports whether a call failed because the peer does not have its method,
+// as one of an earlier version. Nothing was done.
+func IsUnknownMethod(err error) bool {
+	var e *jsonrpc2.Error
+	return errors.As(err, &e) && e.Code == jsonrpc2.CodeMethodNotFound
+}
+
 // decodeError returns an error that wraps the sentinel error of a reply's code.
 // It returns any other error unchanged.
 func decodeError(err error) error {
