Reject jobs that cannot be of use any more, and bound starts by lateness

Ruled out: admission by the number of jobs (it depends on size and order).

Now a job is rejected at once if the work that comes before it in scheduling order takes longer, at the measured rate of starts or the room that the pool has or will get, than its result is of use; those turned away get times to come back in the order in which they came. The starts under way follow the lateness of the owner's ticks (additive increase, multiplicative decrease).

--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -146,6 +146,7 @@
 	resign    context.CancelCauseFunc
 	committer *committer
 	load      ownerLoad
+	starts    startGovernor
 	// leaseMissingSince is when the lease of the log was first seen to have expired, or
 	// zero. Only run uses it.
 	leaseMissingSince time.Time
@@ -198,6 +199,7 @@
 		case <-ticks:
 			now := time.Now()
 			sess.load.recordTick(now.Sub(last))
+			sess.starts.observe(now.Sub(last) - leadershipCheckInterval)
 			last = now
 			sess.checkTerm(now)
 		}
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -94,8 +94,10 @@
 		}
 	}
 	slices.SortFunc(spareMachines, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
-	m.setShares(pools, m.machineSize(), len(spareMachines))
+	size := m.machineSize()
+	m.setShares(pools, size, len(spareMachines))
 	for i := range pools {
+		m.setPoolLimits(&pools[i], size)
 		m.logPool(pools[i])
 	}
 	vacated := m.takeVacated(pools, now)
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -162,6 +162,9 @@
 		ID: id, Queue: q.Name, Service: q.Service, Spec: *spec,
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
 	}
+	if reply, ok := sess.admit(q, j); !ok {
+		return reply, nil
+	}
 	r, err := sess.committer.commit(Op{Submit: j})
 	if errors.Is(err, galenahead.ErrInvalid) {
 		return Reply{Outcome: OutcomeInvalid, Reason: err.Error()}, nil
@@ -177,6 +180,24 @@
 	return Reply{Outcome: OutcomeAccepted}, nil
 }
 
+// admit reports whether a job can still be of use, and otherwise returns the answer that
+// rejects it. A job that is being submitted more than once must not be rejected, since
+// another submission may be accepted.
+func (sess *ownerSession) admit(q QueueRule, j *galenajob.Job) (Reply, bool) {
+	retryAfter, ok := time.Duration(0), false
+	sess.shardFor(q.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { retryAfter, ok = s.Admit(now, j) })
+	sess.mu.Lock()
+	alone := sess.submitting[j.ID].calls == 1
+	sess.mu.Unlock()
+	if ok || !alone {
+		return Reply{}, true
+	}
+	sess.Metrics.Counters.Add("rejected_backlog", 1)
+	return Reply{
+		Outcome: OutcomeRejected, Reason: "the work that waits takes longer than the result is of use", RetryAfter: retryAfter,
+	}, false
+}
+
 // maxCommitDelay is how long an accepted job may take to become durable. The daemon
 // of the caller waits half as long again; after that the outcome is uncertain.
 const maxCommitDelay = attemptTimeout * 2 / 3
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -215,9 +215,11 @@
 func (sh *shard) plan(ctx context.Context) {
 	sh.lock()
 	start := time.Now()
+	maxStarting := sh.session.Params.MaxStarting
 	if f := sh.session.MaxStarting; f != nil {
-		sh.scheduler.SetMaxStarting(f(sh.session.Params.MaxStarting))
+		maxStarting = f(maxStarting)
 	}
+	sh.scheduler.SetMaxStarting(sh.session.starts.bound(maxStarting))
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
--- a/galenafleet/shares.go
+++ b/galenafleet/shares.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// setPoolLimits tells the scheduler of a pool what it can count on: the machines that the
+// pool has, will get, or should have by its share.
+func (m *machineController) setPoolLimits(p *poolStatus, size galenajob.Resources) {
+	free := p.usage.Capacity.Sub(p.usage.LongRunning)
+	coming := max(0, max(p.has, p.share)-p.usage.Instances)
+	limits := galenajob.PoolLimits{MilliCPU: free.MilliCPU + int64(coming)*size.MilliCPU, StartLimited: p.startLimited}
+	m.shardFor(p.service).inspect(func(_ time.Time, s *galenajob.Scheduler) { s.SetPoolLimits(limits) })
+}
+
 // wanted returns how many machines the pool needs for its work.
 func (p *poolStatus) wanted(size galenajob.Resources) int {
 	if p.shortfall > 0 {
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -391,6 +391,8 @@
 	it.startsSent++
 	if it.startsSent == 1 {
 		s.starting++
+		step := it.set.step
+		s.startRate.add(now, step.Need.MilliCPU*step.Estimate.Milliseconds()/1000)
 	}
 	it.notBefore = now.Add(s.params.ResendInterval)
 	it.startDeadline = inst.extendDeadline(now, s.params.Lease)
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -102,6 +102,12 @@
 	// held is the instance that is kept free for a suspect until heldUntil, or nil.
 	held      *instance
 	heldUntil time.Time
+	// limits is what Admit counts on, or nil. turnedAway is the work of the jobs that it has
+	// rejected until turnedAwayAt, less what could have been done since.
+	limits       *PoolLimits
+	startRate    startRate
+	turnedAway   int64
+	turnedAwayAt time.Time
 	// reservations are the instances that are kept free for long-running work.
 	reservations []reservation
 	// lapsedRuns holds what TakeLapsedRuns returns next.
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -16,6 +16,8 @@
 	Instances int
 	Capacity  Resources
 	Used      Resources
+	// LongRunning is the part of Used of long-running work.
+	LongRunning Resources
 	// Demand is the total need of the work items that wait for an instance, and of
 	// the long-running work items that have to leave theirs. Work items of hopeless
 	// jobs do not count.
@@ -111,7 +113,9 @@
 		u.Capacity = u.Capacity.Add(inst.Capacity)
 		u.Used = u.Used.Add(inst.used)
 		u.Urgent = u.Urgent.Add(inst.urgentUse())
-		batch := inst.used.Sub(inst.longRunningUse())
+		lasting := inst.longRunningUse()
+		u.LongRunning = u.LongRunning.Add(lasting)
+		batch := inst.used.Sub(lasting)
 		u.Batch = u.Batch.Add(batch)
 		if batch != (Resources{}) {
 			u.BatchInstances++
