Count starts and waiting work without looking at all work items

Cause: at 2,000 starts a second half of the owner's processor time still went to plans and to the usage of pools: each plan looked at all runs for commands to repeat, each usage at all work items of all waiting jobs.

Now instances count the commands that wait for a confirmation, starts without a result are kept in a list, steps without a run count as a whole, and two plans are 16 ms apart.

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -18,7 +18,7 @@
 	planInterval = 100 * time.Millisecond
 	// minPlanPause is the shortest time between two plans, so that events at nearly
 	// the same time share one plan. It is short compared with a work item (0.6 to 2.1 s).
-	minPlanPause = 8 * time.Millisecond
+	minPlanPause = 16 * time.Millisecond
 	// planPauseFactor is how many times the duration of a plan the next one waits, so
 	// that planning leaves most of the processor to the calls that it causes.
 	planPauseFactor = 4
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -55,7 +55,6 @@
 // wall on the wall clock.
 func (s *Scheduler) Plan(now, wall time.Time) []Action {
 	s.wall = wall
-	s.starting = 0
 	s.checkLiveness(now)
 	s.releaseHeld(now)
 	s.releaseReservations(now, nil)
@@ -63,6 +62,7 @@
 		s.evacuate(now, inst)
 		s.resendCommands(now, inst)
 	}
+	s.countStarting(now)
 	s.tooLarge = s.tooLarge[:0]
 	for _, j := range s.order.update(now) {
 		if s.StartsExhausted() {
@@ -134,14 +134,7 @@
 	if s.unresponsive(now, inst) {
 		return
 	}
-	due := false
-	for _, it := range inst.items {
-		if s.startPending(now, it) {
-			s.starting++
-		}
-		due = due || it.resendDue(now)
-	}
-	if !due {
+	if inst.unconfirmed == 0 {
 		return
 	}
 	for _, it := range inst.sortedItems() {
@@ -173,6 +166,15 @@
 	return !it.evicted || it.set.job.final || it.instance.Draining || s.mayEvict(now, it)
 }
 
+// countStarting counts the starts that count against MaxStarting.
+func (s *Scheduler) countStarting(now time.Time) {
+	s.firstStarts = slices.DeleteFunc(s.firstStarts, func(it *item) bool {
+		it.inFirstStarts = s.startPending(now, it)
+		return !it.inFirstStarts
+	})
+	s.starting = len(s.firstStarts)
+}
+
 // startPending reports whether the item's start counts against MaxStarting. A repeated
 // start, or one whose result is late, waits for an instance that is probably gone, and
 // takes the owner nothing meanwhile.
@@ -363,7 +365,7 @@
 		}
 		earlier = append(earlier, it.run)
 		inst.place(it, run)
-		it.phase = phaseStarting
+		it.setPhase(phaseStarting)
 	}
 	for i := range set.items {
 		it := &set.items[i]
@@ -381,7 +383,7 @@
 // startItem starts a run of the work item on the instance.
 func (s *Scheduler) startItem(now time.Time, it *item, inst *instance, run int64) {
 	inst.place(it, run)
-	it.phase = phaseStarting
+	it.setPhase(phaseStarting)
 	s.emitStart(now, it, "room")
 }
 
@@ -391,6 +393,10 @@
 	it.startsSent++
 	if it.startsSent == 1 {
 		s.starting++
+		if !it.inFirstStarts {
+			it.inFirstStarts = true
+			s.firstStarts = append(s.firstStarts, it)
+		}
 		step := it.set.step
 		s.startRate.add(now, step.Need.MilliCPU*step.Estimate.Milliseconds()/1000)
 	}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -119,6 +119,9 @@
 	// starting counts the work items whose start counts against MaxStarting, as of the
 	// current plan.
 	starting int
+	// firstStarts holds the work items whose first start command was sent without a result
+	// so far, and some others.
+	firstStarts []*item
 	// ready is a buffer for the item sets of one job.
 	ready []*itemSet
 	// tooLarge holds reservations for which the current plan has found no room.
@@ -234,7 +237,8 @@
 	s.noteReturn(now, inst.Instance)
 	for _, it := range inst.sortedItems() {
 		s.crashes = append(s.crashes, s.noteLoss(inst, it)...)
-		it.phase, it.inFlight = phaseStale, false
+		it.setPhase(phaseStale)
+		it.inFlight = false
 		it.pace, it.pacing = 100, paceState{}
 	}
 }
@@ -415,7 +419,8 @@
 	if it.phase == phaseStarting && it.inFlight {
 		it.unansweredUntil = it.startDeadline
 	}
-	it.phase, it.confirmed, it.inFlight = phaseStopping, time.Time{}, false
+	it.setPhase(phaseStopping)
+	it.confirmed, it.inFlight = time.Time{}, false
 	it.notBefore = now
 	s.emitStop(now, it, reason)
 }
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -61,6 +61,8 @@
 	evicted bool
 	// startsSent counts the start commands sent for the run.
 	startsSent int
+	// inFirstStarts is set while the scheduler's firstStarts holds the work item.
+	inFirstStarts bool
 	// startDeadline is the deadline of the last start command. unansweredUntil is the
 	// latest deadline of those that got no response, or zero: until then the instance
 	// may still execute one of them, whatever it answers to others. Both are on the
@@ -104,7 +106,9 @@
 	itemsLeft  int
 	// suspects counts the work items that are suspects.
 	suspects int
-	tickets  map[galenahead.InstanceID]ticket
+	// untouched is set until a work item of the set has a run or a record.
+	untouched bool
+	tickets   map[galenahead.InstanceID]ticket
 	// adviceRequestedAt is when the last advice request without a usable response
 	// was sent, or zero.
 	adviceRequestedAt time.Time
@@ -221,7 +225,7 @@
 	sets := make([]*itemSet, len(j.Spec.Steps))
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
-		set := &itemSet{job: j, step: step, occurrence: occurrence, index: i, items: make([]item, step.Count), itemsLeft: step.Count}
+		set := &itemSet{job: j, step: step, occurrence: occurrence, index: i, items: make([]item, step.Count), itemsLeft: step.Count, untouched: true}
 		for k := range set.items {
 			it := &set.items[k]
 			it.set, it.index, it.pace = set, k, 100
@@ -229,6 +233,7 @@
 			if !ok {
 				continue
 			}
+			set.untouched = false
 			it.done, it.failures, it.crashes = record.Done, len(record.Failed), len(record.Crashed)+len(record.Uncertain)
 			it.cleared = record.Cleared
 			if it.crashes > 0 {
@@ -292,6 +297,8 @@
 	reconciledBy time.Time
 	used         Resources
 	items        map[ItemID]*item
+	// unconfirmed counts the work items with a command that waits for its confirmation.
+	unconfirmed int
 	// placements counts all placements of work items on the instance.
 	placements int64
 	// clock is a reading of the instance's clock, in milliseconds, that arrived at
@@ -408,6 +415,7 @@
 // place assigns a run of a work item to the instance.
 func (inst *instance) place(it *item, run int64) {
 	inst.placements++
+	it.set.untouched = false
 	it.instance, it.run, it.placementSeq = inst, run, inst.placements
 	it.confirmed, it.percent, it.usage = time.Time{}, 0, 0
 	it.pace, it.pacing = 100, paceState{}
@@ -419,9 +427,26 @@
 	inst.used = inst.used.Add(it.set.step.reservation())
 }
 
+// setPhase changes the phase of the work item's run.
+func (it *item) setPhase(p phase) {
+	if it.instance != nil {
+		if it.phase.unconfirmed() {
+			it.instance.unconfirmed--
+		}
+		if p.unconfirmed() {
+			it.instance.unconfirmed++
+		}
+	}
+	it.phase = p
+}
+
+// unconfirmed reports whether a command waits for its confirmation in this phase.
+func (p phase) unconfirmed() bool { return p == phaseStarting || p == phaseStopping }
+
 // confirmRunning records that the instance has confirmed the start of the run.
 func (it *item) confirmRunning(now time.Time) {
-	it.phase, it.confirmed, it.runningSince, it.unansweredUntil = phaseRunning, now, now, 0
+	it.setPhase(phaseRunning)
+	it.confirmed, it.runningSince, it.unansweredUntil = now, now, 0
 }
 
 // release takes the work item off its instance and makes it pending again.
@@ -435,7 +460,8 @@
 	if len(inst.items) == 0 {
 		inst.idleSince = now
 	}
-	it.instance, it.phase, it.confirmed, it.inFlight = nil, phasePending, time.Time{}, false
+	it.setPhase(phasePending)
+	it.instance, it.confirmed, it.inFlight = nil, time.Time{}, false
 	it.set.job.settled = false
 	it.endUnrecorded = false
 	it.percent, it.usage, it.notBefore = 0, 0, time.Time{}
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -34,6 +34,11 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
 }
 
+// times returns n times r.
+func (r Resources) times(n int64) Resources {
+	return Resources{n * r.MilliCPU, n * r.MemoryMB, n * r.GPU}
+}
+
 // Covers reports whether r is at least o in every resource.
 func (r Resources) Covers(o Resources) bool {
 	return o.MilliCPU <= r.MilliCPU && o.MemoryMB <= r.MemoryMB && o.GPU <= r.GPU
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -102,9 +102,10 @@
 		if inst.vacating() {
 			continue
 		}
+		lasting, urgent := inst.use()
 		if inst.Draining || inst.evacuating {
-			u.Demand = u.Demand.Add(inst.longRunningUse())
-			u.Urgent = u.Urgent.Add(inst.longRunningUse())
+			u.Demand = u.Demand.Add(lasting)
+			u.Urgent = u.Urgent.Add(lasting)
 		}
 		if inst.Draining || inst.evacuating || inst.removing || s.unresponsive(now, inst) {
 			continue
@@ -112,8 +113,7 @@
 		u.Instances++
 		u.Capacity = u.Capacity.Add(inst.Capacity)
 		u.Used = u.Used.Add(inst.used)
-		u.Urgent = u.Urgent.Add(inst.urgentUse())
-		lasting := inst.longRunningUse()
+		u.Urgent = u.Urgent.Add(urgent)
 		u.LongRunning = u.LongRunning.Add(lasting)
 		batch := inst.used.Sub(lasting)
 		u.Batch = u.Batch.Add(batch)
@@ -226,6 +226,9 @@
 	if set.itemsLeft == 0 || !set.dependenciesDone() {
 		return d
 	}
+	if set.untouched {
+		return set.step.reservation().times(int64(len(set.items)))
+	}
 	for i := range set.items {
 		it := &set.items[i]
 		if it.phase == phasePending && !it.done && it.unrecordedEnds == 0 && !it.attemptsExhausted() && !now.Before(it.notBefore) {
@@ -238,25 +241,16 @@
 // urgent reports whether the job lasts, or can still be done within its objective.
 func (j *job) urgent() bool { return j.key.class <= classOnTime }
 
-// urgentUse returns the total reservation of the work items of urgent jobs on the instance.
-func (inst *instance) urgentUse() Resources {
-	var d Resources
+// use returns the total reservations of the long-running work items and of those of urgent
+// jobs on the instance.
+func (inst *instance) use() (lasting, urgent Resources) {
 	for _, it := range inst.items {
 		if it.set.job.urgent() {
-			d = d.Add(it.set.step.reservation())
+			urgent = urgent.Add(it.set.step.reservation())
 		}
-	}
-	return d
-}
-
-// longRunningUse returns the total reservation of the long-running work items on
-// the instance.
-func (inst *instance) longRunningUse() Resources {
-	var d Resources
-	for _, it := range inst.items {
 		if it.set.step.LongRunning {
-			d = d.Add(it.set.step.reservation())
+			lasting = lasting.Add(it.set.step.reservation())
 		}
 	}
-	return d
+	return lasting, urgent
 }
