--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -113,11 +113,11 @@
 	defer stopServing()
 	var servers, workers errgroup.Group
 	callerHandler := &platform.CallerHandler{Owner: e.ownerClient, AnswerBy: e.requestDeadline}
-	callerServer := platform.NewServer(callerHandler.Handle, e.closing.Load)
+	callerServer := platform.NewServer(callerHandler.Handle, e.closing.Load, e.log.Logger)
 	if err := serveHTTP(serveCtx, &servers, callerServer, e.settings.Listen.Caller, e.drainTimeout()); err != nil {
 		return err
 	}
-	statusServer := platform.NewStatusServer(e.ready)
+	statusServer := platform.NewStatusServer(e.ready, e.log.Logger)
 	if err := serveHTTP(serveCtx, &servers, statusServer, e.settings.Listen.Status, e.drainTimeout()); err != nil {
 		return err
 	}
--- a/cmd/galena-fleet/command/redirector.go
+++ b/cmd/galena-fleet/command/redirector.go
@@ -56,11 +56,11 @@
 	}
 	server := &galenarpc.Server{Mux: &c.mux}
 	workers.Go(func() error { return server.Serve(workCtx, ln) })
-	operatorServer := platform.NewServer(w.handle, func() bool { return ctx.Err() != nil })
+	operatorServer := platform.NewServer(w.handle, func() bool { return ctx.Err() != nil }, c.log.Logger)
 	if err := serveHTTP(serveCtx, &servers, operatorServer, c.settings.Listen.Operator, operatorDrainTimeout); err != nil {
 		return err
 	}
-	statusServer := platform.NewStatusServer(func() error { return nil })
+	statusServer := platform.NewStatusServer(func() error { return nil }, c.log.Logger)
 	if err := serveHTTP(serveCtx, &servers, statusServer, c.settings.Listen.Status, operatorDrainTimeout); err != nil {
 		return err
 	}
--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -40,6 +40,15 @@
 	Peak     *DemandPeak            `cbor:"12,keyasint,omitempty"`
 	Crash    *CrashOp               `cbor:"13,keyasint,omitempty"`
 	Clear    *ClearOp               `cbor:"14,keyasint,omitempty"`
+	// Left is set beside Remove if the instance has left by itself.
+	Left *LeftOp `cbor:"15,keyasint,omitempty"`
+}
+
+// LeftOp records that an incarnation of an instance has left, so that a heartbeat which it
+// sent before does not register it again, whoever receives it.
+type LeftOp struct {
+	Born int64     `cbor:"1,keyasint"`
+	At   time.Time `cbor:"2,keyasint"`
 }
 
 // OwnerOp starts the session of a new owner. Its result contains the session's
--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
 )
@@ -505,16 +507,31 @@
 	record := m.orderRecord(name, in.id, "")
 	m.spawn(func() error {
 		r := orderResult{name: name, wave: wave, instance: in}
-		if _, err := m.committer.commit(record); err != nil {
-			return nil
-		}
-		r.err = m.Machines.Maintain(m.ctx, name, wave, string(m.Name), token)
-		m.deliverResult(r)
+		m.sendRecorded(r, record, func() error { return m.Machines.Maintain(m.ctx, name, wave, string(m.Name), token) })
 		return nil
 	})
 	return nil // the record of the order names the instance
 }
 
+// sendRecorded sends an order once its record is durable, and delivers the result. The
+// lease is checked again before that: another owner may have begun while the record was
+// committed, or while this process was suspended.
+func (m *machineController) sendRecorded(r orderResult, record Op, send func() error) {
+	if _, err := m.committer.commit(record); err != nil {
+		return // the session has ended
+	}
+	if m.isLeader() {
+		r.err = send()
+	} else {
+		r.err = errOrderHeldBack
+	}
+	m.deliverResult(r)
+}
+
+// errOrderHeldBack reports an order that was not sent because the lease of the log is
+// missing.
+var errOrderHeldBack = eris.Wrap(ErrExhausted, "the lease of the log is missing")
+
 // retryDue reports whether the pause after the last failed order to the machine is
 // over, if there was one.
 func (m *machineController) retryDue(name galenahead.VMName) bool {
--- a/galenafleet/machine_controller_test.go
+++ b/galenafleet/machine_controller_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -295,3 +297,45 @@
 		stop()
 	})
 }
+
+// movedMachines counts moves.
+type movedMachines struct {
+	MachineClient
+	moves atomic.Int64
+}
+
+func (*movedMachines) List(context.Context) ([]Machine, error) { return nil, nil }
+
+func (l *movedMachines) Move(context.Context, galenahead.VMName, galenahead.ServiceName, string, uint64) error {
+	l.moves.Add(1)
+	return nil
+}
+
+// Guards against an order that is sent although the lease has run out while its record was
+// committed: another owner may send its own.
+func TestOrderIsHeldBackWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		machines := &movedMachines{}
+		o.Machines = machines
+		_, stop := startOwner(t, o, testConfig)
+		defer stop()
+		sess := o.session.Load()
+		m := newMachineController(sess)
+		send := func() orderResult {
+			m.sendRecorded(orderResult{name: "m"}, m.orderRecord("m", "", "p"), func() error { return m.Machines.Move(m.ctx, "m", "p", "a", 1) })
+			return <-m.results
+		}
+		is.NoErr(send().err)
+		is.Equal(machines.moves.Load(), int64(1))
+
+		// The process is suspended while it waits for the record.
+		log.delay.Store(int64(50 * time.Millisecond))
+		time.AfterFunc(25*time.Millisecond, func() { log.gap.Store(true) })
+		r := send()
+		is.True(errors.Is(r.err, ErrExhausted)) // nothing was sent
+		is.Equal(machines.moves.Load(), int64(1))
+		log.gap.Store(false)
+	})
+}
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -230,10 +231,26 @@
 	sess.spawnMu.Lock()
 	defer sess.spawnMu.Unlock()
 	if !sess.closed {
-		sess.group.Go(fn)
+		sess.group.Go(func() error {
+			defer sess.endAfterPanic()
+			return fn()
+		})
 	}
 }
 
+// endAfterPanic ends the session after a panic in one of its goroutines. The next session
+// reads the state anew; the replica in the same process goes on.
+func (sess *ownerSession) endAfterPanic() {
+	if p := recover(); p != nil {
+		sess.Metrics.Counters.Add("panics", 1)
+		sess.Logger.WithField("panic", p).WithField("epoch", sess.epoch).WithField("stack", string(debug.Stack())).
+			Error("a part of the owner has failed; the session ends")
+		sess.resign(errPanic)
+	}
+}
+
+var errPanic = eris.New("a part of the owner has failed")
+
 // close ends the session, whose context has ended. It returns once the log gets no
 // more proposals of the session, since the next one loads the state. Calls to
 // instances and machines may still be in flight: they carry the fencing token of this
--- a/galenafleet/platform.go
+++ b/galenafleet/platform.go
@@ -19,9 +19,9 @@
 	ErrFenced = eris.New("an owner with a higher fencing token has sent orders")
 	// ErrBusy reports that a machine or the advisor cannot accept the request now.
 	ErrBusy = eris.New("busy")
-	// ErrExhausted reports that this process has no connection or descriptor left for
-	// a call. Nothing was sent, and nothing is known about the receiver.
-	ErrExhausted = eris.New("no connection left in this process")
+	// ErrExhausted reports that this process could not send a call, for want of a connection,
+	// a descriptor or a lease. Nothing was sent, and nothing is known about the receiver.
+	ErrExhausted = eris.New("not sent by this process")
 	// ErrRejected reports an order that the machine will never accept.
 	ErrRejected = eris.New("order rejected")
 )
--- a/galenafleet/pools.go
+++ b/galenafleet/pools.go
@@ -381,11 +381,7 @@
 	token := m.fencingToken(name, orderPurpose{pool: pool})
 	r := orderResult{name: name, instance: move.instance}
 	m.spawn(func() error {
-		if _, err := m.committer.commit(record); err != nil {
-			return nil
-		}
-		r.err = m.Machines.Move(m.ctx, name, pool, string(m.Name), token)
-		m.deliverResult(r)
+		m.sendRecorded(r, record, func() error { return m.Machines.Move(m.ctx, name, pool, string(m.Name), token) })
 		return nil
 	})
 	return true
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -391,7 +391,7 @@
 // recordIfNewer reports whether a heartbeat is newer than all earlier ones of its
 // instance, and if so records it as the newest. reg must be locked.
 func (sess *ownerSession) recordIfNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
-	if known, ok := sess.State.instance(in.ID); ok && in.Born < known.Born {
+	if known, ok := sess.State.instance(in.ID); (ok && in.Born < known.Born) || sess.State.hasLeft(in.ID, in.Born) {
 		return false
 	}
 	if in.Born < reg.born || (in.Born == reg.born && sequence <= reg.sequence) {
@@ -438,13 +438,15 @@
 	if !ok || (l.Born != 0 && l.Born < known.Born) {
 		return Empty{}, nil
 	}
-	if _, err := sess.committer.commit(Op{Remove: &l.ID}); err != nil {
-		return Empty{}, err
-	}
+	op := Op{Remove: &l.ID}
 	if known.Born != 0 {
 		// A heartbeat of this incarnation that is still to arrive is a late copy.
+		op.Left = &LeftOp{Born: known.Born, At: time.Now().Round(0)}
 		reg.born, reg.sequence = known.Born, math.MaxInt64
 	}
+	if _, err := sess.committer.commit(op); err != nil {
+		return Empty{}, err
+	}
 	sess.Logger.WithField("instance", l.ID).Info("instance deregistered")
 	sess.shardFor(known.Service).removeInstance(l.ID)
 	return Empty{}, nil
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -33,8 +33,10 @@
 	queues    queueIndex
 	jobs      map[galenahead.JobID]*galenajob.Job
 	instances map[galenahead.InstanceID]galenajob.Instance
-	waves     map[int64]*Wave
-	orders    map[galenahead.VMName]MachineOrder
+	// left holds the last incarnations that have left, until their jobs would be forgotten.
+	left   map[galenahead.InstanceID]LeftOp
+	waves  map[int64]*Wave
+	orders map[galenahead.VMName]MachineOrder
 	// orderSeenAt holds when this replica learned of the last order to each machine,
 	// on its own clock.
 	orderSeenAt map[galenahead.VMName]time.Time
@@ -48,6 +50,7 @@
 	if s.jobs == nil {
 		s.jobs = map[galenahead.JobID]*galenajob.Job{}
 		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
+		s.left = map[galenahead.InstanceID]LeftOp{}
 		s.waves = map[int64]*Wave{}
 		s.orders = map[galenahead.VMName]MachineOrder{}
 		s.orderSeenAt = map[galenahead.VMName]time.Time{}
@@ -98,6 +101,9 @@
 		return Result{Code: CodeDone}
 	case op.Remove != nil:
 		delete(s.instances, *op.Remove)
+		if op.Left != nil {
+			s.left[*op.Remove] = *op.Left
+		}
 		return Result{Code: CodeDone}
 	case op.Wave != nil:
 		return s.applyWave(op.Wave)
@@ -261,8 +267,10 @@
 	return Result{Code: CodeDone}
 }
 
-// expireJobs deletes the jobs that became final before cutoff.
+// expireJobs deletes the jobs that became final before cutoff, and the records of the
+// instances that left before it.
 func (s *State) expireJobs(cutoff time.Time) {
+	maps.DeleteFunc(s.left, func(_ galenahead.InstanceID, l LeftOp) bool { return l.At.Before(cutoff) })
 	maps.DeleteFunc(s.jobs, func(_ galenahead.JobID, j *galenajob.Job) bool {
 		return j.State.Final() && j.Ended.Before(cutoff)
 	})
@@ -277,6 +285,8 @@
 	Waves     []*Wave              `cbor:"5,keyasint"`
 	Orders    []MachineOrder       `cbor:"6,keyasint"`
 	Peaks     []DemandPeak         `cbor:"7,keyasint"`
+	// Left is missing in snapshots of earlier versions.
+	Left map[galenahead.InstanceID]LeftOp `cbor:"8,keyasint,omitempty"`
 }
 
 type storedJob struct {
@@ -293,7 +303,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks}
+	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		out.Jobs = append(out.Jobs, s.encodableJob(s.jobs[id]))
 	}
@@ -344,6 +354,7 @@
 	for _, in := range in.Instances {
 		s.instances[in.ID] = in
 	}
+	maps.Copy(s.left, in.Left)
 	for _, o := range in.Orders {
 		s.recordOrder(o)
 	}
@@ -480,6 +491,14 @@
 	return slices.Collect(maps.Values(s.instances))
 }
 
+// hasLeft reports whether the incarnation of an instance, or a later one, has left.
+func (s *State) hasLeft(id galenahead.InstanceID, born int64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	l, ok := s.left[id]
+	return ok && born <= l.Born
+}
+
 // instanceCount returns the number of registered instances.
 func (s *State) instanceCount() int {
 	s.mu.RLock()
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -89,9 +89,18 @@
 	return out
 }
 
+// maxPlanGap is the longest time between two plans, and much longer than usual, in which
+// this process can have heard its instances.
+const maxPlanGap = time.Second
+
 // checkLiveness gives up runs whose lease has expired, and finds instances that
-// have shown no sign of life for GoneAfter.
+// have shown no sign of life for GoneAfter. Time in which this process did not run, for
+// example because it was suspended, does not count as their silence.
 func (s *Scheduler) checkLiveness(now time.Time) {
+	if now.Sub(s.checkedAt) > maxPlanGap {
+		s.hearingSince = now
+	}
+	s.checkedAt = now
 	for _, inst := range s.sortedInstances() {
 		if inst.unreconciled && now.After(inst.reconciledBy) {
 			s.markReconciled(inst)
@@ -103,6 +112,9 @@
 		if inst.respondedAt.After(last) {
 			last = inst.respondedAt
 		}
+		if s.hearingSince.After(last) {
+			last = s.hearingSince
+		}
 		if now.Sub(last) > s.params.GoneAfter && inst.leaseExpired(now) && !inst.unreconciled && !inst.removing {
 			inst.removing = true
 			s.gone = append(s.gone, inst.ID)
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -102,6 +102,9 @@
 	// held is the instance that is kept free for a suspect until heldUntil, or nil.
 	held      *instance
 	heldUntil time.Time
+	// checkedAt is the time of the last plan, and hearingSince when this process began to hear
+	// its instances, or again after a gap.
+	checkedAt, hearingSince time.Time
 	// limits is what Admit counts on, or nil. turnedAway is the work of the jobs that it has
 	// rejected until turnedAwayAt, less what could have been done since.
 	limits       *PoolLimits
--- a/galenajob/silent_test.go
+++ b/galenajob/silent_test.go
@@ -67,3 +67,20 @@
 	now = renewed.Add(testParams().Lease * 104 / 100)
 	is.Equal(len(starts(s.Plan(now, now))), 1)
 }
+
+// Guards against instances that are given up because this process did not run, and so did
+// not hear them.
+func TestPauseOfOwnerIsNotSilenceOfInstances(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.Plan(t0, t0)
+	now := t0.Add(testParams().GoneAfter + time.Second) // suspended
+	s.Plan(now, now)
+	is.Equal(len(s.TakeGone()), 0)
+	// One that stays silent is given up.
+	for range int(testParams().GoneAfter/(maxPlanGap/2)) + 1 {
+		now = now.Add(maxPlanGap / 2)
+		s.Plan(now, now)
+	}
+	is.Equal(len(s.TakeGone()), 1)
+}
--- a/galenarelay/server.go
+++ b/galenarelay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -102,6 +103,13 @@
 func (s *Server) run(out *outbox, c call, received time.Time) {
 	defer s.end()
 	r := result{ID: c.ID}
+	defer func() {
+		if p := recover(); p != nil {
+			s.Logger.WithField("instance", c.Instance).WithField("panic", p).WithField("stack", string(debug.Stack())).Error("a relayed call has panicked")
+			r.Outcome, r.Error, r.ErrorText = galenajob.OutcomeUnknown, errorOther, "the relay has failed"
+			out.add(r)
+		}
+	}()
 	if c.Wait == 0 {
 		s.sending <- struct{}{}
 		defer func() { <-s.sending }()
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -9,8 +9,10 @@
 	"io"
 	"log"
 	"net"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/galenahead/galenahead"
@@ -26,6 +28,10 @@
 // Mux maps methods to handlers. Register all handlers before serving. The zero
 // value has no handlers.
 type Mux struct {
+	// Logger gets a line for each call that has panicked. If it is nil, that is the standard
+	// logger.
+	Logger *logrus.Logger
+
 	handlers map[string]Handler
 }
 
@@ -58,13 +64,31 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	res, err := h(ctx, conn, params)
+	res, err := m.handle(ctx, req.Method, h, conn, params)
 	if err != nil {
 		return nil, encodeError(err)
 	}
 	return res, nil
 }
 
+// ErrPanic reports a call that has panicked. It may have been carried out in part.
+var ErrPanic = eris.New("the call has failed within the process")
+
+// handle calls a handler, and returns ErrPanic if it panics.
+func (m *Mux) handle(ctx context.Context, method string, h Handler, conn *Conn, params json.RawMessage) (res any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			logger := m.Logger
+			if logger == nil {
+				logger = logrus.StandardLogger()
+			}
+			logger.WithField("method", method).WithField("panic", p).WithField("stack", string(debug.Stack())).Error("a call has panicked")
+			res, err = nil, ErrPanic
+		}
+	}()
+	return h(ctx, conn, params)
+}
+
 // Call calls method within the process. It encodes params and the result as for
 // another process.
 func (m *Mux) Call(ctx context.Context, method string, params, result any) error {
--- a/galenarpc/rpc_test.go
+++ b/galenarpc/rpc_test.go
@@ -1,13 +1,16 @@
 package galenarpc
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
 )
@@ -40,3 +43,40 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// Guards against a call that ends the process, and against one whose failure leaves no line.
+func TestPanicFailsOnlyItsCall(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&log)
+	mux := &Mux{Logger: logger}
+	Handle(mux, "fault", func(context.Context, int) (int, error) { panic("fault") })
+	Handle(mux, "double", func(_ context.Context, n int) (int, error) { return 2 * n, nil })
+	err := mux.Call(t.Context(), "fault", 1, nil)
+	is.True(err != nil)
+	is.True(strings.Contains(log.String(), "method=fault"))
+	n := 0
+	is.NoErr(mux.Call(t.Context(), "double", 2, &n))
+	is.Equal(n, 4)
+}
+
+// Guards against a call of the process to itself that takes a connection, or that waits longer
+// than its caller.
+func TestLocalCallsNeedNoConnection(t *testing.T) {
+	is := is.New(t)
+	mux := &Mux{}
+	release := make(chan struct{})
+	Handle(mux, "double", func(_ context.Context, n int) (int, error) { return 2 * n, nil })
+	Handle(mux, "leader", func(context.Context, int) (int, error) { return 0, galenahead.ErrNotLeader })
+	Handle(mux, "slow", func(context.Context, int) (int, error) { <-release; return 0, nil })
+	c := &LocalFirst{RPCClient: &Client{}, Self: "10.0.0.1:1", Mux: mux}
+	n := 0
+	is.NoErr(c.Call(t.Context(), "10.0.0.1:1", "double", 2, &n))
+	is.Equal(n, 4)
+	is.True(errors.Is(c.Call(t.Context(), "10.0.0.1:1", "leader", 2, &n), galenahead.ErrNotLeader))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(errors.Is(c.Call(ctx, "10.0.0.1:1", "slow", 2, &n), context.Canceled))
+	close(release)
+}
