--- a/galenafleet/shares_test.go
+++ b/galenafleet/shares_test.go
@@ -71,12 +71,24 @@
 
 // sharedFleet is a fleet of single-core machines with two pools.
 type sharedFleet struct {
-	machines []Machine
-	moved    chan galenahead.ServiceName
 	MachineClient
+	moved chan galenahead.ServiceName
+
+	mu       sync.Mutex
+	machines []Machine
+}
+
+func (f *sharedFleet) List(context.Context) ([]Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.machines), nil
 }
 
-func (f *sharedFleet) List(context.Context) ([]Machine, error) { return f.machines, nil }
+func (f *sharedFleet) add(v Machine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machines = append(f.machines, v)
+}
 
 func (f *sharedFleet) Move(_ context.Context, _ galenahead.VMName, pool galenahead.ServiceName, _ string, _ uint64) error {
 	f.moved <- pool
@@ -109,7 +121,7 @@
 		size := galenajob.Resources{MilliCPU: 1000, MemoryMB: 1000}
 		for i := range machines {
 			id := galenahead.InstanceID(fmt.Sprintf("i%02d", i))
-			f.machines = append(f.machines, Machine{Name: galenahead.VMName(id), Pool: "counter", State: MachineUp, Instance: id, Capacity: size})
+			f.add(Machine{Name: galenahead.VMName(id), Pool: "counter", State: MachineUp, Instance: id, Capacity: size})
 			_, err := o.Heartbeat(ctx, Heartbeat{Instance: galenajob.Instance{ID: id, Born: 1, Service: "counter", Address: string(id), Capacity: size}, Sequence: 1, Clock: 1000})
 			is.NoErr(err)
 		}
