--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,58 @@
+// Command stand plays one case of the review on a small deployment on loopback. It exits
+// with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+var cases = map[string]func(f *fleet, trouble bool) (broken string, err error){
+	"crashes":     crashes,
+	"late-leave":  lateLeave,
+	"late-submit": lateSubmit,
+}
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY FOLDER")
+		os.Exit(2)
+	}
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+}
+
+func play(name, root, folder string) int {
+	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Println("could not run:", err)
+		return 2
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.add("case %s, disruption: %t", name, trouble)
+	c, ok := cases[name]
+	if !ok {
+		fmt.Println("no such case")
+		return 2
+	}
+	f, err := newFleet(rec, root, 3)
+	if err != nil {
+		fmt.Println("could not run:", err)
+		return 2
+	}
+	defer f.close()
+	broken, err := c(f, trouble)
+	switch {
+	case err != nil:
+		rec.add("could not run: %v", err)
+		fmt.Println("could not run:", err)
+		return 2
+	case broken != "":
+		rec.add("broken: %s", broken)
+		fmt.Println("broken:", broken)
+		return 1
+	}
+	rec.add("held")
+	fmt.Println("held")
+	return 0
+}
