--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -31,6 +31,9 @@
 	platform *machines
 	procs    map[string]*exec.Cmd
 	minions  []*minion
+	// advisorLine is the line of the settings with the address of the advice service, or
+	// empty, and advice what the config says of it.
+	advisorLine, advice string
 }
 
 func newFleet(rec *record, root string, machines int) (*fleet, error) {
@@ -86,15 +89,15 @@
 losses = 1
 
 [instances]
-max_lease = 6000ms
-stop_timeout = 400ms
+max_lease = %dms
+stop_timeout = %dms
 machine_lease = 3000ms
 keep_final = 120s
 
 [platform]
 machines_address = %s
-`, i, i, f.addr(i, "control"), f.addr(i, "peer"), f.addr(i, "status"), strings.Join(f.controls()[:3], ","), f.ports["peer"],
-		filepath.Join(f.dir, fmt.Sprintf("disk-%d", i)), bootstrap, f.platform.addr))
+%s`, i, i, f.addr(i, "control"), f.addr(i, "peer"), f.addr(i, "status"), strings.Join(f.controls()[:3], ","), f.ports["peer"],
+		filepath.Join(f.dir, fmt.Sprintf("disk-%d", i)), bootstrap, maxHold.Milliseconds(), stopTimeout.Milliseconds(), f.platform.addr, f.advisorLine))
 }
 
 func (f *fleet) startEntry(i int) error {
@@ -193,12 +196,12 @@
 		}
 	}
 	const config = `{"version":%d,"routes":[{"name":"cotiza","host":"shop.example","path_prefix":"/q/","kind":"unsafe","timeout_ms":3000,` +
-		`"target_latency_ms":600,"priority":0,"service":"socio-norte","max_attempts":2,"stretch":1.6}],` +
+		`"target_latency_ms":600,"priority":0,"service":"socio-norte","max_attempts":2,"stretch":1.6%s}],` +
 		`"services":[{"name":"socio-norte","health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"admission_control":true,"spare":false}],` +
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 	err := f.wait("the first config is acknowledged", 30*time.Second, func() bool {
 		for _, c := range f.controls() {
-			if status, _ := post(context.Background(), c, "/config/replace", fmt.Sprintf(config, 3), time.Second); status == 200 {
+			if status, _ := post(context.Background(), c, "/config/replace", fmt.Sprintf(config, 3, f.advice), time.Second); status == 200 {
 				return true
 			}
 		}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -9,9 +9,13 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) (broken string, err error){
-	"crashes":     crashes,
-	"late-leave":  lateLeave,
-	"late-submit": lateSubmit,
+	"crashes":      crashes,
+	"late-leave":   lateLeave,
+	"late-submit":  lateSubmit,
+	"old-clock":    oldClock,
+	"odd-entry":    oddEntry,
+	"advice":       advice,
+	"reservations": reservations,
 }
 
 func main() {
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -14,12 +14,14 @@
 	"time"
 )
 
-const (
+// Bounds of tiraje-lima; a case may take those of kitakaze-sched.
+var (
 	maxHold     = 6 * time.Second
 	stopTimeout = 400 * time.Millisecond
-	heartbeat   = 1500 * time.Millisecond
 )
 
+const heartbeat = 1500 * time.Millisecond
+
 // minion is a machine's minion. It may be started again under its id.
 type minion struct {
 	id, service, addr, machine, rack string
@@ -29,6 +31,8 @@
 	onStart func(m *minion, boot int, task string, run int64)
 	// first is the control daemon that gets the first copy of a leave, or empty.
 	first string
+	// firstReport is how long after its start a boot sends its first status report.
+	firstReport time.Duration
 
 	mu    sync.Mutex
 	boots int
@@ -57,6 +61,11 @@
 	hbAddr   string
 	changed  chan struct{}
 	used     int64
+	// cut is set while the minion is cut off from all machines of the system: what is sent
+	// to it and what it sends is lost. It runs on.
+	cut bool
+	// heldAt is when the last call to hold arrived.
+	heldAt time.Time
 }
 
 type atWork struct {
@@ -139,7 +148,15 @@
 			w.WriteHeader(421)
 			return
 		}
+		if l.isCut() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		status, body := f(c)
+		if l.isCut() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if l.ctx.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -151,8 +168,24 @@
 	}
 }
 
+func (l *life) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *life) setCut(cut bool) {
+	l.mu.Lock()
+	l.cut = cut
+	l.mu.Unlock()
+	l.m.rec.add("minion %s boot %d is cut off: %t", l.m.id, l.boot, cut)
+}
+
 // extend extends the lease. l.mu must be held.
 func (l *life) extend(deadline int64) {
+	if most := l.clock() + maxHold.Milliseconds(); deadline > most {
+		l.m.rec.add("minion %s boot %d: the lease until %d is shortened to %d", l.m.id, l.boot, deadline, most)
+	}
 	if deadline > 0 {
 		l.deadline = max(l.deadline, min(deadline, l.clock()+maxHold.Milliseconds()))
 	}
@@ -256,7 +289,7 @@
 		l.mu.Unlock()
 		return conflict("fence")
 	}
-	l.fence = c.Fence
+	l.fence, l.heldAt = c.Fence, time.Now()
 	l.extend(c.Deadline)
 	for len(l.ends) > 0 && l.ends[0][0].(int64) <= c.Cursor {
 		l.ends = l.ends[1:]
@@ -304,6 +337,10 @@
 
 // beat sends status reports, at once when the state changes.
 func (l *life) beat() {
+	select {
+	case <-l.ctx.Done():
+	case <-time.After(l.m.firstReport):
+	}
 	for l.ctx.Err() == nil {
 		l.report()
 		select {
@@ -347,6 +384,10 @@
 		if l.ctx.Err() != nil {
 			return false
 		}
+		if l.isCut() {
+			time.Sleep(time.Second)
+			continue
+		}
 		status, answer := post(l.ctx, addr, "/instances/"+l.m.id+"/"+action, body, time.Second)
 		if action != "heartbeat" || status != 200 {
 			l.m.rec.add("minion %s boot %d: %s to %s: answer %d", l.m.id, l.boot, action, addr, status)
