--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -8,23 +8,22 @@
 )
 
 // crashes lets a minion crash twice, each time shortly after it has begun a work item of
-// the same job (or two minions once, if the work item starts on another one). No run of the job ends failed. The job must not be shown as
-// failed.
+// the same job (or two minions once, if the work item starts on another one), first for a
+// job that ends and then for one that lasts. No run of the jobs ends failed. Neither job
+// must be shown as failed.
 func crashes(f *fleet, trouble bool) (string, error) {
-	const job = "00000000000000c1"
+	const ends, lasts = "00000000000000c1", "00000000000000c2"
 	var mu sync.Mutex
-	left := 0
+	left := map[string]int{}
 	if trouble {
-		left = 2
+		left[ends], left[lasts] = 2, 2
 	}
-	crash := func(m *minion, boot int, task string, _ int64) {
-		if !strings.HasPrefix(task, job+".") {
-			return
-		}
+	crash := func(m *minion, _ int, task string, _ int64) {
+		job, _, _ := strings.Cut(task, ".")
 		mu.Lock()
-		hit := left > 0
+		hit := left[job] > 0
 		if hit {
-			left--
+			left[job]--
 		}
 		mu.Unlock()
 		if !hit {
@@ -41,29 +40,46 @@
 	for _, m := range f.minions {
 		m.onStart = crash
 	}
-	if err := f.submit(job, "cpu=2300 ms=1000", 1, 2300, 1000, ""); err != nil {
+	if err := f.submit(ends, "cpu=2300 ms=1000", 1, 2300, 1000, ""); err != nil {
 		return "", err
 	}
-	state := ""
-	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
-		if status, body := f.request(2, "GET", job, "", 3*time.Second); status == 200 {
-			state = body
-			if strings.Contains(body, "failed") || strings.Contains(body, "completed") {
-				break
-			}
-		}
+	first := f.finalState(ends, 30*time.Second)
+	if err := f.submit(lasts, "cpu=2700 ms=0", 1, 2700, 700, `,"long_running":true,"max_per_server":1`); err != nil {
+		return "", err
 	}
+	second := f.finalState(lasts, 20*time.Second)
 	failed := 0
-	for _, r := range f.rec.runsOf(job) {
+	for _, r := range append(f.rec.runsOf(ends), f.rec.runsOf(lasts)...) {
 		if r.how == "failed" {
 			failed++
 		}
 	}
-	if strings.Contains(state, "failed") && failed < 2 {
-		return fmt.Sprintf("the job is shown as failed, although %d of its runs have ended failed (max_attempts 2)", failed), nil
+	var broken []string
+	if strings.Contains(first, "failed") && failed < 2 {
+		broken = append(broken, fmt.Sprintf("job %s is shown as failed, although %d of its runs have ended failed (max_attempts 2)", ends, failed))
+	}
+	if strings.Contains(second, "failed") {
+		broken = append(broken, fmt.Sprintf("job %s, which lasts, is shown as failed, although %d of its runs have ended failed", lasts, failed))
 	}
-	if !strings.Contains(state, "completed") {
-		return "", fmt.Errorf("the job is neither failed nor completed: %s", state)
+	switch {
+	case len(broken) > 0:
+		return strings.Join(broken, "; "), nil
+	case !strings.Contains(first, "completed") || !strings.Contains(second, "running"):
+		return "", fmt.Errorf("the jobs are not in a state that was expected: %s, %s", first, second)
 	}
 	return "", nil
 }
+
+// finalState asks for the state of a job until it is final, or for limit.
+func (f *fleet) finalState(job string, limit time.Duration) string {
+	state := ""
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		if status, body := f.request(2, "GET", job, "", 3*time.Second); status == 200 {
+			state = body
+			if strings.Contains(body, "failed") || strings.Contains(body, "completed") {
+				break
+			}
+		}
+	}
+	return state
+}
