--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/galena-fleet ] && [ -x target/review-stand ] || { echo "build first"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-stand advice "$PWD" review/2
+exec target/review-stand advice "$PWD" review/3
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/galena-fleet ] && [ -x target/review-stand ] || { echo "build first"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-stand reservations "$PWD" review/4
+exec target/review-stand reservations "$PWD" review/5
