--- a/review/stand/lateleave.go
+++ b/review/stand/lateleave.go
@@ -51,7 +51,7 @@
 	time.Sleep(12 * time.Second)
 	for _, o := range f.rec.overlaps() {
 		return fmt.Sprintf("work item %s ran on %s (run %d) and on %s (run %d) at the same time, for %d ms",
-			o.a.task, o.a.minion, o.a.number, o.b.minion, o.b.number, o.for_.Milliseconds()), nil
+			o.a.task, o.a.minion, o.a.number, o.b.minion, o.b.number, o.took.Milliseconds()), nil
 	}
 	return "", nil
 }
--- a/review/stand/oldclock.go
+++ b/review/stand/oldclock.go
@@ -70,7 +70,7 @@
 	for _, o := range f.rec.overlaps() {
 		if strings.HasPrefix(o.a.task, lasting) {
 			return fmt.Sprintf("work item %s ran on %s (run %d) and on %s (run %d) at the same time, for %d ms",
-				o.a.task, o.a.minion, o.a.number, o.b.minion, o.b.number, o.for_.Milliseconds()), nil
+				o.a.task, o.a.minion, o.a.number, o.b.minion, o.b.number, o.took.Milliseconds()), nil
 		}
 	}
 	return "", nil
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -78,7 +78,7 @@
 // overlap is two runs of one work item at the same time.
 type overlap struct {
 	a, b run
-	for_ time.Duration
+	took time.Duration
 }
 
 // overlaps returns the pairs of runs of one work item that were at work at the same time.
