--- a/review/stand/main.go
+++ b/review/stand/main_test.go
@@ -1,11 +1,13 @@
-// Command stand plays one case of the review on a small deployment on loopback. It exits
-// with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-package main
+// Package stand holds the stand-ins and the cases of the review. Its test binary plays one
+// case on a small deployment on loopback. It exits with 1 if the rule was broken, 0 if it
+// held, and 2 if the case could not run.
+package stand
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 )
 
 var cases = map[string]func(f *fleet, trouble bool) (broken string, err error){
@@ -19,9 +21,10 @@
 	"second-loss":  secondLoss,
 }
 
-func main() {
+// TestMain plays the case that the arguments name, in place of tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-stand CASE REPOSITORY FOLDER")
 		os.Exit(2)
 	}
 	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
