Replace a lost voter within the time that the settings give

Callers saw: after a second VM with a disk was replaced 7 s after the first, no control daemon led any more.

Cause: a silent voter was replaced after a constant of 8 s, and counted as one of three until then. A replaced VM is one of the losses that the settings allow for only until catch_up_s after the start of its successor (4 s here).

Ruled out: late admission of the successor (0.3 s after its start), and votes of an earlier incarnation.

Now a voter is lost after half of the new setting catch_up, between 1.2 and 8 s, without a response to the log's leader and without a message to the directory. The same cause on related paths: the lost voter is removed in the pass that promotes the learner; the next learner is tried if the first one cannot be promoted; leaders report silent members, so that a new leader goes on counting; data_centre_losses (fault_tolerance.zones) spreads the voters.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -80,6 +80,7 @@
 	metrics.Publish("galena")
 	log.WithFields(logrus.Fields{
 		"seeds": f.Control.SeedPeers(), "data_directory": f.Control.DataDirectory, "bootstrap": f.Control.Bootstrap, "losses": f.Control.ToleratedFailures,
+		"data_centre_losses": f.Control.ToleratedDataCentres, "catch_up": f.Control.CatchUp.String(),
 	}).Info("control daemon starts")
 	if f.Control.DataDirectory == "" {
 		return newRedirector(path, f, load, log), nil
@@ -162,7 +163,8 @@
 	}
 	c.membership = &galenafleet.MembershipManager{
 		Self: c.selfMember(), Log: node, Directory: directory, Timers: timers, Logger: log.Logger, Metrics: metrics,
-		Bootstrap: f.Control.Bootstrap, Seeds: f.Control.SeedPeers(), VoterCount: 2*f.Control.ToleratedFailures + 1,
+		DataCentre: f.Process.DataCentre, Bootstrap: f.Control.Bootstrap, Seeds: f.Control.SeedPeers(), VoterCount: f.Control.VoterCount(),
+		SpreadVoters: f.Control.ToleratedDataCentres > 0, CatchUp: f.Control.CatchUp,
 	}
 	node.Register(&c.mux)
 	directory.Register(&c.mux)
@@ -284,7 +286,8 @@
 func (c *controlDaemon) leaderInfo() galenafleet.LeaderInfo {
 	status := c.node.Status()
 	info := galenafleet.LeaderInfo{
-		Self: c.selfMember(), Blank: status.Role == string(galenaraft.RoleBlank), Term: status.Term, Members: status.Members,
+		Self: c.selfMember(), DataCentre: c.settings.Process.DataCentre,
+		Blank: status.Role == string(galenaraft.RoleBlank), Term: status.Term, Members: status.Members, Silence: c.directory.Silence(status),
 	}
 	for _, m := range status.Members {
 		if m.Name == status.Leader {
--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -22,6 +22,8 @@
 type LeaderInfo struct {
 	// Self is the replica of the daemon that sends the message.
 	Self galenahead.Member `json:"self"`
+	// DataCentre is where the daemon runs; empty if that is not known.
+	DataCentre galenahead.DataCentre `json:"data_centre,omitempty"`
 	// NoReplica reports that the daemon has no data directory. It never becomes a
 	// member, and it names members but no leader.
 	NoReplica bool `json:"no_replica,omitempty"`
@@ -31,8 +33,15 @@
 	Leader  string              `json:"leader"`
 	Term    uint64              `json:"term"`
 	Members []galenahead.Member `json:"members"`
+	// Silence is how long the leader has not heard from members that are silent. Only the
+	// leader sends it, so that its successor need not start to count anew.
+	Silence map[galenahead.ReplicaName]time.Duration `json:"silence,omitempty"`
 }
 
+// minReportedSilence is the shortest silence of a member that a leader reports: more than
+// three intervals of the log's heartbeats.
+const minReportedSilence = 400 * time.Millisecond
+
 // Directory finds the leader of the log, starting from a few seed addresses.
 type Directory struct {
 	RPCClient galenahead.RPCClient
@@ -73,6 +82,8 @@
 	members     []galenahead.Member
 	membersTerm uint64
 	announcedAt time.Time
+	// silentSince holds the silent members that the leader named last.
+	silentSince map[galenahead.ReplicaName]time.Time
 }
 
 const (
@@ -303,6 +314,9 @@
 	d.peerInfo[address] = info
 	d.lastHeard[address] = now
 	d.recordMembers(info)
+	if info.Leader == address {
+		d.recordSilence(now, info.Silence)
+	}
 	for _, m := range info.Members {
 		if _, ok := d.lastHeard[m.Address]; !ok {
 			d.lastHeard[m.Address] = now
@@ -332,6 +346,44 @@
 	}
 }
 
+// recordSilence replaces the silent members by those that the leader names now. d.mu must
+// be held.
+func (d *Directory) recordSilence(now time.Time, silence map[galenahead.ReplicaName]time.Duration) {
+	d.silentSince = map[galenahead.ReplicaName]time.Time{}
+	for name, s := range silence {
+		d.silentSince[name] = now.Add(-s)
+	}
+}
+
+// Silence returns the members that have been silent for minReportedSilence or longer, or nil
+// if st is not the leader's.
+func (d *Directory) Silence(st galenahead.LogStatus) map[galenahead.ReplicaName]time.Duration {
+	var out map[galenahead.ReplicaName]time.Duration
+	now := d.Timers.Now()
+	for i := range st.Contacts {
+		name := st.Members[i].Name
+		if s := d.memberSilence(now, name, st.Contacts[i]); s >= minReportedSilence {
+			if out == nil {
+				out = map[galenahead.ReplicaName]time.Duration{}
+			}
+			out[name] = s
+		}
+	}
+	return out
+}
+
+// memberSilence returns how long this leader and, if the member has not responded in its
+// term, the leaders before it have not heard from a member.
+func (d *Directory) memberSilence(now time.Time, name galenahead.ReplicaName, c galenahead.MemberContact) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since, ok := d.silentSince[name]
+	if c.Responded || !ok {
+		return c.Silence
+	}
+	return max(c.Silence, now.Sub(since))
+}
+
 func (d *Directory) selfInfo() LeaderInfo {
 	if d.Self == nil {
 		return LeaderInfo{}
@@ -374,3 +426,10 @@
 	defer d.mu.Unlock()
 	return d.lastHeard[address]
 }
+
+// dataCentreOf returns the data centre of a daemon, or an empty one if it is not known.
+func (d *Directory) dataCentreOf(address string) galenahead.DataCentre {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peerInfo[address].DataCentre
+}
--- a/galenafleet/directory_test.go
+++ b/galenafleet/directory_test.go
@@ -31,14 +31,17 @@
 		d := &Directory{RPCClient: rpc, Timers: &galenatimer.Service{}, Logger: log}
 		d.SetSeeds([]string{"b:1"})
 		mm := &MembershipManager{Directory: d, Timers: d.Timers}
-		st := galenahead.LogStatus{Members: []galenahead.Member{{Name: "b", Address: "b:1", Voter: true}}}
-		lost := func() bool { _, ok := mm.lostVoter(d.Timers.Now(), st); return ok }
+		// The log has not heard from the voter either, so that only the directory tells.
+		st := galenahead.LogStatus{
+			Members: []galenahead.Member{{Name: "b", Address: "b:1", Voter: true}}, Contacts: []galenahead.MemberContact{{Silence: time.Hour}},
+		}
+		lost := func() bool { return mm.isLost(d.Timers.Now(), st, 0) }
 		d.query(t.Context(), "b:1")
 		is.True(!lost())
 		failure = context.DeadlineExceeded
 		d.query(t.Context(), "b:1")
 		is.True(!lost())
-		time.Sleep(voterTimeout + time.Millisecond)
+		time.Sleep(mm.voterTimeout() + time.Millisecond)
 		is.True(lost())
 	})
 }
--- a/galenafleet/full_disk_test.go
+++ b/galenafleet/full_disk_test.go
@@ -84,7 +84,7 @@
 
 func newDiskSeries(dir string, seed uint64, disks, losses int) *diskSeries {
 	sim := &memberSim{
-		dir: dir, losses: losses, startable: true, snapshotEntries: 16,
+		dir: dir, losses: losses, startable: true, snapshotEntries: 16, catchUp: 4 * time.Second,
 		rand: rand.New(rand.NewPCG(seed, uint64(disks))), bootstraps: map[string][]galenahead.Member{},
 	}
 	for i := range disks {
@@ -177,7 +177,7 @@
 		d := s.daemons[i]
 		fullFor := time.Second + s.duration(4*time.Second)
 		if s.intN(3) == 0 {
-			fullFor = voterTimeout + s.duration(4*time.Second)
+			fullFor = maxVoterTimeout + s.duration(4*time.Second)
 		}
 		d.full.Store(true)
 		err := s.work(fullFor)
--- a/galenafleet/membership.go
+++ b/galenafleet/membership.go
@@ -1,6 +1,7 @@
 package galenafleet
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"maps"
@@ -17,12 +18,14 @@
 // deployment. While its replica is the leader, it adds replicas that are not
 // members and replaces voters that are lost.
 type MembershipManager struct {
-	Self      galenahead.Member
-	Log       Log
-	Directory *Directory
-	Timers    galenahead.Timers
-	Logger    *logrus.Logger
-	Metrics   *galenametric.Metrics
+	Self galenahead.Member
+	// DataCentre is where this replica runs.
+	DataCentre galenahead.DataCentre
+	Log        Log
+	Directory  *Directory
+	Timers     galenahead.Timers
+	Logger     *logrus.Logger
+	Metrics    *galenametric.Metrics
 	// Bootstrap allows a blank replica to bootstrap the log; it is set when the whole
 	// deployment starts for the first time.
 	Bootstrap bool
@@ -32,6 +35,12 @@
 	// VoterCount is the number of voters that the log should have: enough to tolerate
 	// the failures that the settings allow for.
 	VoterCount int
+	// SpreadVoters moves votes to data centres with fewer of them, so that the log survives
+	// the loss of a whole data centre.
+	SpreadVoters bool
+	// CatchUp is how long after the start of its successor a lost replica still counts as
+	// one of the failures that the settings allow for; zero if that is not bounded.
+	CatchUp time.Duration
 
 	injected membershipFaults
 
@@ -61,9 +70,11 @@
 	// reconcileInterval is how often the members are compared with the replicas that
 	// answer.
 	reconcileInterval = 300 * time.Millisecond
-	// voterTimeout is how long after its last message a voter is replaced, if another
-	// replica can take its place.
-	voterTimeout = 8 * time.Second
+	// minVoterTimeout and maxVoterTimeout bound how long after its last message a voter is
+	// replaced, if another replica can take its place. The shorter one is longer than an
+	// election.
+	minVoterTimeout = 1200 * time.Millisecond
+	maxVoterTimeout = 8 * time.Second
 	// memberChangeTimeout bounds a bootstrap or one change of the members.
 	memberChangeTimeout = time.Second
 	// bootstrapWait is how long the bootstrap waits for VoterCount replicas once all
@@ -173,7 +184,11 @@
 	if len(others) < missing && !mm.injected.skipWait && now.Sub(mm.seedsReadyAt) < bootstrapWait {
 		return nil
 	}
-	return append(seeds, others[:max(0, min(missing, len(others)))]...)
+	for range max(0, min(missing, len(others))) {
+		mm.sortBySpread(others, seeds)
+		seeds, others = append(seeds, others[0]), others[1:]
+	}
+	return seeds
 }
 
 // logRefusal logs once that no daemon may bootstrap the log. Which replica does so
@@ -234,16 +249,12 @@
 }
 
 // reconcileMembers compares the members with the replicas that answer and makes at
-// most one change.
+// most one change, or replaces one voter.
 func (mm *MembershipManager) reconcileMembers(ctx context.Context, st galenahead.LogStatus) {
 	now := mm.Timers.Now()
-	voters := 0
 	byName := map[galenahead.ReplicaName]galenahead.Member{}
 	for _, m := range st.Members {
 		byName[m.Name] = m
-		if m.Voter {
-			voters++
-		}
 	}
 	peers := mm.Directory.PeerInfo()
 	for a, info := range peers {
@@ -268,37 +279,112 @@
 		}
 		return
 	}
-	lost, hasLost := mm.lostVoter(now, st)
-	for _, m := range st.Members {
-		if m.Voter || now.Sub(mm.Directory.lastHeardFrom(m.Address)) > aliveTimeout {
-			continue
+	mm.reconcileVoters(ctx, now, st)
+}
+
+// voterTimeout returns how long after its last message a voter is replaced. It leaves half
+// of CatchUp for the changes of the members, which need the votes that are left.
+func (mm *MembershipManager) voterTimeout() time.Duration {
+	if mm.CatchUp == 0 {
+		return maxVoterTimeout
+	}
+	return min(max(mm.CatchUp/2, minVoterTimeout), maxVoterTimeout)
+}
+
+// reconcileVoters promotes a learner if the log lacks voters that can be heard, and then
+// removes a lost one, so that the next loss finds enough of them.
+func (mm *MembershipManager) reconcileVoters(ctx context.Context, now time.Time, st galenahead.LogStatus) {
+	var voters, lost, learners []galenahead.Member
+	for i, m := range st.Members {
+		switch {
+		case m.Voter && mm.isLost(now, st, i):
+			lost = append(lost, m)
+		case m.Voter:
+			voters = append(voters, m)
+		case now.Sub(mm.Directory.lastHeardFrom(m.Address)) <= aliveTimeout:
+			learners = append(learners, m)
 		}
-		if voters < mm.VoterCount || hasLost {
-			mm.changeMember(ctx, galenahead.MemberPromote, m)
-			return
+	}
+	mm.sortBySpread(learners, voters)
+	switch {
+	case len(voters) < mm.VoterCount && mm.promoteOne(ctx, learners):
+		if len(lost) > 0 && len(voters)+len(lost) >= mm.VoterCount {
+			mm.changeMember(ctx, galenahead.MemberRemove, lost[0])
 		}
+	case len(lost) > 0 && len(voters)+len(lost) > mm.VoterCount:
+		mm.changeMember(ctx, galenahead.MemberRemove, lost[0])
+	case len(lost) == 0 && mm.SpreadVoters:
+		mm.spreadVoters(ctx, voters, learners)
+	}
+}
+
+// promoteOne promotes the first of the learners that can be promoted.
+func (mm *MembershipManager) promoteOne(ctx context.Context, learners []galenahead.Member) bool {
+	return slices.ContainsFunc(learners, func(m galenahead.Member) bool {
+		return mm.changeMember(ctx, galenahead.MemberPromote, m)
+	})
+}
+
+// spreadVoters replaces a voter by a learner of a data centre that has at least two voters
+// less. learners are in the order of sortBySpread.
+func (mm *MembershipManager) spreadVoters(ctx context.Context, voters, learners []galenahead.Member) {
+	if len(learners) == 0 {
+		return
 	}
-	if hasLost && voters > mm.VoterCount {
-		mm.changeMember(ctx, galenahead.MemberRemove, lost)
+	count := mm.votersByDataCentre(voters)
+	fewest := count[mm.dataCentre(learners[0])]
+	i := slices.IndexFunc(voters, func(m galenahead.Member) bool {
+		return m.Address != mm.Self.Address && count[mm.dataCentre(m)] >= fewest+2
+	})
+	if i < 0 || (len(voters) <= mm.VoterCount && !mm.promoteOne(ctx, learners[:1])) {
+		return
 	}
+	mm.changeMember(ctx, galenahead.MemberRemove, voters[i])
 }
 
-// lostVoter returns a voter whose last message is older than voterTimeout, if there
-// is one.
-func (mm *MembershipManager) lostVoter(now time.Time, st galenahead.LogStatus) (galenahead.Member, bool) {
-	for _, m := range st.Members {
-		if m.Voter && m.Address != mm.Self.Address && now.Sub(mm.Directory.lastMessageFrom(m.Address)) > voterTimeout {
-			return m, true
-		}
+// sortBySpread sorts the learners of data centres with the fewest voters first.
+func (mm *MembershipManager) sortBySpread(learners, voters []galenahead.Member) {
+	count := mm.votersByDataCentre(voters)
+	slices.SortStableFunc(learners, func(a, b galenahead.Member) int {
+		return cmp.Compare(count[mm.dataCentre(a)], count[mm.dataCentre(b)])
+	})
+}
+
+func (mm *MembershipManager) votersByDataCentre(voters []galenahead.Member) map[galenahead.DataCentre]int {
+	count := map[galenahead.DataCentre]int{}
+	for _, m := range voters {
+		count[mm.dataCentre(m)]++
+	}
+	return count
+}
+
+// dataCentre returns the data centre of a replica, or an empty one if it is not known.
+func (mm *MembershipManager) dataCentre(m galenahead.Member) galenahead.DataCentre {
+	if m.Address == mm.Self.Address {
+		return mm.DataCentre
+	}
+	return mm.Directory.dataCentreOf(m.Address)
+}
+
+// isLost reports whether member i of the log, a voter, has been silent for the voter
+// timeout: in the log, and towards the directory, which a replica answers also while its
+// disk is late.
+func (mm *MembershipManager) isLost(now time.Time, st galenahead.LogStatus, i int) bool {
+	m := st.Members[i]
+	if m.Address == mm.Self.Address || i >= len(st.Contacts) || st.Contacts[i].Silence < minReportedSilence {
+		return false
 	}
-	return galenahead.Member{}, false
+	silence := mm.Directory.memberSilence(now, m.Name, st.Contacts[i])
+	return min(silence, now.Sub(mm.Directory.lastMessageFrom(m.Address))) > mm.voterTimeout()
 }
 
-func (mm *MembershipManager) changeMember(ctx context.Context, action galenahead.MemberAction, m galenahead.Member) {
+// changeMember makes one change of the members and reports whether it is committed.
+func (mm *MembershipManager) changeMember(ctx context.Context, action galenahead.MemberAction, m galenahead.Member) bool {
 	callCtx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
 	err := mm.Log.ChangeMember(callCtx, galenahead.MemberChange{Action: action, Member: m})
 	mm.Logger.WithFields(logrus.Fields{
 		"action": action, "replica": m.Name, "address": m.Address, "incarnation": m.Incarnation, "error": errorText(err),
 	}).Info("membership change of the log")
+	return err == nil
 }
--- a/galenafleet/membership_test.go
+++ b/galenafleet/membership_test.go
@@ -46,6 +46,11 @@
 	// snapshotEntries is the number of entries between two snapshots of the log, or zero
 	// for the default.
 	snapshotEntries uint64
+	// catchUp is how long a lost daemon counts as lost after its successor has started, or
+	// zero if that is not bounded.
+	catchUp time.Duration
+	// spread asks for voters in all data centres.
+	spread bool
 
 	mu   sync.Mutex
 	rand *rand.Rand
@@ -62,6 +67,10 @@
 	address   string
 	disk      bool
 	bootstrap bool
+	// dataCentre is where the daemon runs.
+	dataCentre galenahead.DataCentre
+	// gone makes all calls to the daemon hang.
+	gone atomic.Bool
 	// mux serves the daemon's methods; nil while the daemon is down.
 	mux       atomic.Pointer[galenarpc.Mux]
 	directory *Directory
@@ -149,18 +158,26 @@
 	return sim
 }
 
-// intN and duration return random numbers for concurrent callers.
+// intN, perm and duration return random numbers for concurrent callers.
 func (sim *memberSim) intN(n int) int {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	return sim.rand.IntN(n)
 }
 
+func (sim *memberSim) perm(n int) []int {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.rand.Perm(n)
+}
+
 func (sim *memberSim) duration(most time.Duration) time.Duration {
 	return time.Duration(sim.intN(int(most)))
 }
 
 func (sim *memberSim) find(address string) *simDaemon {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
 	for _, d := range sim.daemons {
 		if d.address == address {
 			return d
@@ -185,6 +202,11 @@
 	var out json.RawMessage
 	go func() {
 		time.Sleep(delay)
+		if sim.find(address).gone.Load() {
+			<-ctx.Done()
+			done <- ctx.Err()
+			return
+		}
 		mux := sim.find(address).mux.Load()
 		if mux == nil {
 			done <- eris.Wrap(galenahead.ErrUnreachable, "daemon is down")
@@ -252,12 +274,16 @@
 		self := galenahead.Member{Name: galenahead.ReplicaName(d.address), Address: d.address, Incarnation: node.Status().Incarnation}
 		directory.Self = func() LeaderInfo {
 			st := node.Status()
-			return LeaderInfo{Self: self, Blank: st.Role == roleBlank, Term: st.Term, Members: st.Members, Leader: string(st.Leader)}
+			return LeaderInfo{
+				Self: self, DataCentre: d.dataCentre, Blank: st.Role == roleBlank, Term: st.Term, Members: st.Members,
+				Leader: string(st.Leader), Silence: directory.Silence(st),
+			}
 		}
 		directory.Announce = true
 		mm := &MembershipManager{
 			Self: self, Log: bootstrapRecorder{node, d}, Directory: directory, Timers: timers, Logger: logger, Metrics: d.metrics,
-			Bootstrap: d.bootstrap, Seeds: sim.seeds, VoterCount: sim.voterCount(), injected: sim.injected,
+			Bootstrap: d.bootstrap, Seeds: sim.seeds, VoterCount: sim.voterCount(), CatchUp: sim.catchUp,
+			DataCentre: d.dataCentre, SpreadVoters: sim.spread, injected: sim.injected,
 		}
 		group.Go(func() error { return node.Run(ctx) })
 		group.Go(func() error { return mm.Run(ctx) })
--- a/galenaraft/core.go
+++ b/galenaraft/core.go
@@ -57,8 +57,10 @@
 	// ackedSendTime is the leader's time at which it sent the latest request that
 	// the replica responded to.
 	ackedSendTime time.Duration
-	// respondedAt is when the last response was handled; it is only logged.
+	// respondedAt is when the last response was handled.
 	respondedAt time.Duration
+	// silentSince is when the replica was last heard of before it responded in this term.
+	silentSince time.Duration
 	// responded reports whether the replica has responded in this term.
 	responded bool
 	// resendAt is the time at which the entries or the chunk in flight are sent
--- a/galenaraft/leader.go
+++ b/galenaraft/leader.go
@@ -33,7 +33,10 @@
 	c.votes = nil
 	c.electedAt = now
 	c.progress = make(map[galenawal.ID]*progress)
-	c.syncProgress()
+	c.syncProgress(now)
+	if p := c.progress[c.lastLeader]; p != nil {
+		p.silentSince = min(now, c.lastLeaderContact)
+	}
 	c.firstIndexInTerm = c.log.lastIndex() + 1
 	data, err := encodeLeader(c.id)
 	if err != nil {
@@ -48,7 +51,7 @@
 
 // syncProgress adds and removes progress so that it covers exactly the other
 // members.
-func (c *core) syncProgress() {
+func (c *core) syncProgress(now time.Duration) {
 	for id := range c.progress {
 		if _, ok := c.members().find(id); !ok {
 			delete(c.progress, id)
@@ -57,7 +60,7 @@
 	for _, m := range c.members().members {
 		id := idOf(m)
 		if id != c.id && c.progress[id] == nil {
-			c.progress[id] = &progress{nextIndex: c.log.lastIndex() + 1}
+			c.progress[id] = &progress{nextIndex: c.log.lastIndex() + 1, silentSince: now}
 		}
 	}
 }
@@ -104,10 +107,29 @@
 	if err := c.append(galenawal.EntryMembers, data); err != nil {
 		return 0, err
 	}
-	c.syncProgress()
+	c.syncProgress(now)
 	return c.log.lastIndex(), nil
 }
 
+// contacts returns the contact with each member, or nil if this replica is not the leader.
+func (c *core) contacts(now time.Duration) []galenahead.MemberContact {
+	if c.role != RoleLeader {
+		return nil
+	}
+	out := make([]galenahead.MemberContact, len(c.members().members))
+	for i, m := range c.members().members {
+		switch p := c.progress[idOf(m)]; {
+		case p == nil:
+			out[i].Responded = true // this replica
+		case p.responded:
+			out[i] = galenahead.MemberContact{Silence: now - p.respondedAt, Responded: true}
+		default:
+			out[i].Silence = now - p.silentSince
+		}
+	}
+	return out
+}
+
 // checkPromotion fails unless the learner has every committed entry and has
 // responded to a request sent within the last lease duration.
 func (c *core) checkPromotion(now time.Duration, m galenahead.Member) error {
--- a/galenaraft/node.go
+++ b/galenaraft/node.go
@@ -256,6 +256,7 @@
 		CommitIndex: c.commitIndex,
 		Incarnation: c.id.Incarnation,
 		Members:     c.members().members,
+		Contacts:    c.contacts(now),
 	}
 	n.published.Store(p)
 	n.engine.diagnostics.publish(len(n.engine.pendingProposals), c)
--- a/galenasettings/fleet.go
+++ b/galenasettings/fleet.go
@@ -52,6 +52,17 @@
 	Bootstrap bool
 	// ToleratedFailures is how many control daemons may fail at the same time.
 	ToleratedFailures int
+	// ToleratedDataCentres is how many data centres may fail at the same time.
+	ToleratedDataCentres int
+	// CatchUp is how long after the start of its successor a control daemon that is lost
+	// still counts as failed.
+	CatchUp time.Duration
+}
+
+// VoterCount returns how many voters the log needs to tolerate the failures. The loss of a
+// data centre needs voters in two others.
+func (c FleetControl) VoterCount() int {
+	return 2*max(c.ToleratedFailures, c.ToleratedDataCentres) + 1
 }
 
 // SeedPeers returns the addresses on which the seeds listen for other daemons.
@@ -118,6 +129,8 @@
 	f.Control.DataDirectory = required(r, section, "data_directory", optionalText("the path of a directory, or empty for none"))
 	f.Control.Bootstrap, _ = optional(r, section, "bootstrap", boolean(), false)
 	f.Control.ToleratedFailures, _ = optional(r, section, "losses", integer(0, 8, "control daemons"), 1)
+	f.Control.ToleratedDataCentres, _ = optional(r, section, "data_centre_losses", integer(0, 8, "data centres"), 0)
+	f.Control.CatchUp, _ = optional(r, section, "catch_up", duration(100*time.Millisecond, time.Hour), 4*time.Second)
 	f.Instances = FleetInstances{
 		MaxLease:          required(r, "instances", "max_lease", duration(time.Second, time.Hour)),
 		StopTimeout:       required(r, "instances", "stop_timeout", duration(0, time.Minute)),
--- a/interfaces.go
+++ b/interfaces.go
@@ -90,6 +90,17 @@
 	CommitIndex uint64      `json:"commit_index"`
 	Incarnation uint64      `json:"incarnation"`
 	Members     []Member    `json:"members"`
+	// Contacts holds the leader's contact with each of Members. Only the leader has it.
+	Contacts []MemberContact `json:"-"`
+}
+
+// MemberContact is the contact of a leader with a member of the log.
+type MemberContact struct {
+	// Silence is how long the leader has not heard from the member. Without a response in
+	// this term it counts from the election, or from the last message of a former leader.
+	Silence time.Duration
+	// Responded reports whether the member has responded in this term.
+	Responded bool
 }
 
 // ClaimState is the state of a request key.
