Keep a later incarnation from a late leave of an earlier one

Callers saw: a minion that drained, left and started again under its id lost its new work to another minion while it ran on (two runs of a work item for 3 s, TWICE), and never got work again.

Cause: the platform's leave has no body. Owner.Leave took the registered incarnation for the one that left, whenever the copy arrived, released its runs without waiting for their lease and barred its heartbeats.

Ruled out: a bound on the age of the copy; a frozen daemon reads it when it wakes, and nothing in it has a time.

Now a leave without a start time removes an incarnation only if that drains and nothing runs on it. On related paths: a leave of an incarnation that is not registered yet, or later than the registered one, is recorded as its own, so that a late heartbeat does not register it.

--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -423,7 +423,10 @@
 	Born int64                 `json:"born"`
 }
 
-// Leave removes an instance that deregisters.
+// Leave removes an instance that deregisters. A request without the start of its incarnation
+// may be a late copy of an earlier one's. It removes the registered incarnation only if that
+// drains, as each does before it leaves, and nothing runs on it. Otherwise the incarnation
+// is removed once it is silent and its lease has expired.
 func (o *Owner) Leave(_ context.Context, l LeaveRequest) (Empty, error) {
 	sess, err := o.currentSession()
 	if err != nil {
@@ -434,24 +437,41 @@
 		return Empty{}, err
 	}
 	defer reg.unlock()
-	known, ok := sess.State.instance(l.ID)
-	if !ok || (l.Born != 0 && l.Born < known.Born) {
+	known, registered := sess.State.instance(l.ID)
+	log := sess.Logger.WithField("instance", l.ID).WithField("born", l.Born).WithField("registered_born", known.Born).
+		WithField("draining", known.Draining)
+	switch {
+	case !registered && (l.Born == 0 || sess.State.hasLeft(l.ID, l.Born)):
+		return Empty{}, nil
+	case l.Born != 0 && l.Born < known.Born:
+		log.Info("ignored the deregistration of an earlier incarnation")
+		return Empty{}, nil
+	case l.Born == 0 && !(known.Draining && sess.isIdle(known)):
+		log.Info("ignored a deregistration that may be an earlier incarnation's")
 		return Empty{}, nil
 	}
 	op := Op{Remove: &l.ID}
-	if known.Born != 0 {
+	if born := max(l.Born, known.Born); born != 0 {
 		// A heartbeat of this incarnation that is still to arrive is a late copy.
-		op.Left = &LeftOp{Born: known.Born, At: time.Now().Round(0)}
-		reg.born, reg.sequence = known.Born, math.MaxInt64
+		op.Left = &LeftOp{Born: born, At: time.Now().Round(0)}
+		reg.born, reg.sequence = born, math.MaxInt64
 	}
 	if _, err := sess.committer.commit(op); err != nil {
 		return Empty{}, err
 	}
-	sess.Logger.WithField("instance", l.ID).Info("instance deregistered")
-	sess.shardFor(known.Service).removeInstance(l.ID)
+	log.Info("instance deregistered")
+	if registered {
+		sess.shardFor(known.Service).removeInstance(l.ID)
+	}
 	return Empty{}, nil
 }
 
+// isIdle reports whether nothing runs or may run on a registered instance.
+func (sess *ownerSession) isIdle(in galenajob.Instance) (idle bool) {
+	sess.shardFor(in.Service).inspect(func(_ time.Time, s *galenajob.Scheduler) { _, idle = s.IdleSince(in.ID) })
+	return idle
+}
+
 // ConfigureEncoded applies a valid configuration like Configure.
 func (o *Owner) ConfigureEncoded(ctx context.Context, e EncodedConfig) (Empty, error) {
 	c, err := e.decode()
