Reject a submission that arrives after its job was cancelled

Callers saw: an entry was suspended with a submission in it; the caller gave up, cancelled the job at another entry and got 410.

Cause: cancelling an unknown job left nothing behind.

Ruled out: a time limit in the entry, which starts when it reads the request.

Now the cancellation of an unknown job is part of the replicated state for keep_final, as that of a known one is. A submission in that time is refused with a reason and never runs.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -143,6 +143,8 @@
 	// before or the state is newer.
 	CodeUnchanged Code = "kept"
 	CodeNotFound  Code = "not_found"
+	// CodeCancelled means that the job was cancelled before it was submitted.
+	CodeCancelled Code = "cancelled"
 )
 
 // Result is the result of one operation.
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -155,6 +155,9 @@
 	if _, _, _, known := sess.State.JobState(id); known {
 		return Reply{Outcome: OutcomeAccepted, Reason: "known job"}, nil
 	}
+	if sess.State.cancelledBefore(id) {
+		return cancelledReply(), nil
+	}
 	if !begun {
 		return overloadReply(sess.committer.delay()), nil
 	}
@@ -172,7 +175,11 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	if r[0].Code != CodeDone {
+	switch r[0].Code {
+	case CodeDone:
+	case CodeCancelled:
+		return cancelledReply(), nil
+	default:
 		return Reply{Outcome: OutcomeAccepted, Reason: "known job"}, nil
 	}
 	j.Items = map[galenajob.ItemKey]galenajob.ItemRecord{}
@@ -209,6 +216,11 @@
 	}
 }
 
+// cancelledReply rejects a submission that arrives after its caller has cancelled the job.
+func cancelledReply() Reply {
+	return Reply{Outcome: OutcomeRejected, Reason: "the job was cancelled before it was submitted"}
+}
+
 // submission is a job whose submission is under way, also more than once.
 type submission struct {
 	calls int
@@ -265,14 +277,14 @@
 	if err := sess.awaitSubmit(id); err != nil {
 		return Reply{}, err
 	}
-	_, service, _, known := sess.State.JobState(id)
-	if !known {
-		return Reply{Outcome: OutcomeNoJob}, nil
-	}
 	r, err := sess.committer.commit(Op{Cancel: &CancelOp{id, time.Now().Round(0)}})
 	if err != nil {
 		return Reply{}, err
 	}
+	_, service, _, known := sess.State.JobState(id)
+	if !known {
+		return Reply{Outcome: OutcomeNoJob}, nil
+	}
 	sess.shardFor(service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.RemoveJob(now, id) })
 	return Reply{Outcome: OutcomeAccepted, State: r[0].JobState}, nil
 }
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -30,9 +30,12 @@
 	epoch  uint64
 	config *Config
 	// queues finds the queue of a request in config.
-	queues    queueIndex
-	jobs      map[galenahead.JobID]*galenajob.Job
-	instances map[galenahead.InstanceID]galenajob.Instance
+	queues queueIndex
+	jobs   map[galenahead.JobID]*galenajob.Job
+	// cancelledUnknown holds when jobs were cancelled that were not known, until they would
+	// be forgotten as cancelled jobs. A submission that arrives later is not accepted.
+	cancelledUnknown map[galenahead.JobID]time.Time
+	instances        map[galenahead.InstanceID]galenajob.Instance
 	// left holds the last incarnations that have left, until their jobs would be forgotten.
 	left   map[galenahead.InstanceID]LeftOp
 	waves  map[int64]*Wave
@@ -49,6 +52,7 @@
 func (s *State) init() {
 	if s.jobs == nil {
 		s.jobs = map[galenahead.JobID]*galenajob.Job{}
+		s.cancelledUnknown = map[galenahead.JobID]time.Time{}
 		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
 		s.left = map[galenahead.InstanceID]LeftOp{}
 		s.waves = map[int64]*Wave{}
@@ -134,6 +138,9 @@
 	if old, ok := s.jobs[j.ID]; ok {
 		return Result{Code: CodeUnchanged, JobState: old.State}
 	}
+	if _, ok := s.cancelledUnknown[j.ID]; ok {
+		return Result{Code: CodeCancelled}
+	}
 	n := 0
 	for i := range j.Spec.Steps {
 		n += j.Spec.Steps[i].Count
@@ -148,6 +155,7 @@
 func (s *State) applyCancel(c *CancelOp) Result {
 	j, ok := s.jobs[c.Job]
 	if !ok {
+		s.cancelledUnknown[c.Job] = c.At
 		return Result{Code: CodeNotFound}
 	}
 	if j.State.Final() {
@@ -267,9 +275,10 @@
 	return Result{Code: CodeDone}
 }
 
-// expireJobs deletes the jobs that became final before cutoff, and the records of the
-// instances that left before it.
+// expireJobs deletes the jobs that became final before cutoff, and the records of unknown
+// jobs that were cancelled and of instances that left before it.
 func (s *State) expireJobs(cutoff time.Time) {
+	maps.DeleteFunc(s.cancelledUnknown, func(_ galenahead.JobID, at time.Time) bool { return at.Before(cutoff) })
 	maps.DeleteFunc(s.left, func(_ galenahead.InstanceID, l LeftOp) bool { return l.At.Before(cutoff) })
 	maps.DeleteFunc(s.jobs, func(_ galenahead.JobID, j *galenajob.Job) bool {
 		return j.State.Final() && j.Ended.Before(cutoff)
@@ -287,6 +296,8 @@
 	Peaks     []DemandPeak         `cbor:"7,keyasint"`
 	// Left is missing in snapshots of earlier versions.
 	Left map[galenahead.InstanceID]LeftOp `cbor:"8,keyasint,omitempty"`
+	// CancelledUnknown is missing in snapshots of earlier versions.
+	CancelledUnknown map[galenahead.JobID]time.Time `cbor:"9,keyasint,omitempty"`
 }
 
 type storedJob struct {
@@ -303,7 +314,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left}
+	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left, CancelledUnknown: s.cancelledUnknown}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		out.Jobs = append(out.Jobs, s.encodableJob(s.jobs[id]))
 	}
@@ -355,6 +366,7 @@
 		s.instances[in.ID] = in
 	}
 	maps.Copy(s.left, in.Left)
+	maps.Copy(s.cancelledUnknown, in.CancelledUnknown)
 	for _, o := range in.Orders {
 		s.recordOrder(o)
 	}
@@ -426,6 +438,14 @@
 	return j.Queue, j.Service, j.State, true
 }
 
+// cancelledBefore reports whether a job was cancelled while it was not known.
+func (s *State) cancelledBefore(id galenahead.JobID) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.cancelledUnknown[id]
+	return ok
+}
+
 // Wave returns a copy of a wave, or nil.
 func (s *State) Wave(id int64) *Wave {
 	s.mu.RLock()
