Count the lease that a new incarnation took from a call to the one before

Cause: the deadline of a poll or start is on the clock of the incarnation that it is meant for. The scheduler had forgotten that deadline with the earlier incarnation and waited for its own 4 s.

Ruled out: a header or fencing token that keeps the call out; both incarnations have the same id, and the new one has seen no token.

Now an answer to such a call sets the lease to what the incarnation has taken. Not covered: a call that was carried out without an answer.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -215,6 +215,7 @@
 	maxLease := time.Duration(maxLeaseFraction * float64(f.Instances.MaxLease))
 	return galenajob.Params{
 		Lease:             min(instanceLease, maxLease),
+		MaxLease:          f.Instances.MaxLease,
 		UnresponsiveAfter: unresponsiveAfter,
 		ResendInterval:    resendInterval,
 		SuspectTime:       suspectTime,
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -460,7 +460,7 @@
 	handling := time.Now()
 	p.logReachability(sh.session.Logger, id, pollTiming{}, nil)
 	sh.session.Metrics.Counters.Add("looks", 1)
-	resp.Fence, resp.Cursor, resp.Sent = req.Fence, req.Cursor, sent
+	resp.Fence, resp.Cursor, resp.Deadline, resp.Sent = req.Fence, req.Cursor, req.Deadline, sent
 	var ends []galenajob.End
 	var lateRuns []galenajob.LateRun
 	var lapsedRuns []galenajob.LapsedRun
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -43,11 +43,21 @@
 // clock is the clock reading in the response, or zero.
 func (s *Scheduler) HandleOutcome(now time.Time, a Action, o Outcome, clock int64, sent time.Time) {
 	inst := s.instances[a.Instance.ID]
-	if inst == nil || a.Fence != inst.fence {
+	if inst == nil {
+		return
+	}
+	takesLease := a.Kind == ActStart && clock > 0 && (o == OutcomeDone || o == OutcomeOldRun || o == OutcomeNoRoom)
+	if a.Fence != inst.fence {
 		// The clock and the silence of an earlier incarnation say nothing about this one.
+		if takesLease && clock < inst.earlierClock {
+			inst.maxDeadline = max(inst.maxDeadline, s.strayLease(a.Deadline, clock))
+		}
 		return
 	}
 	restarted := clock > 0 && clock < inst.clock && sent.After(inst.clockAt)
+	if restarted && takesLease {
+		inst.strayDeadline = max(inst.strayDeadline, s.strayLease(a.Deadline, clock))
+	}
 	switch o {
 	case OutcomeUnknown, OutcomeUnsent:
 		s.HandleNoResponse(inst.ID, sent)
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -67,8 +67,8 @@
 	Fence int64
 	Clock int64
 	Born  int64
-	// Cursor is the cursor of the poll.
-	Cursor int64
+	// Cursor is the cursor of the poll, and Deadline its deadline.
+	Cursor, Deadline int64
 	// Sent is when the poll was sent.
 	Sent time.Time
 	Runs []Run
@@ -82,11 +82,23 @@
 // before them, so that the instance keeps them.
 func (s *Scheduler) HandlePoll(now time.Time, id galenahead.InstanceID, resp PollResponse) []End {
 	inst := s.instances[id]
-	if inst == nil || inst.removing || resp.Fence != inst.fence {
+	if inst == nil || inst.removing {
 		return nil
 	}
-	if resp.Born != 0 && inst.Born != 0 && resp.Born != inst.Born {
+	isLater := resp.Born != 0 && inst.Born != 0 && resp.Born != inst.Born
+	if resp.Fence != inst.fence {
+		if resp.Deadline > 0 && resp.Born != 0 && !isLater {
+			// This incarnation has answered a poll of the one before.
+			inst.maxDeadline = max(inst.maxDeadline, s.strayLease(resp.Deadline, resp.Clock))
+		}
+		return nil
+	}
+	if isLater {
 		s.beginIncarnation(now, inst, resp.Born)
+		inst.updateClock(now, resp.Clock)
+		if resp.Deadline > 0 {
+			inst.maxDeadline = max(inst.maxDeadline, s.strayLease(resp.Deadline, resp.Clock))
+		}
 		return nil
 	}
 	s.noteResponse(now, inst, resp.Clock)
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -10,11 +10,15 @@
 	"github.com/galenahead/galenahead"
 )
 
-// Params are the timeouts of a Scheduler. All must be set.
+// Params are the timeouts of a Scheduler. All but MaxLease must be set.
 type Params struct {
 	// Lease is how long an instance may run work after a start command or a poll
 	// before the lease must be renewed.
 	Lease time.Duration
+	// MaxLease is the longest lease that an instance grants. It shortens a longer one, as one
+	// that was meant for an earlier incarnation, on whose clock its end was. Zero means that
+	// no incarnation takes the lease of another.
+	MaxLease time.Duration
 	// UnresponsiveAfter is how long an instance may leave calls unanswered before its
 	// lease is no longer renewed and commands to it are no longer repeated.
 	UnresponsiveAfter time.Duration
@@ -235,7 +239,9 @@
 	inst.fence = s.fences.next(inst.ID, inst.fence)
 	inst.fenceConfirmed, inst.fencedAt = false, time.Time{}
 	inst.Draining, inst.drainingSince = false, time.Time{}
-	inst.clock, inst.clockAt, inst.maxDeadline, inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, now, 0, 0, 0, 0, false
+	inst.earlierClock = inst.estimatedClock(now)
+	inst.clock, inst.clockAt, inst.maxDeadline, inst.strayDeadline = 0, now, inst.strayDeadline, 0
+	inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, 0, 0, false
 	inst.lateRuns, inst.addressReused = nil, false
 	s.noteReturn(now, inst.Instance)
 	for _, it := range inst.sortedItems() {
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -307,6 +307,11 @@
 	clockAt time.Time
 	// maxDeadline is the latest deadline sent to the instance, on its clock.
 	maxDeadline int64
+	// strayDeadline is the end of the lease that an incarnation which is not known yet has
+	// taken from a start that was meant for the present one, on its clock; zero if none has.
+	strayDeadline int64
+	// earlierClock is what the clock of the incarnation before had reached at the least.
+	earlierClock int64
 	// seenSeq is the sequence number of the last end that was received, cursor that
 	// of the last end that was processed and recorded, and ackedSeq that of the
 	// last end that the instance knows it may delete.
@@ -380,6 +385,12 @@
 	}
 }
 
+// strayLease returns the end of the lease that an incarnation has taken, at a reading of its
+// clock, from a call whose deadline was on the clock of an earlier one.
+func (s *Scheduler) strayLease(deadline, clock int64) int64 {
+	return min(deadline, clock+s.params.MaxLease.Milliseconds())
+}
+
 // extendDeadline returns the deadline on the instance's clock for a lease that
 // starts now, and keeps the latest one in maxDeadline.
 func (inst *instance) extendDeadline(now time.Time, lease time.Duration) int64 {
