Keep machines whose entry in the list can't be read

Callers saw: the entry of a machine had an unknown state for 8 s.

Cause: the list left such entries out, so that the machine counted as missing from it. The time also counted from the last list with the machine, so that one list without it was enough after a pause of the machines service.

Now an entry that can't be read keeps its machine, by its name, or as long as more entries than before lack a readable one.

--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,8 +47,10 @@
 	*ownerSession
 	machines map[galenahead.VMName]Machine
 	listedAt time.Time
-	// lastListed holds when each machine was last in the list.
-	lastListed map[galenahead.VMName]time.Time
+	// absent holds the machines that the list has lacked since they were last in it.
+	absent map[galenahead.VMName]absence
+	// nameless is the number of entries of the list whose machine can't be read.
+	nameless int
 	// evacuating holds the instances of the machines that are evacuated for
 	// maintenance.
 	evacuating map[galenahead.VMName]cordonedInstance
@@ -105,7 +108,7 @@
 func newMachineController(sess *ownerSession) *machineController {
 	return &machineController{
 		ownerSession:   sess,
-		lastListed:     map[galenahead.VMName]time.Time{},
+		absent:         map[galenahead.VMName]absence{},
 		evacuating:     map[galenahead.VMName]cordonedInstance{},
 		vacating:       map[galenahead.VMName]vacating{},
 		pendingMoves:   map[galenahead.VMName]*pendingMove{},
@@ -158,17 +161,44 @@
 		m.Logger.WithError(err).Info("listing the machines failed")
 		return false
 	}
-	m.machines = make(map[galenahead.VMName]Machine, len(ms))
-	for _, v := range ms {
-		m.machines[v.Name] = v
-		m.lastListed[v.Name] = now
-	}
+	m.setMachines(ms)
 	m.listedAt = now
 	m.removeStoppedInstances()
 	m.publishMachines()
 	return true
 }
 
+// setMachines takes over a list of machines.
+func (m *machineController) setMachines(ms []Machine) {
+	before, namelessBefore := m.machines, m.nameless
+	m.machines, m.nameless = make(map[galenahead.VMName]Machine, len(ms)), 0
+	listed := make(map[galenahead.VMName]bool, len(ms))
+	for _, v := range ms {
+		switch {
+		case v.Name == "":
+			m.nameless++
+			continue
+		case v.State != MachineUnreadable:
+			m.machines[v.Name] = v
+		}
+		listed[v.Name] = true
+	}
+	maps.DeleteFunc(m.absent, func(name galenahead.VMName, _ absence) bool { return listed[name] })
+	for name := range before {
+		if _, known := m.absent[name]; !known && !listed[name] {
+			m.absent[name] = absence{m.Timers.Now(), namelessBefore}
+		}
+	}
+}
+
+// absence is the time for which the list has lacked a machine.
+type absence struct {
+	since time.Time
+	// nameless is the number of entries without a readable name in the last list with the
+	// machine. If there are more, one of them may be its entry.
+	nameless int
+}
+
 // hasLeft reports whether a machine has been missing from the list for so long that
 // it counts as having left the fleet.
 func (m *machineController) hasLeft(name galenahead.VMName) bool {
@@ -176,14 +206,20 @@
 	return !ok && m.missingTooLong(name)
 }
 
-// missingTooLong reports whether the machine was last listed more than
-// missingTimeout ago. A machine that was never listed counts as listed now.
+// missingTooLong reports whether the list has lacked a machine for missingTimeout, also
+// among the entries that can't be read. A machine that was never listed counts from now, and
+// any entry without a readable name may be its.
 func (m *machineController) missingTooLong(name galenahead.VMName) bool {
 	now := m.Timers.Now()
-	if _, ok := m.lastListed[name]; !ok {
-		m.lastListed[name] = now
+	a, ok := m.absent[name]
+	if !ok {
+		a.since = now
+	}
+	if m.nameless > a.nameless {
+		a.since = now
 	}
-	return now.Sub(m.lastListed[name]) > missingTimeout
+	m.absent[name] = a
+	return now.Sub(a.since) > missingTimeout
 }
 
 // markUnavailable sets the state of a machine that is going down, without its
--- a/galenafleet/machine_controller_test.go
+++ b/galenafleet/machine_controller_test.go
@@ -106,6 +106,44 @@
 	})
 }
 
+// Guards against a wave that is completed without the maintenance of a machine that stays,
+// because its entry in the list can't be read for a while, with or without its name.
+func TestMachineOfUnreadableEntryDoesNotLeave(t *testing.T) {
+	stays, odd, nameless := Machine{Name: "m", State: MachineUp}, Machine{Name: "m", State: MachineUnreadable}, Machine{State: MachineUnreadable}
+	for _, tt := range []struct {
+		name          string
+		before, after []Machine
+		leaves        bool
+	}{
+		{"readable name", []Machine{stays}, []Machine{odd}, false},
+		{"no name", []Machine{stays}, []Machine{nameless}, false},
+		{"no name, beside another odd entry", []Machine{stays, nameless}, []Machine{nameless, nameless}, false},
+		{"never listed", nil, []Machine{nameless}, false},
+		{"another odd entry that stays", []Machine{stays, nameless}, []Machine{nameless}, true},
+		{"no entry", []Machine{stays}, nil, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := testController(&State{Timers: &galenatimer.Service{}}, 1)
+				m.setMachines(tt.before)
+				for range 20 {
+					m.setMachines(tt.after)
+					is.True(tt.leaves || !m.hasLeft("m"))
+					time.Sleep(missingTimeout / 10)
+				}
+				is.Equal(m.hasLeft("m"), tt.leaves)
+				m.setMachines([]Machine{stays})
+				is.True(!m.hasLeft("m"))
+				// It is missing from one list, long after the one before.
+				time.Sleep(2 * missingTimeout)
+				m.setMachines(nil)
+				is.True(!m.hasLeft("m"))
+			})
+		})
+	}
+}
+
 // Guards against a pool that keeps its idle machines although a work item there
 // waits for another reason than capacity.
 func TestUsableIdleMachineCoversDemand(t *testing.T) {
--- a/galenafleet/platform.go
+++ b/galenafleet/platform.go
@@ -58,6 +58,9 @@
 	MachineMoving      MachineState = "moving"
 	MachineMaintenance MachineState = "maintenance"
 	MachineDown        MachineState = "down"
+	// MachineUnreadable is the state of an entry of the list that can't be read. It tells
+	// only that a machine may be there; the entry has no name if that can't be read either.
+	MachineUnreadable MachineState = "unreadable"
 )
 
 // Machine is a machine with its pool and the instance that runs on it.
@@ -75,6 +78,7 @@
 // holder, and a fencing token. For each machine, the tokens of an epoch are higher than
 // those of earlier epochs, and the token of an order than those of earlier orders.
 type MachineClient interface {
+	// List returns the machines, those of unreadable entries in state MachineUnreadable.
 	List(ctx context.Context) ([]Machine, error)
 	// Move and Maintain also return nil if the same order was carried out before.
 	// They fail with ErrFenced, ErrBusy or ErrRejected. After any other error it is
