Ask the advisor about all instances in turn

Cause: a request for advice names 30 instances, and they were always the first ones by id.

Ruled out: lost requests; each was answered.

Now the instances that were not asked about come first, those with room before full ones. On related paths: tickets of several answers are kept together; while all instances with a ticket are full, others with room are asked about; steps that the policy allows nowhere ask ever less often, so that they leave the advisor, which takes one request of a service at a time, to those after them.

--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -129,7 +129,7 @@
 	case OutcomeUnsent:
 		it.failedOn = inst.ID
 	case OutcomeNoTicket:
-		delete(it.set.tickets, inst.ID)
+		it.set.dropTicket(inst.ID)
 		if !uncertain {
 			it.notBefore = time.Time{}
 		}
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -275,9 +275,15 @@
 // startItems starts pending work items of the set while an instance can take
 // them.
 func (s *Scheduler) startItems(now time.Time, set *itemSet) {
-	if set.job.queue.RequiresAdvice && !s.ensureTickets(now, set) {
+	if set.job.queue.RequiresAdvice {
+		s.startAdvisedItems(now, set)
 		return
 	}
+	s.placeItems(now, set)
+}
+
+// placeItems starts pending work items of the set on instances that it may use.
+func (s *Scheduler) placeItems(now time.Time, set *itemSet) {
 	if set.step.Gang {
 		s.startGang(now, set)
 		return
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -112,8 +112,12 @@
 	// adviceRequestedAt is when the last advice request without a usable response
 	// was sent, or zero.
 	adviceRequestedAt time.Time
-	// advised holds the incarnations of the candidates of the last advice request.
-	advised map[galenahead.InstanceID]int64
+	// asked holds the instances that the advisor was asked about, in adviceRequests
+	// requests. fruitlessRounds counts the requests in a row that asked again although the
+	// advisor had allowed none of the instances.
+	asked           map[galenahead.InstanceID]adviceInquiry
+	adviceRequests  int
+	fruitlessRounds int
 }
 
 func (set *itemSet) addSuspects(n int) {
@@ -140,6 +144,16 @@
 	return n
 }
 
+// firstPending returns the first work item of the set that has no run, or nil.
+func (set *itemSet) firstPending() *item {
+	for i := range set.items {
+		if it := &set.items[i]; it.phase == phasePending && !it.done {
+			return it
+		}
+	}
+	return nil
+}
+
 // stepsOverBudget counts the long-running steps of which more work items do not serve than
 // may be stopped at a time. Steps without a limit and work that has not started don't count.
 func (j *job) stepsOverBudget() int {
