--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -150,7 +150,7 @@
 	}
 	for _, inst := range s.sortedInstances() {
 		if s.held == nil || inst.used.MilliCPU < s.held.used.MilliCPU {
-			if s.fits(inst, it) && inst.takesStartsOf(it.set.job) {
+			if s.fits(inst, it) && inst.permits(now, it) && inst.takesStartsOf(it.set.job) {
 				s.held = inst
 			}
 		}
--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -22,6 +22,18 @@
 	return set.step.MaxPerInstance == 0 || set.countOn(inst) < set.step.MaxPerInstance
 }
 
+// mayUse reports whether the work item may start on the instance once it has room and no
+// other work keeps it off.
+func (s *Scheduler) mayUse(now time.Time, inst *instance, it *item) bool {
+	return s.takesWork(inst, it) && inst.permits(now, it)
+}
+
+// permits reports whether the instance is not suspected of a fault, and the work item has a
+// ticket for it if it needs one.
+func (inst *instance) permits(now time.Time, it *item) bool {
+	return !now.Before(inst.suspectUntil) && (!it.set.job.queue.RequiresAdvice || it.set.hasTicket(now, inst))
+}
+
 // countOn counts the work items of the set that occupy the instance.
 func (set *itemSet) countOn(inst *instance) int {
 	c := 0
@@ -39,10 +51,7 @@
 	var best *instance
 	var bestScore float64
 	for _, inst := range s.sortedInstances() {
-		if !s.canStart(inst, it) || now.Before(inst.suspectUntil) {
-			continue
-		}
-		if it.set.job.queue.RequiresAdvice && !it.set.hasTicket(now, inst) {
+		if !s.canStart(inst, it) || !inst.permits(now, it) {
 			continue
 		}
 		score := s.score(inst, it)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -198,6 +198,10 @@
 	// settled is set while no work item of the job waits for an instance, as of the last
 	// plan: until a run ends, a plan has nothing to do for it.
 	settled bool
+	// reserveAfter is when instances may be reserved for the job again, and
+	// uselessReservations counts its reservations in a row that have expired.
+	reserveAfter        time.Time
+	uselessReservations int
 	// smallest is not more than any of the job's work items needs.
 	smallest Resources
 	// suspects counts the work items that are suspects.
