Let the machines of a wave take turns to become empty

Callers would see: a wave that misses its deadline with machines that are ready for their maintenance.

Cause: machines that are being evacuated come first among the candidates, and their number is bounded. As many as that which never become empty, for instance since their work can run nowhere else, keep all others waiting.

Now a machine that is not empty after 6 s takes work again if others of its wave wait, and is a candidate after those that had fewer turns.

TestWaveGoesOnBesideMachinesThatStayBusy: two machines beside four that stay busy, one down at a time; without the turns neither has its maintenance within 40 s, with them both have.

--- a/galenafleet/machine_controller.go
+++ b/galenafleet/machine_controller.go
@@ -24,6 +24,9 @@
 	evacuationsAhead = 2
 	// maxQueuedResults bounds the results of orders that wait for the control loop.
 	maxQueuedResults = 256
+	// evacuationTime is how long a machine may take to become empty for maintenance before
+	// the next one of its wave gets its turn. Work that ends or may be stopped ends sooner.
+	evacuationTime = 6 * time.Second
 	// missingTimeout is how long a machine must be missing from the list before it
 	// counts as having left the fleet.
 	missingTimeout = 5 * time.Second
@@ -54,6 +57,8 @@
 	// evacuating holds the instances of the machines that are evacuated for
 	// maintenance.
 	evacuating map[galenahead.VMName]cordonedInstance
+	// evacuationTurns holds the turns of machines that wait to be empty for maintenance.
+	evacuationTurns map[galenahead.VMName]evacuationTurn
 	// vacating holds the machines that become empty for other pools.
 	vacating map[galenahead.VMName]vacating
 	// maintainedBy holds the waves that have ordered the maintenance of a machine and not
@@ -107,18 +112,19 @@
 
 func newMachineController(sess *ownerSession) *machineController {
 	return &machineController{
-		ownerSession:   sess,
-		absent:         map[galenahead.VMName]absence{},
-		evacuating:     map[galenahead.VMName]cordonedInstance{},
-		vacating:       map[galenahead.VMName]vacating{},
-		pendingMoves:   map[galenahead.VMName]*pendingMove{},
-		lastOrders:     map[galenahead.VMName]sentOrder{},
-		inFlight:       map[galenahead.VMName]bool{},
-		retryAt:        map[galenahead.VMName]time.Time{},
-		workWaitsSince: map[galenahead.ServiceName]time.Time{},
-		loggedPools:    map[galenahead.ServiceName][6]int{},
-		results:        make(chan orderResult, maxQueuedResults),
-		forecaster:     newForecaster(sess.State.recentPeaks()),
+		ownerSession:    sess,
+		absent:          map[galenahead.VMName]absence{},
+		evacuating:      map[galenahead.VMName]cordonedInstance{},
+		evacuationTurns: map[galenahead.VMName]evacuationTurn{},
+		vacating:        map[galenahead.VMName]vacating{},
+		pendingMoves:    map[galenahead.VMName]*pendingMove{},
+		lastOrders:      map[galenahead.VMName]sentOrder{},
+		inFlight:        map[galenahead.VMName]bool{},
+		retryAt:         map[galenahead.VMName]time.Time{},
+		workWaitsSince:  map[galenahead.ServiceName]time.Time{},
+		loggedPools:     map[galenahead.ServiceName][6]int{},
+		results:         make(chan orderResult, maxQueuedResults),
+		forecaster:      newForecaster(sess.State.recentPeaks()),
 	}
 }
 
@@ -408,6 +414,7 @@
 	for _, v := range m.maintenanceCandidates(w) {
 		m.avoidLongRunningWork(v)
 		if evacuations >= allowed+evacuationsAhead {
+			m.endTurn(v.Name)
 			continue
 		}
 		evacuations++
@@ -450,8 +457,36 @@
 	return min(w.MaxDown, (remaining+rounds-1)/rounds)
 }
 
+// evacuationTurn tells since when a machine is evacuated for maintenance, and how often it
+// has let others go first because it did not become empty.
+type evacuationTurn struct {
+	since time.Time
+	ended int
+}
+
+// turnOf returns how often a machine has had its turn to become empty in vain, with the
+// present one if that is over.
+func (m *machineController) turnOf(name galenahead.VMName) int {
+	turn := m.evacuationTurns[name]
+	if _, ok := m.evacuating[name]; ok && m.Timers.Now().Sub(turn.since) > evacuationTime {
+		return turn.ended + 1
+	}
+	return turn.ended
+}
+
+// endTurn lets the instance of a machine take work again if its turn to become empty is over,
+// and others wait for theirs.
+func (m *machineController) endTurn(name galenahead.VMName) {
+	if n := m.turnOf(name); n > m.evacuationTurns[name].ended {
+		m.Logger.WithField("machine", name).WithField("turns", n).Info("machine did not become empty for its maintenance; others go first")
+		m.evacuationTurns[name] = evacuationTurn{ended: n}
+		m.cancelEvacuation(name)
+	}
+}
+
 // maintenanceCandidates returns the machines of a wave whose maintenance may start:
-// first those that are already being evacuated, then the least used ones.
+// first those that had the fewest turns in vain, of these the ones that are already being
+// evacuated, then the least used ones.
 func (m *machineController) maintenanceCandidates(w *Wave) []Machine {
 	var out []Machine
 	rank := map[galenahead.VMName]int64{}
@@ -464,7 +499,7 @@
 		out = append(out, v)
 	}
 	slices.SortFunc(out, func(a, b Machine) int {
-		return cmp.Or(cmp.Compare(rank[a.Name], rank[b.Name]), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(m.turnOf(a.Name), m.turnOf(b.Name)), cmp.Compare(rank[a.Name], rank[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	return out
 }
@@ -502,6 +537,9 @@
 		return true
 	}
 	delete(m.vacating, v.Name)
+	if m.evacuating[v.Name] != in {
+		m.evacuationTurns[v.Name] = evacuationTurn{m.Timers.Now(), m.evacuationTurns[v.Name].ended}
+	}
 	m.evacuating[v.Name] = in
 	return m.cordon(in)
 }
@@ -653,6 +691,7 @@
 		return nil
 	}
 	delete(m.evacuating, name)
+	delete(m.evacuationTurns, name)
 	return m.removalChange(in)
 }
 
