--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -50,7 +50,7 @@
 	if a.Fence != inst.fence {
 		// The clock and the silence of an earlier incarnation say nothing about this one.
 		if takesLease && clock < inst.earlierClock {
-			inst.maxDeadline = max(inst.maxDeadline, s.strayLease(a.Deadline, clock))
+			s.takeStrayLease(inst, a.Deadline, clock)
 		}
 		return
 	}
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -87,18 +87,16 @@
 	}
 	isLater := resp.Born != 0 && inst.Born != 0 && resp.Born != inst.Born
 	if resp.Fence != inst.fence {
-		if resp.Deadline > 0 && resp.Born != 0 && !isLater {
-			// This incarnation has answered a poll of the one before.
-			inst.maxDeadline = max(inst.maxDeadline, s.strayLease(resp.Deadline, resp.Clock))
+		if resp.Born != 0 && !isLater {
+			// This incarnation has answered a poll that was meant for the one before.
+			s.takeStrayLease(inst, resp.Deadline, resp.Clock)
 		}
 		return nil
 	}
 	if isLater {
 		s.beginIncarnation(now, inst, resp.Born)
 		inst.updateClock(now, resp.Clock)
-		if resp.Deadline > 0 {
-			inst.maxDeadline = max(inst.maxDeadline, s.strayLease(resp.Deadline, resp.Clock))
-		}
+		s.takeStrayLease(inst, resp.Deadline, resp.Clock)
 		return nil
 	}
 	s.noteResponse(now, inst, resp.Clock)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -409,6 +409,14 @@
 	return min(deadline, clock+s.params.MaxLease.Milliseconds())
 }
 
+// takeStrayLease records that the present incarnation has taken a lease from such a call. A
+// call without a deadline, which is zero, gives none.
+func (s *Scheduler) takeStrayLease(inst *instance, deadline, clock int64) {
+	if deadline > 0 {
+		inst.maxDeadline = max(inst.maxDeadline, s.strayLease(deadline, clock))
+	}
+}
+
 // extendDeadline returns the deadline on the instance's clock for a lease that
 // starts now, and keeps the latest one in maxDeadline.
 func (inst *instance) extendDeadline(now time.Time, lease time.Duration) int64 {
