Log how long the owner's goroutines wait and how many requests are repeats

The log lines could not tell a slow disk from a process that is short of processor, nor new requests from repeats of attempts that got no answer. runnable_wait_max_us is the longest time that a goroutine was ready to run, by the runtime's own histogram; requests_repeated counts attempts that a daemon marks as repeats. No decision depends on either.

--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -48,6 +48,8 @@
 	pollsFailed, starts, stops, repeats, heartbeats           atomic.Int64
 	// lapsed counts the runs that were found to have lapsed.
 	lapsed atomic.Int64
+	// repeated counts the requests that are a repeat of an attempt without an answer.
+	repeated atomic.Int64
 	// exhausted counts the polls and commands that failed with ErrExhausted.
 	exhausted atomic.Int64
 	// inFlight is the number of commands without an outcome.
@@ -56,6 +58,8 @@
 	// longest one of the last full interval.
 	tickLate     durationStat
 	lastTickLate atomic.Int64
+	// runnable is used by loadLoop only.
+	runnable runnableWait
 }
 
 // recordTick records the delay of a tick that arrived gap after the one before it.
@@ -107,6 +111,8 @@
 	sizes                                                              galenajob.Sizes
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
+	runnableWait                                                       time.Duration
+	repeated                                                           int64
 	exhausted, lapsed                                                  int64
 	commandLimit, pollLimit                                            time.Duration
 	logGap, logSync                                                    time.Duration
@@ -119,6 +125,7 @@
 	b = galenalog.AppendInt(b, "interval_ms", l.interval.Milliseconds())
 	b = galenalog.AppendInt(b, "processor_ms", l.processor.Milliseconds())
 	b = galenalog.AppendInt(b, "tick_late_max_us", l.tickLate.longest.Microseconds())
+	b = galenalog.AppendInt(b, "runnable_wait_max_us", l.runnableWait.Microseconds())
 	b = galenalog.AppendInt(b, "goroutines", int64(l.goroutines))
 	b = galenalog.AppendInt(b, "jobs_waiting", int64(l.sizes.Waiting))
 	b = galenalog.AppendInt(b, "jobs_active", int64(l.sizes.Active))
@@ -139,6 +146,7 @@
 	b = galenalog.AppendInt(b, "poll_limit_ms", l.pollLimit.Milliseconds())
 	b = galenalog.AppendInt(b, "exhausted", l.exhausted)
 	b = appendTotals(b, "requests", "request", l.requests)
+	b = galenalog.AppendInt(b, "requests_repeated", l.repeated)
 	b = galenalog.AppendInt(b, "heartbeats", l.heartbeats)
 	b = appendTotals(b, "commits", "commit", l.commits)
 	b = galenalog.AppendInt(b, "commit_ops", l.ops)
@@ -173,9 +181,11 @@
 	count("repeats", l.repeats)
 	count("exhausted", l.exhausted)
 	count("lapsed_runs", l.lapsed)
+	count("requests_repeated", l.repeated)
 	count("heartbeats", l.heartbeats)
 	count("commit_ops", l.ops)
 	m.OwnerMax.Record("tick_late", l.tickLate.longest)
+	m.OwnerMax.Record("runnable_wait", l.runnableWait)
 	m.OwnerMax.Record("plan", l.plans.longest)
 	m.OwnerMax.Record("request", l.requests.longest)
 	m.OwnerMax.Record("commit", l.commits.longest)
@@ -217,6 +227,7 @@
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
 		repeats: l.repeats.Swap(0), inFlight: l.inFlight.Load(), heartbeats: l.heartbeats.Swap(0),
+		runnableWait: l.runnable.takeLongest(), repeated: l.repeated.Swap(0),
 		exhausted: l.exhausted.Swap(0), lapsed: l.lapsed.Swap(0), ops: sess.committer.ops.Swap(0),
 	}
 	line.logGap, line.logSync = sess.Log.RecentDelays()
--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
 	"github.com/galenahead/galenahead/galenametric"
@@ -54,13 +58,13 @@
 		epoch: 7, interval: 1001 * time.Millisecond, processor: 450 * time.Millisecond, goroutines: 900, commitQueue: 3,
 		sizes: galenajob.Sizes{Waiting: 120, Active: 80, Instances: 350, Runs: 700, OverBudget: 22},
 		plans: totals(1), lockWaits: totals(2), polls: totals(3), commands: totals(4), requests: totals(5), commits: totals(6), controlSteps: totals(8),
-		tickLate: totals(9), pollsFailed: 10, starts: 11, stops: 12, repeats: 13, inFlight: 14, heartbeats: 15, ops: 16, exhausted: 19, lapsed: 23, commandLimit: 20 * time.Millisecond, pollLimit: 21 * time.Millisecond, logGap: 17 * time.Millisecond, logSync: 18 * time.Millisecond,
+		tickLate: totals(9), pollsFailed: 10, starts: 11, stops: 12, repeats: 13, inFlight: 14, heartbeats: 15, ops: 16, exhausted: 19, lapsed: 23, repeated: 24, runnableWait: 25 * time.Millisecond, commandLimit: 20 * time.Millisecond, pollLimit: 21 * time.Millisecond, logGap: 17 * time.Millisecond, logSync: 18 * time.Millisecond,
 	}
-	is.Equal(string(l.AppendFields(nil)), `,"epoch":7,"interval_ms":1001,"processor_ms":450,"tick_late_max_us":9000,"goroutines":900`+
+	is.Equal(string(l.AppendFields(nil)), `,"epoch":7,"interval_ms":1001,"processor_ms":450,"tick_late_max_us":9000,"runnable_wait_max_us":25000,"goroutines":900`+
 		`,"jobs_waiting":120,"jobs_active":80,"instances":350,"runs":700,"steps_over_budget":22,"lapsed":23`+
 		`,"plans":1,"plan_us":10000,"plan_max_us":1000,"lock_waits":2,"lock_wait_us":20000,"lock_wait_max_us":2000`+
 		`,"polls":3,"poll_us":30000,"poll_max_us":3000,"polls_failed":10,"starts":11,"stops":12,"repeats":13,"in_flight":14`+
-		`,"commands":4,"command_us":40000,"command_max_us":4000,"command_limit_ms":20,"poll_limit_ms":21,"exhausted":19,"requests":5,"request_us":50000,"request_max_us":5000,"heartbeats":15`+
+		`,"commands":4,"command_us":40000,"command_max_us":4000,"command_limit_ms":20,"poll_limit_ms":21,"exhausted":19,"requests":5,"request_us":50000,"request_max_us":5000,"requests_repeated":24,"heartbeats":15`+
 		`,"commits":6,"commit_us":60000,"commit_max_us":6000,"commit_ops":16,"commit_queue":3,"log_gap_max_us":17000,"log_sync_max_us":18000`+
 		`,"control_steps":8,"control_step_us":80000,"control_step_max_us":8000`)
 }
@@ -246,3 +250,66 @@
 		is.Equal(lines[0]["error"], context.DeadlineExceeded.Error())
 	})
 }
+
+// Guards against a repeat of an attempt without an answer that looks like a new request.
+func TestRepeatedRequestsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var seen []Request
+		client := testOwnerClient(func(ctx context.Context, method string, result any) error {
+			if method == MethodLeaderInfo {
+				return answerLeaderInfo(result)
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		client.RPCClient = recordingClient{client.RPCClient, &seen}
+		client.Logger = logrus.New()
+		client.Logger.SetOutput(io.Discard)
+		client.Metrics = &galenametric.Metrics{}
+		_ = doRequest(client, RequestState)
+		is.True(len(seen) >= 2)
+		is.Equal(seen[0].Repeated, false)
+		is.Equal(seen[1].Repeated, true)
+
+		o, _ := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		for _, r := range []Request{{Kind: RequestState, Host: "h", Path: "/q/j"}, {Kind: RequestState, Host: "h", Path: "/q/j", Repeated: true}} {
+			_, err := o.Do(ctx, r)
+			is.NoErr(err)
+		}
+		is.Equal(o.session.Load().load.repeated.Load(), int64(1))
+		stop()
+	})
+}
+
+// recordingClient records the requests that it passes on.
+type recordingClient struct {
+	galenahead.RPCClient
+	seen *[]Request
+}
+
+func (c recordingClient) Call(ctx context.Context, addr, method string, params, result any) error {
+	if r, ok := params.(Request); ok {
+		*c.seen = append(*c.seen, r)
+	}
+	return c.RPCClient.Call(ctx, addr, method, params, result)
+}
+
+// Guards against a process that is short of processor and does not show it.
+func TestRunnableWaitShowsShortageOfProcessor(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	is := is.New(t)
+	var r runnableWait
+	r.takeLongest()
+	var wg sync.WaitGroup
+	// The runtime measures one goroutine of eight.
+	for range 64 {
+		wg.Go(func() {
+			for start := time.Now(); time.Since(start) < time.Millisecond; {
+			}
+		})
+	}
+	wg.Wait()
+	is.True(r.takeLongest() >= 16*time.Millisecond) // the last ones have waited for the others
+}
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -103,6 +103,9 @@
 				oc.Directory.ReportFailure(addr)
 			} else {
 				maybeSent = true
+				if p, ok := any(params).(interface{ WithRepeated() P }); ok {
+					params = p.WithRepeated()
+				}
 				oc.Directory.ReportDelay(addr)
 			}
 		} else if err == nil {
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -32,6 +32,14 @@
 	Host string          `json:"host"`
 	Path string          `json:"path"`
 	Spec *galenajob.Spec `json:"spec,omitempty"`
+	// Repeated marks an attempt after one to which there was no answer.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// WithRepeated returns the request as it is sent after an attempt without an answer.
+func (r Request) WithRepeated() Request {
+	r.Repeated = true
+	return r
 }
 
 // changesJob reports whether the request submits or cancels a job.
@@ -93,6 +101,9 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if r.Repeated {
+		sess.load.repeated.Add(1)
+	}
 	reply, err := sess.handleRequest(r)
 	if err != nil {
 		return Reply{}, err
