Let the log and the renewal of leases go before other work of the owner

What callers saw: long-running work was away on sound instances, without any fault. Cause: all that the owner does is a goroutine, up to 3,900 with work at a time, and the Go scheduler knows no order among them. Those that return from a sync or the network wait in the global queue, of which one in 61 is taken while the local queue is not empty. So a sync of 6 ms took the log up to 922 ms, the lease of the log ran out, and each new owner polled 1,100 instances behind the same work until their leases lapsed. The runtime's own histogram shows waits of 230 to 940 ms while this lasts, and of 50 to 80 ms at the same processor time when twice as many starts are made without requests.

galenagate.Gate keeps the work of the owner parked and admits one piece of it at a time for each processor: renewals first, then work under way and new requests for the same time. At least each millisecond everything else gets a turn. A request is admitted before it is decoded; it is turned away at once, or when its turn comes too late, with an error that says that nothing was done. Heartbeats that change nothing are handled in one piece. The starts under way follow the wait of the renewals as well. The log has connections of its own, so that its messages do not wait behind batches of calls and results.

Ruled out: a slow disk (handled in 7 to 10 ms by the voters); repeats of attempts without an answer (0 to 300 of 1,000 to 2,000 requests a second).

TestLeasesHoldWhileOwnerIsOverloaded: 120 of 120 long-running runs lapse without the gate (1 of 120 with the race detector), none with it; the load is now three times what the same owner answers alone, so that it does not depend on the machine.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -12,6 +12,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenadaemon"
 	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenaraft"
@@ -26,8 +27,10 @@
 // is the leader.
 type controlDaemon struct {
 	controlBase
-	node       *galenaraft.Node
-	rpcClient  *galenarpc.Client
+	node      *galenaraft.Node
+	rpcClient *galenarpc.Client
+	// logClient has the connections of the log, so that its messages wait for no others.
+	logClient  *galenarpc.Client
 	owner      *galenafleet.Owner
 	membership *galenafleet.MembershipManager
 	// relays makes this daemon's calls to instances through others, and relayServer makes
@@ -124,11 +127,11 @@
 
 func newControl(path string, f galenasettings.Fleet, load loadFunc, log *galenadaemon.Log, metrics *galenametric.Metrics) (*controlDaemon, error) {
 	timers := &galenatimer.BootTimeService{}
-	rpcClient := &galenarpc.Client{}
+	rpcClient, logClient, gate := &galenarpc.Client{}, &galenarpc.Client{}, &galenagate.Gate{}
 	state := &galenafleet.State{Timers: timers, ProcessStart: time.Now().Round(0)}
-	c := &controlDaemon{rpcClient: rpcClient, diskFailed: make(chan struct{})}
+	c := &controlDaemon{rpcClient: rpcClient, logClient: logClient, diskFailed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
-		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, RPCClient: rpcClient, Timers: timers, Log: log.Logger,
+		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, RPCClient: logClient, Timers: timers, Log: log.Logger,
 		Tick: raftTick, Heartbeat: heartbeatInterval, Lease: leaderLease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
 		CallTimeout: raftCallTimeout, Fatal: func(error) { close(c.diskFailed) },
 	})
@@ -150,11 +153,13 @@
 	instances := &platform.InstanceClient{Client: client}
 	c.relays = &galenarelay.Client{
 		Direct: instances, RPCClient: rpcClient, Timers: timers, Logger: log.Logger, Self: f.Listen.Peer.String(), Peers: c.otherReplicas,
+		Gate: gate,
 	}
 	c.relayServer = &galenarelay.Server{Instances: instances, RPCClient: rpcClient, Timers: timers, Logger: log.Logger}
 	c.owner = &galenafleet.Owner{
 		Name: f.Replica(), Log: node, State: state, Timers: timers, Logger: log.Logger, Metrics: metrics,
 		Instances:    c.relays,
+		Gate:         gate,
 		MaxStarting:  c.relays.MaxStarting,
 		Advisor:      &platform.Advisor{Client: platform.NewServiceClient(), Address: f.Platform.Advisor.String()},
 		Machines:     &platform.MachineClient{Client: platform.NewServiceClient(), Address: f.Platform.Machines.String(), Logger: log.Logger},
@@ -305,6 +310,7 @@
 // leadership, and then answers the requests that have arrived.
 func (c *controlDaemon) Run(ctx context.Context) error {
 	defer c.rpcClient.Close()
+	defer c.logClient.Close()
 	defer c.node.Close()
 	handler := &platform.ControlHandler{
 		Owner: collectingOwner{c.ownerClient, c.heartbeats}, Logger: c.log.Logger, HeartbeatHost: c.heartbeatHost,
--- a/errors.go
+++ b/errors.go
@@ -38,6 +38,9 @@
 	ErrCorrupt = eris.New("stored data is corrupt")
 	// ErrQuota reports a job that would exceed its team's quota.
 	ErrQuota = eris.New("team quota exceeded")
+	// ErrOverloaded reports a call that was rejected before any of it was carried out,
+	// because the process has more work than it can do in time.
+	ErrOverloaded = eris.New("overloaded")
 	// ErrNoWorker reports a job that no worker can run now.
 	ErrNoWorker = eris.New("no worker fits")
 )
--- a/galenafleet/heartbeats.go
+++ b/galenafleet/heartbeats.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenarpc"
 )
 
@@ -44,11 +45,8 @@
 		return HeartbeatReply{}, err
 	}
 	w := &batchWork{session: sess, handled: make([]bool, len(b.Heartbeats)), done: make(chan struct{})}
-	w.left = len(b.Heartbeats)
-	for i := range b.Heartbeats {
-		go w.run(i, b.Heartbeats[i])
-	}
-	if len(b.Heartbeats) > 0 {
+	w.refresh(b.Heartbeats)
+	if w.pending() {
 		select {
 		case <-w.done:
 		case <-o.Timers.After(sess.ctx, heartbeatBatchTimeout):
@@ -71,8 +69,27 @@
 	done chan struct{}
 }
 
+// refresh handles the heartbeats that change nothing, and begins to handle the others.
+func (w *batchWork) refresh(batch []Heartbeat) {
+	w.session.Gate.Enter(galenagate.Renewal)
+	for i := range batch {
+		w.handled[i] = w.session.refreshInstance(batch[i])
+	}
+	w.session.Gate.Leave()
+	var changed []int
+	for i, handled := range w.handled {
+		if !handled {
+			changed = append(changed, i)
+		}
+	}
+	w.left = len(changed)
+	for _, i := range changed {
+		go w.run(i, batch[i])
+	}
+}
+
 func (w *batchWork) run(i int, hb Heartbeat) {
-	err := w.session.heartbeat(hb)
+	err := w.session.heartbeatChanged(hb)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.handled[i] = err == nil
@@ -81,6 +98,13 @@
 	}
 }
 
+// pending reports whether a heartbeat is left.
+func (w *batchWork) pending() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left > 0
+}
+
 func (w *batchWork) failed() []int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
 	"github.com/galenahead/galenahead/galenametric"
@@ -48,6 +49,10 @@
 	pollsFailed, starts, stops, repeats, heartbeats           atomic.Int64
 	// lapsed counts the runs that were found to have lapsed.
 	lapsed atomic.Int64
+	// gateWaits are the longest waits at the gate in each tick, by class.
+	gateWaits [galenagate.Classes]durationStat
+	// shed counts the requests that were rejected at the gate.
+	shed atomic.Int64
 	// repeated counts the requests that are a repeat of an attempt without an answer.
 	repeated atomic.Int64
 	// exhausted counts the polls and commands that failed with ErrExhausted.
@@ -112,7 +117,8 @@
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
 	runnableWait                                                       time.Duration
-	repeated                                                           int64
+	repeated, shed                                                     int64
+	gateWaits                                                          [galenagate.Classes]time.Duration
 	exhausted, lapsed                                                  int64
 	commandLimit, pollLimit                                            time.Duration
 	logGap, logSync                                                    time.Duration
@@ -147,6 +153,10 @@
 	b = galenalog.AppendInt(b, "exhausted", l.exhausted)
 	b = appendTotals(b, "requests", "request", l.requests)
 	b = galenalog.AppendInt(b, "requests_repeated", l.repeated)
+	b = galenalog.AppendInt(b, "requests_shed", l.shed)
+	for c, wait := range l.gateWaits {
+		b = galenalog.AppendInt(b, "gate_wait_"+galenagate.Class(c).String()+"_max_us", wait.Microseconds())
+	}
 	b = galenalog.AppendInt(b, "heartbeats", l.heartbeats)
 	b = appendTotals(b, "commits", "commit", l.commits)
 	b = galenalog.AppendInt(b, "commit_ops", l.ops)
@@ -182,6 +192,7 @@
 	count("exhausted", l.exhausted)
 	count("lapsed_runs", l.lapsed)
 	count("requests_repeated", l.repeated)
+	count("requests_shed", l.shed)
 	count("heartbeats", l.heartbeats)
 	count("commit_ops", l.ops)
 	m.OwnerMax.Record("tick_late", l.tickLate.longest)
@@ -227,9 +238,12 @@
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
 		repeats: l.repeats.Swap(0), inFlight: l.inFlight.Load(), heartbeats: l.heartbeats.Swap(0),
-		runnableWait: l.runnable.takeLongest(), repeated: l.repeated.Swap(0),
+		runnableWait: l.runnable.takeLongest(), repeated: l.repeated.Swap(0), shed: l.shed.Swap(0),
 		exhausted: l.exhausted.Swap(0), lapsed: l.lapsed.Swap(0), ops: sess.committer.ops.Swap(0),
 	}
+	for c := range l.gateWaits {
+		line.gateWaits[c] = l.gateWaits[c].take().longest
+	}
 	line.logGap, line.logSync = sess.Log.RecentDelays()
 	l.lastTickLate.Store(int64(line.tickLate.longest))
 	for _, sh := range sess.allShards() {
--- a/galenafleet/overload_test.go
+++ b/galenafleet/overload_test.go
@@ -23,6 +23,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
 	"github.com/galenahead/galenahead/galenametric"
@@ -152,6 +153,7 @@
 		o.Params.StopTimeout, o.Params.MaxStarting = 200*time.Millisecond, 256
 		o.Params.UnresponsiveAfter, o.Params.ResendInterval = 900*time.Millisecond, 150*time.Millisecond
 		o.FinalJobRetention = 2 * time.Minute
+		o.Gate = &galenagate.Gate{}
 		w := galenalog.NewWriter(io.Discard)
 		t.Cleanup(func() { _ = w.Close() })
 		o.Logger = galenalog.New(w, logrus.InfoLevel)
@@ -218,57 +220,91 @@
 	if addrs == "" {
 		os.Exit(m.Run())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), pressTime)
-	defer cancel()
 	p := &pressure{addrs: strings.Split(addrs, ",")}
-	var wg sync.WaitGroup
-	for range pressConnections {
-		wg.Go(func() { p.run(ctx) })
-	}
-	wg.Wait()
+	answered := p.measure()
+	p.press(int(pressFactor * answered))
+	fmt.Printf("%.0f requests a second were answered alone, %d of %d when %.0f a second were sent\n",
+		answered, p.answered.Load(), p.sent.Load(), pressFactor*answered)
 }
 
 const (
+	measureTime      = time.Second
 	pressTime        = 8 * time.Second
 	pressConnections = 60
-	pressAtOnce      = 100
+	measureAtOnce    = 8
+	// pressFactor is how many times the requests are sent that the owner answers alone.
+	pressFactor = 3.0
 )
 
 // pressure is the load of many daemons that send requests to the owner.
 type pressure struct {
-	addrs []string
-	jobs  atomic.Int64
+	addrs                []string
+	jobs, sent, answered atomic.Int64
 	// owner is the index of the address that was the owner's last.
 	owner atomic.Int64
 }
 
-// run sends requests over a connection of its own, each as soon as the one before it is
-// answered or has taken as long as a daemon waits, until ctx ends.
-func (p *pressure) run(ctx context.Context) {
-	client := &galenarpc.Client{}
-	defer client.Close()
+// measure returns how many requests a second the owner answers, a few at a time on each
+// connection.
+func (p *pressure) measure() float64 {
+	ctx, cancel := context.WithTimeout(context.Background(), measureTime)
+	defer cancel()
 	var wg sync.WaitGroup
-	for range pressAtOnce {
-		wg.Go(func() {
-			for ctx.Err() == nil {
-				r := Request{Kind: RequestState, Host: "h", Path: fmt.Sprintf("/counter0/job-%08d", rand.Int64N(p.jobs.Load()+1))}
-				if rand.IntN(4) == 0 {
-					r = Request{Kind: RequestSubmit, Host: "h", Path: fmt.Sprintf("/counter0/job-%08d", p.jobs.Add(1)), Spec: benchJob(8, []int{640}, 8000, 640*time.Millisecond, false)}
-				}
-				owner := p.owner.Load()
-				callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-				err := client.Call(callCtx, p.addrs[int(owner)%len(p.addrs)], MethodDo, r, &Reply{})
-				cancel()
-				if errors.Is(err, galenahead.ErrNotLeader) {
-					time.Sleep(attemptPause)
-					p.owner.CompareAndSwap(owner, owner+1)
+	for range pressConnections {
+		client := &galenarpc.Client{}
+		defer client.Close()
+		for range measureAtOnce {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					p.send(ctx, client)
 				}
+			})
+		}
+	}
+	wg.Wait()
+	return float64(p.answered.Swap(0)) / measureTime.Seconds()
+}
+
+// press sends rate requests a second for pressTime, whatever becomes of them.
+func (p *pressure) press(rate int) {
+	p.sent.Store(0)
+	ctx, cancel := context.WithTimeout(context.Background(), pressTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range pressConnections {
+		wg.Go(func() {
+			client := &galenarpc.Client{}
+			defer client.Close()
+			start := time.Now()
+			for i := 0; ctx.Err() == nil; i++ {
+				time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second * pressConnections / time.Duration(rate))))
+				wg.Go(func() { p.send(ctx, client) })
 			}
+			<-ctx.Done()
 		})
 	}
 	wg.Wait()
 }
 
+// send sends a request, one of four for a new job, and waits for the answer as long as a
+// daemon does.
+func (p *pressure) send(ctx context.Context, client *galenarpc.Client) {
+	p.sent.Add(1)
+	r := Request{Kind: RequestState, Host: "h", Path: fmt.Sprintf("/counter0/job-%08d", rand.Int64N(p.jobs.Load()+1))}
+	if rand.IntN(4) == 0 {
+		r = Request{Kind: RequestSubmit, Host: "h", Path: fmt.Sprintf("/counter0/job-%08d", p.jobs.Add(1)), Spec: benchJob(8, []int{640}, 8000, 640*time.Millisecond, false)}
+	}
+	owner := p.owner.Load()
+	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	switch err := client.Call(callCtx, p.addrs[int(owner)%len(p.addrs)], MethodDo, r, &Reply{}); {
+	case err == nil:
+		p.answered.Add(1)
+	case errors.Is(err, galenahead.ErrNotLeader):
+		p.owner.CompareAndSwap(owner, owner+1)
+	}
+}
+
 // Guards against long-running work that lapses on sound instances because the owner is
 // short of processor: the log and the renewal of leases waited behind requests and starts,
 // so that the owner changed, and each change polled all instances anew.
@@ -311,10 +347,11 @@
 	is.NoErr(err)
 	load := exec.CommandContext(ctx, exe)
 	load.Env = append(os.Environ(), pressVariable+"="+strings.Join(f.addrs, ","))
-	is.NoErr(load.Run())
+	report, err := load.CombinedOutput()
+	is.NoErr(err)
 	lasting, lapsed := f.instances.counts()
 	after := f.session()
-	t.Logf("%d starts", f.instances.starts.Load())
+	t.Logf("%d starts; %s", f.instances.starts.Load(), report)
 	is.Equal(lapsed, 0)                                  // long-running runs whose lease expired
 	is.Equal(lasting, overloadLasting*overloadLastJobs)  // long-running runs at work
 	is.True(after != nil && after == before)             // the same session goes on
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
 )
@@ -50,6 +51,9 @@
 	// MaxStarting returns how many starts a service may have under way now, given
 	// Params.MaxStarting. If it is nil, that is the bound.
 	MaxStarting func(direct int) int
+	// Gate orders the work of the owner, so that the log and the renewal of leases go before
+	// what can wait or be rejected. It may be nil.
+	Gate *galenagate.Gate
 	// MachineLease is how long this owner waits after an order of an earlier owner
 	// to a machine before it sends its own orders to that machine.
 	MachineLease time.Duration
@@ -200,13 +204,22 @@
 		case <-ticks:
 			now := time.Now()
 			sess.load.recordTick(now.Sub(last))
-			sess.starts.observe(now.Sub(last) - leadershipCheckInterval)
+			sess.starts.observe(max(now.Sub(last)-leadershipCheckInterval, sess.recordGateWaits()))
 			last = now
 			sess.checkTerm(now)
 		}
 	}
 }
 
+// recordGateWaits records how long work has waited at the gate since the last call, and
+// returns how long the renewal of a lease waits now.
+func (sess *ownerSession) recordGateWaits() time.Duration {
+	for c := range sess.load.gateWaits {
+		sess.load.gateWaits[c].record(sess.Gate.TakeLongestWait(galenagate.Class(c)))
+	}
+	return sess.Gate.Wait(galenagate.Renewal)
+}
+
 // checkTerm ends the session if its term has ended, and logs a lease that was missing. A
 // missing lease alone does not end the session: the next one would poll all instances
 // anew while their leases run out, and a replica that is late would be later still.
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -33,7 +33,7 @@
 
 // Register adds the RPC methods of the owner.
 func (o *Owner) Register(mux *galenarpc.Mux) {
-	galenarpc.Handle(mux, MethodDo, o.Do)
+	galenarpc.HandleAdmitted(mux, MethodDo, o.admitRequest, o.doAdmitted)
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
 	galenarpc.Handle(mux, MethodHeartbeats, o.Heartbeats)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
@@ -123,6 +123,7 @@
 // change.
 func isFinal(err error) bool {
 	return errors.Is(err, galenahead.ErrInvalid) || errors.Is(err, galenahead.ErrNotFound) || errors.Is(err, galenahead.ErrConflict) ||
+		errors.Is(err, galenahead.ErrOverloaded) ||
 		galenarpc.IsUnknownMethod(err)
 }
 
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
 )
@@ -94,8 +95,34 @@
 	return Reply{Outcome: OutcomeUnready, Reason: reason, RetryAfter: UnreadyRetryAfter}
 }
 
+// maxRequestWait is how long a request may wait for its turn: the daemon that has sent it
+// waits for twice as long, and the caller should rather come back than wait.
+const maxRequestWait = attemptTimeout / 2
+
+// admitRequest admits a caller's request, or rejects it with ErrOverloaded. leave must be
+// called when the request has been handled.
+func (o *Owner) admitRequest() (leave func(), err error) {
+	if o.Gate.EnterWithin(galenagate.Demand, maxRequestWait) {
+		return o.Gate.Leave, nil
+	}
+	if sess := o.session.Load(); sess != nil {
+		sess.load.shed.Add(1)
+	}
+	return nil, galenahead.ErrOverloaded
+}
+
 // Do handles a caller's request.
-func (o *Owner) Do(_ context.Context, r Request) (Reply, error) {
+func (o *Owner) Do(ctx context.Context, r Request) (Reply, error) {
+	leave, err := o.admitRequest()
+	if err != nil {
+		return Reply{}, err
+	}
+	defer leave()
+	return o.doAdmitted(ctx, r)
+}
+
+// doAdmitted handles a request that the gate has admitted.
+func (o *Owner) doAdmitted(_ context.Context, r Request) (Reply, error) {
 	start := o.Timers.Now()
 	sess, err := o.currentSession()
 	if err != nil {
@@ -179,7 +206,7 @@
 	if reply, ok := sess.admit(q, j); !ok {
 		return reply, nil
 	}
-	r, err := sess.committer.commit(Op{Submit: j})
+	r, err := sess.commitOutsideGate(Op{Submit: j})
 	if errors.Is(err, galenahead.ErrInvalid) {
 		return Reply{Outcome: OutcomeInvalid, Reason: err.Error()}, nil
 	}
@@ -276,6 +303,8 @@
 	if s == nil {
 		return nil
 	}
+	sess.Gate.Leave()
+	defer sess.Gate.Enter(galenagate.Progress)
 	select {
 	case <-s.ended:
 		return nil
@@ -284,11 +313,18 @@
 	}
 }
 
+// commitOutsideGate commits for a request, which leaves the gate meanwhile.
+func (sess *ownerSession) commitOutsideGate(ops ...Op) ([]Result, error) {
+	sess.Gate.Leave()
+	defer sess.Gate.Enter(galenagate.Progress)
+	return sess.committer.commit(ops...)
+}
+
 func (sess *ownerSession) cancel(id galenahead.JobID) (Reply, error) {
 	if err := sess.awaitSubmit(id); err != nil {
 		return Reply{}, err
 	}
-	r, err := sess.committer.commit(Op{Cancel: &CancelOp{id, time.Now().Round(0)}})
+	r, err := sess.commitOutsideGate(Op{Cancel: &CancelOp{id, time.Now().Round(0)}})
 	if err != nil {
 		return Reply{}, err
 	}
@@ -334,16 +370,38 @@
 
 func (r *registration) unlock() { <-r.changing }
 
-// lockRegistration locks the registration of an instance. It fails with ErrNotLeader when
-// the session ends, since the change that it has waited for may be lost then.
-func (sess *ownerSession) lockRegistration(id galenahead.InstanceID) (*registration, error) {
+// registration returns the element for an instance.
+func (sess *ownerSession) registration(id galenahead.InstanceID) *registration {
 	sess.mu.Lock()
+	defer sess.mu.Unlock()
 	reg := sess.registrations[id]
 	if reg == nil {
 		reg = &registration{changing: make(chan struct{}, 1)}
 		sess.registrations[id] = reg
 	}
-	sess.mu.Unlock()
+	return reg
+}
+
+// tryLockRegistration locks the registration of an instance, or returns nil if a change of
+// it is under way or the session has ended.
+func (sess *ownerSession) tryLockRegistration(id galenahead.InstanceID) *registration {
+	reg := sess.registration(id)
+	select {
+	case reg.changing <- struct{}{}:
+	default:
+		return nil
+	}
+	if sess.ctx.Err() != nil {
+		reg.unlock()
+		return nil
+	}
+	return reg
+}
+
+// lockRegistration locks the registration of an instance. It fails with ErrNotLeader when
+// the session ends, since the change that it has waited for may be lost then.
+func (sess *ownerSession) lockRegistration(id galenahead.InstanceID) (*registration, error) {
+	reg := sess.registration(id)
 	select {
 	case reg.changing <- struct{}{}:
 	case <-sess.ctx.Done():
@@ -370,6 +428,47 @@
 }
 
 func (sess *ownerSession) heartbeat(hb Heartbeat) error {
+	if sess.heartbeatUnchanged(hb) {
+		return nil
+	}
+	return sess.heartbeatChanged(hb)
+}
+
+// heartbeatUnchanged handles a heartbeat that changes nothing but the time of the last one,
+// and reports whether it was such a one. It does not wait.
+func (sess *ownerSession) heartbeatUnchanged(hb Heartbeat) bool {
+	sess.Gate.Enter(galenagate.Renewal)
+	defer sess.Gate.Leave()
+	return sess.refreshInstance(hb)
+}
+
+// refreshInstance is heartbeatUnchanged for callers that the gate has admitted.
+func (sess *ownerSession) refreshInstance(hb Heartbeat) bool {
+	in := hb.Instance
+	known, ok := sess.State.instance(in.ID)
+	if !ok || in.Draining || !sameRegistration(known, in) {
+		return false
+	}
+	reg := sess.tryLockRegistration(in.ID)
+	if reg == nil {
+		return false
+	}
+	defer reg.unlock()
+	// The registration may have changed before it was locked.
+	if known, ok = sess.State.instance(in.ID); !ok || !sameRegistration(known, in) || !sess.isNewer(reg, in, hb.Sequence) {
+		return false
+	}
+	scheduled := false
+	sess.shardFor(in.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
+	if scheduled {
+		reg.born, reg.sequence = in.Born, hb.Sequence
+		sess.load.heartbeats.Add(1)
+	}
+	return scheduled
+}
+
+// heartbeatChanged handles a heartbeat that may change the registration of its instance.
+func (sess *ownerSession) heartbeatChanged(hb Heartbeat) error {
 	sess.load.heartbeats.Add(1)
 	in := hb.Instance
 	reg, err := sess.lockRegistration(in.ID)
@@ -414,16 +513,22 @@
 // recordIfNewer reports whether a heartbeat is newer than all earlier ones of its
 // instance, and if so records it as the newest. reg must be locked.
 func (sess *ownerSession) recordIfNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
-	if known, ok := sess.State.instance(in.ID); (ok && in.Born < known.Born) || sess.State.hasLeft(in.ID, in.Born) {
-		return false
-	}
-	if in.Born < reg.born || (in.Born == reg.born && sequence <= reg.sequence) {
+	if !sess.isNewer(reg, in, sequence) {
 		return false
 	}
 	reg.born, reg.sequence = in.Born, sequence
 	return true
 }
 
+// isNewer reports whether a heartbeat is newer than all earlier ones of its instance. reg
+// must be locked.
+func (sess *ownerSession) isNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
+	if known, ok := sess.State.instance(in.ID); (ok && in.Born < known.Born) || sess.State.hasLeft(in.ID, in.Born) {
+		return false
+	}
+	return in.Born > reg.born || (in.Born == reg.born && sequence > reg.sequence)
+}
+
 // sameRegistration reports whether two registrations are equal, apart from their
 // instance ids.
 func sameRegistration(a, b galenajob.Instance) bool {
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
 )
@@ -201,8 +202,10 @@
 		case <-ticks:
 		case <-sh.wake:
 		}
+		sh.session.Gate.Enter(galenagate.Progress)
 		start := sh.now()
 		sh.plan(ctx)
+		sh.session.Gate.Leave()
 		pause := min(max(minPlanPause, planPauseFactor*sh.now().Sub(start)), planInterval)
 		select {
 		case <-ctx.Done():
@@ -356,6 +359,8 @@
 	}
 	load.commands.record(latency)
 	load.countError(err)
+	sh.session.Gate.Enter(galenagate.Progress)
+	defer sh.session.Gate.Leave()
 	sh.logCommand(a, o, latency, err)
 	sh.handleOutcome(a, o, clock, sent)
 }
@@ -457,14 +462,26 @@
 		// unknown here.
 		limits.answered(id, beyondWait)
 	}
+	ends, pause := sh.handlePoll(id, p, req, resp, sent)
+	recording := time.Now()
+	if len(ends) > 0 {
+		sh.recordEnds(id, req.Instance.Born, ends)
+	}
+	// While records take long, more polls would only find fewer ends each.
+	return max(pollPause, time.Since(recording), pause)
+}
+
+// handlePoll passes the response to a poll to the scheduler. It returns the ends that must
+// be recorded and how long another poll would be of no use.
+func (sh *shard) handlePoll(id galenahead.InstanceID, p *instancePoller, req galenajob.PollRequest, resp galenajob.PollResponse, sent time.Time) (ends []galenajob.End, pause time.Duration) {
+	sh.session.Gate.Enter(galenagate.Renewal)
+	defer sh.session.Gate.Leave()
 	handling := time.Now()
 	p.logReachability(sh.session.Logger, id, pollTiming{}, nil)
 	sh.session.Metrics.Counters.Add("looks", 1)
 	resp.Fence, resp.Cursor, resp.Deadline, resp.Sent = req.Fence, req.Cursor, req.Deadline, sent
-	var ends []galenajob.End
 	var lateRuns []galenajob.LateRun
 	var lapsedRuns []galenajob.LapsedRun
-	var pause time.Duration
 	needsPlan := !req.MayWait
 	sh.inspect(func(now time.Time, s *galenajob.Scheduler) {
 		ends = s.HandlePoll(now, id, resp)
@@ -477,13 +494,8 @@
 	}
 	sh.logLateRuns(lateRuns)
 	sh.logLapsedRuns(lapsedRuns)
-	if len(ends) > 0 {
-		sh.recordEnds(id, req.Instance.Born, ends)
-	}
-	took := time.Since(handling)
-	sh.session.load.polls.record(took)
-	// While records take long, more polls would only find fewer ends each.
-	return max(pollPause, took, pause)
+	sh.session.load.polls.record(time.Since(handling))
+	return ends, pause
 }
 
 // logLateRuns logs and counts runs that were carried out after they were given up.
@@ -521,6 +533,8 @@
 	if err != nil {
 		return
 	}
+	sh.session.Gate.Enter(galenagate.Progress)
+	defer sh.session.Gate.Leave()
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
 		newlyRecorded := make([]bool, len(ends))
 		for i, r := range results {
--- a/galenarelay/client.go
+++ b/galenarelay/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenarpc"
 )
@@ -54,6 +55,8 @@
 	Logger    *logrus.Logger
 	// Self is the address at which this daemon gets results.
 	Self string
+	// Gate orders the handling of results among the other work of this daemon. It may be nil.
+	Gate *galenagate.Gate
 	// Peers returns the addresses of the other control daemons that relay calls.
 	Peers func() []string
 
@@ -275,6 +278,8 @@
 
 // handleResults passes results to the calls that wait for them.
 func (c *Client) handleResults(_ context.Context, b resultBatch) (galenafleet.Empty, error) {
+	c.Gate.Enter(galenagate.Renewal)
+	defer c.Gate.Leave()
 	results, err := decode[result](b.Results)
 	if err != nil {
 		return galenafleet.Empty{}, eris.Wrap(galenahead.ErrInvalid, err.Error())
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -33,6 +33,14 @@
 	Logger *logrus.Logger
 
 	handlers map[string]Handler
+	admitted map[string]admittedMethod
+}
+
+// admittedMethod is a method whose calls are admitted before they are decoded.
+type admittedMethod struct {
+	method string
+	admit  func() (leave func(), err error)
+	serve  Handler
 }
 
 // HandleRaw registers h for method.
@@ -45,13 +53,37 @@
 
 // Handle registers f for method and decodes the parameters of a call as P.
 func Handle[P, R any](m *Mux, method string, f func(ctx context.Context, params P) (R, error)) {
-	m.HandleRaw(method, func(ctx context.Context, _ *Conn, raw json.RawMessage) (any, error) {
+	m.HandleRaw(method, decoding(f))
+}
+
+// HandleAdmitted is Handle for calls that admit rejects, or delays, before they are decoded.
+// leave is called when a call that it has admitted ends.
+func HandleAdmitted[P, R any](m *Mux, method string, admit func() (leave func(), err error), f func(ctx context.Context, params P) (R, error)) {
+	a := admittedMethod{method, admit, decoding(f)}
+	if m.admitted == nil {
+		m.admitted = make(map[string]admittedMethod)
+	}
+	m.admitted[method] = a
+	// Calls within the process, and those of clients that encode the method elsewhere.
+	m.HandleRaw(method, func(ctx context.Context, conn *Conn, raw json.RawMessage) (any, error) {
+		leave, err := admit()
+		if err != nil {
+			return nil, err
+		}
+		defer leave()
+		return a.serve(ctx, conn, raw)
+	})
+}
+
+// decoding returns a handler that decodes the parameters of a call for f.
+func decoding[P, R any](f func(ctx context.Context, params P) (R, error)) Handler {
+	return func(ctx context.Context, _ *Conn, raw json.RawMessage) (any, error) {
 		var p P
 		if err := json.Unmarshal(raw, &p); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 		return f(ctx, p)
-	})
+	}
 }
 
 // dispatch calls the handler of the requested method.
@@ -108,9 +140,8 @@
 
 // connect starts JSON-RPC on c and serves the peer's calls until c is closed.
 func (m *Mux) connect(ctx context.Context, c net.Conn) *Conn {
-	s := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
-	return jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+	return jsonrpc2.NewConn(ctx, newStream(ctx, m, c), h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
 // errorsByCode maps the application error codes on the wire to sentinel errors,
@@ -128,10 +159,24 @@
 	9:  galenahead.ErrNoQuorum,
 	10: galenahead.ErrLeaseExpired,
 	11: galenahead.ErrNotReady,
+	12: galenahead.ErrOverloaded,
 }
 
+// encodedErrors holds the JSON-RPC errors of the sentinel errors, whose text takes longer to
+// format than a call that is rejected with one may take.
+var encodedErrors = func() map[error]*jsonrpc2.Error {
+	out := make(map[error]*jsonrpc2.Error, len(errorsByCode))
+	for code, sentinel := range errorsByCode {
+		out[sentinel] = &jsonrpc2.Error{Code: code, Message: sentinel.Error()}
+	}
+	return out
+}()
+
 // encodeError converts the error of a handler to an error of JSON-RPC.
-func encodeError(err error) error {
+func encodeError(err error) *jsonrpc2.Error {
+	if e, ok := encodedErrors[err]; ok {
+		return e
+	}
 	var e *jsonrpc2.Error
 	if errors.As(err, &e) {
 		return e
