Count work on draining instances as away before an eviction

The eviction asks how many do not serve, and 0.0.10 still served then.

A work item that serves on a draining instance now counts as away, as it is stopped in the same plan. TestEvictionCountsWorkOnDrainingInstances: two stops in one plan before.

--- a/galenajob/eviction_test.go
+++ b/galenajob/eviction_test.go
@@ -59,3 +59,45 @@
 	is.Equal(len(again), 1)
 	is.Equal(again[0].Item, first[0].Item)
 }
+
+// Guards against an eviction beside work items of its step that are stopped at the same
+// moment because their instance drains, so that more are away than the step allows.
+func TestEvictionCountsWorkOnDrainingInstances(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a", "b")
+	j := testJob("j", 2)
+	j.Spec.Steps[0].LongRunning, j.Spec.Steps[0].MaxUnavailable, j.Spec.Steps[0].MaxPerInstance = true, 1, 1
+	s.AddJob(t0, j, 0, false)
+	serve := func(now time.Time, actions []Action) {
+		for _, a := range starts(actions) {
+			s.HandleOutcome(now, a, OutcomeDone, 1000, now)
+			req, _ := s.NextPoll(now, a.Instance.ID)
+			s.HandlePoll(now, a.Instance.ID, PollResponse{
+				Fence: req.Fence, Clock: 1000 + now.Sub(t0).Milliseconds(), Born: 1, Sent: now, Runs: []Run{{Item: a.Item, Number: a.Run, Percent: 100}},
+			})
+		}
+	}
+	serve(t0, s.Plan(t0, t0))
+	for _, id := range []galenahead.InstanceID{"c", "d"} {
+		s.AddInstance(t0, testInstance(string(id)))
+		req, _ := s.NextPoll(t0, id)
+		s.HandlePoll(t0, id, PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0})
+	}
+	s.SetEvacuating(t0, "a", true)
+	s.Drain(t0, "b")
+	leaving := stops(s.Plan(t0, t0))
+	is.Equal(len(leaving), 1)
+	is.Equal(leaving[0].Instance.ID, galenahead.InstanceID("b")) // its work ends in any case
+
+	s.HandleOutcome(t0, leaving[0], OutcomeDone, 1000, t0)
+	req, _ := s.NextPoll(t0, "b")
+	s.HandlePoll(t0, "b", PollResponse{
+		Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0, Ends: []End{{Sequence: 1, Item: leaving[0].Item, Number: leaving[0].Run, Reason: EndStopped}},
+	})
+	restart := s.Plan(t0, t0)
+	is.Equal(len(stops(restart)), 0)
+	serve(t0, restart)
+	evicted := stops(s.Plan(t0, t0))
+	is.Equal(len(evicted), 1)
+	is.Equal(evicted[0].Instance.ID, galenahead.InstanceID("a"))
+}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -144,6 +144,18 @@
 	return n
 }
 
+// leaving counts the work items that serve on instances which drain, and so are about to
+// stop serving.
+func (set *itemSet) leaving() int {
+	n := 0
+	for i := range set.items {
+		if it := &set.items[i]; it.serving() && it.instance.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // firstPending returns the first work item of the set that has no run, or nil.
 func (set *itemSet) firstPending() *item {
 	for i := range set.items {
