Answer a request that is turned away truthfully, and decode calls once

A submission that does not get its turn was rejected before it was decoded, also if it was the copy of one that had been accepted, or beside one that waited at the gate: the caller was told that the job never runs, and it ran. A submission is now known from its arrival on; a copy of an accepted one is answered as such, and one beside another gets no final answer. TestRequestsAreTurnedAwayUndone fails on the code before, at the one beside another; that it would fail for the copy as well is by reading.

Requests are decoded before they wait, so calls of typed methods no longer pass through jsonrpc2, which goes over each message four times: a stream decodes them once.

--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -308,6 +308,7 @@
 	for range 64 {
 		wg.Go(func() {
 			for start := time.Now(); time.Since(start) < time.Millisecond; {
+				runtime.KeepAlive(start)
 			}
 		})
 	}
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -33,7 +33,7 @@
 
 // Register adds the RPC methods of the owner.
 func (o *Owner) Register(mux *galenarpc.Mux) {
-	galenarpc.HandleAdmitted(mux, MethodDo, o.admitRequest, o.doAdmitted)
+	galenarpc.Handle(mux, MethodDo, o.Do)
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
 	galenarpc.Handle(mux, MethodHeartbeats, o.Heartbeats)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
--- a/galenafleet/owner_client_test.go
+++ b/galenafleet/owner_client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenarpc"
@@ -314,3 +316,89 @@
 		stop()
 	})
 }
+
+// Guards against a request that is sent again and again to an owner that has turned it away,
+// and against an answer that it has not run while an earlier attempt may have.
+func TestOverloadedOwnerIsNotAskedAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		lost    int
+		outcome Outcome
+	}{{"first attempt", 0, OutcomeUnready}, {"after an attempt without an answer", 1, OutcomeUncertain}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				calls := 0
+				client := testOwnerClient(func(ctx context.Context, method string, result any) error {
+					if method == MethodLeaderInfo {
+						return answerLeaderInfo(result)
+					}
+					if calls++; calls <= tt.lost {
+						<-ctx.Done()
+						return ctx.Err()
+					}
+					return eris.Wrap(galenahead.ErrOverloaded, "overloaded")
+				})
+				reply := doRequest(client, RequestSubmit)
+				is.Equal(calls, tt.lost+1)
+				is.Equal(reply.Outcome, tt.outcome)
+				is.True(tt.lost > 0 || reply.RetryAfter > 0)
+			})
+		})
+	}
+}
+
+// Guards against a request that the owner has turned away and carried out nevertheless,
+// against a job that is turned away although it was accepted or may still be, and against a
+// gate that stays closed after the requests of all kinds.
+func TestRequestsAreTurnedAwayUndone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		o.Gate = &galenagate.Gate{AtOnce: 1}
+		ctx, stop := startOwner(t, o, testConfig)
+		submit := Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}}
+		other, accepted := submit, submit
+		other.Path, accepted.Path = "/q/other", "/q/accepted"
+		r, err := o.Do(ctx, accepted)
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeAccepted)
+
+		o.Gate.Enter(galenagate.Renewal)
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := o.Do(ctx, submit)
+			waiting <- err
+		}()
+		time.Sleep(maxRequestWait/2 + time.Millisecond)
+		_, err = o.Do(ctx, other)
+		is.True(errors.Is(err, galenahead.ErrOverloaded)) // at once
+		_, err = o.Do(ctx, submit)
+		is.True(errors.Is(err, galenahead.ErrNotReady)) // the one that waits may be accepted
+		r, err = o.Do(ctx, accepted)
+		is.NoErr(err)
+		is.Equal(r.Outcome, OutcomeAccepted) // a copy
+		time.Sleep(maxRequestWait)
+		o.Gate.Leave()
+		is.True(errors.Is(<-waiting, galenahead.ErrOverloaded)) // too late
+		for _, id := range []galenahead.JobID{"j", "other"} {
+			_, _, _, known := o.State.JobState(id)
+			is.True(!known)
+		}
+		is.Equal(o.session.Load().load.shed.Load(), int64(4))
+
+		for _, kind := range []RequestKind{RequestSubmit, RequestState, RequestWaiting, RequestCancel} {
+			r := submit
+			r.Kind = kind
+			if kind == RequestWaiting {
+				r.Path = "/q/"
+			}
+			_, err := o.Do(ctx, r)
+			is.NoErr(err)
+		}
+		is.True(o.Gate.EnterWithin(galenagate.Demand, 0)) // nothing holds the gate
+		o.Gate.Leave()
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -99,35 +99,24 @@
 // waits for twice as long, and the caller should rather come back than wait.
 const maxRequestWait = attemptTimeout / 2
 
-// admitRequest admits a caller's request, or rejects it with ErrOverloaded. leave must be
-// called when the request has been handled.
-func (o *Owner) admitRequest() (leave func(), err error) {
-	if o.Gate.EnterWithin(galenagate.Demand, maxRequestWait) {
-		return o.Gate.Leave, nil
-	}
-	if sess := o.session.Load(); sess != nil {
-		sess.load.shed.Add(1)
-	}
-	return nil, galenahead.ErrOverloaded
-}
-
 // Do handles a caller's request.
-func (o *Owner) Do(ctx context.Context, r Request) (Reply, error) {
-	leave, err := o.admitRequest()
-	if err != nil {
-		return Reply{}, err
-	}
-	defer leave()
-	return o.doAdmitted(ctx, r)
-}
-
-// doAdmitted handles a request that the gate has admitted.
-func (o *Owner) doAdmitted(_ context.Context, r Request) (Reply, error) {
-	start := o.Timers.Now()
+func (o *Owner) Do(_ context.Context, r Request) (Reply, error) {
 	sess, err := o.currentSession()
 	if err != nil {
 		return Reply{}, err
 	}
+	if r.Kind == RequestSubmit {
+		// From here on, no other submission of the job is rejected.
+		id := sess.submittedJob(r)
+		sess.beginSubmit(id)
+		defer sess.endSubmit(id)
+	}
+	if !o.Gate.EnterWithin(galenagate.Demand, maxRequestWait) {
+		sess.load.shed.Add(1)
+		return sess.turnAway(r)
+	}
+	defer o.Gate.Leave()
+	start := o.Timers.Now()
 	if r.Repeated {
 		sess.load.repeated.Add(1)
 	}
@@ -145,6 +134,31 @@
 	return reply, nil
 }
 
+// turnAway answers a request that did not get its turn in time.
+func (sess *ownerSession) turnAway(r Request) (Reply, error) {
+	if r.Kind != RequestSubmit || !sess.isLeader() {
+		return Reply{}, galenahead.ErrOverloaded
+	}
+	id := sess.submittedJob(r)
+	if _, _, _, known := sess.State.JobState(id); known {
+		return Reply{Outcome: OutcomeAccepted, Reason: "known job"}, nil
+	}
+	if !sess.submitsAlone(id) {
+		// Another submission of it may be accepted.
+		return Reply{}, galenahead.ErrNotReady
+	}
+	return Reply{}, galenahead.ErrOverloaded
+}
+
+// submittedJob returns the ID of the job that a request submits, or an empty one.
+func (sess *ownerSession) submittedJob(r Request) galenahead.JobID {
+	_, rest, ok := sess.State.MatchQueue(r.Host, r.Path)
+	if !ok {
+		return ""
+	}
+	return galenahead.JobID(strings.TrimSuffix(rest, "/"))
+}
+
 func (sess *ownerSession) handleRequest(r Request) (Reply, error) {
 	q, rest, ok := sess.State.MatchQueue(r.Host, r.Path)
 	if !ok && sess.State.Config() == nil {
@@ -185,10 +199,6 @@
 	if spec == nil || len(spec.Steps) == 0 {
 		return Reply{Outcome: OutcomeInvalid, Reason: "a job needs steps"}, nil
 	}
-	begun := sess.beginSubmit(id)
-	if begun {
-		defer sess.endSubmit(id)
-	}
 	// An earlier submission that has ended shows here.
 	if _, _, _, known := sess.State.JobState(id); known {
 		return Reply{Outcome: OutcomeAccepted, Reason: "known job"}, nil
@@ -196,8 +206,8 @@
 	if sess.State.cancelledBefore(id) {
 		return cancelledReply(), nil
 	}
-	if !begun {
-		return overloadReply(sess.committer.delay()), nil
+	if delay := sess.committer.delay(); delay > maxCommitDelay && sess.submitsAlone(id) {
+		return overloadReply(delay), nil
 	}
 	j := &galenajob.Job{
 		ID: id, Queue: q.Name, Service: q.Service, Spec: *spec,
@@ -231,10 +241,7 @@
 func (sess *ownerSession) admit(q QueueRule, j *galenajob.Job) (Reply, bool) {
 	retryAfter, ok := time.Duration(0), false
 	sess.shardFor(q.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { retryAfter, ok = s.Admit(now, j) })
-	sess.mu.Lock()
-	alone := sess.submitting[j.ID].calls == 1
-	sess.mu.Unlock()
-	if ok || !alone {
+	if ok || !sess.submitsAlone(j.ID) {
 		return Reply{}, true
 	}
 	sess.Metrics.Counters.Add("rejected_backlog", 1)
@@ -266,22 +273,24 @@
 	ended chan struct{}
 }
 
-// beginSubmit reports whether a job may be submitted now. A job that is being submitted
-// already must not be rejected, since it may be accepted.
-func (sess *ownerSession) beginSubmit(id galenahead.JobID) bool {
-	overloaded := sess.committer.delay() > maxCommitDelay
+// beginSubmit records that a call submits a job, which may wait at the gate.
+func (sess *ownerSession) beginSubmit(id galenahead.JobID) {
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
 	s := sess.submitting[id]
 	if s == nil {
-		if overloaded {
-			return false
-		}
 		s = &submission{ended: make(chan struct{})}
 		sess.submitting[id] = s
 	}
 	s.calls++
-	return true
+}
+
+// submitsAlone reports whether only one call submits the job. A job that is being submitted
+// more than once must not be rejected, since another submission may be accepted.
+func (sess *ownerSession) submitsAlone(id galenahead.JobID) bool {
+	sess.mu.Lock()
+	defer sess.mu.Unlock()
+	return sess.submitting[id].calls == 1
 }
 
 func (sess *ownerSession) endSubmit(id galenahead.JobID) {
--- a/galenagate/gate_test.go
+++ b/galenagate/gate_test.go
@@ -107,6 +107,7 @@
 	var wg sync.WaitGroup
 	busy := func(d time.Duration) {
 		for start := time.Now(); time.Since(start) < d; {
+			runtime.KeepAlive(d)
 		}
 	}
 	for range 400 {
--- a/galenarelay/client.go
+++ b/galenarelay/client.go
@@ -278,6 +278,7 @@
 
 // handleResults passes results to the calls that wait for them.
 func (c *Client) handleResults(_ context.Context, b resultBatch) (galenafleet.Empty, error) {
+	// Most results answer polls that renew leases.
 	c.Gate.Enter(galenagate.Renewal)
 	defer c.Gate.Leave()
 	results, err := decode[result](b.Results)
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -33,14 +33,9 @@
 	Logger *logrus.Logger
 
 	handlers map[string]Handler
-	admitted map[string]admittedMethod
-}
-
-// admittedMethod is a method whose calls are admitted before they are decoded.
-type admittedMethod struct {
-	method string
-	admit  func() (leave func(), err error)
-	serve  Handler
+	// direct holds the handlers that don't use the connection. A stream calls them itself,
+	// which spares their messages most passes of jsonrpc2.
+	direct map[string]Handler
 }
 
 // HandleRaw registers h for method.
@@ -53,26 +48,12 @@
 
 // Handle registers f for method and decodes the parameters of a call as P.
 func Handle[P, R any](m *Mux, method string, f func(ctx context.Context, params P) (R, error)) {
-	m.HandleRaw(method, decoding(f))
-}
-
-// HandleAdmitted is Handle for calls that admit rejects, or delays, before they are decoded.
-// leave is called when a call that it has admitted ends.
-func HandleAdmitted[P, R any](m *Mux, method string, admit func() (leave func(), err error), f func(ctx context.Context, params P) (R, error)) {
-	a := admittedMethod{method, admit, decoding(f)}
-	if m.admitted == nil {
-		m.admitted = make(map[string]admittedMethod)
+	h := decoding(f)
+	m.HandleRaw(method, h)
+	if m.direct == nil {
+		m.direct = make(map[string]Handler)
 	}
-	m.admitted[method] = a
-	// Calls within the process, and those of clients that encode the method elsewhere.
-	m.HandleRaw(method, func(ctx context.Context, conn *Conn, raw json.RawMessage) (any, error) {
-		leave, err := admit()
-		if err != nil {
-			return nil, err
-		}
-		defer leave()
-		return a.serve(ctx, conn, raw)
-	})
+	m.direct[method] = h
 }
 
 // decoding returns a handler that decodes the parameters of a call for f.
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -14,8 +14,8 @@
 )
 
 // stream is a jsonrpc2.ObjectStream of JSON objects with a length prefix, as
-// jsonrpc2.VarintObjectCodec writes them. It serves the calls of admitted methods itself, so
-// that one that is rejected costs no more than its bytes.
+// jsonrpc2.VarintObjectCodec writes them. It serves the calls of direct methods itself, which
+// takes one pass over a message where jsonrpc2 takes four.
 type stream struct {
 	mux  *Mux
 	ctx  context.Context
@@ -39,8 +39,9 @@
 		if err != nil {
 			return err
 		}
-		if a, ok := s.mux.admitted[frameMethod(frame)]; ok {
-			go s.run(a, frame)
+		method := frameMethod(frame)
+		if h, ok := s.mux.direct[method]; ok {
+			go s.run(method, h, frame)
 			continue
 		}
 		if u, ok := v.(json.Unmarshaler); ok {
@@ -84,24 +85,19 @@
 	return string(method[:len(method)-1])
 }
 
-// run serves a call of an admitted method.
-func (s *stream) run(a admittedMethod, frame []byte) {
+// run serves a call of a direct method.
+func (s *stream) run(method string, h Handler, frame []byte) {
 	var call struct {
 		ID     *jsonrpc2.ID    `json:"id"`
 		Params json.RawMessage `json:"params"`
 	}
-	var reply any
-	leave, err := a.admit()
 	if json.Unmarshal(frame, &call) != nil {
 		_ = s.conn.Close() // as after any other message that can't be read
-	} else if err == nil {
-		reply, err = s.mux.handle(s.ctx, a.method, a.serve, nil, call.Params)
-	}
-	if leave != nil {
-		leave()
+		return
 	}
+	reply, err := s.mux.handle(s.ctx, method, h, nil, call.Params)
 	if call.ID == nil {
-		return // a notification, or not readable
+		return // a notification
 	}
 	resp := &jsonrpc2.Response{ID: *call.ID}
 	if err == nil {
