--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -305,9 +305,9 @@
 	r.takeLongest()
 	var wg sync.WaitGroup
 	// The runtime measures one goroutine of eight.
-	for range 64 {
+	for range 512 {
 		wg.Go(func() {
-			for start := time.Now(); time.Since(start) < time.Millisecond; {
+			for start := time.Now(); time.Since(start) < 100*time.Microsecond; {
 				runtime.KeepAlive(start)
 			}
 		})
--- a/galenagate/gate.go
+++ b/galenagate/gate.go
@@ -49,7 +49,8 @@
 	mu      sync.Mutex
 	working int
 	queues  [Classes]queue
-	// current is the class of the work that was admitted last, at admittedAt.
+	// current is the class of the work that was admitted last, at admittedAt. With several at
+	// once, the time of each is known only roughly.
 	current    Class
 	admittedAt time.Time
 	// demandLead is how much more time Demand has had than Progress since both wait.
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -17,10 +17,12 @@
 // jsonrpc2.VarintObjectCodec writes them. It serves the calls of direct methods itself, which
 // takes one pass over a message where jsonrpc2 takes four.
 type stream struct {
-	mux  *Mux
-	ctx  context.Context
-	conn net.Conn
-	r    *bufio.Reader
+	mux *Mux
+	// ctx is that of the calls, and ends with the connection.
+	ctx    context.Context
+	cancel context.CancelFunc
+	conn   net.Conn
+	r      *bufio.Reader
 
 	mu sync.Mutex
 	w  *bufio.Writer
@@ -29,7 +31,8 @@
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
 func newStream(ctx context.Context, m *Mux, c net.Conn) *stream {
-	return &stream{mux: m, ctx: ctx, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c)}
+	ctx, cancel := context.WithCancel(ctx)
+	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c)}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
@@ -129,4 +132,7 @@
 }
 
 // Close implements jsonrpc2.ObjectStream.
-func (s *stream) Close() error { return s.conn.Close() }
+func (s *stream) Close() error {
+	s.cancel()
+	return s.conn.Close()
+}
--- a/galenarpc/stream_test.go
+++ b/galenarpc/stream_test.go
@@ -74,6 +74,28 @@
 	is.Equal(n, 12)
 }
 
+// Guards against a call that goes on for a caller whose connection has ended.
+func TestDirectCallEndsWithItsConnection(t *testing.T) {
+	m := &Mux{}
+	began, ended := make(chan struct{}), make(chan struct{})
+	Handle(m, "wait", func(ctx context.Context, _ int) (int, error) {
+		close(began)
+		<-ctx.Done()
+		close(ended)
+		return 0, ctx.Err()
+	})
+	addr := serve(t, m)
+	c := &Client{}
+	go func() { _ = c.Call(t.Context(), addr, "wait", 1, nil) }()
+	<-began
+	c.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the call goes on")
+	}
+}
+
 // Guards against a method that is taken from the parameters of another call.
 func TestFrameMethod(t *testing.T) {
 	is := is.New(t)
