Leave the gate also after a panic

Reading the change: a plan, or a batch of heartbeats, that panics kept the gate, whose next piece of work would have waited for ever, also in the next session. TestPanicLeavesTheGate plays a panic in the handling of a poll, which left it already; the two others are the same by construction now (deferred).

--- a/galenafleet/heartbeats.go
+++ b/galenafleet/heartbeats.go
@@ -71,11 +71,7 @@
 
 // refresh handles the heartbeats that change nothing, and begins to handle the others.
 func (w *batchWork) refresh(batch []Heartbeat) {
-	w.session.Gate.Enter(galenagate.Renewal)
-	for i := range batch {
-		w.handled[i] = w.session.refreshInstance(batch[i])
-	}
-	w.session.Gate.Leave()
+	w.refreshUnchanged(batch)
 	var changed []int
 	for i, handled := range w.handled {
 		if !handled {
@@ -88,6 +84,15 @@
 	}
 }
 
+// refreshUnchanged handles the heartbeats that change nothing.
+func (w *batchWork) refreshUnchanged(batch []Heartbeat) {
+	w.session.Gate.Enter(galenagate.Renewal)
+	defer w.session.Gate.Leave()
+	for i := range batch {
+		w.handled[i] = w.session.refreshInstance(batch[i])
+	}
+}
+
 func (w *batchWork) run(i int, hb Heartbeat) {
 	err := w.session.heartbeatChanged(hb)
 	w.mu.Lock()
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -202,11 +202,8 @@
 		case <-ticks:
 		case <-sh.wake:
 		}
-		sh.session.Gate.Enter(galenagate.Progress)
-		start := sh.now()
-		sh.plan(ctx)
-		sh.session.Gate.Leave()
-		pause := min(max(minPlanPause, planPauseFactor*sh.now().Sub(start)), planInterval)
+		took := sh.planAtGate(ctx)
+		pause := min(max(minPlanPause, planPauseFactor*took), planInterval)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -215,6 +212,15 @@
 	}
 }
 
+// planAtGate plans once it is the shard's turn, and returns how long that took.
+func (sh *shard) planAtGate(ctx context.Context) time.Duration {
+	sh.session.Gate.Enter(galenagate.Progress)
+	defer sh.session.Gate.Leave()
+	start := sh.now()
+	sh.plan(ctx)
+	return sh.now().Sub(start)
+}
+
 func (sh *shard) plan(ctx context.Context) {
 	sh.lock()
 	start := time.Now()
