Encode errors of any type, and answer for a lost lease when turning away

Reading the change found three faults in it, each with a test that failed before: - An error of a handler was looked up in a map of sentinel errors. One whose type can't be a key, such as a slice of faults, panicked outside the recovery of the call and ended the process: 'hash of unhashable type' (TestErrorOfAnyTypeIsEncoded). No handler is known to return one. - A submission that lost its turn while the lease of the log was missing was rejected for good, although another owner may have accepted the job. It now gets ErrNotLeader, after which its daemon asks the next owner (TestRequestTurnedAwayWithoutLeaseIsNotFinal). - A handler stayed in use for direct calls after HandleRaw had registered another one for its method (TestLastHandlerServesTheMethod). Nothing does so today.

--- a/galenafleet/owner_client_test.go
+++ b/galenafleet/owner_client_test.go
@@ -402,3 +402,27 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Guards against a submission that is rejected for good by an owner which has lost its lease
+// while the request waited: another owner may have accepted the job.
+func TestRequestTurnedAwayWithoutLeaseIsNotFinal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, log := testOwner()
+		o.Gate = &galenagate.Gate{AtOnce: 1}
+		ctx, stop := startOwner(t, o, testConfig)
+		o.Gate.Enter(galenagate.Renewal)
+		answered := make(chan error, 1)
+		go func() {
+			_, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1}}}})
+			answered <- err
+		}()
+		time.Sleep(maxRequestWait + time.Millisecond)
+		log.gap.Store(true)
+		o.Gate.Leave()
+		is.True(errors.Is(<-answered, galenahead.ErrNotLeader))
+		log.gap.Store(false)
+		stop()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -136,7 +136,11 @@
 
 // turnAway answers a request that did not get its turn in time.
 func (sess *ownerSession) turnAway(r Request) (Reply, error) {
-	if r.Kind != RequestSubmit || !sess.isLeader() {
+	if !sess.isLeader() {
+		// The next owner may answer, and may know the job.
+		return Reply{}, galenahead.ErrNotLeader
+	}
+	if r.Kind != RequestSubmit {
 		return Reply{}, galenahead.ErrOverloaded
 	}
 	id := sess.submittedJob(r)
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -40,6 +40,7 @@
 
 // HandleRaw registers h for method.
 func (m *Mux) HandleRaw(method string, h Handler) {
+	delete(m.direct, method)
 	if m.handlers == nil {
 		m.handlers = make(map[string]Handler)
 	}
@@ -145,18 +146,20 @@
 
 // encodedErrors holds the JSON-RPC errors of the sentinel errors, whose text takes longer to
 // format than a call that is rejected with one may take.
-var encodedErrors = func() map[error]*jsonrpc2.Error {
-	out := make(map[error]*jsonrpc2.Error, len(errorsByCode))
+var encodedErrors = func() map[int64]*jsonrpc2.Error {
+	out := make(map[int64]*jsonrpc2.Error, len(errorsByCode))
 	for code, sentinel := range errorsByCode {
-		out[sentinel] = &jsonrpc2.Error{Code: code, Message: sentinel.Error()}
+		out[code] = &jsonrpc2.Error{Code: code, Message: sentinel.Error()}
 	}
 	return out
 }()
 
 // encodeError converts the error of a handler to an error of JSON-RPC.
 func encodeError(err error) *jsonrpc2.Error {
-	if e, ok := encodedErrors[err]; ok {
-		return e
+	for code, sentinel := range errorsByCode {
+		if err == sentinel {
+			return encodedErrors[code]
+		}
 	}
 	var e *jsonrpc2.Error
 	if errors.As(err, &e) {
--- a/galenarpc/stream_test.go
+++ b/galenarpc/stream_test.go
@@ -162,3 +162,38 @@
 	is.NoErr(c.Call(t.Context(), addr, "double", 4, &n)) // others are still served
 	is.Equal(n, 8)
 }
+
+// sliceError is an error that can't be the key of a map.
+type sliceError []string
+
+func (e sliceError) Error() string { return strings.Join(e, ", ") }
+
+// Guards against an error of a handler that ends the process while it is encoded.
+func TestErrorOfAnyTypeIsEncoded(t *testing.T) {
+	is := is.New(t)
+	m := &Mux{}
+	Handle(m, "direct", func(context.Context, int) (int, error) { return 0, sliceError{"one", "two"} })
+	m.HandleRaw("raw", func(context.Context, *Conn, json.RawMessage) (any, error) { return nil, sliceError{"one", "two"} })
+	addr := serve(t, m)
+	c := &Client{}
+	defer c.Close()
+	for _, method := range []string{"direct", "raw"} {
+		err := c.Call(t.Context(), addr, method, 1, nil)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "one, two"))
+	}
+}
+
+// Guards against a handler that stays in use after another was registered for its method.
+func TestLastHandlerServesTheMethod(t *testing.T) {
+	is := is.New(t)
+	m := &Mux{}
+	Handle(m, "x", func(context.Context, int) (int, error) { return 1, nil })
+	m.HandleRaw("x", func(context.Context, *Conn, json.RawMessage) (any, error) { return 2, nil })
+	addr := serve(t, m)
+	c := &Client{}
+	defer c.Close()
+	n := 0
+	is.NoErr(c.Call(t.Context(), addr, "x", 1, &n))
+	is.Equal(n, 2)
+}
