--- a/galenafleet/heartbeats.go
+++ b/galenafleet/heartbeats.go
@@ -45,8 +45,7 @@
 		return HeartbeatReply{}, err
 	}
 	w := &batchWork{session: sess, handled: make([]bool, len(b.Heartbeats)), done: make(chan struct{})}
-	w.refresh(b.Heartbeats)
-	if w.pending() {
+	if w.begin(b.Heartbeats) {
 		select {
 		case <-w.done:
 		case <-o.Timers.After(sess.ctx, heartbeatBatchTimeout):
@@ -69,8 +68,9 @@
 	done chan struct{}
 }
 
-// refresh handles the heartbeats that change nothing, and begins to handle the others.
-func (w *batchWork) refresh(batch []Heartbeat) {
+// begin handles the heartbeats that change nothing, and begins to handle the others. It
+// reports whether there are others.
+func (w *batchWork) begin(batch []Heartbeat) bool {
 	w.refreshUnchanged(batch)
 	var changed []int
 	for i, handled := range w.handled {
@@ -82,6 +82,7 @@
 	for _, i := range changed {
 		go w.run(i, batch[i])
 	}
+	return len(changed) > 0
 }
 
 // refreshUnchanged handles the heartbeats that change nothing.
@@ -103,13 +104,6 @@
 	}
 }
 
-// pending reports whether a heartbeat is left.
-func (w *batchWork) pending() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.left > 0
-}
-
 func (w *batchWork) failed() []int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- /dev/null
+++ b/galenafleet/registration.go
@@ -0,0 +1,256 @@
+package galenafleet
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
+	"github.com/galenahead/galenahead/galenajob"
+)
+
+// Heartbeat is a heartbeat of an instance, with its registration.
+type Heartbeat struct {
+	Instance galenajob.Instance `json:"instance"`
+	Sequence int64              `json:"sequence"`
+	// Clock is the instance's clock in milliseconds.
+	Clock int64 `json:"clock"`
+}
+
+// registration serializes the changes of the registration of one instance, so that each
+// call finds what those before it have made durable.
+type registration struct {
+	// changing holds one element while a call handles the registration.
+	changing chan struct{}
+	// born and sequence identify the newest heartbeat.
+	born, sequence int64
+}
+
+func (r *registration) unlock() { <-r.changing }
+
+// registration returns the element for an instance.
+func (sess *ownerSession) registration(id galenahead.InstanceID) *registration {
+	sess.mu.Lock()
+	defer sess.mu.Unlock()
+	reg := sess.registrations[id]
+	if reg == nil {
+		reg = &registration{changing: make(chan struct{}, 1)}
+		sess.registrations[id] = reg
+	}
+	return reg
+}
+
+// tryLockRegistration locks the registration of an instance, or returns nil if a change of
+// it is under way or the session has ended.
+func (sess *ownerSession) tryLockRegistration(id galenahead.InstanceID) *registration {
+	reg := sess.registration(id)
+	select {
+	case reg.changing <- struct{}{}:
+	default:
+		return nil
+	}
+	if sess.ctx.Err() != nil {
+		reg.unlock()
+		return nil
+	}
+	return reg
+}
+
+// lockRegistration locks the registration of an instance. It fails with ErrNotLeader when
+// the session ends, since the change that it has waited for may be lost then.
+func (sess *ownerSession) lockRegistration(id galenahead.InstanceID) (*registration, error) {
+	reg := sess.registration(id)
+	select {
+	case reg.changing <- struct{}{}:
+	case <-sess.ctx.Done():
+		return nil, galenahead.ErrNotLeader
+	}
+	if sess.ctx.Err() != nil {
+		reg.unlock()
+		return nil, galenahead.ErrNotLeader
+	}
+	return reg, nil
+}
+
+// Heartbeat handles a heartbeat. It returns once a new or changed registration is
+// durable.
+func (o *Owner) Heartbeat(_ context.Context, hb Heartbeat) (Empty, error) {
+	sess, err := o.currentSession()
+	if err != nil {
+		return Empty{}, err
+	}
+	return Empty{}, sess.heartbeat(hb)
+}
+
+func (sess *ownerSession) heartbeat(hb Heartbeat) error {
+	if sess.heartbeatUnchanged(hb) {
+		return nil
+	}
+	return sess.heartbeatChanged(hb)
+}
+
+// heartbeatUnchanged handles a heartbeat that changes nothing but the time of the last one,
+// and reports whether it was such a one. It does not wait.
+func (sess *ownerSession) heartbeatUnchanged(hb Heartbeat) bool {
+	sess.Gate.Enter(galenagate.Renewal)
+	defer sess.Gate.Leave()
+	return sess.refreshInstance(hb)
+}
+
+// refreshInstance is heartbeatUnchanged for callers that the gate has admitted.
+func (sess *ownerSession) refreshInstance(hb Heartbeat) bool {
+	in := hb.Instance
+	if in.Draining {
+		return false
+	}
+	reg := sess.tryLockRegistration(in.ID)
+	if reg == nil {
+		return false
+	}
+	defer reg.unlock()
+	known, ok := sess.State.instance(in.ID)
+	if !ok || !sameRegistration(known, in) || !sess.isNewer(reg, in, hb.Sequence) {
+		return false
+	}
+	scheduled := false
+	sess.shardFor(in.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
+	if scheduled {
+		reg.born, reg.sequence = in.Born, hb.Sequence
+		sess.load.heartbeats.Add(1)
+	}
+	return scheduled
+}
+
+// heartbeatChanged handles a heartbeat that may change the registration of its instance.
+func (sess *ownerSession) heartbeatChanged(hb Heartbeat) error {
+	sess.load.heartbeats.Add(1)
+	in := hb.Instance
+	reg, err := sess.lockRegistration(in.ID)
+	if err != nil {
+		return err
+	}
+	defer reg.unlock()
+	if !sess.recordIfNewer(reg, in, hb.Sequence) {
+		sess.Logger.WithField("instance", in.ID).WithField("sequence", hb.Sequence).Info("ignored an out-of-order heartbeat")
+		return nil
+	}
+	sh := sess.shardFor(in.Service)
+	if in.Draining {
+		sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.Drain(now, in.ID) })
+	}
+	known, ok := sess.State.instance(in.ID)
+	if ok && known.Born == in.Born && known.Draining {
+		in.Draining = true
+	}
+	if !ok || !sameRegistration(known, in) {
+		if _, err := sess.committer.commit(Op{Instance: &in}); err != nil {
+			return err
+		}
+		sess.Logger.WithField("instance", in.ID).WithField("service", in.Service).WithField("born", in.Born).
+			WithField("draining", in.Draining).WithField("address", in.Address).Info("instance registered")
+		if ok && known.Service != in.Service {
+			sess.shardFor(known.Service).removeInstance(in.ID)
+		}
+		sh.addInstance(in, hb.Clock)
+		return nil
+	}
+	scheduled := false
+	sh.inspect(func(now time.Time, s *galenajob.Scheduler) { scheduled = s.Heartbeat(now, in.ID, hb.Clock) })
+	if !scheduled {
+		// The scheduler removed the instance for its missing heartbeats while this
+		// one arrived.
+		sh.addInstance(in, hb.Clock)
+	}
+	return nil
+}
+
+// recordIfNewer reports whether a heartbeat is newer than all earlier ones of its
+// instance, and if so records it as the newest. reg must be locked.
+func (sess *ownerSession) recordIfNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
+	if !sess.isNewer(reg, in, sequence) {
+		return false
+	}
+	reg.born, reg.sequence = in.Born, sequence
+	return true
+}
+
+// isNewer reports whether a heartbeat is newer than all earlier ones of its instance. reg
+// must be locked.
+func (sess *ownerSession) isNewer(reg *registration, in galenajob.Instance, sequence int64) bool {
+	if known, ok := sess.State.instance(in.ID); (ok && in.Born < known.Born) || sess.State.hasLeft(in.ID, in.Born) {
+		return false
+	}
+	return in.Born > reg.born || (in.Born == reg.born && sequence > reg.sequence)
+}
+
+// sameRegistration reports whether two registrations are equal, apart from their
+// instance ids.
+func sameRegistration(a, b galenajob.Instance) bool {
+	if len(a.Labels) != len(b.Labels) {
+		return false
+	}
+	for i := range a.Labels {
+		if a.Labels[i] != b.Labels[i] {
+			return false
+		}
+	}
+	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.Capacity == b.Capacity &&
+		a.Draining == b.Draining && a.Zone == b.Zone
+}
+
+// LeaveRequest deregisters an instance. Born is zero if the instance does not report
+// it.
+type LeaveRequest struct {
+	ID   galenahead.InstanceID `json:"id"`
+	Born int64                 `json:"born"`
+}
+
+// Leave removes an instance that deregisters. A request without the start of its incarnation
+// may be a late copy of an earlier one's. It removes the registered incarnation only if that
+// drains, as each does before it leaves, and nothing runs on it. Otherwise the incarnation
+// is removed once it is silent and its lease has expired.
+func (o *Owner) Leave(_ context.Context, l LeaveRequest) (Empty, error) {
+	sess, err := o.currentSession()
+	if err != nil {
+		return Empty{}, err
+	}
+	reg, err := sess.lockRegistration(l.ID)
+	if err != nil {
+		return Empty{}, err
+	}
+	defer reg.unlock()
+	known, registered := sess.State.instance(l.ID)
+	log := sess.Logger.WithField("instance", l.ID).WithField("born", l.Born).WithField("registered_born", known.Born).
+		WithField("draining", known.Draining)
+	switch {
+	case !registered && (l.Born == 0 || sess.State.hasLeft(l.ID, l.Born)):
+		return Empty{}, nil
+	case l.Born != 0 && l.Born < known.Born:
+		log.Info("ignored the deregistration of an earlier incarnation")
+		return Empty{}, nil
+	case l.Born == 0 && !(known.Draining && sess.isIdle(known)):
+		log.Info("ignored a deregistration that may be an earlier incarnation's")
+		return Empty{}, nil
+	}
+	op := Op{Remove: &l.ID}
+	if born := max(l.Born, known.Born); born != 0 {
+		// A heartbeat of this incarnation that is still to arrive is a late copy.
+		op.Left = &LeftOp{Born: born, At: time.Now().Round(0)}
+		reg.born, reg.sequence = born, math.MaxInt64
+	}
+	if _, err := sess.committer.commit(op); err != nil {
+		return Empty{}, err
+	}
+	log.Info("instance deregistered")
+	if registered {
+		sess.shardFor(known.Service).removeInstance(l.ID)
+	}
+	return Empty{}, nil
+}
+
+// isIdle reports whether nothing runs or may run on a registered instance.
+func (sess *ownerSession) isIdle(in galenajob.Instance) (idle bool) {
+	sess.shardFor(in.Service).inspect(func(_ time.Time, s *galenajob.Scheduler) { _, idle = s.IdleSince(in.ID) })
+	return idle
+}
