--- a/galenafleet/fleet_simulation_test.go
+++ b/galenafleet/fleet_simulation_test.go
@@ -55,6 +55,10 @@
 	// fencing tokens allow. late counts those that were carried out.
 	lateOrders bool
 	late       int
+	// failures makes work items fail, records slow, and some commands unanswered, of which
+	// a part is carried out late. failed counts the failed runs.
+	failures bool
+	failed   int
 }
 
 type simMachine struct {
@@ -80,6 +84,8 @@
 	runs     map[galenajob.ItemID]*simRun
 	highest  map[galenajob.ItemID]int64
 	ends     []galenajob.End
+	// forgotten is the highest cursor of a poll: earlier ends are not listed any more.
+	forgotten int64
 }
 
 type simRun struct {
@@ -252,6 +258,13 @@
 }
 
 func (sim *fleetSimulation) Start(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
+	if sim.loseAnswer(func() { _, _, _ = sim.start(a) }) {
+		return galenajob.OutcomeUnknown, 0, eris.New("no response")
+	}
+	return sim.start(a)
+}
+
+func (sim *fleetSimulation) start(a galenajob.Action) (galenajob.Outcome, int64, error) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	l := sim.find(a.Instance)
@@ -266,13 +279,40 @@
 	if a.Run <= l.highest[a.Item] {
 		return galenajob.OutcomeOldRun, clock, nil
 	}
+	if a.Deadline < clock {
+		return galenajob.OutcomeDeadlinePassed, clock, nil
+	}
 	l.highest[a.Item] = a.Run
 	l.runs[a.Item] = &simRun{a.Run, time.Now()}
 	sim.starts++
 	return galenajob.OutcomeDone, clock, nil
 }
 
+// loseAnswer reports whether a command gets no answer, after the time that the owner waits
+// for one. What of it is carried out, and when, is drawn.
+func (sim *fleetSimulation) loseAnswer(carryOut func()) bool {
+	if !sim.failures || sim.rngIntN(12) != 0 {
+		return false
+	}
+	switch sim.rngIntN(3) {
+	case 0:
+		carryOut()
+	case 1:
+		time.AfterFunc(time.Duration(sim.rngIntN(3000))*time.Millisecond, carryOut)
+	}
+	time.Sleep(longestCommandLimit)
+	return true
+}
+
 func (sim *fleetSimulation) Stop(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
+	if sim.loseAnswer(func() { _, _, _ = sim.stop(a, "") }) {
+		return galenajob.OutcomeUnknown, 0, eris.New("no response")
+	}
+	return sim.stop(a, "stop ("+a.Reason+")")
+}
+
+// stop stops a run. order describes the command, unless it was held up.
+func (sim *fleetSimulation) stop(a galenajob.Action, order string) (galenajob.Outcome, int64, error) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	l := sim.find(a.Instance)
@@ -284,7 +324,7 @@
 	}
 	l.fence = a.Fence
 	if r := l.runs[a.Item]; r != nil && r.number <= a.Run {
-		sim.endRun(l, a.Item, "stop ("+a.Reason+")")
+		sim.endRun(l, a.Item, order)
 		l.ends = append(l.ends, galenajob.End{Sequence: int64(len(l.ends) + 1), Item: a.Item, Number: r.number, Reason: galenajob.EndStopped})
 	}
 	l.highest[a.Item] = max(l.highest[a.Item], a.Run)
@@ -318,7 +358,8 @@
 		}
 		resp.Runs = append(resp.Runs, run)
 	}
-	resp.Ends = slices.Clone(l.ends[min(int(req.Cursor), len(l.ends)):])
+	l.forgotten = max(l.forgotten, req.Cursor)
+	resp.Ends = slices.Clone(l.ends[min(int(l.forgotten), len(l.ends)):])
 	return resp, nil
 }
 
@@ -416,11 +457,26 @@
 		case disturbed && m.state == MachineUp && m.life != nil && sim.rng.IntN(400) == 0:
 			sim.crash(m)
 			m.state, m.until = MachineDown, time.Now().Add(time.Duration(500+sim.rng.IntN(3000))*time.Millisecond)
+		case disturbed && sim.failures && m.life != nil:
+			sim.failSome(m.life)
 		}
 	}
 	sim.refresh()
 }
 
+// failSome makes some of the long-running work items fail that are at work on an instance.
+func (sim *fleetSimulation) failSome(l *simLife) {
+	for _, id := range slices.SortedFunc(maps.Keys(l.runs), func(a, b galenajob.ItemID) int { return a.Item.Index - b.Item.Index }) {
+		if sim.items[id] == nil || sim.rng.IntN(200) != 0 {
+			continue
+		}
+		number := l.runs[id].number
+		sim.endRun(l, id, "")
+		l.ends = append(l.ends, galenajob.End{Sequence: int64(len(l.ends) + 1), Item: id, Number: number, Reason: galenajob.EndFailed})
+		sim.failed++
+	}
+}
+
 // heartbeats sends a heartbeat of each instance.
 func (sim *fleetSimulation) heartbeats(ctx context.Context, o *Owner) {
 	sim.mu.Lock()
@@ -488,7 +544,14 @@
 			spec := galenajob.Spec{Steps: []galenajob.Step{{Count: 4, Need: galenajob.Resources{MilliCPU: 1500, MemoryMB: 500}, Estimate: simBatchTime}}}
 			go submit(fmt.Sprintf("%s%d", simBatchPrefix, n), spec)
 		}
-		if disturbed && sim.rngIntN(250) == 0 {
+		ownerFaults := 250
+		if sim.failures {
+			ownerFaults = 60
+			if n%20 == 0 {
+				l.delay.Store(int64(time.Duration(5+sim.rngIntN(200)) * time.Millisecond))
+			}
+		}
+		if disturbed && sim.rngIntN(ownerFaults) == 0 {
 			if n%2 == 0 {
 				l.gap.Store(true)
 				time.AfterFunc(100*time.Millisecond, func() { l.gap.Store(false) })
@@ -660,3 +723,30 @@
 		t.Errorf("only %d orders were carried out late in %d simulations", late, seeds)
 	}
 }
+
+// Guards against a stop that ends long-running work beyond what its step may miss, after
+// failures of work items whose record takes long, commands without an answer and changes of
+// the owner: what the owner takes for serving may have ended, and what it takes for a stray
+// run may be the one that serves.
+func TestFailuresKeepWorkAvailable(t *testing.T) {
+	seeds := 20
+	if n, err := strconv.Atoi(os.Getenv("GALENA_HISTORIES")); err == nil {
+		seeds = n
+	}
+	failed := 0
+	for seed := range uint64(seeds) {
+		var violations []string
+		synctest.Test(t, func(t *testing.T) {
+			sim := newFleetSimulation(seed)
+			sim.failures = true
+			violations = sim.run(t)
+			failed += sim.failed
+		})
+		for _, v := range violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+	}
+	if failed < 5*seeds {
+		t.Errorf("only %d runs failed in %d simulations", failed, seeds)
+	}
+}
