Adopt the run that serves while the end of an earlier one is recorded

Callers saw more items of a long-running step away than it may miss (AVAIL), in rare runs. A new owner reads the ends that instances still list. While the record of one was pending, it took every listed run of the same item for a stray one and stopped it, without asking the step's limit: also the later run, which the owner before it had started after that end. It needs a failed item, an acknowledgement of its end that is under way, and a change of owner, all within the time of a commit.

A run with a higher number than all ends that are being recorded was started after them, so it is the item's present run. Runs that are not higher are still stopped.

--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		s.noteLateRun(inst, r.Item, r.Number, "")
-		if it != nil && it.instance == nil && !it.done && it.unrecordedEnds == 0 && !it.set.job.final {
+		if it != nil && it.mayAdopt(r.Number) {
 			s.adopt(now, inst, it, r)
 			listedItems[r.Item] = true
 			continue
@@ -255,6 +255,12 @@
 	}
 }
 
+// mayAdopt reports whether a listed run of the work item is its present one. While ends are
+// being recorded, that is only a run after all of them.
+func (it *item) mayAdopt(run int64) bool {
+	return it.instance == nil && !it.done && !it.set.job.final && (it.unrecordedEnds == 0 || run > it.run)
+}
+
 // adopt assigns a listed run to a pending work item. An earlier owner or a
 // delayed command has started it.
 func (s *Scheduler) adopt(now time.Time, inst *instance, it *item, r Run) {
