Count as serving only what the last answer of its instance vouches for

An eviction asks how many others of its step are away. What did not count as away, though it may have been: a run whose end is listed while its record is pending, for the time of a commit; a run on an instance whose last granted lease may have expired, as after the log's own lease was missing for seconds; a run on an instance whose address another one has registered; and a run that a new owner has seen once, while a stop of the owner before it may still be under way. An eviction beside one of them leaves more away than the step may miss.

The count now takes the step's items as away unless the present incarnation has answered with a lease that still holds.

The instances of the tests have addresses of their own now, as real ones do, and the answers of TestSizesCountStepsOverBudget carry the lease of their poll.

--- a/galenafleet/crash_test.go
+++ b/galenafleet/crash_test.go
@@ -89,7 +89,7 @@
 			is.Equal(r.State, want)
 		}
 		jobs := 0
-		sh.inspect(func(_ time.Time, s *galenajob.Scheduler) { z := s.Sizes(); jobs = z.Waiting + z.Active })
+		sh.inspect(func(now time.Time, s *galenajob.Scheduler) { z := s.Sizes(now); jobs = z.Waiting + z.Active })
 		is.Equal(jobs, 0)
 		stop()
 	})
--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -248,7 +248,7 @@
 	l.lastTickLate.Store(int64(line.tickLate.longest))
 	for _, sh := range sess.allShards() {
 		sh.lock()
-		line.sizes.Add(sh.scheduler.Sizes())
+		line.sizes.Add(sh.scheduler.Sizes(sh.now()))
 		sh.mu.Unlock()
 	}
 	return line
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -233,7 +233,7 @@
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
 	if reconciled && !sh.takenOver {
-		sizes = sh.scheduler.Sizes()
+		sizes = sh.scheduler.Sizes(sh.now())
 	}
 	sh.session.load.plans.record(time.Since(start))
 	sh.mu.Unlock()
--- a/galenajob/away_test.go
+++ b/galenajob/away_test.go
@@ -22,12 +22,6 @@
 	seq            int64
 }
 
-func awayInstance(id galenahead.InstanceID) Instance {
-	in := testInstance(string(id))
-	in.Address = string(id) + ":1"
-	return in
-}
-
 func awayJob() *Job {
 	j := testJob("j", 2)
 	step := &j.Spec.Steps[0]
@@ -40,7 +34,7 @@
 	f := &awayFixture{t: t, s: newFencedScheduler(), now: t0, runs: map[galenahead.InstanceID]Run{}}
 	f.s.AddJob(t0, awayJob(), 0, false)
 	for _, id := range []galenahead.InstanceID{"a", "b", "c"} {
-		f.s.AddInstance(t0, awayInstance(id))
+		f.s.AddInstance(t0, testInstance(string(id)))
 		f.poll(id, nil)
 	}
 	f.start()
@@ -66,7 +60,7 @@
 	f.s = NewScheduler("counter", 2, testParams(), f.s.fences)
 	f.s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2, Stretch: 1.6})
 	for _, id := range []galenahead.InstanceID{"a", "b", "c"} {
-		f.s.AddInheritedInstance(f.now, awayInstance(id), f.now.Add(time.Minute))
+		f.s.AddInheritedInstance(f.now, testInstance(string(id)), f.now.Add(time.Minute))
 	}
 	f.s.AddJob(f.now, awayJob(), time.Second, true)
 }
@@ -173,7 +167,7 @@
 		f.list(f.other, 100)
 	}},
 	{"is on an instance whose restart a heartbeat shows", true, func(f *awayFixture) {
-		in := awayInstance(f.other)
+		in := testInstance(string(f.other))
 		in.Born = 2
 		f.s.AddInstance(f.now, in)
 	}},
@@ -181,8 +175,8 @@
 		f.s.HandlePoll(f.now, f.other, PollResponse{Fence: f.s.instances[f.other].fence, Clock: 10, Born: 2, Sent: f.now})
 	}},
 	{"is on an instance whose address another one has", true, func(f *awayFixture) {
-		in := awayInstance("d")
-		in.Address = awayInstance(f.other).Address
+		in := testInstance("d")
+		in.Address = testInstance(string(f.other)).Address
 		f.s.AddInstance(f.now, in)
 	}},
 	{"is on an instance that has left", true, func(f *awayFixture) { f.s.RemoveInstance(f.now, f.other) }},
@@ -213,7 +207,7 @@
 			f := newAwayFixture(t)
 			state.arrive(f)
 			spare := galenahead.InstanceID("e")
-			f.s.AddInstance(f.now, awayInstance(spare))
+			f.s.AddInstance(f.now, testInstance(string(spare)))
 			f.poll(spare, nil)
 			f.s.SetEvacuating(f.now, f.leaving, true)
 			ended := 0
@@ -255,7 +249,7 @@
 		f.runs[start.Instance.ID] = Run{Item: start.Item, Number: start.Run}
 		f.list(start.Instance.ID, 100)
 		spare := galenahead.InstanceID("e")
-		f.s.AddInstance(f.now, awayInstance(spare))
+		f.s.AddInstance(f.now, testInstance(string(spare)))
 		f.poll(spare, nil)
 		second := stops(f.s.Plan(f.now, f.now))
 		is.Equal(len(second), 1)
@@ -304,7 +298,7 @@
 		is.Equal(len(stops(f.s.Plan(f.now, f.now))), 0)
 	}
 	f.list(f.other, 100)
-	f.s.AddInstance(f.now, awayInstance("e"))
+	f.s.AddInstance(f.now, testInstance("e"))
 	f.poll("e", nil)
 	f.poll(start.Instance.ID, nil) // the instance answers, and may yet carry the start out
 	f.now = f.now.Add(testParams().ResendInterval)
--- a/galenajob/lapsed_run_test.go
+++ b/galenajob/lapsed_run_test.go
@@ -38,9 +38,9 @@
 	j.Spec.Steps[0].LongRunning, j.Spec.Steps[0].MaxUnavailable = true, 1
 	s.AddJob(t0, j, 0, false)
 	s.Plan(t0, t0)
-	is.Equal(s.Sizes().OverBudget, 0) // it has not started yet
+	is.Equal(s.Sizes(t0).OverBudget, 0) // it has not started yet
 	req, _ := s.NextPoll(t0, "a")
-	resp := PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Sent: t0}
+	resp := PollResponse{Fence: req.Fence, Clock: 1000, Born: 1, Deadline: req.Deadline, Sent: t0}
 	for i := range 3 {
 		resp.Runs = append(resp.Runs, Run{Item: ItemID{Job: "j", Item: ItemKey{Index: i}}, Number: 1001, Percent: 100})
 	}
@@ -54,6 +54,6 @@
 			polled.Runs = append(polled.Runs, r)
 		}
 		s.HandlePoll(t0, "a", polled)
-		is.Equal(s.Sizes().OverBudget, want)
+		is.Equal(s.Sizes(t0).OverBudget, want)
 	}
 }
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -64,6 +64,9 @@
 	case OutcomeOtherIncarnation, OutcomeDeferred:
 	default:
 		s.noteResponse(now, inst, clock)
+		if takesLease && !restarted {
+			inst.grantedUntil = max(inst.grantedUntil, a.Deadline)
+		}
 	}
 	it := inst.items[a.Item]
 	if it == nil || it.run != a.Run || it.phase == phaseStale {
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -239,8 +239,8 @@
 // work item to stop, and another instance can run it. If only room is missing, it reserves
 // some.
 func (s *Scheduler) mayEvict(now time.Time, it *item) bool {
-	unavailable := it.set.unavailable() + it.set.leaving()
-	if !it.serving() {
+	unavailable := it.set.unavailable(now) + it.set.leaving(now)
+	if !it.serving(now) {
 		// The work item may still serve, so that it does not count as unavailable.
 		unavailable--
 	}
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -107,6 +107,7 @@
 		inst.fencedAt = now
 	}
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
+	inst.grantedUntil = max(inst.grantedUntil, resp.Deadline)
 	toRecord := s.processEnds(now, inst, resp.Ends)
 	s.reconcileRuns(now, inst, resp)
 	if inst.unreconciled && !resp.More && !resp.Sent.Before(inst.fencedAt.Add(s.params.StopTimeout)) {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -240,7 +240,7 @@
 	inst.fenceConfirmed, inst.fencedAt = false, time.Time{}
 	inst.Draining, inst.drainingSince = false, time.Time{}
 	inst.earlierClock = inst.estimatedClock(now)
-	inst.clock, inst.clockAt, inst.maxDeadline, inst.strayDeadline = 0, now, inst.strayDeadline, 0
+	inst.clock, inst.clockAt, inst.maxDeadline, inst.strayDeadline, inst.grantedUntil = 0, now, inst.strayDeadline, 0, 0
 	inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, 0, 0, false
 	inst.lateRuns, inst.addressReused = nil, false
 	s.noteReturn(now, inst.Instance)
--- a/galenajob/scheduler_test.go
+++ b/galenajob/scheduler_test.go
@@ -22,7 +22,7 @@
 
 func testInstance(id string) Instance {
 	return Instance{
-		ID: galenahead.InstanceID(id), Born: 1, Service: "counter", Address: "10.0.0.1:1",
+		ID: galenahead.InstanceID(id), Born: 1, Service: "counter", Address: id + ":1",
 		Capacity: Resources{MilliCPU: 4000, MemoryMB: 4000},
 	}
 }
--- a/galenajob/sizes.go
+++ b/galenajob/sizes.go
@@ -1,5 +1,7 @@
 package galenajob
 
+import "time"
+
 // Sizes is how much a Scheduler has to plan.
 type Sizes struct {
 	// Waiting and Active are the jobs that have not started and that have.
@@ -21,8 +23,8 @@
 	s.OverBudget += o.OverBudget
 }
 
-// Sizes returns the current sizes.
-func (s *Scheduler) Sizes() Sizes {
+// Sizes returns the sizes at a time.
+func (s *Scheduler) Sizes(now time.Time) Sizes {
 	z := Sizes{Instances: len(s.instances)}
 	for _, j := range s.jobs {
 		if j.started {
@@ -30,7 +32,7 @@
 		} else {
 			z.Waiting++
 		}
-		z.OverBudget += j.stepsOverBudget()
+		z.OverBudget += j.stepsOverBudget(now)
 	}
 	for _, inst := range s.instances {
 		z.Runs += len(inst.items)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -89,11 +89,9 @@
 	return ItemID{it.set.job.ID, ItemKey{it.set.occurrence, it.set.index, it.index}}
 }
 
-// serving reports whether a long-running item serves requests now. One on an
-// instance with unanswered calls does not count, since the instance may have
-// crashed.
-func (it *item) serving() bool {
-	return it.phase == phaseRunning && it.percent >= 100 && it.instance.unansweredSince.IsZero()
+// serving reports whether a long-running item is known to serve requests now.
+func (it *item) serving(now time.Time) bool {
+	return it.phase == phaseRunning && it.percent >= 100 && !it.endUnrecorded && it.instance.vouches(now)
 }
 
 // itemSet holds the work items of one step in one occurrence of the job.
@@ -134,10 +132,10 @@
 }
 
 // unavailable counts the work items that do not serve.
-func (set *itemSet) unavailable() int {
+func (set *itemSet) unavailable(now time.Time) int {
 	n := 0
 	for i := range set.items {
-		if !set.items[i].serving() {
+		if !set.items[i].serving(now) {
 			n++
 		}
 	}
@@ -146,10 +144,10 @@
 
 // leaving counts the work items that serve on instances which drain, and so are about to
 // stop serving.
-func (set *itemSet) leaving() int {
+func (set *itemSet) leaving(now time.Time) int {
 	n := 0
 	for i := range set.items {
-		if it := &set.items[i]; it.serving() && it.instance.Draining {
+		if it := &set.items[i]; it.serving(now) && it.instance.Draining {
 			n++
 		}
 	}
@@ -168,11 +166,11 @@
 
 // stepsOverBudget counts the long-running steps of which more work items do not serve than
 // may be stopped at a time. Steps without a limit and work that has not started don't count.
-func (j *job) stepsOverBudget() int {
+func (j *job) stepsOverBudget(now time.Time) int {
 	n := 0
 	for _, sets := range j.sets {
 		for _, set := range sets {
-			if j.started && set.step.LongRunning && set.step.MaxUnavailable > 0 && set.unavailable() > set.step.MaxUnavailable {
+			if j.started && set.step.LongRunning && set.step.MaxUnavailable > 0 && set.unavailable(now) > set.step.MaxUnavailable {
 				n++
 			}
 		}
@@ -335,8 +333,9 @@
 	// clockAt.
 	clock   int64
 	clockAt time.Time
-	// maxDeadline is the latest deadline sent to the instance, on its clock.
-	maxDeadline int64
+	// maxDeadline is the latest deadline sent to the instance, on its clock, and grantedUntil
+	// the latest one that it has certainly received.
+	maxDeadline, grantedUntil int64
 	// strayDeadline is the end of the lease that an incarnation which is not known yet has
 	// taken from a start that was meant for the present one, on its clock; zero if none has.
 	strayDeadline int64
@@ -398,6 +397,14 @@
 	return now.After(inst.clockAt.Add(rest + expirySlack))
 }
 
+// vouches reports whether the last answer of the instance shows what is at work there now:
+// it has left no call unanswered, its address is its own, its lease holds, and no stop of an
+// earlier owner may be under way.
+func (inst *instance) vouches(now time.Time) bool {
+	latestClock := inst.clock + now.Sub(inst.clockAt).Milliseconds()
+	return inst.unansweredSince.IsZero() && !inst.addressReused && !inst.unreconciled && latestClock < inst.grantedUntil
+}
+
 // estimatedClock returns a reading that the instance's clock has reached by now. A lease
 // that ends some time after it is never longer than that on the instance.
 func (inst *instance) estimatedClock(now time.Time) int64 {
