Ask the step's limit before stopping a start that may be at work

A start without an answer may have been carried out, and its run may serve when the owner stops it: because its instance leaves, because repeats gave no certainty, or again after a stop that got no answer. Only evictions of runs known to be at work asked how many others of the step are away.

Until the step allows the stop, the polls tell whether the run exists, which ends the doubt at the latest with the lease of the start.

--- a/galenajob/away_test.go
+++ b/galenajob/away_test.go
@@ -304,3 +304,23 @@
 	f.now = f.now.Add(testParams().ResendInterval)
 	is.Equal(len(stops(f.s.Plan(f.now, f.now))), 1)
 }
+
+// Guards against a stop that got no answer, of a start that was refused after one without an
+// answer, and that is sent again when another work item of its step is away.
+func TestStopOfRefusedStartAsksLimitAgain(t *testing.T) {
+	is := is.New(t)
+	f := newAwayFixture(t)
+	f.end(f.leaving, EndLeaseExpired)
+	start := starts(f.s.Plan(f.now, f.now))[0]
+	f.s.HandleOutcome(f.now, start, OutcomeUnknown, 0, f.now)
+	f.now = f.now.Add(testParams().ResendInterval)
+	again := starts(f.s.Plan(f.now, f.now))
+	is.Equal(len(again), 1)
+	f.s.HandleOutcome(f.now, again[0], OutcomeNoRoom, f.clock(), f.now)
+	stop := stops(f.s.Plan(f.now, f.now))
+	is.Equal(len(stop), 1) // the first attempt may still be carried out
+	f.s.HandleOutcome(f.now, stop[0], OutcomeUnknown, 0, f.now)
+	f.list(f.other, 50)
+	f.now = f.now.Add(testParams().ResendInterval)
+	is.Equal(len(stops(f.s.Plan(f.now, f.now))), 0)
+}
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -147,7 +147,7 @@
 	}
 	repeatable := o == OutcomeBusy || o == OutcomeUnsent || o == OutcomeDeferred
 	if !repeatable {
-		s.stop(now, it, "start refused")
+		s.evict(now, it, "start refused")
 	}
 }
 
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -155,14 +155,18 @@
 		}
 		switch it.phase {
 		case phaseStarting:
+			leaves := inst.Draining || inst.evacuating
+			uncertain := !it.uncertainSince.IsZero() && now.Sub(it.uncertainSince) > s.params.Lease
 			switch {
-			case inst.Draining || inst.evacuating:
-				s.stop(now, it, "instance leaves")
-			case !it.uncertainSince.IsZero() && now.Sub(it.uncertainSince) > s.params.Lease:
-				it.failedOn = inst.ID
-				s.stop(now, it, "start without certainty")
-			default:
+			case !leaves && !uncertain:
 				s.emitStart(now, it, reasonRepeated)
+			case !s.mayEnd(now, it):
+				// The polls show whether it is at work.
+			case leaves:
+				s.evict(now, it, "instance leaves")
+			default:
+				it.failedOn = inst.ID
+				s.evict(now, it, "start without certainty")
 			}
 		case phaseStopping:
 			if s.mayStopNow(now, it) {
@@ -175,7 +179,24 @@
 // mayStopNow reports whether the stop of a work item may be sent again. One that its step's
 // limit allowed may still be at work while others have become unavailable since.
 func (s *Scheduler) mayStopNow(now time.Time, it *item) bool {
-	return !it.evicted || it.set.job.final || it.instance.Draining || s.mayEvict(now, it)
+	return !it.evicted || it.set.job.final || s.mayEnd(now, it)
+}
+
+// limited reports whether the step's limit of unavailable work items applies to the end of
+// the work item's run. On a draining instance it ends in any case.
+func (it *item) limited() bool {
+	step := it.set.step
+	return step.LongRunning && step.MaxUnavailable > 0 && !it.instance.Draining
+}
+
+// mayEnd reports whether the run of a work item may be stopped as far as its step's limit
+// goes. One whose start got no answer may be at work.
+func (s *Scheduler) mayEnd(now time.Time, it *item) bool { return !it.limited() || s.mayEvict(now, it) }
+
+// evict stops the run of a work item, whose end the step's limit allows now.
+func (s *Scheduler) evict(now time.Time, it *item, reason string) {
+	it.evicted = it.limited()
+	s.stop(now, it, reason)
 }
 
 // countStarting counts the starts that count against MaxStarting.
@@ -213,13 +234,11 @@
 		step := it.set.step
 		switch {
 		case step.LongRunning:
-			limited := !inst.Draining && step.MaxUnavailable > 0
-			if inst.vacating() && !limited {
+			if inst.vacating() && !it.limited() {
 				continue
 			}
-			if !limited || s.mayEvict(now, it) {
-				it.evicted = limited
-				s.stop(now, it, "instance leaves")
+			if s.mayEnd(now, it) {
+				s.evict(now, it, "instance leaves")
 			}
 		case inst.Draining && step.Checkpointing && now.Sub(inst.drainingSince) > s.params.DrainGracePeriod/2:
 			s.stop(now, it, "instance leaves")
