Let callers' requests wait for their turn unread, and drop those given up

Callers saw long-running work end on sound instances while many more requests came than the owner answers (TestLeasesHoldWhileOwnerIsOverloaded, red beside other load).

A connection now reads one request, which waits at the gate for its turn before it is decoded; all others stay in the buffers of their senders, which slows them down. A request carries when it was sent and how long its caller waits, so that its turn drops it if nobody waits for the answer any more. The clocks of two processes are compared by the requests for which the connection had to be awaited.

The test sends six times as many now, and its clients stamp their requests as entries do.

--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -77,7 +77,7 @@
 
 func runEntry(_ context.Context, path string, f galenasettings.Fleet, load loadFunc, log *galenadaemon.Log) (galenadaemon.Runner, error) {
 	timers := &galenatimer.BootTimeService{}
-	rpcClient := &galenarpc.Client{}
+	rpcClient := &galenarpc.Client{Stamped: true}
 	directory := &galenafleet.Directory{RPCClient: rpcClient, Timers: timers, Logger: log.Logger}
 	directory.SetSeeds(f.Control.SeedPeers())
 	metrics := &galenametric.Metrics{}
--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -117,7 +117,7 @@
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
 	runnableWait                                                       time.Duration
-	repeated, shed                                                     int64
+	repeated, shed, expired                                            int64
 	gateWaits                                                          [galenagate.Classes]time.Duration
 	exhausted, lapsed                                                  int64
 	commandLimit, pollLimit                                            time.Duration
@@ -154,6 +154,7 @@
 	b = appendTotals(b, "requests", "request", l.requests)
 	b = galenalog.AppendInt(b, "requests_repeated", l.repeated)
 	b = galenalog.AppendInt(b, "requests_shed", l.shed)
+	b = galenalog.AppendInt(b, "requests_expired", l.expired)
 	for c, wait := range l.gateWaits {
 		b = galenalog.AppendInt(b, "gate_wait_"+galenagate.Class(c).String()+"_max_us", wait.Microseconds())
 	}
@@ -193,6 +194,7 @@
 	count("lapsed_runs", l.lapsed)
 	count("requests_repeated", l.repeated)
 	count("requests_shed", l.shed)
+	count("requests_expired", l.expired)
 	count("heartbeats", l.heartbeats)
 	count("commit_ops", l.ops)
 	m.OwnerMax.Record("tick_late", l.tickLate.longest)
@@ -238,7 +240,7 @@
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
 		repeats: l.repeats.Swap(0), inFlight: l.inFlight.Load(), heartbeats: l.heartbeats.Swap(0),
-		runnableWait: l.runnable.takeLongest(), repeated: l.repeated.Swap(0), shed: l.shed.Swap(0),
+		runnableWait: l.runnable.takeLongest(), repeated: l.repeated.Swap(0), shed: l.shed.Swap(0), expired: sess.Owner.requests.TakeExpired(),
 		exhausted: l.exhausted.Swap(0), lapsed: l.lapsed.Swap(0), ops: sess.committer.ops.Swap(0),
 	}
 	for c := range l.gateWaits {
--- a/galenafleet/overload_test.go
+++ b/galenafleet/overload_test.go
@@ -158,7 +158,7 @@
 		t.Cleanup(func() { _ = w.Close() })
 		o.Logger = galenalog.New(w, logrus.InfoLevel)
 		o.Metrics = &galenametric.Metrics{}
-		client := &galenarpc.Client{}
+		client := &galenarpc.Client{Stamped: true}
 		t.Cleanup(client.Close)
 		// The timers of a control daemon.
 		node, err := galenaraft.Open(galenaraft.Config{
@@ -233,7 +233,7 @@
 	pressConnections = 60
 	measureAtOnce    = 8
 	// pressFactor is how many times the requests are sent that the owner answers alone.
-	pressFactor = 3.0
+	pressFactor = 6.0
 )
 
 // pressure is the load of many daemons that send requests to the owner.
@@ -251,7 +251,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for range pressConnections {
-		client := &galenarpc.Client{}
+		client := &galenarpc.Client{Stamped: true}
 		defer client.Close()
 		for range measureAtOnce {
 			wg.Go(func() {
@@ -273,7 +273,7 @@
 	var wg sync.WaitGroup
 	for range pressConnections {
 		wg.Go(func() {
-			client := &galenarpc.Client{}
+			client := &galenarpc.Client{Stamped: true}
 			defer client.Close()
 			start := time.Now()
 			for i := 0; ctx.Err() == nil; i++ {
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -15,6 +15,7 @@
 	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
+	"github.com/galenahead/galenahead/galenarpc"
 )
 
 // Log is the part of the replicated log that an Owner uses.
@@ -60,6 +61,9 @@
 	// FinalJobRetention is how long the state of a final job is kept.
 	FinalJobRetention time.Duration
 
+	// requests is the turn of callers' requests that other processes send.
+	requests galenarpc.Turn
+
 	session atomic.Pointer[ownerSession]
 	// ending counts the ended sessions whose calls have not all returned.
 	ending sync.WaitGroup
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenalog"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenarpc"
@@ -33,7 +34,8 @@
 
 // Register adds the RPC methods of the owner.
 func (o *Owner) Register(mux *galenarpc.Mux) {
-	galenarpc.Handle(mux, MethodDo, o.Do)
+	o.requests.Gate, o.requests.Class = o.Gate, galenagate.Demand
+	galenarpc.HandleInTurn(mux, MethodDo, &o.requests, o.doInTurn)
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
 	galenarpc.Handle(mux, MethodHeartbeats, o.Heartbeats)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -98,8 +98,19 @@
 // waits for twice as long, and the caller should rather come back than wait.
 const maxRequestWait = attemptTimeout / 2
 
-// Do handles a caller's request.
+// Do handles a caller's request, which waits for its turn.
 func (o *Owner) Do(_ context.Context, r Request) (Reply, error) {
+	return o.do(r, func() bool { return o.Gate.EnterWithin(galenagate.Demand, maxRequestWait) }, o.Gate.Leave)
+}
+
+// doInTurn handles a caller's request in its turn, for which it has waited.
+func (o *Owner) doInTurn(_ context.Context, r Request, waited time.Duration) (Reply, error) {
+	return o.do(r, func() bool { return waited <= maxRequestWait }, func() {})
+}
+
+// do handles a caller's request once enter has returned, and turns it away if that reports
+// false. leave ends the turn.
+func (o *Owner) do(r Request, enter func() bool, leave func()) (Reply, error) {
 	sess, err := o.currentSession()
 	if err != nil {
 		return Reply{}, err
@@ -111,11 +122,11 @@
 		sess.beginSubmit(submitted)
 		defer sess.endSubmit(submitted)
 	}
-	if !o.Gate.EnterWithin(galenagate.Demand, maxRequestWait) {
+	if !enter() {
 		sess.load.shed.Add(1)
 		return sess.turnAway(r.Kind, submitted)
 	}
-	defer o.Gate.Leave()
+	defer leave()
 	start := o.Timers.Now()
 	if r.Repeated {
 		sess.load.repeated.Add(1)
--- a/galenagate/gate.go
+++ b/galenagate/gate.go
@@ -216,6 +216,16 @@
 	return g.queues[c].wait(now)
 }
 
+// Waiting returns how many pieces of work of a class wait.
+func (g *Gate) Waiting(c Class) int {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.queues[c].waiters)
+}
+
 // TakeLongestWait returns the longest wait of a class since the last call.
 func (g *Gate) TakeLongestWait(c Class) time.Duration {
 	if g == nil {
--- a/galenarpc/client.go
+++ b/galenarpc/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/galenahead/galenahead"
 )
@@ -29,6 +30,9 @@
 	// Mux serves the calls and notifications that peers send on the client's
 	// connections. It may be nil.
 	Mux *Mux
+	// Stamped makes calls say how old they are and how long their callers wait, for methods
+	// whose calls wait for their turn.
+	Stamped bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -53,7 +57,11 @@
 		return err
 	}
 	p.recordCallStart(conn)
-	err = conn.Call(ctx, method, params, result)
+	var opts []jsonrpc2.CallOption
+	if c.Stamped {
+		opts = withStamp(ctx)
+	}
+	err = conn.Call(ctx, method, params, result, opts...)
 	p.recordCallEnd(conn, ctx.Err() != nil)
 	return decodeError(err)
 }
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -36,11 +36,14 @@
 	// direct holds the handlers that don't use the connection. A stream calls them itself,
 	// which spares their messages most passes of jsonrpc2.
 	direct map[string]Handler
+	// inTurn holds the handlers of the methods whose calls wait for their turn.
+	inTurn map[string]turnHandler
 }
 
 // HandleRaw registers h for method.
 func (m *Mux) HandleRaw(method string, h Handler) {
 	delete(m.direct, method)
+	delete(m.inTurn, method)
 	if m.handlers == nil {
 		m.handlers = make(map[string]Handler)
 	}
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -23,6 +24,8 @@
 	cancel context.CancelFunc
 	conn   net.Conn
 	r      *bufio.Reader
+	// ages is used by ReadObject only.
+	ages callAges
 
 	mu sync.Mutex
 	w  *bufio.Writer
@@ -38,26 +41,54 @@
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s *stream) ReadObject(v any) error {
 	for {
-		frame, err := s.readFrame()
+		f, err := s.readFrame()
 		if err != nil {
 			return err
 		}
-		method := frameMethod(frame)
-		if h, ok := s.mux.direct[method]; ok {
-			go s.run(method, h, frame)
+		if h, ok := s.mux.inTurn[f.method]; ok {
+			s.serveInTurn(f.method, h, f)
+			continue
+		}
+		if h, ok := s.mux.direct[f.method]; ok {
+			go s.run(f.method, h, f.data)
 			continue
 		}
 		if u, ok := v.(json.Unmarshaler); ok {
-			return u.UnmarshalJSON(frame)
+			return u.UnmarshalJSON(f.data)
 		}
-		return json.Unmarshal(frame, v)
+		return json.Unmarshal(f.data, v)
 	}
 }
 
+// frame is a message.
+type frame struct {
+	data []byte
+	// method and stamp are those of a call. stamp may be nil.
+	method string
+	stamp  *stamp
+	// awaited is set if the connection had nothing to read before.
+	awaited bool
+}
+
+// minAwaited is how long a read takes at the least that had to wait for the network.
+const minAwaited = time.Millisecond
+
+func (s *stream) readFrame() (frame, error) {
+	buffered, start := s.r.Buffered() > 0, time.Now()
+	data, err := s.readData()
+	if err != nil {
+		return frame{}, err
+	}
+	f := frame{data: data, awaited: !buffered && time.Since(start) >= minAwaited}
+	f.method, f.stamp = parseHead(data)
+	return f, nil
+}
+
 // maxFrameAllocation is the length of a frame up to which its prefix alone is trusted.
 const maxFrameAllocation = 64 << 10
 
-func (s *stream) readFrame() ([]byte, error) {
+// readData reads the data of a frame.
+func (s *stream) readData() ([]byte, error) {
 	n, err := binary.ReadUvarint(s.r)
 	if err != nil {
 		return nil, err
@@ -74,40 +105,41 @@
 	return b.Bytes(), nil
 }
 
-// frameMethod returns the method of a request as jsonrpc2 encodes it, with the method
-// before the parameters, or an empty string.
-func frameMethod(frame []byte) string {
-	head, _, found := bytes.Cut(frame, []byte(`,"params":`))
-	if !found {
-		return ""
-	}
-	_, method, found := bytes.Cut(head, []byte(`"jsonrpc":"2.0","method":"`))
-	if !found || len(method) == 0 {
-		return ""
-	}
-	return string(method[:len(method)-1])
+// call is a decoded frame of a call.
+type call struct {
+	ID     *jsonrpc2.ID    `json:"id"`
+	Params json.RawMessage `json:"params"`
 }
 
-// run serves a call of a direct method.
-func (s *stream) run(method string, h Handler, frame []byte) {
-	var call struct {
-		ID     *jsonrpc2.ID    `json:"id"`
-		Params json.RawMessage `json:"params"`
+// run serves a call.
+func (s *stream) run(method string, h Handler, data []byte) {
+	if c, ok := s.decodeCall(data); ok {
+		s.answer(method, h, c)
 	}
-	if json.Unmarshal(frame, &call) != nil {
-		_ = s.conn.Close() // as after any other message that can't be read
-		return
+}
+
+// decodeCall decodes a call. One that can't be read ends the connection, as any other such
+// message does.
+func (s *stream) decodeCall(data []byte) (c call, ok bool) {
+	if json.Unmarshal(data, &c) != nil {
+		_ = s.conn.Close()
+		return c, false
 	}
-	reply, err := s.mux.handle(s.ctx, method, h, nil, call.Params)
-	if call.ID == nil {
+	return c, true
+}
+
+// answer calls the handler and sends its reply.
+func (s *stream) answer(method string, h Handler, c call) {
+	reply, err := s.mux.handle(s.ctx, method, h, nil, c.Params)
+	if c.ID == nil {
 		return // a notification
 	}
-	resp := &jsonrpc2.Response{ID: *call.ID}
+	resp := &jsonrpc2.Response{ID: *c.ID}
 	if err == nil {
 		err = resp.SetResult(reply)
 	}
 	if err != nil {
-		resp = &jsonrpc2.Response{ID: *call.ID, Error: encodeError(err)}
+		resp = &jsonrpc2.Response{ID: *c.ID, Error: encodeError(err)}
 	}
 	// An error means that the connection has ended, which ReadObject reports.
 	_ = s.WriteObject(resp)
--- a/galenarpc/stream_test.go
+++ b/galenarpc/stream_test.go
@@ -107,9 +107,13 @@
 		`{"id":1,"jsonrpc":"2.0","method":"a.b"}`:                                                "",
 		`,"params":`: "",
 		``:           "",
-		`{"id":1,"jsonrpc":"2.0","method":","params":`: "",
+		`{"id":1,"jsonrpc":"2.0","method":","params":`:                                            "",
+		`{"id":1,"jsonrpc":"2.0","meta":{"limit_ms":600,"sent_ms":7},"method":"a.b","params":{}}`: "a.b",
+		`{"id":1,"jsonrpc":"2.0","meta":{"limit_ms":"x"},"method":"a.b","params":{}}`:             "",
+		`{"id":1,"jsonrpc":"2.0","meta":{,"params":`:                                              "",
 	} {
-		is.Equal(frameMethod([]byte(frame)), method)
+		got, _ := parseHead([]byte(frame))
+		is.Equal(got, method)
 	}
 }
 
