Let the owner's garbage grow to a share of its machine's memory

Callers on the large site get too little of their work in time (SHORT): what binds is the owner's processor. A cycle now begins when the heap has reached a quarter of the machine's memory, not twice what is live, and never later than at nine times that; the memory limit stays.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -324,6 +324,8 @@
 			workers.Go(func() error { return c.owner.Run(ctx) })
 			workers.Go(func() error { return c.relays.Run(ctx) })
 			workers.Go(func() error { return c.heartbeats.Run(ctx) })
+			garbage := &galenadaemon.GarbageTuner{Timers: c.timers, MachineMemoryMB: c.settings.Process.MachineMemoryMB}
+			workers.Go(func() error { return garbage.Run(ctx) })
 		},
 		failed:     c.diskFailed,
 		beforeStop: c.transferLeadership,
