Collect reads for a busy owner at other control daemons

While the owner's replies say that requests wait for its processor, entries now send reads to another control daemon, which collects them for 20 ms and asks the owner in one message. The owner still gives each answer, so that none is older than before; an entry that gets none asks the owner itself.

Ruled out: answers of the replicas themselves. A final state is final, but whether its queue still exists depends on the configuration, and a replica that is cut off has an old one.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -38,6 +38,7 @@
 	relays      *galenarelay.Client
 	relayServer *galenarelay.Server
 	heartbeats  *galenafleet.HeartbeatCollector
+	reads       *galenafleet.ReadCollector
 	// diskFailed is closed when the replica cannot continue after a disk failure.
 	diskFailed chan struct{}
 }
@@ -149,6 +150,7 @@
 		},
 	}
 	c.heartbeats = &galenafleet.HeartbeatCollector{Owner: c.ownerClient, Timers: timers, Self: f.Listen.Peer.String()}
+	c.reads = &galenafleet.ReadCollector{Owner: c.ownerClient, Timers: timers}
 	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
 	instances := &platform.InstanceClient{Client: client}
 	c.relays = &galenarelay.Client{
@@ -176,6 +178,7 @@
 	c.owner.Register(&c.mux)
 	c.relays.Register(&c.mux)
 	c.relayServer.Register(&c.mux)
+	c.reads.Register(&c.mux)
 	return c, nil
 }
 
@@ -324,6 +327,7 @@
 			workers.Go(func() error { return c.owner.Run(ctx) })
 			workers.Go(func() error { return c.relays.Run(ctx) })
 			workers.Go(func() error { return c.heartbeats.Run(ctx) })
+			workers.Go(func() error { return c.reads.Run(ctx) })
 			garbage := &galenadaemon.GarbageTuner{Timers: c.timers, MachineMemoryMB: c.settings.Process.MachineMemoryMB}
 			workers.Go(func() error { return garbage.Run(ctx) })
 		},
--- a/galenafleet/heartbeats.go
+++ b/galenafleet/heartbeats.go
@@ -143,15 +143,10 @@
 	// Self is the address of this daemon. While it owns the fleet, it collects nothing.
 	Self string
 
-	mu      sync.Mutex
-	pending []collectedHeartbeat
-	wake    chan struct{}
-	spread  float64
-}
+	calls collector[Heartbeat, Empty]
 
-type collectedHeartbeat struct {
-	heartbeat Heartbeat
-	done      chan error
+	mu     sync.Mutex
+	spread float64
 }
 
 // Heartbeat forwards a heartbeat with others, and returns once the owner has handled it.
@@ -159,25 +154,8 @@
 	if addr, known := c.Owner.Directory.Leader(); known && addr == c.Self {
 		return c.Owner.Heartbeat(ctx, hb)
 	}
-	x := collectedHeartbeat{hb, make(chan error, 1)}
-	c.mu.Lock()
-	c.initLocked()
-	c.pending = append(c.pending, x)
-	wake := c.wake
-	c.mu.Unlock()
-	notify(wake)
-	select {
-	case err := <-x.done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (c *HeartbeatCollector) initLocked() {
-	if c.wake == nil {
-		c.wake = make(chan struct{}, 1)
-	}
+	_, err := c.calls.do(ctx, hb)
+	return err
 }
 
 // Spread returns the share of the instances that should send their heartbeats to other
@@ -190,57 +168,31 @@
 
 // Run forwards heartbeats until ctx ends.
 func (c *HeartbeatCollector) Run(ctx context.Context) error {
-	c.mu.Lock()
-	c.initLocked()
-	c.mu.Unlock()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-c.wake:
-		}
-		<-c.Timers.After(ctx, heartbeatPause)
-		c.mu.Lock()
-		batch := c.pending
-		c.pending = nil
-		c.mu.Unlock()
-		if len(batch) > 0 {
-			go c.run(ctx, batch)
-		}
-	}
+	return c.calls.loop(ctx, c.Timers, heartbeatPause, c.forward)
 }
 
-// run forwards one batch.
-func (c *HeartbeatCollector) run(ctx context.Context, batch []collectedHeartbeat) {
+func (c *HeartbeatCollector) forward(ctx context.Context, batch []Heartbeat) []collectedResult[Empty] {
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatBatchTimeout+attemptTimeout/2)
 	defer cancel()
-	params := HeartbeatBatch{Heartbeats: make([]Heartbeat, len(batch))}
-	for i := range batch {
-		params.Heartbeats[i] = batch[i].heartbeat
+	reply, _, err := call[HeartbeatBatch, HeartbeatReply](callCtx, c.Owner, MethodHeartbeats, HeartbeatBatch{batch})
+	if err != nil && !galenarpc.IsUnknownMethod(err) {
+		return failAll[Empty](len(batch), err)
 	}
-	reply, _, err := call[HeartbeatBatch, HeartbeatReply](callCtx, c.Owner, MethodHeartbeats, params)
-	errs := make([]error, len(batch))
-	switch {
-	case galenarpc.IsUnknownMethod(err):
+	out := make([]collectedResult[Empty], len(batch))
+	if err != nil {
 		// The owner is of an earlier version.
 		for i := range batch {
-			errs[i] = c.Owner.Heartbeat(callCtx, batch[i].heartbeat)
-		}
-	case err != nil:
-		for i := range errs {
-			errs[i] = err
-		}
-	default:
-		c.mu.Lock()
-		c.spread = reply.Spread
-		c.mu.Unlock()
-		for _, i := range reply.Failed {
-			if i >= 0 && i < len(errs) {
-				errs[i] = errHeartbeatNotHandled
-			}
+			out[i].err = c.Owner.Heartbeat(callCtx, batch[i])
 		}
+		return out
 	}
-	for i, x := range batch {
-		x.done <- errs[i]
+	c.mu.Lock()
+	c.spread = reply.Spread
+	c.mu.Unlock()
+	for _, i := range reply.Failed {
+		if i >= 0 && i < len(out) {
+			out[i].err = errHeartbeatNotHandled
+		}
 	}
+	return out
 }
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,6 +37,7 @@
 func (o *Owner) Register(mux *galenarpc.Mux) {
 	o.requests.Gate, o.requests.Class = o.Gate, galenagate.Demand
 	galenarpc.HandleInTurn(mux, MethodDo, &o.requests, o.doInTurn)
+	galenarpc.HandleInTurn(mux, MethodReads, &o.requests, o.readInTurn)
 	galenarpc.Handle(mux, MethodHeartbeat, o.Heartbeat)
 	galenarpc.Handle(mux, MethodHeartbeats, o.Heartbeats)
 	galenarpc.Handle(mux, MethodLeave, o.Leave)
@@ -51,7 +53,7 @@
 // the fleet. They fail with ErrNotLeader.
 func RegisterNotOwner(mux *galenarpc.Mux) {
 	for _, method := range []string{
-		MethodDo, MethodHeartbeat, MethodHeartbeats, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+		MethodDo, MethodRead, MethodReads, MethodHeartbeat, MethodHeartbeats, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
 	} {
 		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
 			return nil, galenahead.ErrNotLeader
@@ -68,6 +70,9 @@
 	// Metrics counts the replies to callers by outcome and records their latency.
 	Metrics *galenametric.Metrics
 
+	// spreadUntil is until when reads go to other control daemons, in Unix nanoseconds.
+	spreadUntil atomic.Int64
+
 	mu          sync.Mutex
 	unreachable bool
 }
@@ -163,7 +168,8 @@
 // when ctx ends.
 func (oc *OwnerClient) Do(ctx context.Context, r Request) Reply {
 	start := time.Now()
-	reply, maybeSent, err := call[Request, Reply](ctx, oc, MethodDo, r)
+	reply, maybeSent, err := oc.ask(ctx, r)
+	oc.noteBusy(reply)
 	maybeDone := maybeSent && r.changesJob()
 	overruled := false
 	switch {
@@ -189,6 +195,14 @@
 	return reply
 }
 
+// ask sends a request to the owner, or a read to another control daemon while the owner is busy.
+func (oc *OwnerClient) ask(ctx context.Context, r Request) (reply Reply, maybeSent bool, err error) {
+	if reply, ok := oc.readElsewhere(ctx, r); ok {
+		return reply, false, nil
+	}
+	return call[Request, Reply](ctx, oc, MethodDo, r)
+}
+
 // Heartbeat forwards a heartbeat.
 func (oc *OwnerClient) Heartbeat(ctx context.Context, hb Heartbeat) error {
 	_, _, err := call[Heartbeat, Empty](ctx, oc, MethodHeartbeat, hb)
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -84,6 +84,9 @@
 	// RetryAfter is how long the caller should wait before it sends the request
 	// again; zero if the reply is final or it may do so at once.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Busy reports that the owner is short of processor time, so that reads should be sent to
+	// other control daemons, which collect them.
+	Busy bool `json:"busy,omitempty"`
 }
 
 // UnreadyRetryAfter is how long a caller should wait before it tries again while no
@@ -100,17 +103,22 @@
 
 // Do handles a caller's request, which waits for its turn.
 func (o *Owner) Do(_ context.Context, r Request) (Reply, error) {
-	return o.do(r, func() bool { return o.Gate.EnterWithin(galenagate.Demand, maxRequestWait) }, o.Gate.Leave)
+	start := time.Now()
+	enter := func() (time.Duration, bool) {
+		ok := o.Gate.EnterWithin(galenagate.Demand, maxRequestWait)
+		return time.Since(start), ok
+	}
+	return o.do(r, enter, o.Gate.Leave)
 }
 
 // doInTurn handles a caller's request in its turn, for which it has waited.
 func (o *Owner) doInTurn(_ context.Context, r Request, waited time.Duration) (Reply, error) {
-	return o.do(r, func() bool { return waited <= maxRequestWait }, func() {})
+	return o.do(r, func() (time.Duration, bool) { return waited, waited <= maxRequestWait }, func() {})
 }
 
-// do handles a caller's request once enter has returned, and turns it away if that reports
-// false. leave ends the turn.
-func (o *Owner) do(r Request, enter func() bool, leave func()) (Reply, error) {
+// do handles a caller's request once enter has returned how long it has waited for its turn,
+// and turns it away if that reports false. leave ends the turn.
+func (o *Owner) do(r Request, enter func() (time.Duration, bool), leave func()) (Reply, error) {
 	sess, err := o.currentSession()
 	if err != nil {
 		return Reply{}, err
@@ -122,12 +130,25 @@
 		sess.beginSubmit(submitted)
 		defer sess.endSubmit(submitted)
 	}
-	if !enter() {
+	waited, ok := enter()
+	if !ok {
 		sess.load.shed.Add(1)
 		return sess.turnAway(r.Kind, submitted)
 	}
 	defer leave()
-	start := o.Timers.Now()
+	reply, err := sess.answer(r, waited)
+	if err != nil {
+		return Reply{}, err
+	}
+	if !sess.isLeader() && reply.Outcome != OutcomeAccepted {
+		return Reply{}, galenahead.ErrNotLeader
+	}
+	return reply, nil
+}
+
+// answer handles a request whose turn has come, and logs the reply.
+func (sess *ownerSession) answer(r Request, waited time.Duration) (Reply, error) {
+	start := sess.Timers.Now()
 	if r.Repeated {
 		sess.load.repeated.Add(1)
 	}
@@ -135,13 +156,11 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	if !sess.isLeader() && reply.Outcome != OutcomeAccepted {
-		return Reply{}, galenahead.ErrNotLeader
-	}
-	latency := o.Timers.Now().Sub(start)
-	o.Metrics.Latency.Record(string(r.Kind), latency)
+	reply.Busy = waited > busyWait
+	latency := sess.Timers.Now().Sub(start)
+	sess.Metrics.Latency.Record(string(r.Kind), latency)
 	sess.load.requests.record(latency)
-	galenalog.Info(o.Logger, "request", requestLine{r, reply, latency, sess.epoch})
+	galenalog.Info(sess.Logger, "request", requestLine{r, reply, latency, sess.epoch})
 	return reply, nil
 }
 
