Keep reads for a busy owner off the connections of heartbeats and results

Found in reading the change: a connection reads one request at a time that waits for its turn. Reads that a control daemon collects went over the connection that also brings the owner heartbeats and the results of relayed polls, which then waited behind them, and an entry's queries for the leader waited behind its requests. Both have connections of their own now.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -30,7 +30,9 @@
 	node      *galenaraft.Node
 	rpcClient *galenarpc.Client
 	// logClient has the connections of the log, so that its messages wait for no others.
-	logClient  *galenarpc.Client
+	logClient *galenarpc.Client
+	// readClient has the connections of reads, which wait for their turn at the owner.
+	readClient *galenarpc.Client
 	owner      *galenafleet.Owner
 	membership *galenafleet.MembershipManager
 	// relays makes this daemon's calls to instances through others, and relayServer makes
@@ -129,8 +131,9 @@
 func newControl(path string, f galenasettings.Fleet, load loadFunc, log *galenadaemon.Log, metrics *galenametric.Metrics) (*controlDaemon, error) {
 	timers := &galenatimer.BootTimeService{}
 	rpcClient, logClient, gate := &galenarpc.Client{}, &galenarpc.Client{}, &galenagate.Gate{}
+	readClient := &galenarpc.Client{Stamped: true}
 	state := &galenafleet.State{Timers: timers, ProcessStart: time.Now().Round(0)}
-	c := &controlDaemon{rpcClient: rpcClient, logClient: logClient, diskFailed: make(chan struct{})}
+	c := &controlDaemon{rpcClient: rpcClient, logClient: logClient, readClient: readClient, diskFailed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, RPCClient: logClient, Timers: timers, Log: log.Logger,
 		Tick: raftTick, Heartbeat: heartbeatInterval, Lease: leaderLease, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout,
@@ -150,7 +153,13 @@
 		},
 	}
 	c.heartbeats = &galenafleet.HeartbeatCollector{Owner: c.ownerClient, Timers: timers, Self: f.Listen.Peer.String()}
-	c.reads = &galenafleet.ReadCollector{Owner: c.ownerClient, Timers: timers}
+	c.reads = &galenafleet.ReadCollector{
+		Owner: &galenafleet.OwnerClient{
+			Directory: directory, RPCClient: &galenarpc.LocalFirst{RPCClient: readClient, Self: f.Listen.Peer.String(), Mux: &c.mux},
+			Logger: log.Logger, Metrics: metrics,
+		},
+		Timers: timers,
+	}
 	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
 	instances := &platform.InstanceClient{Client: client}
 	c.relays = &galenarelay.Client{
@@ -314,6 +323,7 @@
 func (c *controlDaemon) Run(ctx context.Context) error {
 	defer c.rpcClient.Close()
 	defer c.logClient.Close()
+	defer c.readClient.Close()
 	defer c.node.Close()
 	handler := &platform.ControlHandler{
 		Owner: collectingOwner{c.ownerClient, c.heartbeats}, Logger: c.log.Logger, HeartbeatHost: c.heartbeatHost,
--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -77,8 +77,9 @@
 
 func runEntry(_ context.Context, path string, f galenasettings.Fleet, load loadFunc, log *galenadaemon.Log) (galenadaemon.Runner, error) {
 	timers := &galenatimer.BootTimeService{}
+	// The directory's queries must not wait behind requests for their turn at the owner.
 	rpcClient := &galenarpc.Client{Stamped: true}
-	directory := &galenafleet.Directory{RPCClient: rpcClient, Timers: timers, Logger: log.Logger}
+	directory := &galenafleet.Directory{RPCClient: &galenarpc.Client{}, Timers: timers, Logger: log.Logger}
 	directory.SetSeeds(f.Control.SeedPeers())
 	metrics := &galenametric.Metrics{}
 	metrics.Publish("galena")
--- a/galenafleet/reads.go
+++ b/galenafleet/reads.go
@@ -73,6 +73,7 @@
 // time spends on a message is more than what it spends on a read. Its zero value with Owner and
 // Timers is ready to use once Run runs.
 type ReadCollector struct {
+	// Owner has connections of its own, on which nothing waits behind a read for its turn.
 	Owner  *OwnerClient
 	Timers galenahead.Timers
 
@@ -132,7 +133,7 @@
 	owner, _ := oc.Directory.Leader()
 	members, _ := oc.Directory.Members()
 	addr := func(i int) string { return members[i].Address }
-	i := SpreadOver(galenahead.InstanceID(r.Path), len(members), addr, func(i int) bool { return addr(i) != owner })
+	i := SpreadOver(r.Path, len(members), addr, func(i int) bool { return addr(i) != owner })
 	if i < 0 {
 		return Reply{}, false
 	}
