--- a/galenajob/overload_test.go
+++ b/galenajob/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,18 +21,18 @@
 	ends map[ItemID]time.Time
 	runs map[ItemID]int64
 	seq  int64
-	// submitted and done hold when each job was accepted and completed.
-	submitted, done map[galenahead.JobID]time.Time
+	// submitted holds when each job was accepted that is not done, and took how long the
+	// others have taken.
+	submitted map[galenahead.JobID]time.Time
+	took      []time.Duration
 }
 
 func (o *overloadedService) submit(id string) {
 	j := testJob(id, 5)
-	step := j.Spec.Steps[0]
-	step.Need = Resources{MilliCPU: 600, MemoryMB: 1}
-	next := step
+	j.Spec.Steps[0].Need = Resources{MilliCPU: 600, MemoryMB: 1}
+	next := j.Spec.Steps[0]
 	next.After = []int{0}
-	j.Spec.Steps = []Step{step, next}
-	j.ItemsLeft = 10
+	j.Spec.Steps, j.ItemsLeft = append(j.Spec.Steps, next), 10
 	o.s.AddJob(o.now, j, 0, false)
 	o.submitted[j.ID] = o.now
 }
@@ -54,18 +55,13 @@
 		resp.Ends = append(resp.Ends, End{Sequence: o.seq, Item: id, Number: o.runs[id], Reason: EndDone})
 		delete(o.ends, id)
 	}
-	record := o.s.HandlePoll(o.now, "a", resp)
-	newly := make([]bool, len(record))
-	for i, e := range record {
-		newly[i] = true
+	ends := o.s.HandlePoll(o.now, "a", resp)
+	o.s.ConfirmRecorded(o.now, "a", 1, ends, slices.Repeat([]bool{true}, len(ends)))
+	for _, e := range ends {
 		j := o.s.jobs[e.Item.Job]
 		if j.ItemsLeft--; j.ItemsLeft == 0 {
-			o.done[e.Item.Job] = o.now
-		}
-	}
-	o.s.ConfirmRecorded(o.now, "a", 1, record, newly)
-	for _, e := range record {
-		if _, done := o.done[e.Item.Job]; done {
+			o.took = append(o.took, o.now.Sub(o.submitted[e.Item.Job]))
+			delete(o.submitted, e.Item.Job)
 			o.s.RemoveJob(o.now, e.Item.Job)
 		}
 	}
@@ -79,27 +75,23 @@
 	s := newFencedScheduler("a")
 	s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2, Stretch: 1.6, TargetLatency: 600 * time.Millisecond})
 	s.instances["a"].Capacity = Resources{MilliCPU: 10000, MemoryMB: 1 << 20}
-	o := &overloadedService{
-		s: s, now: t0, ends: map[ItemID]time.Time{}, runs: map[ItemID]int64{}, submitted: map[galenahead.JobID]time.Time{}, done: map[galenahead.JobID]time.Time{},
-	}
+	o := &overloadedService{s: s, now: t0, ends: map[ItemID]time.Time{}, runs: map[ItemID]int64{}, submitted: map[galenahead.JobID]time.Time{}}
 	for i := range 160 {
 		if i%5 == 0 {
-			// Two steps of five work items on 0.6 cores: 9.6 core seconds.
-			o.submit(fmt.Sprintf("j%03d", i))
+			o.submit(fmt.Sprintf("j%03d", i)) // two steps of five work items on 0.6 cores: 9.6 core seconds
 		}
 		o.step()
 	}
-	for len(o.done) < len(o.submitted) {
+	for len(o.submitted) > 0 {
 		o.step()
 	}
-	objective := 3800 * time.Millisecond // 1.6 * 2 s + 0.6 s
 	inTime := 0
-	for id, at := range o.done {
-		if at.Sub(o.submitted[id]) <= objective {
+	for _, took := range o.took {
+		if took <= 3800*time.Millisecond { // 1.6 * 2 s + 0.6 s
 			inTime++
 		}
 	}
 	possible := 12 // of 9.6 core seconds on 10 cores, from the first arrival to the last objective
-	t.Logf("%d of %d jobs in time, %d possible", inTime, len(o.submitted), possible)
+	t.Logf("%d of %d jobs in time, %d possible", inTime, len(o.took), possible)
 	is.True(2*inTime >= possible)
 }
--- a/galenarelay/server.go
+++ b/galenarelay/server.go
@@ -32,9 +32,6 @@
 	resultTimeout = 500 * time.Millisecond
 	// outboxIdleTime is how long the results of a client are waited for after its last one.
 	outboxIdleTime = 10 * time.Second
-	// offsetWindow is the period over which the shortest way of a client's messages is
-	// measured, short enough for clocks that differ by 2%.
-	offsetWindow = 10 * time.Second
 )
 
 // ErrLate reports a batch that was too old to be carried out. Nothing of it was sent.
@@ -166,13 +163,13 @@
 
 	mu      sync.Mutex
 	pending []result
-	offset  offsetEstimate
+	ages    galenarpc.AgeEstimate
 }
 
 func (o *outbox) age(received time.Time, sent time.Duration) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.offset.age(received, sent)
+	return o.ages.Age(received, sent)
 }
 
 func (o *outbox) add(r result) {
@@ -236,25 +233,3 @@
 		o.server.Logger.WithError(err).WithField("results", len(results)).WithField("owner", o.replyTo).Info("results of relayed calls were not delivered")
 	}
 }
-
-// offsetEstimate estimates the age of messages from the shortest way that one took lately.
-// Its zero value is ready to use.
-type offsetEstimate struct {
-	known             bool
-	shortest, earlier time.Duration
-	since             time.Time
-}
-
-// age returns how much longer a message was under way than the fastest ones of late. sent is
-// a reading of the sender's clock.
-func (e *offsetEstimate) age(received time.Time, sent time.Duration) time.Duration {
-	offset := time.Duration(received.UnixNano()) - sent
-	switch {
-	case !e.known:
-		*e = offsetEstimate{true, offset, offset, received}
-	case received.Sub(e.since) > offsetWindow:
-		e.earlier, e.shortest, e.since = e.shortest, offset, received
-	}
-	e.shortest = min(e.shortest, offset)
-	return offset - min(e.shortest, e.earlier)
-}
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -25,7 +25,7 @@
 	conn   net.Conn
 	r      *bufio.Reader
 	// ages is used by ReadObject only.
-	ages callAges
+	ages AgeEstimate
 
 	mu sync.Mutex
 	w  *bufio.Writer
--- a/galenarpc/turn.go
+++ b/galenarpc/turn.go
@@ -57,7 +57,7 @@
 // caller has given up is dropped, since nobody waits for an answer.
 func (s *stream) serveInTurn(method string, h turnHandler, f frame) {
 	waiting := time.Now()
-	age := s.ages.of(f.stamp, waiting, f.awaited)
+	age := s.age(f, waiting)
 	h.turn.Gate.Enter(h.turn.Class)
 	waited := age + time.Since(waiting)
 	if f.stamp != nil && waited > f.stamp.limit() {
@@ -103,24 +103,16 @@
 	return []jsonrpc2.CallOption{jsonrpc2.Meta(stamp{time.Until(deadline).Milliseconds(), time.Since(processStart).Milliseconds()})}
 }
 
-// callAges estimates the ages of the calls of one connection from their stamps, whose clock has
-// an unknown zero and rate. A call for which the connection had to be awaited is new.
-type callAges struct {
-	known bool
-	// newest is the difference of the two clocks for a new call.
-	newest time.Duration
-}
-
-// of returns the age of a call that was read at now, or zero if it has no stamp.
-func (a *callAges) of(s *stamp, now time.Time, awaited bool) time.Duration {
-	if s == nil {
+// age returns how long ago a call was sent that was read at now, as far as its stamp tells. A
+// call for which the connection had to be awaited is new.
+func (s *stream) age(f frame, now time.Time) time.Duration {
+	if f.stamp == nil {
 		return 0
 	}
-	d := now.Sub(processStart) - time.Duration(s.SentMS)*time.Millisecond
-	if awaited || !a.known || d < a.newest {
-		a.known, a.newest = true, d
+	if f.awaited {
+		s.ages.Reset()
 	}
-	return d - a.newest
+	return s.ages.Age(now, time.Duration(f.stamp.SentMS)*time.Millisecond)
 }
 
 // parseHead returns the method and the stamp of a request as jsonrpc2 encodes it, with both
--- a/galenarpc/turn_test.go
+++ b/galenarpc/turn_test.go
@@ -60,15 +60,19 @@
 }
 
 // Guards against ages that depend on the difference of two clocks, or on its drift.
-func TestCallAges(t *testing.T) {
+func TestAgesOfCalls(t *testing.T) {
 	is := is.New(t)
-	at := func(ms int) time.Time { return processStart.Add(time.Duration(ms) * time.Millisecond) }
-	var a callAges
-	is.Equal(a.of(nil, at(0), false), time.Duration(0))
-	is.Equal(a.of(&stamp{SentMS: 500_000}, at(10), false), time.Duration(0))
-	is.Equal(a.of(&stamp{SentMS: 500_010}, at(50), false), 30*time.Millisecond)
-	is.Equal(a.of(&stamp{SentMS: 500_020}, at(350), false), 320*time.Millisecond)
-	is.Equal(a.of(&stamp{SentMS: 500_300}, at(360), true), time.Duration(0)) // its clock is slow
-	is.Equal(a.of(&stamp{SentMS: 500_310}, at(400), false), 30*time.Millisecond)
-	is.Equal(a.of(&stamp{SentMS: 500_400}, at(400), false), time.Duration(0)) // newer than thought
+	s := &stream{}
+	for _, call := range []struct {
+		sent, read int
+		awaited    bool
+		age        int
+	}{
+		{500_000, 10, false, 0}, {500_010, 50, false, 30}, {500_020, 350, false, 320}, {500_300, 360, true, 0}, // its clock is slow
+		{500_310, 400, false, 30}, {500_400, 400, false, 0}, // newer than thought
+	} {
+		f := frame{stamp: &stamp{SentMS: int64(call.sent)}, awaited: call.awaited}
+		is.Equal(s.age(f, processStart.Add(time.Duration(call.read)*time.Millisecond)), time.Duration(call.age)*time.Millisecond)
+	}
+	is.Equal(s.age(frame{}, processStart), time.Duration(0))
 }
