--- a/galenarpc/age.go
+++ b/galenarpc/age.go
@@ -15,7 +15,7 @@
 }
 
 // Age returns how much longer a message was under way than the fastest ones of late. sent is
-// a reading of the sender's clock.
+// a reading of the sender's clock, and received one of a clock here that is not stepped.
 func (e *AgeEstimate) Age(received time.Time, sent time.Duration) time.Duration {
 	offset := time.Duration(received.UnixNano()) - sent
 	switch {
--- a/galenarpc/turn.go
+++ b/galenarpc/turn.go
@@ -112,7 +112,8 @@
 	if f.awaited {
 		s.ages.Reset()
 	}
-	return s.ages.Age(now, time.Duration(f.stamp.SentMS)*time.Millisecond)
+	steady := time.Unix(0, int64(now.Sub(processStart))) // not subject to steps of the wall clock
+	return s.ages.Age(steady, time.Duration(f.stamp.SentMS)*time.Millisecond)
 }
 
 // parseHead returns the method and the stamp of a request as jsonrpc2 encodes it, with both
