--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of review/6 and later, and the program of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -ldflags=-linkmode=external -o target/ ./cmd/galena-fleet
+(cd review/stand2 && GOWORK=off go build -o ../../target/stand2 .)
--- /dev/null
+++ b/review/stand2/cases.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+var cases = map[string]func(f *fleet) bool{
+	"leave": caseLeave, "odd": caseOdd, "crash": caseCrash, "waiting": caseWaiting,
+}
+
+const (
+	queue   = "/q/"
+	service = "counter-desk"
+	job     = "5c0e7a21d94b36f8"
+	task    = job + ".0.0.0"
+)
+
+// crash kills a minion, and records that all runs on it have ended with it.
+func (f *fleet) crash(id string) {
+	f.kill(id)
+	open := map[string]int64{}
+	for _, e := range f.events() {
+		switch {
+		case e.Minion != id:
+		case e.What == "start":
+			open[e.Task] = e.Run
+		case e.What == "end":
+			delete(open, e.Task)
+		}
+	}
+	file, err := os.OpenFile(filepath.Join(f.dir, "events"), os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		fail("%v", err)
+	}
+	defer func() { _ = file.Close() }()
+	for t, n := range open {
+		b, _ := json.Marshal(event{T: time.Now().UnixMicro(), Minion: id, What: "end", Task: t, Run: n, How: "crashed"})
+		_, _ = file.Write(append(b, '\n'))
+	}
+	f.note("minion %s has crashed", id)
+}
+
+// awaitStart waits for a start of a work item after a time.
+func (f *fleet) awaitStart(task string, after int64, limit time.Duration) *event {
+	var e *event
+	await(limit, func() bool { e = f.started(task, after); return e != nil })
+	return e
+}
+
+// saw reports whether a minion has recorded something.
+func (f *fleet) saw(id, what string) *event {
+	for _, e := range f.events() {
+		if e.Minion == id && e.What == what {
+			return &e
+		}
+	}
+	return nil
+}
+
+// caseLeave: a minion drains and leaves while a work item of it is at work; its leave arrives,
+// but the confirmation does not, since the minion is cut off one way.
+func caseLeave(f *fleet) bool {
+	f.startDaemons()
+	f.configure(1, []string{service}, route{queue, service})
+	net := &link{}
+	var via []string
+	for i := 1; i <= controls; i++ {
+		via = append(via, f.controlAddr(i)+"="+net.pass(ip(150+i)+":0", f.controlAddr(i), false))
+	}
+	// The minion listens on an address that only the link knows.
+	inner := ip(160) + ":" + freePort(ip(160))
+	outer := net.pass(ip(161)+":0", inner, true)
+	f.addMinion(1, "i-x", service, "--listen", inner, "--address", outer, "--via", strings.Join(via, ","))
+	f.submit(queue+job, "work=25000 cpu=1000", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 25000})
+	first := f.awaitStart(task, 0, 10*time.Second)
+	if first == nil || first.Minion != "i-x" {
+		fail("the work item was not started on i-x")
+	}
+	f.addMinion(2, "i-y", service)
+	time.Sleep(4 * time.Second)
+	f.note("i-x is told to end")
+	f.signal("i-x", syscall.SIGTERM)
+	f.must("draining confirmed", 5*time.Second, func() bool { return f.saw("i-x", "draining-confirmed") != nil })
+	time.Sleep(2200 * time.Millisecond)
+	if f.trouble {
+		f.note("i-x is cut off one way: nothing reaches it any more")
+		net.cut.Store(true)
+		time.AfterFunc(6*time.Second, func() { net.cut.Store(false); f.note("the cut has healed") })
+	}
+	f.must("i-x has ended", 15*time.Second, func() bool { return f.saw("i-x", "down") != nil })
+	f.note("i-x has ended: %s", f.saw("i-x", "down").How)
+	time.Sleep(6 * time.Second)
+	if f.awaitStart(task, first.T, 10*time.Second) == nil {
+		fail("the work item was not started again")
+	}
+	broken := f.overlaps(task, 200*time.Millisecond)
+	for _, b := range broken {
+		f.note("TWICE: %s", b)
+	}
+	return len(broken) > 0
+}
+
+// caseOdd: a status report of another writer names a service that no config names.
+func caseOdd(f *fleet) bool {
+	f.startDaemons()
+	f.configure(1, []string{service}, route{queue, service})
+	f.addMinion(1, "i-x", service, "--stop-time", "180ms")
+	f.submit(queue+job, "work=25000 cpu=1000", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 25000})
+	first := f.awaitStart(task, 0, 10*time.Second)
+	if first == nil {
+		fail("the work item was not started")
+	}
+	f.addMinion(2, "i-y", service, "--stop-time", "180ms")
+	time.Sleep(5 * time.Second)
+	if f.trouble {
+		body, _ := json.Marshal(map[string]any{
+			"service": "no-such-service", "address": f.listenAddr("i-x"), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+			"capacity": map[string]int64{"cpu": 4000, "mem_mb": 8000, "gpu": 0}, "labels": []string{"big", "r1"}, "clock_ms": 5000, "sequence": 20, "born": first.Born,
+		})
+		status := 0
+		for i := 1; i <= controls && status != http.StatusOK; i++ {
+			status, _ = f.call(http.MethodPost, f.controlAddr(i), "", "/instances/i-x/heartbeat", string(body))
+		}
+		f.note("another writer: POST /instances/i-x/heartbeat %s -> %d", body, status)
+	}
+	time.Sleep(6 * time.Second)
+	broken := f.overlaps(task, time.Millisecond)
+	for _, b := range broken {
+		f.note("TWICE: %s", b)
+	}
+	return len(broken) > 0
+}
+
+// caseCrash: the minions on which a lasting work item has just started crash, twice.
+func caseCrash(f *fleet) bool {
+	f.startDaemons()
+	f.configure(1, []string{service}, route{queue, service})
+	for i, id := range []string{"i-x", "i-y", "i-z"} {
+		f.addMinion(i+1, id, service)
+	}
+	time.Sleep(3 * time.Second)
+	f.submit(queue+job, "work=0 cpu=1000", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 900, "long_running": true, "may_miss": 1})
+	e := f.awaitStart(task, 0, 10*time.Second)
+	for crashes := 0; crashes < 2 && f.trouble; crashes++ {
+		if e == nil {
+			fail("the work item was not started")
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.crash(e.Minion)
+		time.Sleep(time.Second)
+		f.startMinion(e.Minion)
+		f.note("minion %s is back", e.Minion)
+		e = f.awaitStart(task, e.T, 10*time.Second)
+	}
+	time.Sleep(3 * time.Second)
+	status, body := 0, ""
+	for range 10 {
+		time.Sleep(time.Second)
+		status, body = f.state(queue + job)
+		f.note("client: GET %s -> %d %s", queue+job, status, body)
+	}
+	ended := 0
+	for _, e := range f.events() {
+		if e.What == "end" && e.How == "failed" {
+			ended++
+		}
+	}
+	f.note("%d runs have ended as failed; max_attempts is 3, and the work item lasts", ended)
+	return strings.Contains(body, `"failed"`)
+}
+
+// caseWaiting: a config sends a queue to another service while accepted jobs of it wait.
+func caseWaiting(f *fleet) bool {
+	const other = "misc-svc"
+	f.startDaemons()
+	f.configure(1, []string{service, other}, route{queue, service}, route{"/r/", other})
+	f.addMinion(1, "i-a", service)
+	f.addMinion(2, "i-b", other)
+	full := map[string]any{"count": 1, "cpu": 4000, "mem_mb": 1000, "estimate_ms": 90000}
+	f.submit(queue+job, "work=90000 cpu=4000", full)
+	f.submit("/r/5c0e7a21d94b36f9", "work=90000 cpu=4000", full)
+	f.must("both minions are in use", 10*time.Second, func() bool {
+		return f.started(task, 0) != nil && f.started("5c0e7a21d94b36f9.0.0.0", 0) != nil
+	})
+	const jobs = 10
+	for i := range jobs {
+		f.submit(fmt.Sprintf("%s00000000000000%02x", queue, i), "work=1000 cpu=4000", map[string]any{"count": 1, "cpu": 4000, "mem_mb": 1000, "estimate_ms": 1000})
+	}
+	time.Sleep(6 * time.Second)
+	status, body := f.state(queue)
+	f.note("client: GET %s -> %d %s", queue, status, body)
+	if body != fmt.Sprintf(`{"waiting":%d}`, jobs) {
+		fail("the jobs don't wait")
+	}
+	if f.trouble {
+		f.configure(2, []string{service, other}, route{queue, other}, route{"/r/", other})
+	}
+	time.Sleep(6 * time.Second)
+	low := 0
+	for range 10 {
+		time.Sleep(time.Second)
+		status, body = f.state(queue)
+		begun := 0
+		for _, e := range f.events() {
+			if e.What == "start" && strings.HasPrefix(e.Task, "00000000000000") {
+				begun++
+			}
+		}
+		f.note("client: GET %s -> %d %s; %d of %d jobs have begun", queue, status, body, begun, jobs)
+		var answer struct{ Waiting int }
+		if status == http.StatusOK && json.Unmarshal([]byte(body), &answer) == nil && 2*answer.Waiting < jobs-begun {
+			low++
+		}
+	}
+	f.note("%d of 10 answers named under half of the jobs that wait", low)
+	return low == 10
+}
