--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -7,12 +7,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 var cases = map[string]func(f *fleet) bool{
-	"leave": caseLeave, "odd": caseOdd, "crash": caseCrash, "waiting": caseWaiting,
+	"leave": caseLeave, "odd": caseOdd, "crash": caseCrash, "waiting": caseWaiting, "recurring": caseRecurring,
 }
 
 const (
@@ -47,6 +48,13 @@
 	f.note("minion %s has crashed", id)
 }
 
+// addOthers adds eight minions, so that the pool has nine with i-x, as on the site.
+func (f *fleet) addOthers() {
+	for i := range 8 {
+		f.addMinion(2+i, fmt.Sprintf("i-y%d", i+1), service)
+	}
+}
+
 // awaitStart waits for a start of a work item after a time.
 func (f *fleet) awaitStart(task string, after int64, limit time.Duration) *event {
 	var e *event
@@ -83,7 +91,7 @@
 	if first == nil || first.Minion != "i-x" {
 		fail("the work item was not started on i-x")
 	}
-	f.addMinion(2, "i-y", service)
+	f.addOthers()
 	time.Sleep(4 * time.Second)
 	f.note("i-x is told to end")
 	f.signal("i-x", syscall.SIGTERM)
@@ -142,9 +150,8 @@
 func caseCrash(f *fleet) bool {
 	f.startDaemons()
 	f.configure(1, []string{service}, route{queue, service})
-	for i, id := range []string{"i-x", "i-y", "i-z"} {
-		f.addMinion(i+1, id, service)
-	}
+	f.addMinion(1, "i-x", service)
+	f.addOthers()
 	time.Sleep(3 * time.Second)
 	f.submit(queue+job, "work=0 cpu=1000", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1000, "estimate_ms": 900, "long_running": true, "may_miss": 1})
 	e := f.awaitStart(task, 0, 10*time.Second)
@@ -222,3 +229,119 @@
 	f.note("%d of 10 answers named under half of the jobs that wait", low)
 	return low == 10
 }
+
+// caseRecurring: a recurring job has had many work items done when all control daemons are killed
+// and started again. Meanwhile other jobs come and go, as on any day.
+func caseRecurring(f *fleet) bool {
+	const (
+		count  = 2600
+		enough = 133000
+		other  = "misc-svc"
+	)
+	f.startDaemons()
+	f.configure(1, []string{service, other}, route{queue, service}, route{"/r/", other})
+	for i := range 9 {
+		f.addMinion(1+i, fmt.Sprintf("i-%d", i), service, "--quiet", "--cpu", "64000")
+	}
+	time.Sleep(time.Second)
+	b, _ := json.Marshal(map[string]any{
+		"spec": "work=1 cpu=1", "steps": []map[string]any{{"count": count, "cpu": 1, "mem_mb": 1, "estimate_ms": 1}},
+		"repetitions": 100000, "start_at_ms": time.Now().UnixMilli(), "interval_ms": 1000,
+	})
+	f.must("job accepted", 10*time.Second, func() bool {
+		status, _ := f.call(http.MethodPost, f.frontAddr(1), "shop.example", queue+job, string(b))
+		return status == http.StatusOK
+	})
+	f.note("client: POST %s%s %s -> 200", queue, job, b)
+	var ended atomic.Bool
+	var jobs atomic.Int64
+	for c := range 4 {
+		go func() {
+			for n := 0; !ended.Load(); n++ {
+				path := fmt.Sprintf("/r/%04x%012x", c, n)
+				status, _ := f.call(http.MethodPost, f.frontAddr(1+c%controls), "shop.example", path, `{"spec":"work=1","steps":[{"count":1,"cpu":1,"mem_mb":1,"estimate_ms":1}]}`)
+				if status == http.StatusOK {
+					jobs.Add(1)
+				}
+				_, _ = f.call(http.MethodDelete, f.frontAddr(1+c%controls), "shop.example", path, "")
+				time.Sleep(30 * time.Millisecond)
+			}
+		}()
+	}
+	defer ended.Store(true)
+	f.must("work items done", 75*time.Second, func() bool {
+		time.Sleep(time.Second)
+		last, sum := map[string]int64{}, int64(0)
+		for _, e := range f.events() {
+			if e.What == "done-count" {
+				last[e.Minion] = e.Run
+			}
+		}
+		for _, c := range last {
+			sum += c
+		}
+		f.note("%d work items done; %d other jobs handed in and cancelled", sum, jobs.Load())
+		return sum > enough
+	})
+	since := time.Now()
+	f.must("all replicas have stored their state since then", 25*time.Second, func() bool {
+		for i := 1; i <= controls; i++ {
+			info, err := os.Stat(filepath.Join(f.dir, fmt.Sprintf("data-%d", i), "snapshot"))
+			if err != nil || info.ModTime().Before(since) {
+				return false
+			}
+		}
+		return true
+	})
+	ended.Store(true)
+	for i := 1; i <= controls; i++ {
+		b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.procs[fmt.Sprintf("control-%d", i)].Process.Pid))
+		for line := range strings.Lines(string(b)) {
+			if strings.HasPrefix(line, "VmHWM") {
+				f.note("memory of control daemon %d at its peak: %s", i, strings.Join(strings.Fields(line)[1:], " "))
+			}
+		}
+	}
+	if f.trouble {
+		for i := 1; i <= controls; i++ {
+			f.kill(fmt.Sprintf("control-%d", i))
+		}
+		f.note("all control daemons are killed")
+		time.Sleep(800 * time.Millisecond)
+		for i := 1; i <= controls; i++ {
+			f.startControl(i, false)
+		}
+		f.note("all control daemons are started again")
+	}
+	back := time.Now()
+	time.Sleep(12 * time.Second)
+	served := 0
+	for i := range 4 {
+		status, body := f.state(queue + job)
+		f.note("%.0f s after that: client: GET %s%s -> %d %s", time.Since(back).Seconds(), queue, job, status, body)
+		read, config := f.call(http.MethodGet, f.controlAddr(1+i%controls), "", "/config/get", "")
+		f.note("operator: GET /config/get -> %d %.60s", read, config)
+		if status == http.StatusOK || read == http.StatusOK {
+			served++
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	f.noteErrors()
+	return served == 0
+}
+
+// noteErrors records the last error of each control daemon.
+func (f *fleet) noteErrors() {
+	for i := 1; i <= controls; i++ {
+		b, _ := os.ReadFile(filepath.Join(f.dir, fmt.Sprintf("control-%d.log", i)))
+		last := ""
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, `"level":"error"`) {
+				last = strings.TrimSpace(line)
+			}
+		}
+		if last != "" {
+			f.note("last error of control daemon %d: %.600s", i, last)
+		}
+	}
+}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -57,6 +58,9 @@
 
 const controls = 3
 
+// timeLimit bounds a case.
+const timeLimit = 117 * time.Second
+
 // runCase plays a case and returns the exit status: 1 if the rule was broken, 0 if it held, and
 // 2 if the case could not run.
 func runCase(folder string, play func(f *fleet) bool) (status int) {
@@ -67,6 +71,18 @@
 		return 2
 	}
 	defer f.close()
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-end:
+			f.note("ended by a signal")
+		case <-time.After(timeLimit):
+			f.note("the case takes too long")
+		}
+		f.close()
+		os.Exit(2)
+	}()
 	defer func() {
 		switch p := recover().(type) {
 		case nil:
@@ -400,7 +416,7 @@
 	return f.call(http.MethodGet, f.frontAddr(1), "shop.example", path, "")
 }
 
-// present reports the run of a work item at work on a minion, or nil.
+// started returns the first start of a work item after a time, or nil.
 func (f *fleet) started(task string, after int64) *event {
 	for _, e := range f.events() {
 		if e.What == "start" && e.Task == task && e.T > after {
@@ -410,8 +426,8 @@
 	return nil
 }
 
-// registered waits until all control daemons know a leader and the minions are registered, as a
-// job that runs on each of them shows.
+// overlaps returns the pairs of runs of a work item that were at work at the same time for longer
+// than least.
 func (f *fleet) overlaps(task string, least time.Duration) (out []string) {
 	type span struct {
 		minion     string
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -31,6 +31,9 @@
 	drain, extra, afterLeave              time.Duration
 	born                                  time.Time
 	events                                *os.File
+	// quiet records only how many runs have ended as done, each second.
+	quiet     bool
+	doneCount int64
 
 	mu       sync.Mutex
 	state    string
@@ -64,6 +67,7 @@
 	LastCheckpoint string `json:"last_checkpoint"`
 	AckCursor      int64  `json:"ack_cursor"`
 	WaitMS         int64  `json:"wait_ms"`
+	late           bool
 }
 
 func runMinion(args []string) {
@@ -79,6 +83,7 @@
 	f.StringVar(&via, "via", "", "")
 	f.StringVar(&labels, "labels", "big,r1", "")
 	f.StringVar(&events, "events", "", "")
+	f.BoolVar(&m.quiet, "quiet", false, "")
 	f.Int64Var(&m.cpu, "cpu", 4000, "")
 	f.Int64Var(&m.mem, "mem", 8000, "")
 	f.DurationVar(&m.heartbeat, "heartbeat", 1500*time.Millisecond, "")
@@ -136,6 +141,12 @@
 
 // event records what this minion does. One line is one write.
 func (m *minion) event(what, task string, number int64, how string) {
+	if m.quiet && task != "" {
+		if how == "done" {
+			m.doneCount++
+		}
+		return
+	}
 	b, _ := json.Marshal(event{T: time.Now().UnixMicro(), Minion: m.id, Born: m.born.UnixMilli(), What: what, Task: task, Run: number, How: how})
 	_, _ = m.events.Write(append(b, '\n'))
 }
@@ -299,8 +310,13 @@
 
 // clockwork ends what is done, stopped or without a lease.
 func (m *minion) clockwork() {
+	counted := time.Now()
 	for range time.Tick(5 * time.Millisecond) {
 		m.mu.Lock()
+		if m.quiet && time.Since(counted) > time.Second {
+			counted = time.Now()
+			m.event("done-count", "", m.doneCount, "")
+		}
 		for task, r := range m.runs {
 			switch {
 			case m.clock() > m.deadline:
