--- a/review/stand2/stress.go
+++ b/review/stand2/stress.go
@@ -535,7 +535,7 @@
 	}
 	has := func(k string) bool { return slices.Contains(strings.Split(kinds, ","), k) }
 	wg.Go(func() {
-		for time.Now().Before(stop) && (has("kill") || has("freeze")) {
+		for time.Now().Before(stop) && (has("kill") || has("freeze") || has("term")) {
 			w.mu.Lock()
 			pause, down := 2+4*w.rng.Float64(), 500+w.rng.IntN(2500)
 			freeze := w.rng.IntN(2) == 0
@@ -546,7 +546,13 @@
 				continue
 			}
 			name := fmt.Sprintf("control-%d", i)
-			if freeze && has("freeze") {
+			if has("term") && down%2 == 0 {
+				f.signal(name, syscall.SIGTERM)
+				_ = f.procs[name].Wait()
+				delete(f.procs, name)
+				f.startControl(i, false)
+				f.note("told %s to end and started it again", name)
+			} else if freeze && has("freeze") {
 				f.signal(name, syscall.SIGSTOP)
 				time.Sleep(time.Duration(down) * time.Millisecond)
 				f.signal(name, syscall.SIGCONT)
@@ -704,6 +710,9 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
+	if j.accepted {
+		w.watch(j, string(b))
+	}
 	if cancel && j.accepted {
 		time.AfterFunc(cancelAfter, func() {
 			for try := range 12 {
@@ -724,3 +733,40 @@
 		})
 	}
 }
+
+// watch asks for the state of an accepted job from time to time, and hands it in once more.
+func (w *world) watch(j *wjob, body string) {
+	w.mu.Lock()
+	first, entry := time.Duration(w.rng.IntN(2000))*time.Millisecond, w.rng.IntN(controls)
+	w.mu.Unlock()
+	time.AfterFunc(first, func() {
+		for n := range 10 {
+			w.mu.Lock()
+			items, done := 0, 0
+			for s := range j.steps {
+				items += j.steps[s].Count * max(1, j.reps)
+			}
+			w.mu.Unlock()
+			addr := w.f.frontAddr(1 + (entry+n)%controls)
+			status, answer := w.f.call(http.MethodGet, addr, "shop.example", queue+j.id, "")
+			w.mu.Lock()
+			done = len(j.done)
+			switch {
+			case status == http.StatusGone || status == http.StatusNotFound:
+				w.breakRule("LOST GET %s -> %d", j.id, status)
+			case strings.Contains(answer, "completed") && done < items:
+				w.breakRule("MIXED GET %s -> %s with %d of %d done", j.id, answer, done, items)
+			}
+			w.mu.Unlock()
+			if n == 3 {
+				status, _ := w.f.call(http.MethodPost, addr, "shop.example", queue+j.id, body)
+				if status == http.StatusTooManyRequests || status == http.StatusNotFound {
+					w.mu.Lock()
+					w.breakRule("LOST POST of the accepted job %s -> %d", j.id, status)
+					w.mu.Unlock()
+				}
+			}
+			time.Sleep(900 * time.Millisecond)
+		}
+	})
+}
