--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -13,7 +13,7 @@
 )
 
 var cases = map[string]func(f *fleet) bool{
-	"leave": caseLeave, "odd": caseOdd, "waiting": caseWaiting, "recurring": caseRecurring,
+	"leave": caseLeave, "odd": caseOdd, "waiting": caseWaiting, "recurring": caseRecurring, "idle": caseIdle,
 }
 
 const (
@@ -168,6 +168,101 @@
 	return low == 10
 }
 
+// caseIdle: one job in twenty can never be done. A job that comes later has nothing running, though
+// eight of nine minions are idle.
+func caseIdle(f *fleet) bool {
+	f.startDaemons()
+	f.configure(1, []string{service}, route{queue, service})
+	for i := range 9 {
+		f.addMinion(1+i, fmt.Sprintf("i-%d", i), service)
+	}
+	time.Sleep(2 * time.Second)
+	lasting := map[string]any{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 900, "long_running": true}
+	f.submit(queue+"1a57000000000000", "work=0 cpu=1000", lasting)
+	f.must("lasting work item started", 10*time.Second, func() bool { return f.started("1a57000000000000.0.0.0", 0) != nil })
+	used := f.started("1a57000000000000.0.0.0", 0).Minion
+	small := map[string]any{"count": 1, "cpu": 100, "mem_mb": 10, "estimate_ms": 20}
+	whole := map[string]any{"count": 8, "cpu": 4000, "mem_mb": 100, "estimate_ms": 50}
+	handedIn, hopeless := 0, 0
+	hand := func(path, spec string, step map[string]any) {
+		b, _ := json.Marshal(map[string]any{"spec": spec, "steps": []map[string]any{step}})
+		for i := range 4 {
+			if status, _ := f.call(http.MethodPost, f.frontAddr(1+i%controls), "shop.example", queue+path, string(b)); status == http.StatusOK {
+				handedIn++
+				return
+			}
+		}
+	}
+	begin := time.Now()
+	for n := range 120 {
+		if n%20 == 10 && f.trouble {
+			hopeless++
+			hand(fmt.Sprintf("bad0%012x", n), "fail=50 cpu=4000", whole)
+		} else {
+			hand(fmt.Sprintf("0600%012x", n), "work=20 cpu=100", small)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.note("client: %d jobs accepted within %.1f s, of which %d can never be done", handedIn, time.Since(begin).Seconds(), hopeless)
+	// Small jobs go on. The traffic ends when the pause of each other minion has become longest.
+	n := 1000
+	if f.trouble {
+		f.must("all other minions have had a failure after a pause of 11 s", 60*time.Second, func() bool {
+			n++
+			hand(fmt.Sprintf("0600%012x", n), "work=20 cpu=100", small)
+			last, paused := map[string]int64{}, map[string]bool{}
+			for _, e := range f.events() {
+				if e.What == "end" && e.How == "failed" {
+					paused[e.Minion] = paused[e.Minion] || (last[e.Minion] > 0 && e.T-last[e.Minion] > 11e6)
+					last[e.Minion] = e.T
+				}
+			}
+			count := 0
+			for _, p := range paused {
+				if p {
+					count++
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+			return count == 8
+		})
+	} else {
+		time.Sleep(5 * time.Second)
+	}
+	f.submit(queue+job, "work=50 cpu=4000", map[string]any{"count": 1, "cpu": 4000, "mem_mb": 100, "estimate_ms": 50})
+	f.note("the traffic ends; %d jobs accepted in all, %d of them can never be done", handedIn+1, hopeless)
+	ended := time.Now()
+	time.Sleep(14 * time.Second)
+	idle := 0
+	for range 8 {
+		atWork := map[string]int{}
+		for _, e := range f.events() {
+			switch e.What {
+			case "start":
+				atWork[e.Minion]++
+			case "end":
+				atWork[e.Minion]--
+			}
+		}
+		free := 0
+		for i := range 9 {
+			if id := fmt.Sprintf("i-%d", i); id != used && atWork[id] == 0 {
+				free++
+			}
+		}
+		_, body := f.state(queue + job)
+		f.note("%.1f s after the end of the traffic: client: GET %s%s -> %s; %d of 9 minions are idle", time.Since(ended).Seconds(), queue, job, body, free)
+		if f.started(task, 0) == nil && free == 8 {
+			idle++
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	if e := f.awaitStart(task, 0, 15*time.Second); e != nil {
+		f.note("the job has started %.1f s after it was accepted", (time.Duration(e.T-ended.UnixMicro()) * time.Microsecond).Seconds())
+	}
+	return idle == 8
+}
+
 // caseRecurring: a recurring job has had many work items done when all control daemons are killed
 // and started again. Meanwhile other jobs come and go, as on any day.
 func caseRecurring(f *fleet) bool {
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -20,7 +20,7 @@
 
 // minion is a stand-in of a minion as PROTOCOL.md describes it. It is a process of its own.
 // A work item works for as many milliseconds as its spec says ("work=MS"), or, with "work=0",
-// until it is stopped.
+// until it is stopped; with "fail=MS" it fails then.
 type minion struct {
 	id, service, zone, listen, advertised string
 	controls                              []string
@@ -53,6 +53,7 @@
 	cpu       int64
 	started   time.Time
 	work      time.Duration
+	fails     bool
 	stopping  bool
 	saved     string
 	stoppedAt time.Time
@@ -216,6 +217,10 @@
 			ms, _ := strconv.Atoi(v)
 			r.work = time.Duration(ms) * time.Millisecond
 		}
+		if v, ok := strings.CutPrefix(field, "fail="); ok {
+			ms, _ := strconv.Atoi(v)
+			r.work, r.fails = time.Duration(ms)*time.Millisecond, true
+		}
 		if v, ok := strings.CutPrefix(field, "cpu="); ok {
 			r.cpu, _ = strconv.ParseInt(v, 10, 64)
 		}
@@ -324,7 +329,11 @@
 			case r.stopping && time.Since(r.stoppedAt) >= m.stopTime:
 				m.end(task, "stopped")
 			case r.work > 0 && time.Since(r.started) >= r.work:
-				m.end(task, "done")
+				how := "done"
+				if r.fails {
+					how = "failed"
+				}
+				m.end(task, how)
 			}
 		}
 		m.mu.Unlock()
