--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
+export GOFLAGS="${GOFLAGS:-} -buildvcs=false"
 go build -ldflags=-linkmode=external -o target/ ./cmd/galena-fleet
 (cd review/stand2 && GOWORK=off go build -o ../../target/stand2 .)
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -96,8 +96,8 @@
 	_ = f.Parse(args)
 	m.controls, m.labels = strings.Split(controls, ","), strings.Split(labels, ",")
 	for _, pair := range strings.Split(via, ",") {
-		if real, proxy, ok := strings.Cut(pair, "="); ok {
-			m.via[real] = proxy
+		if addr, proxy, ok := strings.Cut(pair, "="); ok {
+			m.via[addr] = proxy
 		}
 	}
 	if m.advertised == "" {
@@ -417,7 +417,8 @@
 	m.state = "draining"
 	m.mu.Unlock()
 	m.event("draining-sent", "", 0, "")
-	for end := time.Now().Add(5 * time.Second); !m.beat() && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); !m.beat() && time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
 	}
 	m.event("draining-confirmed", "", 0, "")
 	time.Sleep(m.drain + m.extra)
--- a/review/stand2/stress.go
+++ b/review/stand2/stress.go
@@ -45,7 +45,6 @@
 	failed     map[string]int
 	active     map[string]*wrun
 	cursorDone map[string]string
-	maxRun     map[string]int64
 }
 
 type wstep struct {
