--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -343,7 +343,7 @@
 			f.kill(fmt.Sprintf("control-%d", i))
 		}
 		f.note("all control daemons are killed")
-		time.Sleep(800 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		for i := 1; i <= controls; i++ {
 			f.startControl(i, false)
 		}
