--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 mkdir -p target
 export GOFLAGS="${GOFLAGS:-} -buildvcs=false"
 go build -ldflags=-linkmode=external -o target/ ./cmd/galena-fleet
-(cd review/stand2 && GOWORK=off go build -o ../../target/stand2 .)
+(cd review/stand2 && GOWORK=off go test -c -o ../../target/stand2 .)
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package stand2
 
 import (
 	"bufio"
