--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -40,7 +40,8 @@
 	Peak     *DemandPeak            `cbor:"12,keyasint,omitempty"`
 	Crash    *CrashOp               `cbor:"13,keyasint,omitempty"`
 	Clear    *ClearOp               `cbor:"14,keyasint,omitempty"`
-	// Left is set beside Remove if the instance has left by itself.
+	// Left is set beside Remove if the instance has left by itself, and alone if it may still
+	// run work, so that it stays registered until that has ended.
 	Left *LeftOp `cbor:"15,keyasint,omitempty"`
 }
 
@@ -49,6 +50,8 @@
 type LeftOp struct {
 	Born int64     `cbor:"1,keyasint"`
 	At   time.Time `cbor:"2,keyasint"`
+	// Instance is set if the operation does not remove the instance.
+	Instance galenahead.InstanceID `cbor:"3,keyasint,omitempty"`
 }
 
 // OwnerOp starts the session of a new owner. Its result contains the session's
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -294,7 +294,7 @@
 	wall := time.Now().Round(0)
 	instances := sess.State.registeredInstances()
 	for _, in := range instances {
-		sess.shardLocked(in.Service, false).addInheritedInstance(in)
+		sess.shardLocked(in.Service, false).addInheritedInstance(in, sess.State.hasLeft(in.ID, in.Born))
 	}
 	for _, j := range sess.State.activeJobs() {
 		sess.shardLocked(j.Service, false).addJob(j, wall.Sub(j.Accepted), true)
--- a/galenafleet/registration.go
+++ b/galenafleet/registration.go
@@ -131,6 +131,13 @@
 		return err
 	}
 	defer reg.unlock()
+	known, ok := sess.State.instance(in.ID)
+	otherService := ok && known.Born == in.Born && known.Service != in.Service
+	if otherService && sess.isNewer(reg, in, hb.Sequence) && !sess.drainIfIdle(known) {
+		sess.Logger.WithField("instance", in.ID).WithField("service", known.Service).WithField("reported_service", in.Service).
+			Info("ignored a heartbeat of another service while the instance has work")
+		return nil
+	}
 	if !sess.recordIfNewer(reg, in, hb.Sequence) {
 		sess.Logger.WithField("instance", in.ID).WithField("sequence", hb.Sequence).Info("ignored an out-of-order heartbeat")
 		return nil
@@ -139,7 +146,6 @@
 	if in.Draining {
 		sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.Drain(now, in.ID) })
 	}
-	known, ok := sess.State.instance(in.ID)
 	if ok && known.Born == in.Born && known.Draining {
 		in.Draining = true
 	}
@@ -206,47 +212,119 @@
 	Born int64                 `json:"born"`
 }
 
-// Leave removes an instance that deregisters. A request without the start of its incarnation
-// may be a late copy of an earlier one's. It removes the registered incarnation only if that
-// drains, as each does before it leaves, and nothing runs on it. Otherwise the incarnation
-// is removed once it is silent and its lease has expired.
+// stopBeforeLeave is how long the answer to a deregistration waits for the end of the runs
+// that are left: the instance ends once it has the answer, and nothing would tell that they
+// have ended before their lease expires.
+const stopBeforeLeave = attemptTimeout / 2
+
+// Leave removes an instance that deregisters, once nothing can run on it any more: its end is
+// not known, since it goes on for seconds if it does not get the answer. A request without the
+// start of its incarnation may be a late copy of an earlier one's. It removes the registered
+// incarnation only if that drains, as each does before it leaves, and nothing runs on it.
+// Otherwise the incarnation is removed once it is silent and its lease has expired.
 func (o *Owner) Leave(_ context.Context, l LeaveRequest) (Empty, error) {
 	sess, err := o.currentSession()
 	if err != nil {
 		return Empty{}, err
 	}
+	leaving, err := sess.recordLeave(l)
+	if err != nil || leaving == nil {
+		return Empty{}, err
+	}
+	if err := sess.awaitIdle(*leaving, stopBeforeLeave); err != nil {
+		return Empty{}, err
+	}
+	return Empty{}, nil
+}
+
+// recordLeave records a deregistration. It returns the registered incarnation if that is
+// leaving but may still run work.
+func (sess *ownerSession) recordLeave(l LeaveRequest) (leaving *galenajob.Instance, err error) {
 	reg, err := sess.lockRegistration(l.ID)
 	if err != nil {
-		return Empty{}, err
+		return nil, err
 	}
 	defer reg.unlock()
 	known, registered := sess.State.instance(l.ID)
 	log := sess.Logger.WithField("instance", l.ID).WithField("born", l.Born).WithField("registered_born", known.Born).
 		WithField("draining", known.Draining)
 	switch {
-	case !registered && (l.Born == 0 || sess.State.hasLeft(l.ID, l.Born)):
-		return Empty{}, nil
+	case l.Born == 0 && !registered, l.Born != 0 && sess.State.hasLeft(l.ID, l.Born):
+		return nil, nil
 	case l.Born != 0 && l.Born < known.Born:
 		log.Info("ignored the deregistration of an earlier incarnation")
-		return Empty{}, nil
+		return nil, nil
 	case l.Born == 0 && !(known.Draining && sess.isIdle(known)):
 		log.Info("ignored a deregistration that may be an earlier incarnation's")
-		return Empty{}, nil
+		return nil, nil
 	}
+	born := max(l.Born, known.Born)
 	op := Op{Remove: &l.ID}
-	if born := max(l.Born, known.Born); born != 0 {
+	if born != 0 {
 		// A heartbeat of this incarnation that is still to arrive is a late copy.
 		op.Left = &LeftOp{Born: born, At: time.Now().Round(0)}
 		reg.born, reg.sequence = born, math.MaxInt64
 	}
+	// An incarnation has ended if a later one has started.
+	if registered && known.Born == born {
+		items, idle := sess.leave(known)
+		if !idle {
+			op.Remove, op.Left.Instance = nil, l.ID
+			leaving = &known
+			log = log.WithField("items", items)
+		}
+	}
 	if _, err := sess.committer.commit(op); err != nil {
-		return Empty{}, err
+		return nil, err
+	}
+	if leaving != nil {
+		log.Info("instance deregistered, and is removed when its work has ended")
+		return leaving, nil
 	}
 	log.Info("instance deregistered")
 	if registered {
 		sess.shardFor(known.Service).removeInstance(l.ID)
 	}
-	return Empty{}, nil
+	return nil, nil
+}
+
+// leave makes the scheduler end the use of a registered incarnation. It reports how many work
+// items are there and whether nothing runs or may run, in which case the caller removes it.
+func (sess *ownerSession) leave(in galenajob.Instance) (items int, idle bool) {
+	if sess.drainIfIdle(in) {
+		return 0, true
+	}
+	sess.shardFor(in.Service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { items = s.Leave(now, in.ID) })
+	return items, false
+}
+
+// drainIfIdle keeps new work off a registered incarnation if nothing runs or may run on it, and
+// reports whether it does.
+func (sess *ownerSession) drainIfIdle(in galenajob.Instance) (idle bool) {
+	sess.shardFor(in.Service).inspect(func(now time.Time, s *galenajob.Scheduler) {
+		if _, idle = s.IdleSince(in.ID); idle {
+			s.Drain(now, in.ID)
+		}
+	})
+	return idle
+}
+
+// awaitIdle returns once nothing runs on an instance, but no later than limit from now. It
+// fails with ErrNotLeader when the session ends.
+func (sess *ownerSession) awaitIdle(in galenajob.Instance, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(sess.ctx, limit)
+	defer cancel()
+	ticks := sess.Timers.Subscribe(ctx, "leave", pollPause)
+	for !sess.isIdle(in) {
+		select {
+		case <-sess.ctx.Done():
+			return galenahead.ErrNotLeader
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+		}
+	}
+	return nil
 }
 
 // isIdle reports whether nothing runs or may run on a registered instance.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -141,10 +141,16 @@
 // addInheritedInstance adds an instance to which an earlier owner may have sent
 // commands, without polling it. The leases of those commands count as expired later than Lease, since
 // the clock of the instance may be slow.
-func (sh *shard) addInheritedInstance(in galenajob.Instance) {
+// An instance that has left may not have ended yet.
+func (sh *shard) addInheritedInstance(in galenajob.Instance, left bool) {
 	const slowClockFactor = 1.03
 	leaseTimeout := time.Duration(slowClockFactor * float64(sh.session.Params.Lease))
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.AddInheritedInstance(now, in, now.Add(leaseTimeout)) })
+	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		s.AddInheritedInstance(now, in, now.Add(leaseTimeout))
+		if left {
+			s.Leave(now, in.ID)
+		}
+	})
 }
 
 // addInstance adds or updates an instance that has sent a heartbeat, and polls it.
@@ -265,17 +271,24 @@
 }
 
 // removeGone removes instances that the scheduler has given up, because they showed
-// no sign of life for Params.GoneAfter.
+// no sign of life for Params.GoneAfter or have left and run nothing any more.
 func (sh *shard) removeGone(ids []galenahead.InstanceID) {
 	ops := make([]Op, len(ids))
+	left := map[galenahead.InstanceID]bool{}
 	for i := range ids {
 		ops[i] = Op{Remove: &ids[i]}
+		in, ok := sh.session.State.instance(ids[i])
+		left[ids[i]] = ok && sh.session.State.hasLeft(in.ID, in.Born)
 	}
 	if _, err := sh.session.committer.commit(ops...); err != nil {
 		return
 	}
 	for _, id := range ids {
-		sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info("removed an unresponsive instance")
+		message := "removed an unresponsive instance"
+		if left[id] {
+			message = "removed an instance that has left"
+		}
+		sh.session.Logger.WithField("instance", id).WithField("service", sh.service).Info(message)
 		sh.removeInstance(id)
 	}
 }
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -109,6 +109,9 @@
 			s.left[*op.Remove] = *op.Left
 		}
 		return Result{Code: CodeDone}
+	case op.Left != nil:
+		s.left[op.Left.Instance] = *op.Left
+		return Result{Code: CodeDone}
 	case op.Wave != nil:
 		return s.applyWave(op.Wave)
 	case op.WaveStep != nil:
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -115,7 +115,9 @@
 		if s.hearingSince.After(last) {
 			last = s.hearingSince
 		}
-		if now.Sub(last) > s.params.GoneAfter && inst.leaseExpired(now) && !inst.unreconciled && !inst.removing {
+		ended := inst.leaseExpired(now) && !inst.unreconciled
+		silent := now.Sub(last) > s.params.GoneAfter
+		if !inst.removing && (ended && (silent || inst.leaving) || inst.leaving && inst.idle()) {
 			inst.removing = true
 			s.gone = append(s.gone, inst.ID)
 		}
@@ -233,6 +235,8 @@
 		}
 		step := it.set.step
 		switch {
+		case inst.leaving:
+			s.stop(now, it, "instance leaves")
 		case step.LongRunning:
 			if inst.vacating() && !it.limited() {
 				continue
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -36,7 +36,7 @@
 	// After a call without a response, the answer to the next one matters more than
 	// what it says, since the lease is not renewed before.
 	req.MayWait = inst.unansweredSince.IsZero() && !inst.unreconciled && !inst.awaitsProbation()
-	if !s.unresponsive(now, inst) {
+	if !s.unresponsive(now, inst) && !inst.leaving {
 		req.Deadline = inst.extendDeadline(now, s.params.Lease)
 	}
 	return req, true
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -238,7 +238,7 @@
 	inst.Born = born
 	inst.fence = s.fences.next(inst.ID, inst.fence)
 	inst.fenceConfirmed, inst.fencedAt = false, time.Time{}
-	inst.Draining, inst.drainingSince = false, time.Time{}
+	inst.Draining, inst.drainingSince, inst.leaving = false, time.Time{}, false
 	inst.earlierClock = inst.estimatedClock(now)
 	inst.clock, inst.clockAt, inst.maxDeadline, inst.strayDeadline, inst.grantedUntil = 0, now, inst.strayDeadline, 0, 0
 	inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, 0, 0, false
@@ -271,8 +271,21 @@
 	}
 }
 
-// RemoveInstance removes an instance that has ended. Its work items may start
-// elsewhere immediately.
+// Leave records that an instance has deregistered and is about to end, and returns the number
+// of work items there. It may run them until it has ended, which nothing shows, or its lease
+// has expired. They are stopped, and TakeGone returns the instance once nothing runs there.
+func (s *Scheduler) Leave(now time.Time, id galenahead.InstanceID) (items int) {
+	inst := s.instances[id]
+	if inst == nil {
+		return 0
+	}
+	s.Drain(now, id)
+	inst.leaving = true
+	return len(inst.items)
+}
+
+// RemoveInstance removes an instance that has certainly ended, or whose lease has expired.
+// Its work items may start elsewhere immediately.
 func (s *Scheduler) RemoveInstance(now time.Time, id galenahead.InstanceID) {
 	inst := s.instances[id]
 	if inst == nil {
@@ -367,9 +380,12 @@
 	if inst == nil {
 		return time.Time{}, true
 	}
-	return inst.idleSince, len(inst.items) == 0 && !inst.unreconciled
+	return inst.idleSince, inst.idle()
 }
 
+// idle reports whether nothing runs or may run on the instance.
+func (inst *instance) idle() bool { return len(inst.items) == 0 && !inst.unreconciled }
+
 // RemoveJob removes a job that is durably completed, failed or cancelled, and stops
 // its remaining runs.
 func (s *Scheduler) RemoveJob(now time.Time, id galenahead.JobID) {
@@ -456,8 +472,8 @@
 	return !inst.unansweredSince.IsZero() && now.Sub(inst.unansweredSince) > s.params.UnresponsiveAfter
 }
 
-// TakeGone returns the instances that were given up since the last call of
-// TakeGone. They get no work until RemoveInstance removes them.
+// TakeGone returns the instances that were given up, or have left and run nothing any more,
+// since the last call of TakeGone. They get no work until RemoveInstance removes them.
 func (s *Scheduler) TakeGone() []galenahead.InstanceID {
 	g := s.gone
 	s.gone = nil
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -367,6 +367,9 @@
 	// removing is set once the scheduler has given up the instance, until the owner
 	// removes it.
 	removing bool
+	// leaving is set once the instance has deregistered, until it has certainly ended. It
+	// gets no work, and its lease is not renewed.
+	leaving bool
 	// evacuating is set before a planned move or maintenance, with the evacuation.
 	evacuating bool
 	evacuation evacuation
@@ -390,6 +393,9 @@
 // leaseExpired reports whether the lease of everything started on the instance
 // has certainly expired.
 func (inst *instance) leaseExpired(now time.Time) bool {
+	if now.Before(inst.reconciledBy) {
+		return false // an earlier owner may have granted it
+	}
 	if inst.maxDeadline == 0 {
 		return true
 	}
