--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -43,6 +43,14 @@
 	// Left is set beside Remove if the instance has left by itself, and alone if it may still
 	// run work, so that it stays registered until that has ended.
 	Left *LeftOp `cbor:"15,keyasint,omitempty"`
+	// Reassign is unknown to earlier versions.
+	Reassign *ReassignOp `cbor:"16,keyasint,omitempty"`
+}
+
+// ReassignOp records that another service runs a job from now on.
+type ReassignOp struct {
+	Job     galenahead.JobID       `cbor:"1,keyasint"`
+	Service galenahead.ServiceName `cbor:"2,keyasint"`
 }
 
 // LeftOp records that an incarnation of an instance has left, so that a heartbeat which it
@@ -154,7 +162,7 @@
 type Result struct {
 	Code  Code   `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint,omitempty"`
-	// JobState is the job's state after an EndOp, CrashOp or CancelOp.
+	// JobState is the job's state after an EndOp, CrashOp, CancelOp or ReassignOp.
 	JobState galenajob.State `cbor:"3,keyasint,omitempty"`
 }
 
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -125,7 +125,7 @@
 	sessionCtx, resign := context.WithCancelCause(ctx)
 	sess := &ownerSession{
 		Owner: o, term: term, ctx: sessionCtx, resign: resign, shards: map[galenahead.ServiceName]*shard{},
-		submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1),
+		submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1), reassigning: make(chan struct{}, 1),
 		commandLimit: newCallLimit(longestCommandLimit), pollLimit: newCallLimit(longestPollLimit),
 	}
 	sess.committer = newCommitter(o.Log, term, sessionCtx.Done(), resign)
@@ -183,6 +183,9 @@
 	// configuring holds one element while a configuration is committed and passed to
 	// the shards.
 	configuring chan struct{}
+	// reassigning holds one element while jobs are handed from one shard to another, so that
+	// none is handed back before the first shard has removed it.
+	reassigning chan struct{}
 
 	// lastMachines is the list of machines that the machine controller read last;
 	// operators' views show it.
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -226,9 +226,10 @@
 }
 
 func (sess *ownerSession) countWaiting(q QueueRule) Reply {
-	sh := sess.shardFor(q.Service)
 	n := 0
-	sh.inspect(func(_ time.Time, s *galenajob.Scheduler) { n = s.CountWaiting(q.Name) })
+	for _, sh := range sess.shardsOf(&q) {
+		sh.inspect(func(_ time.Time, s *galenajob.Scheduler) { n += s.CountWaiting(q.Name) })
+	}
 	return Reply{Outcome: OutcomeWaiting, Waiting: n}
 }
 
@@ -377,11 +378,10 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	_, service, _, known := sess.State.JobState(id)
-	if !known {
+	if _, _, _, known := sess.State.JobState(id); !known {
 		return Reply{Outcome: OutcomeNoJob}, nil
 	}
-	sess.shardFor(service).withScheduler(func(now time.Time, s *galenajob.Scheduler) { s.RemoveJob(now, id) })
+	sess.removeFinalJob(id)
 	return Reply{Outcome: OutcomeAccepted, State: r[0].JobState}, nil
 }
 
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -237,6 +237,7 @@
 	sh.scheduler.SetMaxStarting(sh.session.starts.bound(maxStarting))
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
+	reassignments := sh.scheduler.TakeReassignments()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
 	if reconciled && !sh.takenOver {
 		sizes = sh.scheduler.Sizes(sh.now())
@@ -256,6 +257,9 @@
 	if len(clearances) > 0 {
 		sh.session.spawn(func() error { sh.recordClearances(clearances); return nil })
 	}
+	if len(reassignments) > 0 {
+		sh.session.spawn(func() error { sh.reassign(reassignments); return nil })
+	}
 	if len(gone) > 0 {
 		// Work must not wait for the log.
 		sh.session.spawn(func() error { sh.removeGone(gone); return nil })
@@ -304,16 +308,18 @@
 	if err != nil {
 		return // the session has ended
 	}
-	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+	sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
 		for i, r := range results {
 			if r.Code == CodeDone {
 				s.ConfirmCrash(crashes[i])
 			}
-			if r.JobState.Final() {
-				s.RemoveJob(now, crashes[i].Item.Job)
-			}
 		}
 	})
+	for i, r := range results {
+		if r.JobState.Final() {
+			sh.session.removeFinalJob(crashes[i].Item.Job) // it may have been reassigned
+		}
+	}
 	sh.session.Metrics.Counters.Add("crashed_runs", int64(len(crashes)))
 	for i, c := range crashes {
 		galenalog.Info(sh.session.Logger, "instance crashed", crashLine{c, results[i].JobState})
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -112,6 +112,8 @@
 	case op.Left != nil:
 		s.left[op.Left.Instance] = *op.Left
 		return Result{Code: CodeDone}
+	case op.Reassign != nil:
+		return s.applyReassign(op.Reassign)
 	case op.Wave != nil:
 		return s.applyWave(op.Wave)
 	case op.WaveStep != nil:
@@ -260,6 +262,18 @@
 	}
 }
 
+func (s *State) applyReassign(r *ReassignOp) Result {
+	j, ok := s.jobs[r.Job]
+	if !ok {
+		return Result{Code: CodeNotFound}
+	}
+	if j.State.Final() {
+		return Result{Code: CodeUnchanged, JobState: j.State}
+	}
+	j.Service = r.Service
+	return Result{Code: CodeDone, JobState: j.State}
+}
+
 func (s *State) applyWave(w *Wave) Result {
 	if _, ok := s.waves[w.ID]; ok {
 		return Result{Code: CodeUnchanged}
@@ -501,6 +515,16 @@
 	return js
 }
 
+// activeJob returns a copy of a job that is not final, or nil.
+func (s *State) activeJob(id galenahead.JobID) *galenajob.Job {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if j, ok := s.jobs[id]; ok && !j.State.Final() {
+		return cloneJob(j)
+	}
+	return nil
+}
+
 func cloneJob(j *galenajob.Job) *galenajob.Job {
 	c := *j
 	c.Items = maps.Clone(j.Items)
--- a/galenafleet/view.go
+++ b/galenafleet/view.go
@@ -150,7 +150,9 @@
 	out := make([]galenajob.QueueView, len(c.Queues))
 	for i := range c.Queues {
 		q := &c.Queues[i]
-		sess.shardFor(q.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { out[i] = s.ViewQueue(now, q.Name) })
+		for _, sh := range sess.shardsOf(q) {
+			sh.inspect(func(now time.Time, s *galenajob.Scheduler) { out[i] = s.ViewQueue(now, q.Name).WithJobsOf(out[i]) })
+		}
 	}
 	return out
 }
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -71,7 +71,7 @@
 		if j.inherited && s.unreconciled > 0 {
 			continue // it may run on instances that are not reconciled
 		}
-		if j.settled || s.hasNoRoom(j) {
+		if j.settled || s.hasNoRoom(j) || s.awaitsReassignment(j) {
 			continue
 		}
 		s.ready = s.readySets(j, s.ready[:0])
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -88,8 +88,10 @@
 	params  Params
 	epoch   int64
 
-	queues    map[string]Queue
-	jobs      map[galenahead.JobID]*job
+	queues map[string]Queue
+	jobs   map[galenahead.JobID]*job
+	// misplaced holds the jobs whose queue another service runs now.
+	misplaced map[galenahead.JobID]*job
 	order     jobOrder
 	instances map[galenahead.InstanceID]*instance
 	// sorted holds the instances in the order of their IDs, or nil after a change.
@@ -149,6 +151,7 @@
 		Service: service, fences: fences, params: p, epoch: int64(epoch),
 		queues:      map[string]Queue{},
 		jobs:        map[galenahead.JobID]*job{},
+		misplaced:   map[galenahead.JobID]*job{},
 		instances:   map[galenahead.InstanceID]*instance{},
 		evacuations: map[galenahead.InstanceID]evacuation{},
 		lost:        map[galenahead.InstanceID]lostInstance{},
@@ -167,6 +170,7 @@
 		if q, ok := s.queues[j.Queue]; ok {
 			j.queue, j.estimates.valid = q, false
 			s.order.touch(j)
+			s.notePlacement(j)
 		}
 	}
 }
@@ -174,18 +178,29 @@
 // AddJob adds a job that is not final and was accepted age ago. inherited marks a
 // job that an earlier owner may have started.
 func (s *Scheduler) AddJob(now time.Time, record *Job, age time.Duration, inherited bool) {
-	if _, ok := s.jobs[record.ID]; ok {
+	j := s.addJob(record, now.Add(-age))
+	if j == nil {
 		return
 	}
+	j.inherited = inherited
+	if !inherited && !j.longRunning {
+		s.arrivals = append(s.arrivals, arrival{now, j.remainingWork()})
+	}
+}
+
+// addJob adds a job, or returns nil if the scheduler has it.
+func (s *Scheduler) addJob(record *Job, acceptedAt time.Time) *job {
+	if _, ok := s.jobs[record.ID]; ok {
+		return nil
+	}
 	j := &job{
-		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{},
-		criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(), acceptedAt: now.Add(-age), inherited: inherited, started: len(record.Items) > 0,
+		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{}, acceptedAt: acceptedAt, started: len(record.Items) > 0,
+		criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(),
 	}
 	s.jobs[record.ID] = j
 	s.order.touch(j)
-	if !inherited && !j.longRunning {
-		s.arrivals = append(s.arrivals, arrival{now, j.remainingWork()})
-	}
+	s.notePlacement(j)
+	return j
 }
 
 // AddInheritedInstance adds an instance on which an earlier owner may have started
@@ -396,6 +411,7 @@
 	j.final = true
 	s.order.remove(j)
 	delete(s.jobs, id)
+	delete(s.misplaced, id)
 	for _, sets := range j.sets {
 		for _, set := range sets {
 			for i := range set.items {
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -197,6 +197,8 @@
 	// final marks a job that was removed from the scheduler.
 	final   bool
 	started bool
+	// reassigning is set while the job is handed to the scheduler of another service.
+	reassigning bool
 	// dueOccurrences is the number of occurrences whose start time has come.
 	dueOccurrences int
 	key            sortKey
--- a/galenajob/view.go
+++ b/galenajob/view.go
@@ -111,6 +111,13 @@
 	return v
 }
 
+// WithJobsOf returns the view with the jobs that another scheduler has of the queue.
+func (v QueueView) WithJobsOf(o QueueView) QueueView {
+	v.Jobs, v.Waiting, v.Hopeless = v.Jobs+o.Jobs, v.Waiting+o.Waiting, v.Hopeless+o.Hopeless
+	v.OldestMS = max(v.OldestMS, o.OldestMS)
+	return v
+}
+
 // ViewJobs returns the jobs of a queue without their runs, oldest first. An empty
 // queue name selects all queues.
 func (s *Scheduler) ViewJobs(now time.Time, queue string) []JobView {
