--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -45,6 +45,17 @@
 	Left *LeftOp `cbor:"15,keyasint,omitempty"`
 	// Reassign is unknown to earlier versions.
 	Reassign *ReassignOp `cbor:"16,keyasint,omitempty"`
+	// Fenced is unknown to earlier versions.
+	Fenced *FencedOp `cbor:"17,keyasint,omitempty"`
+}
+
+// FencedOp records that an incarnation of an instance, later than another one, refuses all calls
+// to that one.
+type FencedOp struct {
+	Instance galenahead.InstanceID `cbor:"1,keyasint"`
+	Born     int64                 `cbor:"2,keyasint"`
+	// HoldsLease reports that it may have taken the longest lease until then.
+	HoldsLease bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ReassignOp records that another service runs a job from now on.
--- a/galenafleet/leave_test.go
+++ b/galenafleet/leave_test.go
@@ -15,12 +15,18 @@
 	"github.com/galenahead/galenahead/galenajob"
 )
 
+// longestLease is the longest lease that a stoppable instance grants.
+const longestLease = 10 * time.Second
+
 // stoppableInstances run work until it is stopped or their lease expires. Calls to those that are
 // cut off do not arrive.
 type stoppableInstances struct {
 	mu     sync.Mutex
 	booted time.Time
-	cutOff map[galenahead.InstanceID]bool
+	// restarted holds when instances have started again, and born what identifies that life.
+	restarted map[galenahead.InstanceID]time.Time
+	born      map[galenahead.InstanceID]int64
+	cutOff    map[galenahead.InstanceID]bool
 	// until is when the lease of each instance expires.
 	until map[galenahead.InstanceID]time.Time
 	runs  map[galenahead.InstanceID]map[galenajob.ItemID]int64
@@ -34,13 +40,31 @@
 
 func newStoppableInstances() *stoppableInstances {
 	return &stoppableInstances{
-		booted: time.Now().Add(-time.Second), cutOff: map[galenahead.InstanceID]bool{}, until: map[galenahead.InstanceID]time.Time{},
+		booted: time.Now().Add(-time.Hour), restarted: map[galenahead.InstanceID]time.Time{}, born: map[galenahead.InstanceID]int64{},
+		cutOff: map[galenahead.InstanceID]bool{}, until: map[galenahead.InstanceID]time.Time{},
 		runs: map[galenahead.InstanceID]map[galenajob.ItemID]int64{}, ends: map[galenahead.InstanceID][]galenajob.End{},
 		fence: map[galenahead.InstanceID]int64{}, startedAt: map[galenajob.ItemID]time.Time{},
 	}
 }
 
-func (f *stoppableInstances) clock() int64 { return time.Since(f.booted).Milliseconds() }
+// clock returns the reading of the clock of an instance.
+func (f *stoppableInstances) clock(id galenahead.InstanceID) int64 {
+	if at, ok := f.restarted[id]; ok {
+		return time.Since(at).Milliseconds()
+	}
+	return time.Since(f.booted).Milliseconds()
+}
+
+// restart starts an instance again under its ID.
+func (f *stoppableInstances) restart(id galenahead.InstanceID, born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restarted[id], f.born[id] = time.Now(), born
+	delete(f.runs, id)
+	delete(f.ends, id)
+	delete(f.until, id)
+	delete(f.fence, id)
+}
 
 // expire ends what runs on instances whose lease has expired. mu must be held.
 func (f *stoppableInstances) expire() {
@@ -65,7 +89,8 @@
 		return false
 	}
 	f.fence[in.ID] = fence
-	if until := f.booted.Add(time.Duration(deadline) * time.Millisecond); deadline > 0 && until.After(f.until[in.ID]) {
+	lease := min(time.Duration(deadline-f.clock(in.ID))*time.Millisecond, longestLease)
+	if until := time.Now().Add(lease); deadline > 0 && until.After(f.until[in.ID]) {
 		f.until[in.ID] = until
 	}
 	return true
@@ -89,7 +114,7 @@
 	}
 	f.runs[a.Instance.ID][a.Item] = a.Run
 	f.startedAt[a.Item] = time.Now()
-	return galenajob.OutcomeDone, f.clock(), nil
+	return galenajob.OutcomeDone, f.clock(a.Instance.ID), nil
 }
 
 func (f *stoppableInstances) Stop(_ context.Context, a galenajob.Action, _ time.Duration) (galenajob.Outcome, int64, error) {
@@ -101,7 +126,7 @@
 	if _, ok := f.runs[a.Instance.ID][a.Item]; ok {
 		f.end(a.Instance.ID, a.Item, galenajob.EndStopped)
 	}
-	return galenajob.OutcomeDone, f.clock(), nil
+	return galenajob.OutcomeDone, f.clock(a.Instance.ID), nil
 }
 
 func (f *stoppableInstances) Pace(context.Context, galenajob.Action, time.Duration) error { return nil }
@@ -117,7 +142,7 @@
 	if !f.arrive(req.Instance, req.Fence, req.Deadline) {
 		return galenajob.PollResponse{}, errCutOff
 	}
-	resp := galenajob.PollResponse{Clock: f.clock(), Born: req.Instance.Born}
+	resp := galenajob.PollResponse{Clock: f.clock(req.Instance.ID), Born: max(1, f.born[req.Instance.ID])}
 	for item, run := range f.runs[req.Instance.ID] {
 		resp.Runs = append(resp.Runs, galenajob.Run{Item: item, Number: run, Percent: 100})
 	}
@@ -176,7 +201,7 @@
 				ctx, stop := startOwner(t, o, testConfig)
 				heartbeat := func(o *Owner, id galenahead.InstanceID, sequence int64, service galenahead.ServiceName, draining bool) {
 					hb := testHeartbeat
-					hb.Sequence, hb.Clock = sequence, f.clock()
+					hb.Sequence, hb.Clock = sequence, f.clock(id)
 					hb.Instance.ID, hb.Instance.Service, hb.Instance.Draining = id, service, draining
 					_, err := o.Heartbeat(ctx, hb)
 					is.NoErr(err)
--- a/galenafleet/reassign_test.go
+++ b/galenafleet/reassign_test.go
@@ -59,7 +59,7 @@
 				ctx, stop := startOwner(t, o, configSending(1, "counter"))
 				heartbeat := func(id galenahead.InstanceID, service galenahead.ServiceName) {
 					hb := testHeartbeat
-					hb.Sequence, hb.Clock, hb.Instance.ID, hb.Instance.Service = f.clock(), f.clock(), id, service
+					hb.Sequence, hb.Clock, hb.Instance.ID, hb.Instance.Service = f.clock(id), f.clock(id), id, service
 					hb.Instance.Capacity.MilliCPU = 100 * jobs
 					_, err := o.Heartbeat(ctx, hb)
 					is.NoErr(err)
--- /dev/null
+++ b/galenafleet/restart_test.go
@@ -0,0 +1,130 @@
+package galenafleet
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenajob"
+	"github.com/galenahead/galenahead/galenatimer"
+)
+
+// Guards against work that runs twice because an instance that has started again under its ID
+// executes a poll that was meant for its earlier life, with a deadline on that one's clock, and
+// is then cut off for longer than the lease that the owner counts on, also by another owner.
+func TestWorkOfRestartedInstanceRunsOnce(t *testing.T) {
+	const never = -1
+	for _, owner := range []time.Duration{never, 0, 5 * time.Millisecond, 30 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second} {
+		name := fmt.Sprintf("another owner after %s", owner)
+		if owner == never {
+			name = "one owner"
+		}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o, log := testOwner()
+				o.Params.MaxLease = longestLease
+				log.delay.Store(int64(5 * time.Millisecond))
+				f := newStoppableInstances()
+				o.Instances = f
+				ctx, stop := startOwner(t, o, testConfig)
+				sequence := int64(0)
+				heartbeat := func(id galenahead.InstanceID) {
+					sequence++
+					hb := testHeartbeat
+					hb.Sequence, hb.Clock, hb.Instance.ID, hb.Instance.Born = sequence, f.clock(id), id, max(1, f.born[id])
+					_, err := o.Heartbeat(ctx, hb)
+					is.NoErr(err)
+				}
+				heartbeat("i")
+				_, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1, LongRunning: true}}}})
+				is.NoErr(err)
+				time.Sleep(time.Second)
+				f.restart("i", 2)
+				heartbeat("i")
+				if owner != never {
+					time.Sleep(owner)
+					stop()
+					next, nextLog := testOwner()
+					next.Instances, next.State, next.Params.MaxLease = f, o.State, longestLease
+					nextLog.state = o.State
+					ctx, stop = startOwner(t, next, testConfig)
+					o = next
+				} else {
+					time.Sleep(300 * time.Millisecond)
+				}
+				f.setCutOff("i")
+				cut := time.Now()
+				for range 40 {
+					heartbeat("i2")
+					time.Sleep(500 * time.Millisecond)
+				}
+				stop()
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				is.Equal(f.twice, nil)
+				again := f.startedAt[galenajob.ItemID{Job: "j"}]
+				is.True(again.Sub(cut) < longestLease*12/10)
+			})
+		})
+	}
+}
+
+// Guards against an owner that does not know of a restart, or for how long a lease from before
+// may be held, after a snapshot or an expiry, or for another incarnation.
+func TestRestartsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	s := &State{Timers: &galenatimer.Service{}}
+	in := galenajob.Instance{ID: "i", Born: 1}
+	known := func() (ok, fenced bool) {
+		fenced, _, ok = s.restartOf(in)
+		return ok, fenced
+	}
+	register := func() { apply(t, s, Op{Instance: &in}) }
+	expect := func(wantKnown, wantFenced bool) {
+		t.Helper()
+		is.Helper()
+		ok, fenced := known()
+		is.Equal(ok, wantKnown)
+		is.Equal(fenced, wantFenced)
+	}
+	register()
+	expect(false, false)
+	in.Born = 2
+	expect(false, false)
+	register()
+	expect(true, false)
+	in.Draining = true
+	register() // a change of the same incarnation
+	expect(true, false)
+	apply(t, s, Op{Fenced: &FencedOp{Instance: "i", Born: 1, HoldsLease: true}})
+	expect(true, false)
+	apply(t, s, Op{Fenced: &FencedOp{Instance: "i", Born: 2, HoldsLease: true}})
+	expect(true, true)
+
+	b, err := s.Snapshot()
+	is.NoErr(err)
+	before := time.Now()
+	s = &State{Timers: &galenatimer.Service{}}
+	is.NoErr(s.Restore(b))
+	fenced, knownAt, ok := s.restartOf(in)
+	is.True(ok && fenced)
+	is.True(!knownAt.Before(before))
+
+	in.Born = 3
+	register()
+	expect(true, false)
+	apply(t, s, Op{Fenced: &FencedOp{Instance: "i", Born: 3}})
+	expect(false, false)
+	id := in.ID
+	apply(t, s, Op{Remove: &id, Left: &LeftOp{Born: 3, At: time.Now()}})
+	in.Born = 4
+	register()
+	expect(true, false) // it has left, and is back
+	apply(t, s, Op{Remove: &id})
+	expect(false, false)
+}
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -145,8 +145,16 @@
 func (sh *shard) addInheritedInstance(in galenajob.Instance, left bool) {
 	const slowClockFactor = 1.03
 	leaseTimeout := time.Duration(slowClockFactor * float64(sh.session.Params.Lease))
+	fenced, knownAt, restarted := sh.session.State.restartOf(in)
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
-		s.AddInheritedInstance(now, in, now.Add(leaseTimeout))
+		expiry := now.Add(leaseTimeout)
+		if held := knownAt.Add(sh.session.Params.LongestLease()); restarted && fenced && held.After(expiry) {
+			expiry = held
+		}
+		s.AddInheritedInstance(now, in, expiry)
+		if restarted && !fenced {
+			s.ExpectStrayCalls(now, in.ID)
+		}
 		if left {
 			s.Leave(now, in.ID)
 		}
@@ -237,7 +245,7 @@
 	sh.scheduler.SetMaxStarting(sh.session.starts.bound(maxStarting))
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
-	reassignments := sh.scheduler.TakeReassignments()
+	reassignments, fenced := sh.scheduler.TakeReassignments(), sh.scheduler.TakeFenced()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
 	if reconciled && !sh.takenOver {
 		sizes = sh.scheduler.Sizes(sh.now())
@@ -257,6 +265,9 @@
 	if len(clearances) > 0 {
 		sh.session.spawn(func() error { sh.recordClearances(clearances); return nil })
 	}
+	if len(fenced) > 0 {
+		sh.session.spawn(func() error { sh.recordFenced(fenced); return nil })
+	}
 	if len(reassignments) > 0 {
 		sh.session.spawn(func() error { sh.reassign(reassignments); return nil })
 	}
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -37,9 +37,11 @@
 	cancelledUnknown map[galenahead.JobID]time.Time
 	instances        map[galenahead.InstanceID]galenajob.Instance
 	// left holds the last incarnations that have left, until their jobs would be forgotten.
-	left   map[galenahead.InstanceID]LeftOp
-	waves  map[int64]*Wave
-	orders map[galenahead.VMName]MachineOrder
+	left map[galenahead.InstanceID]LeftOp
+	// restarts holds the registered incarnations that follow another one.
+	restarts map[galenahead.InstanceID]restart
+	waves    map[int64]*Wave
+	orders   map[galenahead.VMName]MachineOrder
 	// orderSeenAt holds when this replica learned of the last order to each machine,
 	// on its own clock.
 	orderSeenAt map[galenahead.VMName]time.Time
@@ -55,6 +57,7 @@
 		s.cancelledUnknown = map[galenahead.JobID]time.Time{}
 		s.instances = map[galenahead.InstanceID]galenajob.Instance{}
 		s.left = map[galenahead.InstanceID]LeftOp{}
+		s.restarts = map[galenahead.InstanceID]restart{}
 		s.waves = map[int64]*Wave{}
 		s.orders = map[galenahead.VMName]MachineOrder{}
 		s.orderSeenAt = map[galenahead.VMName]time.Time{}
@@ -101,10 +104,12 @@
 	case op.Clear != nil:
 		return s.applyClear(op.Clear)
 	case op.Instance != nil:
+		s.recordRestart(*op.Instance)
 		s.instances[op.Instance.ID] = *op.Instance
 		return Result{Code: CodeDone}
 	case op.Remove != nil:
 		delete(s.instances, *op.Remove)
+		delete(s.restarts, *op.Remove)
 		if op.Left != nil {
 			s.left[*op.Remove] = *op.Left
 		}
@@ -112,6 +117,8 @@
 	case op.Left != nil:
 		s.left[op.Left.Instance] = *op.Left
 		return Result{Code: CodeDone}
+	case op.Fenced != nil:
+		return s.applyFenced(op.Fenced)
 	case op.Reassign != nil:
 		return s.applyReassign(op.Reassign)
 	case op.Wave != nil:
@@ -315,6 +322,8 @@
 	Left map[galenahead.InstanceID]LeftOp `cbor:"8,keyasint,omitempty"`
 	// CancelledUnknown is missing in snapshots of earlier versions.
 	CancelledUnknown map[galenahead.JobID]time.Time `cbor:"9,keyasint,omitempty"`
+	// Restarts is missing in snapshots of earlier versions.
+	Restarts map[galenahead.InstanceID]restart `cbor:"10,keyasint,omitempty"`
 }
 
 type storedJob struct {
@@ -331,7 +340,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left, CancelledUnknown: s.cancelledUnknown}
+	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left, CancelledUnknown: s.cancelledUnknown, Restarts: s.restarts}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		out.Jobs = append(out.Jobs, s.encodableJob(s.jobs[id]))
 	}
@@ -384,6 +393,7 @@
 	}
 	maps.Copy(s.left, in.Left)
 	maps.Copy(s.cancelledUnknown, in.CancelledUnknown)
+	s.restoreRestarts(in.Restarts)
 	for _, o := range in.Orders {
 		s.recordOrder(o)
 	}
--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -25,8 +25,16 @@
 	// netFaultsFor is how long faults occur, and netCalm how long the simulation goes on
 	// without any, after which all jobs must be final.
 	netFaultsFor, netCalm = 25 * time.Second, 25 * time.Second
+	// netMaxLease is the longest lease that an instance grants.
+	netMaxLease = 10 * time.Second
 )
 
+func netParams() Params {
+	p := testParams()
+	p.MaxLease = netMaxLease
+	return p
+}
+
 // netSimulation simulates owners and instances on a network on which requests and
 // responses take time: they overtake each other, are lost, or arrive seconds late, also
 // at a later incarnation of the instance. Stops take time, ends are listed in pages and
@@ -46,9 +54,12 @@
 	// goes on.
 	pollers map[galenahead.InstanceID]int
 	lives   map[galenahead.InstanceID]*netLife
-	records map[galenahead.JobID]*Job
-	final   map[galenahead.JobID]time.Time
-	starts  int
+	// registered and restarts are what the replicated state holds of the instances.
+	registered map[galenahead.InstanceID]Instance
+	restarts   map[galenahead.InstanceID]netRestart
+	records    map[galenahead.JobID]*Job
+	final      map[galenahead.JobID]time.Time
+	starts     int
 	// startedAt holds when each run was first ordered, and lapsedDone when an end was
 	// recorded that the instance lists from before its lease expired. Nobody waits for
 	// such an end.
@@ -56,6 +67,12 @@
 	lapsedDone map[ItemID]time.Time
 }
 
+// netRestart is the record that a registered incarnation follows another one.
+type netRestart struct {
+	fenced  bool
+	knownAt time.Time
+}
+
 // netOrder identifies a run.
 type netOrder struct {
 	item ItemID
@@ -83,6 +100,10 @@
 	Instance
 	bootedAt time.Time
 	rate     float64
+	// bootClock is the reading of the clock at the start.
+	bootClock int64
+	// heardBy is the last epoch whose owner has heard of the incarnation.
+	heardBy  uint64
 	fence    int64
 	deadline int64
 	runs     map[ItemID]*netRun
@@ -120,7 +141,7 @@
 }
 
 func (l *netLife) clock(now time.Time) int64 {
-	return 50 + int64(l.rate*float64(now.Sub(l.bootedAt).Milliseconds()))
+	return l.bootClock + int64(l.rate*float64(now.Sub(l.bootedAt).Milliseconds()))
 }
 
 func (l *netLife) endRun(id ItemID, reason EndReason) {
@@ -204,7 +225,7 @@
 
 // extend extends the lease, which is never longer than the longest one allowed.
 func (l *netLife) extend(now time.Time, deadline int64) {
-	l.deadline = max(l.deadline, min(deadline, l.clock(now)+testParams().Lease.Milliseconds()))
+	l.deadline = max(l.deadline, min(deadline, l.clock(now)+netMaxLease.Milliseconds()))
 }
 
 func (sim *netSimulation) checkStart(l *netLife, a Action) {
@@ -213,7 +234,7 @@
 			continue
 		}
 		o.expireLease(sim.now)
-		if o.runs[a.Item] != nil {
+		if o.runs[a.Item] != nil && sim.isKnown(o) {
 			sim.fail("%v run %d starts on %s while run %d is on %s", a.Item, a.Run, l.ID, o.runs[a.Item].number, o.ID)
 		}
 		if slices.ContainsFunc(o.ends, func(e End) bool { return e.Item == a.Item && e.Reason == EndDone && e.Sequence > o.lapsed }) {
@@ -237,6 +258,12 @@
 	}
 }
 
+// isKnown reports whether the owner can know of an incarnation. One that has executed a call to
+// an earlier one and is cut off before anybody hears of it holds a lease of unknown length.
+func (sim *netSimulation) isKnown(l *netLife) bool {
+	return l.earlier == nil || l.heardBy == sim.epoch || sim.registered[l.ID].Born == l.Born
+}
+
 // reach returns the incarnation that a request reaches, or nil.
 func (sim *netSimulation) reach(id galenahead.InstanceID) *netLife {
 	if l := sim.lives[id]; l != nil && !l.dead && !sim.now.Before(l.unreachableUntil) {
@@ -303,18 +330,35 @@
 	}
 	addressed := sim.lives[a.Instance.ID]
 	sim.call(a.Instance.ID, func() { settle(OutcomeUnknown, 0) }, func(l *netLife) func() {
-		if l != addressed && (s != sim.sched || l.refusedByEarlier(a)) {
+		if l != addressed && (l.refusedByEarlier(a) || !sim.mayStillStart(a)) {
 			return nil
 		}
 		o, clock := sim.execute(l, a), l.clock(sim.now)
-		return func() { settle(o, clock) }
+		return func() {
+			if s == sim.sched {
+				l.heardBy = sim.epoch
+			}
+			settle(o, clock)
+		}
 	})
 }
 
+// mayStillStart reports whether the owner has not given up the run that a command to an
+// earlier incarnation of the instance starts. Of a run that it has given up, it may have
+// started the next one.
+func (sim *netSimulation) mayStillStart(a Action) bool {
+	inst := sim.sched.instances[a.Instance.ID]
+	if inst == nil {
+		return false
+	}
+	it := inst.items[a.Item]
+	return inst.unreconciled || it != nil && it.run == a.Run
+}
+
 // refusedByEarlier reports whether an earlier incarnation would have refused a command for
 // its fencing token or its run. A restart forgets both and resets the clock of deadlines, so
 // that nothing protects the present incarnation from such a command before it is polled; the
-// simulation leaves them out, and those of earlier owners.
+// simulation leaves them out.
 func (l *netLife) refusedByEarlier(a Action) bool {
 	for e := l.earlier; e != nil; e = e.earlier {
 		if a.Kind == ActStop || e.fence > a.Fence || e.highest[a.Item] >= a.Run {
@@ -358,6 +402,7 @@
 			if s != sim.sched || loop != sim.pollers[id] {
 				return
 			}
+			l.heardBy = sim.epoch
 			ends := s.HandlePoll(sim.now, id, resp)
 			if len(ends) == 0 {
 				again(netStep)
@@ -446,6 +491,10 @@
 	l := &netLife{Instance: testInstance(string(id)), bootedAt: sim.now, runs: map[ItemID]*netRun{}, highest: map[ItemID]int64{}, earlier: earlier}
 	l.Born = sim.now.UnixMilli()
 	l.rate = 1 - 0.02*sim.rng.Float64()
+	l.bootClock = 50
+	if sim.rng.IntN(3) == 0 {
+		l.bootClock = int64(sim.rng.IntN(40000))
+	}
 	sim.lives[id] = l
 	sim.after(sim.ms(5, 300), func() { sim.heartbeat(l) })
 }
@@ -459,6 +508,11 @@
 	if sim.reach(l.ID) != l {
 		return
 	}
+	l.heardBy = sim.epoch
+	if known, ok := sim.registered[l.ID]; ok && known.Born != l.Born {
+		sim.restarts[l.ID] = netRestart{}
+	}
+	sim.registered[l.ID] = l.Instance
 	known := sim.sched.instances[l.ID]
 	switch {
 	case known == nil:
@@ -466,8 +520,24 @@
 		sim.startPolling(l.ID)
 	case known.Born != l.Born:
 		sim.sched.AddInstance(sim.now, l.Instance)
-	default:
-		sim.sched.Heartbeat(sim.now, l.ID, l.clock(sim.now))
+	}
+	sim.sched.Heartbeat(sim.now, l.ID, l.clock(sim.now))
+}
+
+// recordFenced records that incarnations refuse calls to the ones before them.
+func (sim *netSimulation) recordFenced(s *Scheduler, fenced []FencedIncarnation) {
+	if s != sim.sched {
+		return
+	}
+	for _, f := range fenced {
+		if _, ok := sim.restarts[f.Instance]; !ok || sim.registered[f.Instance].Born != f.Born {
+			continue
+		}
+		if f.HoldsLease {
+			sim.restarts[f.Instance] = netRestart{true, sim.now}
+		} else {
+			delete(sim.restarts, f.Instance)
+		}
 	}
 }
 
@@ -475,11 +545,19 @@
 func (sim *netSimulation) replaceOwner() {
 	sim.epoch++
 	old := sim.sched
-	sim.sched = NewScheduler("counter", sim.epoch, testParams(), &Fences{})
+	sim.sched = NewScheduler("counter", sim.epoch, netParams(), &Fences{})
 	sim.sched.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 3, Stretch: 1.6, TargetLatency: 600 * time.Millisecond})
 	if old != nil {
-		for _, id := range old.Instances() {
-			sim.sched.AddInheritedInstance(sim.now, old.instances[id].Instance, sim.now.Add(testParams().Lease*103/100))
+		for _, id := range slices.Sorted(maps.Keys(sim.registered)) {
+			expiry := sim.now.Add(testParams().Lease * 103 / 100)
+			r, restarted := sim.restarts[id]
+			if held := r.knownAt.Add(netParams().LongestLease()); r.fenced && held.After(expiry) {
+				expiry = held
+			}
+			sim.sched.AddInheritedInstance(sim.now, sim.registered[id], expiry)
+			if restarted && !r.fenced {
+				sim.sched.ExpectStrayCalls(sim.now, id)
+			}
 			sim.startPolling(id)
 		}
 	}
@@ -508,7 +586,13 @@
 	for _, a := range planChecked(sim.t, sim.sched, sim.now) {
 		sim.send(a)
 	}
+	if fenced := sim.sched.TakeFenced(); len(fenced) > 0 {
+		s := sim.sched
+		sim.after(sim.ms(5, 300), func() { sim.recordFenced(s, fenced) })
+	}
 	for _, id := range sim.sched.TakeGone() {
+		delete(sim.registered, id)
+		delete(sim.restarts, id)
 		sim.sched.RemoveInstance(sim.now, id)
 		sim.pollers[id]++
 	}
@@ -574,6 +658,7 @@
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), now: t0, faulty: true, pollers: map[galenahead.InstanceID]int{}, lives: map[galenahead.InstanceID]*netLife{},
 		records: map[galenahead.JobID]*Job{}, final: map[galenahead.JobID]time.Time{},
 		startedAt: map[netOrder]time.Time{}, lapsedDone: map[ItemID]time.Time{},
+		registered: map[galenahead.InstanceID]Instance{}, restarts: map[galenahead.InstanceID]netRestart{},
 	}
 	sim.replaceOwner()
 	for i := range 4 {
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -49,14 +49,15 @@
 	takesLease := a.Kind == ActStart && clock > 0 && (o == OutcomeDone || o == OutcomeOldRun || o == OutcomeNoRoom)
 	if a.Fence != inst.fence {
 		// The clock and the silence of an earlier incarnation say nothing about this one.
-		if takesLease && clock < inst.earlierClock {
-			s.takeStrayLease(inst, a.Deadline, clock)
+		if a.Kind == ActStart && (o == OutcomeUnsent || o == OutcomeDeferred || s.isEarlierClock(inst, clock)) {
+			inst.endStrayCall()
 		}
 		return
 	}
 	restarted := clock > 0 && clock < inst.clock && sent.After(inst.clockAt)
 	if restarted && takesLease {
-		inst.strayDeadline = max(inst.strayDeadline, s.strayLease(a.Deadline, clock))
+		// An incarnation that is not known yet has answered.
+		s.holdLease(now, inst)
 	}
 	switch o {
 	case OutcomeUnknown, OutcomeUnsent:
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -25,6 +25,7 @@
 	if inst == nil || inst.removing || !inst.needsPoll() {
 		return PollRequest{}, false
 	}
+	inst.pollOpen = false
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor}
 	if !inst.unansweredSince.IsZero() {
 		// A later incarnation may answer, whose ends begin at 1 again.
@@ -39,6 +40,7 @@
 	if !s.unresponsive(now, inst) && !inst.leaving {
 		req.Deadline = inst.extendDeadline(now, s.params.Lease)
 	}
+	inst.pollOpen = req.Deadline > 0
 	return req, true
 }
 
@@ -87,24 +89,23 @@
 	}
 	isLater := resp.Born != 0 && inst.Born != 0 && resp.Born != inst.Born
 	if resp.Fence != inst.fence {
-		if resp.Born != 0 && !isLater {
-			// This incarnation has answered a poll that was meant for the one before.
-			s.takeStrayLease(inst, resp.Deadline, resp.Clock)
+		if resp.Deadline > 0 && isLater {
+			inst.endStrayCall() // the earlier incarnation has answered it
 		}
 		return nil
 	}
 	if isLater {
 		s.beginIncarnation(now, inst, resp.Born)
 		inst.updateClock(now, resp.Clock)
-		s.takeStrayLease(inst, resp.Deadline, resp.Clock)
 		return nil
 	}
+	inst.pollOpen = false
 	s.noteResponse(now, inst, resp.Clock)
 	// Before all ends of an inherited instance are read, it gets no work and no lease, so that
 	// what runs there ends by reconciledBy.
 	inst.fenceConfirmed = inst.fenceConfirmed || !inst.unreconciled || !resp.More
 	if inst.fencedAt.IsZero() {
-		inst.fencedAt = now
+		s.confirmFence(now, inst)
 	}
 	inst.ackedSeq = max(inst.ackedSeq, resp.Cursor)
 	inst.grantedUntil = max(inst.grantedUntil, resp.Deadline)
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -64,6 +64,8 @@
 type Fences struct {
 	mu   sync.Mutex
 	last map[galenahead.InstanceID]int64
+	// openCallAt holds when instances were removed while a call to them was open.
+	openCallAt map[galenahead.InstanceID]time.Time
 }
 
 // next returns a token that is higher than all that were issued for the instance, and
@@ -103,6 +105,8 @@
 	// TakeCrashes returns next.
 	lost    map[galenahead.InstanceID]lostInstance
 	crashes []Crash
+	// fenced is what TakeFenced returns next.
+	fenced []FencedIncarnation
 	// clearances is what TakeClearances returns next.
 	clearances []Clearance
 	// held is the instance that is kept free for a suspect until heldUntil, or nil.
@@ -211,6 +215,7 @@
 		return
 	}
 	inst.unreconciled, inst.reconciledBy = true, reconciledBy
+	inst.heldUntil, inst.inheritedAt = reconciledBy, now
 	s.unreconciled++
 }
 
@@ -231,6 +236,10 @@
 			Instance: in, fence: s.fences.next(in.ID, s.epoch*incarnationsPerEpoch), items: map[ItemID]*item{},
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
+		if at := s.fences.takeOpenCall(in.ID); !at.IsZero() && now.Sub(at) < s.params.callMemory() {
+			s.expectStrayCalls(now, inst, 1)
+			inst.followsAnother = true
+		}
 		s.noteReturn(now, in)
 		inst.evacuation, inst.evacuating = s.evacuations[in.ID]
 		s.instances[in.ID] = inst
@@ -251,11 +260,12 @@
 // higher fencing token keeps it out.
 func (s *Scheduler) beginIncarnation(now time.Time, inst *instance, born int64) {
 	inst.Born = born
+	s.beginStrayCalls(now, inst)
 	inst.fence = s.fences.next(inst.ID, inst.fence)
 	inst.fenceConfirmed, inst.fencedAt = false, time.Time{}
 	inst.Draining, inst.drainingSince, inst.leaving = false, time.Time{}, false
 	inst.earlierClock = inst.estimatedClock(now)
-	inst.clock, inst.clockAt, inst.maxDeadline, inst.strayDeadline, inst.grantedUntil = 0, now, inst.strayDeadline, 0, 0
+	inst.clock, inst.clockAt, inst.maxDeadline, inst.grantedUntil = 0, now, 0, 0
 	inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, 0, 0, false
 	inst.lateRuns, inst.addressReused = nil, false
 	s.noteReturn(now, inst.Instance)
@@ -309,6 +319,7 @@
 	if inst.removing {
 		s.abandonLostInstance(now, inst)
 	}
+	s.noteCallsOfRemoved(now, inst)
 	for _, it := range inst.items {
 		s.abandonRun(now, it)
 	}
@@ -477,7 +488,14 @@
 // HandleNoResponse records that a call sent to the instance at sent got no response.
 func (s *Scheduler) HandleNoResponse(id galenahead.InstanceID, sent time.Time) {
 	inst := s.instances[id]
-	if inst != nil && inst.unansweredSince.IsZero() && sent.After(inst.respondedAt) {
+	if inst == nil {
+		return
+	}
+	inst.pollOpen = false
+	if sent.After(inst.lostCallAt) {
+		inst.lostCallAt = sent
+	}
+	if inst.unansweredSince.IsZero() && sent.After(inst.respondedAt) {
 		inst.unansweredSince = sent
 	}
 }
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -338,11 +338,24 @@
 	// maxDeadline is the latest deadline sent to the instance, on its clock, and grantedUntil
 	// the latest one that it has certainly received.
 	maxDeadline, grantedUntil int64
-	// strayDeadline is the end of the lease that an incarnation which is not known yet has
-	// taken from a start that was meant for the present one, on its clock; zero if none has.
-	strayDeadline int64
+	// heldUntil is how long the instance may hold a lease that maxDeadline does not show, on
+	// the scheduler's clock.
+	heldUntil time.Time
+	// strayCalls counts the calls to earlier incarnations that this one may still execute,
+	// and strayUntil is how long it may hold a lease of one that it has executed. Both are
+	// zero once it refuses such calls.
+	strayCalls int
+	strayUntil time.Time
 	// earlierClock is what the clock of the incarnation before had reached at the least.
 	earlierClock int64
+	// followsAnother is set if the instance had an earlier incarnation.
+	followsAnother bool
+	// pollOpen is set while a poll that renews the lease has no response, and lostCallAt is
+	// when the last call that has got none was sent.
+	pollOpen   bool
+	lostCallAt time.Time
+	// inheritedAt is when the instance was taken over from an earlier owner, or zero.
+	inheritedAt time.Time
 	// seenSeq is the sequence number of the last end that was received, cursor that
 	// of the last end that was processed and recorded, and ackedSeq that of the
 	// last end that the instance knows it may delete.
@@ -395,8 +408,8 @@
 // leaseExpired reports whether the lease of everything started on the instance
 // has certainly expired.
 func (inst *instance) leaseExpired(now time.Time) bool {
-	if now.Before(inst.reconciledBy) {
-		return false // an earlier owner may have granted it
+	if now.Before(inst.heldUntil) || now.Before(inst.strayUntil) {
+		return false
 	}
 	if inst.maxDeadline == 0 {
 		return true
@@ -430,20 +443,6 @@
 	}
 }
 
-// strayLease returns the end of the lease that an incarnation has taken, at a reading of its
-// clock, from a call whose deadline was on the clock of an earlier one.
-func (s *Scheduler) strayLease(deadline, clock int64) int64 {
-	return min(deadline, clock+s.params.MaxLease.Milliseconds())
-}
-
-// takeStrayLease records that the present incarnation has taken a lease from such a call. A
-// call without a deadline, which is zero, gives none.
-func (s *Scheduler) takeStrayLease(inst *instance, deadline, clock int64) {
-	if deadline > 0 {
-		inst.maxDeadline = max(inst.maxDeadline, s.strayLease(deadline, clock))
-	}
-}
-
 // extendDeadline returns the deadline on the instance's clock for a lease that
 // starts now, and keeps the latest one in maxDeadline.
 func (inst *instance) extendDeadline(now time.Time, lease time.Duration) int64 {
--- /dev/null
+++ b/galenajob/stray_call_test.go
@@ -0,0 +1,117 @@
+package galenajob
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against work that runs twice because an incarnation of an instance holds a longer
+// lease than the owner knows: it has executed a call to the incarnation before, whose deadline
+// was on another clock, and nobody has seen an answer, or an earlier owner has.
+func TestWorkOfRestartedInstanceWaitsForItsLease(t *testing.T) {
+	const maxLease = 10 * time.Second
+	lease := testParams().Lease
+	params := testParams()
+	params.MaxLease = maxLease
+	// lose lets the last call to instance a end without a response.
+	lose := func(s *Scheduler) { s.HandleNoResponse("a", t0.Add(time.Millisecond)) }
+	tests := []struct {
+		name string
+		// call leaves a call to the incarnation born at 1 open, or none.
+		call func(s *Scheduler, start Action)
+		// owner is when the owner changes: "before" the restart is known, after the
+		// incarnation is "registered", or after it is "fenced" with a record of that.
+		owner string
+		// holds reports that the later incarnation may hold a lease of maxLease.
+		holds bool
+	}{
+		{"poll without a response", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a"); lose(s) }, "", true},
+		{"poll in flight", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "", true},
+		{"start without a response", func(s *Scheduler, _ Action) {
+			s.AddJob(t0, testJob("k", 1), 0, false)
+			s.HandleOutcome(t0, starts(s.Plan(t0, t0))[0], OutcomeUnknown, 0, t0)
+		}, "", true},
+		{"start in flight", func(s *Scheduler, _ Action) { s.AddJob(t0, testJob("k", 1), 0, false); s.Plan(t0, t0) }, "", true},
+		{"start whose copy is lost", func(s *Scheduler, start Action) {
+			s.HandleOutcome(t0.Add(-time.Second), start, OutcomeUnknown, 0, t0.Add(-time.Second))
+			s.HandleOutcome(t0, start, OutcomeDone, 500_000, t0)
+		}, "", true},
+		{"none open", func(*Scheduler, Action) {}, "", false},
+		{"one lost long before", func(s *Scheduler, _ Action) { s.HandleNoResponse("a", t0.Add(-2*maxLease)) }, "", false},
+		{"one in flight, then another owner before the restart is known", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "before", true},
+		{"one in flight, then another owner that knows of the restart", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "registered", true},
+		{"one in flight, then another owner that knows of the fence", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "fenced", true},
+		{"none open, then another owner that knows of the fence", func(*Scheduler, Action) {}, "fenced", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFencedScheduler("a")
+			s.params = params
+			s.Heartbeat(t0, "a", 500_000)
+			s.AddJob(t0, testJob("j", 1), 0, false)
+			start := starts(s.Plan(t0, t0))[0]
+			s.HandleOutcome(t0, start, OutcomeDone, 500_000, t0)
+			tt.call(s, start)
+
+			in := testInstance("a")
+			in.Born = 2
+			next := func(in Instance, expiry time.Time) {
+				s = NewScheduler("counter", 2, params, &Fences{})
+				s.SetQueue(Queue{Name: "q", Service: "counter", MaxAttempts: 2, Stretch: 1.6})
+				s.AddInheritedInstance(t0, in, expiry)
+				s.AddJob(t0, testJob("j", 1), 0, true)
+			}
+			switch tt.owner {
+			case "before":
+				next(testInstance("a"), t0.Add(lease*103/100))
+				s.AddInstance(t0, in)
+			case "registered":
+				next(in, t0.Add(lease*103/100))
+				s.ExpectStrayCalls(t0, "a")
+			default:
+				s.AddInstance(t0, in)
+				s.Heartbeat(t0, "a", 20)
+				s.RemoveJob(t0, "k")
+				answerPoll(s, t0, "a", PollResponse{Clock: 20, Born: 2})
+				fenced := s.TakeFenced()
+				is.Equal(fenced, []FencedIncarnation{{"a", 2, tt.holds}})
+				if tt.owner == "fenced" {
+					expiry := t0.Add(lease * 103 / 100)
+					if tt.holds {
+						expiry = t0.Add(params.LongestLease())
+					}
+					next(in, expiry)
+				} else {
+					// What starts there now lapses with the lease that is held already.
+					for _, a := range starts(s.Plan(t0, t0)) {
+						s.HandleOutcome(t0, a, OutcomeDone, 21, t0)
+					}
+				}
+			}
+			// The instance is cut off from now on.
+			s.AddInstance(t0, testInstance("b"))
+			answerPoll(s, t0, "b", PollResponse{Clock: 1000, Born: 1})
+			again := time.Duration(-1)
+			for d := time.Duration(0); d < 2*maxLease && again < 0; d += 20 * time.Millisecond {
+				now := t0.Add(d)
+				s.Heartbeat(now, "b", 1000+d.Milliseconds())
+				s.HandleNoResponse("a", now)
+				for _, a := range starts(s.Plan(now, now)) {
+					if a.Instance.ID == "b" {
+						again = d
+					}
+				}
+			}
+			earliest, latest := lease, lease*11/10
+			if tt.holds {
+				earliest, latest = maxLease, maxLease*11/10
+			}
+			if again < earliest || again > latest {
+				t.Errorf("the work starts elsewhere after %s, want %s to %s", again, earliest, latest)
+			}
+		})
+	}
+}
--- a/galenajob/stray_lease_test.go
+++ b/galenajob/stray_lease_test.go
@@ -48,7 +48,8 @@
 			s.HandlePoll(t0, "a", PollResponse{Fence: req.Fence, Clock: newClock, Born: 2, Sent: t0})
 
 			inst := s.instances["a"]
-			is.Equal(inst.maxDeadline, newClock+maxLease.Milliseconds())
+			is.True(!inst.leaseExpired(t0.Add(maxLease)))
+			is.True(inst.leaseExpired(t0.Add(maxLease * 11 / 10)))
 			// The lease of what starts now ends before the one that the instance holds.
 			s.NextPoll(t0, "a")
 			is.True(!inst.leaseExpired(t0.Add(maxLease)))
@@ -76,4 +77,5 @@
 	restart(s)
 	s.HandleOutcome(t0, start, OutcomeDone, 500_001, t0)
 	is.Equal(s.instances["a"].maxDeadline, int64(0))
+	is.True(s.instances["a"].leaseExpired(t0))
 }
