--- a/galenafleet/restart_test.go
+++ b/galenafleet/restart_test.go
@@ -1,6 +1,7 @@
 package galenafleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -74,6 +75,60 @@
 	}
 }
 
+// unansweredPolls leave polls of the incarnation born at 1 unanswered, and record the tokens of
+// polls of the next one.
+type unansweredPolls struct {
+	*stoppableInstances
+	polled chan int64
+}
+
+func (f *unansweredPolls) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
+	if req.Instance.Born == 1 && f.hangs() {
+		time.Sleep(wait + limit)
+		return galenajob.PollResponse{}, errCutOff
+	}
+	if req.Instance.Born == 2 {
+		select {
+		case f.polled <- req.Fence:
+		default:
+		}
+	}
+	return f.stoppableInstances.RenewAndPoll(ctx, req, wait, limit)
+}
+
+func (f *unansweredPolls) hangs() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.startedAt) > 0
+}
+
+// Guards against an instance that executes calls to its earlier life for longer than it has to,
+// because the poll that would tell it its fencing token waits for one that it never answers.
+func TestRestartedInstanceIsPolledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		f := &unansweredPolls{newStoppableInstances(), make(chan int64, 1)}
+		o.Instances = f
+		ctx, stop := startOwner(t, o, testConfig)
+		_, err := o.Heartbeat(ctx, testHeartbeat)
+		is.NoErr(err)
+		_, err = o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1, LongRunning: true}}}})
+		is.NoErr(err)
+		time.Sleep(250 * time.Millisecond)
+		f.restart("i", 2)
+		hb := testHeartbeat
+		hb.Instance.Born = 2
+		_, err = o.Heartbeat(ctx, hb)
+		is.NoErr(err)
+		registered := time.Now()
+		is.True(<-f.polled > 0)
+		is.True(time.Since(registered) < 50*time.Millisecond)
+		stop()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Guards against an owner that does not know of a restart, or for how long a lease from before
 // may be held, after a snapshot or an expiry, or for another incarnation.
 func TestRestartsAreRecorded(t *testing.T) {
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -161,9 +161,15 @@
 	})
 }
 
-// addInstance adds or updates an instance that has sent a heartbeat, and polls it.
+// addInstance adds or updates an instance that has sent a heartbeat, and polls it. A poll of an
+// earlier incarnation, which may wait for an answer in vain, does not delay the next one: until
+// that, the new incarnation executes calls that were meant for the earlier one.
 func (sh *shard) addInstance(in galenajob.Instance, clock int64) {
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
+		if p := sh.pollers[in.ID]; p != nil && s.IsLaterIncarnation(in) {
+			p.cancel()
+			delete(sh.pollers, in.ID)
+		}
 		s.AddInstance(now, in)
 		s.Heartbeat(now, in.ID, clock)
 		sh.startPollingLocked(in.ID)
--- a/galenajob/incarnation_ends_test.go
+++ b/galenajob/incarnation_ends_test.go
@@ -26,3 +26,27 @@
 	s.HandlePoll(now, "a", resp)
 	is.Equal(pollResponse(t, s, now, "a").Cursor, int64(7))
 }
+
+// Guards against ends of a later incarnation that a poll deletes which was meant for the one
+// before: polls that acknowledge nothing new can't.
+func TestAcknowledgementIsSentUntilItIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	first := runOne(t, s)
+	poll := func(ends ...End) int64 {
+		resp := pollResponse(t, s, t0, "a")
+		resp.Runs, resp.Ends = []Run{{Item: first.Item, Number: first.Run}}, ends
+		s.HandlePoll(t0, "a", resp)
+		return resp.Cursor
+	}
+	end := func(sequence int64) End {
+		return End{Sequence: sequence, Item: ItemID{Job: "removed"}, Number: 1001, Reason: EndDone}
+	}
+	is.Equal(poll(end(7)), int64(0))
+	is.Equal(pollResponse(t, s, t0, "a").Cursor, int64(7)) // has no answer
+	is.Equal(poll(), int64(7))
+	is.Equal(poll(), int64(0))
+	is.Equal(poll(end(8)), int64(0))
+	is.Equal(poll(), int64(8))
+	is.Equal(poll(), int64(0))
+}
--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -426,7 +426,7 @@
 	if req.Deadline > 0 {
 		l.extend(sim.now, req.Deadline)
 	}
-	for l.Born == req.Instance.Born && len(l.ends) > 0 && l.ends[0].Sequence <= req.Cursor {
+	for len(l.ends) > 0 && l.ends[0].Sequence <= req.Cursor {
 		sim.checkAck(l.ends[0])
 		l.ends = l.ends[1:]
 	}
@@ -520,6 +520,7 @@
 		sim.startPolling(l.ID)
 	case known.Born != l.Born:
 		sim.sched.AddInstance(sim.now, l.Instance)
+		sim.startPolling(l.ID)
 	}
 	sim.sched.Heartbeat(sim.now, l.ID, l.clock(sim.now))
 }
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -27,8 +27,8 @@
 	}
 	inst.pollOpen = false
 	req := PollRequest{Instance: inst.Instance, Fence: inst.fence, Cursor: inst.cursor}
-	if !inst.unansweredSince.IsZero() {
-		// A later incarnation may answer, whose ends begin at 1 again.
+	if inst.ackedSeq >= inst.cursor || !inst.unansweredSince.IsZero() {
+		// A later incarnation may execute the poll, whose ends begin at 1 again.
 		req.Cursor = 0
 	}
 	if !inst.fenceConfirmed || len(inst.items) == 0 {
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -229,6 +229,12 @@
 	}
 }
 
+// IsLaterIncarnation reports whether the scheduler knows another incarnation of the instance.
+func (s *Scheduler) IsLaterIncarnation(in Instance) bool {
+	inst := s.instances[in.ID]
+	return inst != nil && inst.Born != in.Born
+}
+
 func (s *Scheduler) addInstance(now time.Time, in Instance) *instance {
 	inst, ok := s.instances[in.ID]
 	if !ok {
@@ -246,7 +252,7 @@
 		s.sorted = nil
 		return inst
 	}
-	if in.Born != inst.Born {
+	if s.IsLaterIncarnation(in) {
 		s.beginIncarnation(now, inst, in.Born)
 	}
 	draining := inst.Draining && in.Born == inst.Born
--- a/galenajob/stray_call_test.go
+++ b/galenajob/stray_call_test.go
@@ -1,6 +1,7 @@
 package galenajob
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -115,3 +116,61 @@
 		})
 	}
 }
+
+// Guards against a run that starts twice, or whose end is lost, because the start was meant for
+// an incarnation and the next one has executed it.
+func TestStartExecutedByNextIncarnation(t *testing.T) {
+	run := []Run{{Item: testItem, Number: 1001}}
+	end := func(reason EndReason) []End {
+		return []End{{Sequence: 1, Item: testItem, Number: 1001, Reason: reason}}
+	}
+	tests := []struct {
+		name string
+		// resp is the first answer of the next incarnation to its own poll.
+		resp PollResponse
+		// recorded is how many ends must be recorded, and again whether the work item starts
+		// again after that.
+		recorded int
+		again    bool
+	}{
+		{"at work", PollResponse{Runs: run}, 0, false},
+		{"done", PollResponse{Ends: end(EndDone)}, 1, false},
+		{"failed", PollResponse{Ends: end(EndFailed)}, 1, true},
+		{"lapsed", PollResponse{Ends: end(EndLeaseExpired)}, 0, true},
+		{"not executed", PollResponse{}, 0, true},
+	}
+	for _, tt := range tests {
+		for _, answered := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, answered %v", tt.name, answered), func(t *testing.T) {
+				is := is.New(t)
+				s := newFencedScheduler("a")
+				s.params.MaxLease = 10 * time.Second
+				s.Heartbeat(t0, "a", 500_000)
+				s.AddJob(t0, testJob("j", 1), 0, false)
+				start := starts(s.Plan(t0, t0))[0]
+				if answered {
+					s.HandleOutcome(t0, start, OutcomeDone, 20, t0.Add(time.Millisecond))
+				}
+				restart(s)
+				req, ok := s.NextPoll(t0, "a")
+				is.True(ok)
+				is.True(req.Fence > start.Fence)
+				is.Equal(req.Cursor, int64(0))
+				tt.resp.Fence, tt.resp.Clock, tt.resp.Born, tt.resp.Sent = req.Fence, 25, 2, t0
+				ends := s.HandlePoll(t0, "a", tt.resp)
+				is.Equal(len(ends), tt.recorded)
+				is.Equal(len(starts(s.Plan(t0, t0))), btoi(tt.again && tt.recorded == 0))
+				s.ConfirmRecorded(t0, "a", 2, ends, []bool{true}[:len(ends)])
+				later := t0.Add(testParams().RestartDelay)
+				is.Equal(len(starts(s.Plan(later, later))), btoi(tt.again && tt.recorded == 1))
+			})
+		}
+	}
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
