--- a/galenafleet/leave_test.go
+++ b/galenafleet/leave_test.go
@@ -131,12 +131,8 @@
 
 func (f *stoppableInstances) Pace(context.Context, galenajob.Action, time.Duration) error { return nil }
 
-func (f *stoppableInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, _, _ time.Duration) (galenajob.PollResponse, error) {
-	select {
-	case <-ctx.Done():
-		return galenajob.PollResponse{}, ctx.Err()
-	case <-time.After(20 * time.Millisecond):
-	}
+func (f *stoppableInstances) RenewAndPoll(_ context.Context, req galenajob.PollRequest, _, _ time.Duration) (galenajob.PollResponse, error) {
+	time.Sleep(20 * time.Millisecond) // it arrives, also if nobody waits for the answer any more
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.arrive(req.Instance, req.Fence, req.Deadline) {
@@ -154,10 +150,10 @@
 	return resp, nil
 }
 
-func (f *stoppableInstances) setCutOff(id galenahead.InstanceID) {
+func (f *stoppableInstances) setCutOff(id galenahead.InstanceID, cutOff bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cutOff[id] = true
+	f.cutOff[id] = cutOff
 }
 
 func (f *stoppableInstances) lastStart(item galenajob.ItemID) time.Time {
@@ -178,18 +174,21 @@
 		// cutOff keeps calls from the instance, and newOwner changes the owner once the
 		// leave is recorded.
 		cutOff, newOwner bool
+		// reachable makes the instance answer the new owner.
+		reachable bool
 		// reported is another service that a heartbeat names in place of the leave.
 		reported galenahead.ServiceName
 		// earliest and latest bound the time until the work starts elsewhere; zero means
 		// that it must not.
 		earliest, latest time.Duration
 	}{
-		{"answered", false, false, "", 0, atOnce},
-		{"cut off", true, false, "", lease * 9 / 10, lease + atOnce},
-		{"cut off, then another owner", true, true, "", lease * 9 / 10, 2*lease + atOnce},
-		{"another owner", false, true, "", 0, atOnce},
-		{"reported for another service", false, false, "courier", 0, 0},
-		{"reported for another service, then another owner", false, true, "courier", 0, 0},
+		{"answered", false, false, false, "", 0, atOnce},
+		{"cut off", true, false, false, "", lease * 9 / 10, lease + atOnce},
+		{"cut off, then another owner", true, true, false, "", lease * 9 / 10, 2*lease + atOnce},
+		{"cut off, then reached by another owner", true, true, true, "", 0, 2 * atOnce},
+		{"another owner", false, true, false, "", 0, atOnce},
+		{"reported for another service", false, false, false, "courier", 0, 0},
+		{"reported for another service, then another owner", false, true, false, "courier", 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -215,7 +214,7 @@
 				is.True(!first.IsZero())
 				heartbeat(o, "i2", 1, "counter", false)
 				if tt.cutOff {
-					f.setCutOff("i")
+					f.setCutOff("i", true)
 				}
 				left := time.Now()
 				if tt.reported != "" {
@@ -232,6 +231,7 @@
 					next, _ := testOwner()
 					next.Instances, next.State = f, o.State
 					next.Log.(*fakeLog).state = o.State
+					f.setCutOff("i", tt.cutOff && !tt.reachable)
 					ctx, stop = startOwner(t, next, testConfig)
 					o = next
 				}
@@ -241,7 +241,7 @@
 					heartbeat(o, "i", 3+sequence, "counter", tt.reported == "")
 				}
 				stop()
-
+				time.Sleep(time.Second)
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				is.Equal(f.twice, nil)
--- a/galenafleet/reassign_test.go
+++ b/galenafleet/reassign_test.go
@@ -119,6 +119,7 @@
 					is.Equal(do(RequestWaiting, "", 0).Waiting, 0)
 				}
 				stop()
+				time.Sleep(time.Second)
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				is.Equal(f.twice, nil)
@@ -161,6 +162,7 @@
 			is.Equal(r.Outcome, OutcomeAccepted)
 			time.Sleep(time.Second)
 			stop()
+			time.Sleep(time.Second)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			is.Equal(len(f.runs["courier-1"]), 0)
--- a/galenafleet/registration.go
+++ b/galenafleet/registration.go
@@ -231,10 +231,7 @@
 	if err != nil || leaving == nil {
 		return Empty{}, err
 	}
-	if err := sess.awaitIdle(*leaving, stopBeforeLeave); err != nil {
-		return Empty{}, err
-	}
-	return Empty{}, nil
+	return Empty{}, sess.awaitIdle(*leaving, stopBeforeLeave)
 }
 
 // recordLeave records a deregistration. It returns the registered incarnation if that is
--- a/galenafleet/restart_test.go
+++ b/galenafleet/restart_test.go
@@ -58,13 +58,14 @@
 				} else {
 					time.Sleep(300 * time.Millisecond)
 				}
-				f.setCutOff("i")
+				f.setCutOff("i", true)
 				cut := time.Now()
 				for range 40 {
 					heartbeat("i2")
 					time.Sleep(500 * time.Millisecond)
 				}
 				stop()
+				time.Sleep(time.Second)
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				is.Equal(f.twice, nil)
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -57,7 +57,7 @@
 	restarted := clock > 0 && clock < inst.clock && sent.After(inst.clockAt)
 	if restarted && takesLease {
 		// An incarnation that is not known yet has answered.
-		s.holdLease(now, inst)
+		inst.holdLease(now, s.params.LongestLease())
 	}
 	switch o {
 	case OutcomeUnknown, OutcomeUnsent:
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -115,9 +115,8 @@
 		if s.hearingSince.After(last) {
 			last = s.hearingSince
 		}
-		ended := inst.leaseExpired(now) && !inst.unreconciled
-		silent := now.Sub(last) > s.params.GoneAfter
-		if !inst.removing && (ended && (silent || inst.leaving) || inst.leaving && inst.idle()) {
+		ends := inst.leaving || now.Sub(last) > s.params.GoneAfter
+		if ends && !inst.removing && (inst.leaving && inst.idle() || inst.leaseExpired(now) && !inst.unreconciled) {
 			inst.removing = true
 			s.gone = append(s.gone, inst.ID)
 		}
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -89,8 +89,8 @@
 	}
 	isLater := resp.Born != 0 && inst.Born != 0 && resp.Born != inst.Born
 	if resp.Fence != inst.fence {
-		if resp.Deadline > 0 && isLater {
-			inst.endStrayCall() // the earlier incarnation has answered it
+		if resp.Deadline > 0 && resp.Born != 0 && resp.Born < inst.Born {
+			inst.endStrayCall() // an earlier incarnation has answered it
 		}
 		return nil
 	}
--- a/galenajob/reassign.go
+++ b/galenajob/reassign.go
@@ -1,6 +1,8 @@
 package galenajob
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -63,10 +65,11 @@
 // to belong to another service, and of which nothing runs or may run here.
 func (s *Scheduler) TakeReassignments() []Reassignment {
 	var out []Reassignment
-	for _, j := range s.misplaced {
+	for _, id := range slices.Sorted(maps.Keys(s.misplaced)) {
 		if len(out) == maxReassignments {
 			break
 		}
+		j := s.misplaced[id]
 		if j.reassigning || j.inherited && s.unreconciled > 0 || j.occupiesInstances() {
 			continue
 		}
--- a/galenajob/stray_call.go
+++ b/galenajob/stray_call.go
@@ -24,10 +24,9 @@
 // seconds after it was sent.
 func (p Params) callMemory() time.Duration { return p.LongestLease() }
 
-// holdLease records that the instance may hold a lease of unknown length, which it has taken by
-// now.
-func (s *Scheduler) holdLease(now time.Time, inst *instance) {
-	if until := now.Add(s.params.LongestLease()); s.params.MaxLease > 0 && until.After(inst.heldUntil) {
+// holdLease records that the instance may hold a lease of up to d, which it has taken by now.
+func (inst *instance) holdLease(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(inst.heldUntil) {
 		inst.heldUntil = until
 	}
 }
@@ -100,11 +99,14 @@
 func (s *Scheduler) confirmFence(now time.Time, inst *instance) {
 	inst.fencedAt = now
 	if inst.strayCalls > 0 {
-		s.holdLease(now, inst)
+		inst.holdLease(now, s.params.LongestLease())
 	}
 	inst.strayCalls, inst.strayUntil = 0, time.Time{}
 	if inst.followsAnother {
 		s.fenced = append(s.fenced, FencedIncarnation{inst.ID, inst.Born, now.Before(inst.heldUntil)})
+		// It may also have taken the usual lease from a call that it has answered unnoticed, since
+		// its clock was not behind.
+		inst.holdLease(now, time.Duration(float64(s.params.Lease)/minClockRate)+expirySlack)
 	}
 }
 
--- a/galenajob/stray_call_test.go
+++ b/galenajob/stray_call_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// Guards against work that runs twice because an incarnation has answered a start that was meant
+// for the one before, unnoticed since its clock was not behind, and is cut off at once.
+func TestLeaseOfUnnoticedRestart(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.params.MaxLease = 10 * time.Second
+	s.AddJob(t0, testJob("j", 1), 0, false)
+	start := starts(s.Plan(t0, t0))[0]
+	s.HandleOutcome(t0, start, OutcomeDone, 2000, t0.Add(time.Millisecond))
+	restart(s)
+	answerPoll(s, t0, "a", PollResponse{Clock: 2010, Born: 2, Runs: []Run{{Item: testItem, Number: start.Run}}})
+	s.HandleNoResponse("a", t0.Add(time.Millisecond))
+	inst := s.instances["a"]
+	is.True(!inst.leaseExpired(t0.Add(testParams().Lease)))
+	is.True(inst.leaseExpired(t0.Add(testParams().Lease * 11 / 10)))
+}
+
 // Guards against a run that starts twice, or whose end is lost, because the start was meant for
 // an incarnation and the next one has executed it.
 func TestStartExecutedByNextIncarnation(t *testing.T) {
