--- a/galenafleet/registration.go
+++ b/galenafleet/registration.go
@@ -265,7 +265,7 @@
 	// An incarnation has ended if a later one has started.
 	if registered && known.Born == born {
 		items, idle := sess.leave(known)
-		if !idle {
+		if !idle && op.Left != nil {
 			op.Remove, op.Left.Instance = nil, l.ID
 			leaving = &known
 			log = log.WithField("items", items)
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -242,7 +242,7 @@
 			Instance: in, fence: s.fences.next(in.ID, s.epoch*incarnationsPerEpoch), items: map[ItemID]*item{},
 			clockAt: now, respondedAt: now, heartbeatAt: now, idleSince: now,
 		}
-		if at := s.fences.takeOpenCall(in.ID); !at.IsZero() && now.Sub(at) < s.params.callMemory() {
+		if at := s.fences.takeOpenCall(in.ID); !at.IsZero() && now.Sub(at) < callMemory {
 			s.expectStrayCalls(now, inst, 1)
 			inst.followsAnother = true
 		}
--- a/galenajob/stray_call.go
+++ b/galenajob/stray_call.go
@@ -20,9 +20,9 @@
 	return time.Duration(float64(p.MaxLease)/minClockRate) + expirySlack
 }
 
-// callMemory is how long a call without a response is taken into account: it may be executed
-// seconds after it was sent.
-func (p Params) callMemory() time.Duration { return p.LongestLease() }
+// callMemory is how long a call without a response is taken into account. The users state that
+// it may be executed seconds after it was sent; their machines take up to 12.
+const callMemory = 30 * time.Second
 
 // holdLease records that the instance may hold a lease of up to d, which it has taken by now.
 func (inst *instance) holdLease(now time.Time, d time.Duration) {
@@ -42,7 +42,7 @@
 			n++
 		}
 	}
-	if !inst.lostCallAt.IsZero() && now.Sub(inst.lostCallAt) < s.params.callMemory() {
+	if !inst.lostCallAt.IsZero() && now.Sub(inst.lostCallAt) < callMemory {
 		n++
 	}
 	return n
@@ -61,7 +61,7 @@
 // scheduler knows. An earlier owner may have sent calls that this one does not know.
 func (s *Scheduler) beginStrayCalls(now time.Time, inst *instance) {
 	calls := s.openCalls(now, inst) + inst.strayCalls
-	if !inst.inheritedAt.IsZero() && now.Sub(inst.inheritedAt) < s.params.callMemory() {
+	if !inst.inheritedAt.IsZero() && now.Sub(inst.inheritedAt) < callMemory {
 		calls++
 	}
 	s.expectStrayCalls(now, inst, calls)
--- a/galenajob/stray_call_test.go
+++ b/galenajob/stray_call_test.go
@@ -39,8 +39,9 @@
 			s.HandleOutcome(t0.Add(-time.Second), start, OutcomeUnknown, 0, t0.Add(-time.Second))
 			s.HandleOutcome(t0, start, OutcomeDone, 500_000, t0)
 		}, "", true},
+		{"one lost some time before", func(s *Scheduler, _ Action) { s.HandleNoResponse("a", t0.Add(-12*time.Second)) }, "", true},
 		{"none open", func(*Scheduler, Action) {}, "", false},
-		{"one lost long before", func(s *Scheduler, _ Action) { s.HandleNoResponse("a", t0.Add(-2*maxLease)) }, "", false},
+		{"one lost long before", func(s *Scheduler, _ Action) { s.HandleNoResponse("a", t0.Add(-callMemory-time.Second)) }, "", false},
 		{"one in flight, then another owner before the restart is known", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "before", true},
 		{"one in flight, then another owner that knows of the restart", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "registered", true},
 		{"one in flight, then another owner that knows of the fence", func(s *Scheduler, _ Action) { s.NextPoll(t0, "a") }, "fenced", true},
