--- a/galenajob/stray_call.go
+++ b/galenajob/stray_call.go
@@ -54,6 +54,7 @@
 	inst.strayCalls, inst.strayUntil = 0, time.Time{}
 	if calls > 0 && s.params.MaxLease > 0 {
 		inst.strayCalls, inst.strayUntil = calls, now.Add(s.params.LongestLease())
+		inst.lostCallAt = now // one more incarnation may execute them as well
 	}
 }
 
--- a/galenajob/stray_call_test.go
+++ b/galenajob/stray_call_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// Guards against work that runs twice because a call to an incarnation is executed by the second
+// one after it, when the one between has refused it or has not been reached.
+func TestCallOutlivesNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	s := newFencedScheduler("a")
+	s.params.MaxLease = 10 * time.Second
+	s.AddJob(t0, testJob("j", 1), 0, false)
+	start := starts(s.Plan(t0, t0))[0]
+	restart(s)
+	s.RemoveJob(t0, "j")
+	answerPoll(s, t0, "a", PollResponse{Clock: 20, Born: 2})
+	s.HandleOutcome(t0, start, OutcomeUnknown, 0, t0)
+	third := testInstance("a")
+	third.Born = 3
+	now := t0.Add(callMemory / 2)
+	s.AddInstance(now, third)
+	answerPoll(s, now, "a", PollResponse{Clock: 20, Born: 3})
+	is.True(!s.instances["a"].leaseExpired(now.Add(s.params.MaxLease)))
+	is.Equal(s.TakeFenced(), []FencedIncarnation{{"a", 2, true}, {"a", 3, true}})
+}
+
 // Guards against work that runs twice because an incarnation has answered a start that was meant
 // for the one before, unnoticed since its clock was not behind, and is cut off at once.
 func TestLeaseOfUnnoticedRestart(t *testing.T) {
