Bounds on what a process holds of what others send

Cause: HTTP servers held each body whole, up to 4 MiB for each of 4,096 connections, and took the memory for it from the announcement; max_body_bytes was applied nowhere; connections and messages between daemons had no bound that follows the machine.

Ruled out: fasthttp's own limit of a body, which waits for its first 8 KiB before the handler is called, so that an announcement alone got no answer; evicting by bytes and time without a start for the one that asks, which let a large newcomer take the place of a small request that was about to be complete.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -305,7 +305,8 @@
 	status := c.node.Status()
 	info := galenafleet.LeaderInfo{
 		Self: c.selfMember(), DataCentre: c.settings.Process.DataCentre,
-		Blank: status.Role == string(galenaraft.RoleBlank), Term: status.Term, Members: status.Members, Silence: c.directory.Silence(status),
+		Limits: c.owner.State.CallerLimits(),
+		Blank:  status.Role == string(galenaraft.RoleBlank), Term: status.Term, Members: status.Members, Silence: c.directory.Silence(status),
 	}
 	for _, m := range status.Members {
 		if m.Name == status.Leader {
@@ -325,12 +326,13 @@
 	defer c.logClient.Close()
 	defer c.readClient.Close()
 	defer c.node.Close()
+	intake := c.newIntake(maxPlatformBody)
 	handler := &platform.ControlHandler{
-		Owner: collectingOwner{c.ownerClient, c.heartbeats}, Logger: c.log.Logger, HeartbeatHost: c.heartbeatHost,
+		Intake: intake, Owner: collectingOwner{c.ownerClient, c.heartbeats}, Logger: c.log.Logger, HeartbeatHost: c.heartbeatHost,
 		Port: int(c.settings.Listen.Operator.Port()),
 	}
 	return c.serve(ctx, controlWork{
-		handle: handler.Handle,
+		handle: handler.Handle, intake: intake,
 		start: func(ctx context.Context, workers *errgroup.Group) {
 			workers.Go(func() error { return c.node.Run(ctx) })
 			workers.Go(func() error { return c.membership.Run(ctx) })
--- a/cmd/galena-fleet/command/daemon.go
+++ b/cmd/galena-fleet/command/daemon.go
@@ -14,8 +14,10 @@
 
 	"github.com/galenahead/galenahead/galenadaemon"
 	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenasettings"
 	"github.com/galenahead/galenahead/galenatimer"
+	"github.com/galenahead/galenahead/platform"
 )
 
 // baseDaemon holds what the daemons of both roles share.
@@ -71,14 +73,35 @@
 	d.log.WithField("seeds", f.Control.SeedPeers()).Info("settings reloaded; new seeds applied")
 }
 
+// machine returns what the process may use of its machine.
+func (d *baseDaemon) machine() galenaintake.Machine {
+	return galenaintake.Machine{MemoryMB: d.settings.Process.MachineMemoryMB, Files: d.settings.Process.MaxOpenFiles}
+}
+
+// newIntake returns the bounds of a server on what others send, with a limit of bodies.
+func (d *baseDaemon) newIntake(maxBody func() int) *platform.Intake {
+	return &platform.Intake{Budget: d.machine().NewBudget(), MaxBody: maxBody, Logger: d.log.Logger, Metrics: d.ownerClient.Metrics}
+}
+
+// maxPlatformBody is the limit of bodies that the platform sends.
+func maxPlatformBody() int { return platform.MaxBodyBytes }
+
+// httpListen is where a server listens, and what bounds its connections.
+type httpListen struct {
+	addr         netip.AddrPort
+	drainTimeout time.Duration
+	intake       *platform.Intake
+	maxConns     int
+}
+
 // serveHTTP serves in group until ctx ends, and then finishes the requests that
-// have arrived, within drainTimeout.
-func serveHTTP(ctx context.Context, group *errgroup.Group, srv *fasthttp.Server, addr netip.AddrPort, drainTimeout time.Duration) error {
-	ln, err := galenadaemon.Listen(addr)
+// have arrived, within the drain timeout.
+func serveHTTP(ctx context.Context, group *errgroup.Group, srv *fasthttp.Server, l httpListen) error {
+	ln, err := galenadaemon.Listen(l.addr)
 	if err != nil {
 		return err
 	}
-	s := &galenadaemon.HTTPServer{Server: srv, DrainTimeout: drainTimeout}
+	s := &galenadaemon.HTTPServer{Server: srv, DrainTimeout: l.drainTimeout, MaxConns: l.maxConns, Displaced: l.intake.CountDisplaced}
 	group.Go(func() error { return s.Serve(ctx, ln) })
 	return nil
 }
--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -113,13 +113,16 @@
 	serveCtx, stopServing := context.WithCancel(workCtx)
 	defer stopServing()
 	var servers, workers errgroup.Group
-	callerHandler := &platform.CallerHandler{Owner: e.ownerClient, AnswerBy: e.requestDeadline}
-	callerServer := platform.NewServer(callerHandler.Handle, e.closing.Load, e.log.Logger)
-	if err := serveHTTP(serveCtx, &servers, callerServer, e.settings.Listen.Caller, e.drainTimeout()); err != nil {
+	intake := e.newIntake(e.directory.MaxBody)
+	callerHandler := &platform.CallerHandler{Owner: e.ownerClient, AnswerBy: e.requestDeadline, Intake: intake}
+	callerServer := platform.NewServer(callerHandler.Handle, intake, e.closing.Load, e.log.Logger)
+	callers := httpListen{e.settings.Listen.Caller, e.drainTimeout(), intake, e.machine().CallerConns()}
+	if err := serveHTTP(serveCtx, &servers, callerServer, callers); err != nil {
 		return err
 	}
-	statusServer := platform.NewStatusServer(e.ready, e.log.Logger)
-	if err := serveHTTP(serveCtx, &servers, statusServer, e.settings.Listen.Status, e.drainTimeout()); err != nil {
+	statusServer := platform.NewStatusServer(e.ready, intake, e.log.Logger)
+	status := httpListen{e.settings.Listen.Status, e.drainTimeout(), intake, e.machine().StatusConns()}
+	if err := serveHTTP(serveCtx, &servers, statusServer, status); err != nil {
 		return err
 	}
 	workers.Go(func() error { return e.directory.Run(workCtx) })
--- a/cmd/galena-fleet/command/redirector.go
+++ b/cmd/galena-fleet/command/redirector.go
@@ -31,8 +31,9 @@
 
 // controlWork is what a control daemon does besides what controlBase does.
 type controlWork struct {
-	// handle handles the requests of operators and instances.
+	// handle handles the requests of operators and instances, whose bodies intake bounds.
 	handle fasthttp.RequestHandler
+	intake *platform.Intake
 	// start starts further work, which runs until the requests that have arrived are
 	// answered. It may be nil.
 	start func(ctx context.Context, workers *errgroup.Group)
@@ -54,14 +55,16 @@
 	if err != nil {
 		return err
 	}
-	server := &galenarpc.Server{Mux: &c.mux}
+	server := &galenarpc.Server{Mux: &c.mux, Budget: c.machine().NewBudget(), MaxConns: c.machine().PeerConns()}
 	workers.Go(func() error { return server.Serve(workCtx, ln) })
-	operatorServer := platform.NewServer(w.handle, func() bool { return ctx.Err() != nil }, c.log.Logger)
-	if err := serveHTTP(serveCtx, &servers, operatorServer, c.settings.Listen.Operator, operatorDrainTimeout); err != nil {
+	operatorServer := platform.NewServer(w.handle, w.intake, func() bool { return ctx.Err() != nil }, c.log.Logger)
+	operators := httpListen{c.settings.Listen.Operator, operatorDrainTimeout, w.intake, c.machine().PeerConns()}
+	if err := serveHTTP(serveCtx, &servers, operatorServer, operators); err != nil {
 		return err
 	}
-	statusServer := platform.NewStatusServer(func() error { return nil }, c.log.Logger)
-	if err := serveHTTP(serveCtx, &servers, statusServer, c.settings.Listen.Status, operatorDrainTimeout); err != nil {
+	statusServer := platform.NewStatusServer(func() error { return nil }, w.intake, c.log.Logger)
+	status := httpListen{c.settings.Listen.Status, operatorDrainTimeout, w.intake, c.machine().StatusConns()}
+	if err := serveHTTP(serveCtx, &servers, statusServer, status); err != nil {
 		return err
 	}
 	workers.Go(func() error { return c.directory.Run(workCtx) })
--- a/galenadaemon/drain.go
+++ b/galenadaemon/drain.go
@@ -1,6 +1,7 @@
 package galenadaemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -40,6 +41,11 @@
 	// DrainTimeout bounds the drain. When it has passed, connections with a request
 	// that is incomplete or not answered are closed. The default is 5 s.
 	DrainTimeout time.Duration
+	// MaxConns bounds the open connections. At the bound, a new connection takes the place of one
+	// that waits for its client. Zero means no bound.
+	MaxConns int
+	// Displaced is called for each connection that is closed because of MaxConns. It may be nil.
+	Displaced func()
 }
 
 // ServeHTTP serves on ln until ctx ends and then drains with the default timeout.
@@ -52,9 +58,12 @@
 // that has arrived is answered, and returns nil. Responses during the drain close
 // their connections. Serve may be called once.
 func (s *HTTPServer) Serve(ctx context.Context, ln net.Listener) error {
-	l := &drainListener{Listener: ln, conns: make(map[*drainConn]struct{})}
+	l := &drainListener{Listener: ln, conns: make(map[*drainConn]struct{}), maxConns: s.MaxConns, displaced: s.Displaced}
 	handler := s.Server.Handler
 	s.Server.Handler = func(c *fasthttp.RequestCtx) {
+		if dc, ok := c.Conn().(*drainConn); ok {
+			dc.SetReceiving(false)
+		}
 		handler(c)
 		if l.draining.Load() {
 			c.SetConnectionClose()
@@ -90,7 +99,9 @@
 // drainListener accepts connections and keeps track of those that are open.
 type drainListener struct {
 	net.Listener
-	draining atomic.Bool
+	draining  atomic.Bool
+	maxConns  int
+	displaced func()
 
 	mu    sync.Mutex
 	conns map[*drainConn]struct{}
@@ -109,9 +120,13 @@
 	if err != nil {
 		return nil, err
 	}
-	dc := &drainConn{Conn: c, listener: l, acceptedAt: time.Now(), idle: true}
+	now := time.Now()
+	dc := &drainConn{Conn: c, listener: l, acceptedAt: now, idle: true, receiving: true, waitingSince: now, source: sourceOf(c)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.maxConns > 0 && len(l.conns) >= l.maxConns {
+		l.displaceOne()
+	}
 	l.conns[dc] = struct{}{}
 	if l.draining.Load() {
 		dc.drain()
@@ -119,6 +134,53 @@
 	return dc, nil
 }
 
+// sourceOf returns the address, without port, that a connection comes from.
+func sourceOf(c net.Conn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return c.RemoteAddr().String()
+	}
+	return host
+}
+
+// displaceOne closes the connection that has waited longest for its client, of those that have not
+// carried a request, or else of all; the source with the most connections loses first. One whose
+// request is being handled is never closed. mu must be held.
+func (l *drainListener) displaceOne() {
+	bySource := map[string]int{}
+	for c := range l.conns {
+		bySource[c.source]++
+	}
+	var victim *drainConn
+	var since time.Time
+	var served bool
+	for c := range l.conns {
+		cSince, cServed, waits := c.waits()
+		if !waits {
+			continue
+		}
+		better := victim == nil
+		if !better && cServed != served {
+			better = !cServed
+		} else if !better {
+			more := cmp.Compare(bySource[c.source], bySource[victim.source])
+			better = more > 0 || more == 0 && cSince.Before(since)
+		}
+		if better {
+			victim, since, served = c, cSince, cServed
+		}
+	}
+	if victim == nil {
+		return
+	}
+	// The goroutine that serves it closes it.
+	victim.displace()
+	delete(l.conns, victim)
+	if l.displaced != nil {
+		l.displaced()
+	}
+}
+
 // deadliner is a listener whose Accept can be interrupted without closing it.
 type deadliner interface{ SetDeadline(time.Time) error }
 
@@ -192,6 +254,8 @@
 	net.Conn
 	listener   *drainListener
 	acceptedAt time.Time
+	// source is the address, without port, that it comes from.
+	source string
 	// responded reports that the last operation on the connection was a write.
 	responded bool
 
@@ -203,6 +267,52 @@
 	served bool
 	// readDeadline is the deadline that the server has set.
 	readDeadline time.Time
+	// receiving is set while the server waits for bytes of the client, since waitingSince.
+	receiving    bool
+	waitingSince time.Time
+	// displaced is set once the connection is closed for the sake of another one.
+	displaced bool
+}
+
+// RequestConn is the connection of a request that an HTTPServer handles.
+type RequestConn interface {
+	// SetReceiving records whether the server waits for bytes of the client.
+	SetReceiving(receiving bool)
+	// Abort ends the receipt of the request. It does not block.
+	Abort()
+}
+
+var _ RequestConn = (*drainConn)(nil)
+
+// SetReceiving implements RequestConn.
+func (c *drainConn) SetReceiving(receiving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receiving != receiving {
+		c.receiving, c.waitingSince = receiving, time.Now()
+	}
+}
+
+// Abort implements RequestConn.
+func (c *drainConn) Abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.displaced = true
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// displace closes the connection, whose next operation fails.
+func (c *drainConn) displace() {
+	c.Abort()
+	_ = c.Conn.Close()
+}
+
+// waits returns since when the server has waited for the client, whether the connection has
+// carried a request, and false if the server does not wait.
+func (c *drainConn) waits() (since time.Time, served, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waitingSince, c.served, c.receiving
 }
 
 // drain ends the wait for the next request if the connection is idle.
@@ -221,7 +331,9 @@
 		return
 	}
 	c.idle = idle
-	c.served = true
+	if idle {
+		c.served, c.receiving, c.waitingSince = true, true, time.Now()
+	}
 	if c.draining {
 		_ = c.applyReadDeadline()
 	}
@@ -230,6 +342,9 @@
 // applyReadDeadline sets the server's deadline, or the end of the wait for a
 // request if that comes first.
 func (c *drainConn) applyReadDeadline() error {
+	if c.displaced {
+		return net.ErrClosed
+	}
 	t := c.readDeadline
 	if c.draining && c.idle {
 		end := time.Now()
--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -193,6 +193,8 @@
 	// even if there are none: callers then need a key, but for public queues.
 	Accounts     []galenaaccount.Account `cbor:"5,keyasint,omitempty"`
 	RequiresKeys bool                    `cbor:"6,keyasint,omitempty"`
+	// Limits are zero where the configuration leaves the default.
+	Limits CallerLimits `cbor:"7,keyasint,omitempty"`
 }
 
 // QueueRule defines which requests belong to a queue and how its jobs are
--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -33,6 +33,8 @@
 	Leader  string              `json:"leader"`
 	Term    uint64              `json:"term"`
 	Members []galenahead.Member `json:"members"`
+	// Limits are those of callers' requests, if the configuration has others than the default.
+	Limits *CallerLimits `json:"limits,omitempty"`
 	// Silence is how long the leader has not heard from members that are silent. Only the
 	// leader sends it, so that its successor need not start to count anew.
 	Silence map[galenahead.ReplicaName]time.Duration `json:"silence,omitempty"`
--- a/galenafleet/keys.go
+++ b/galenafleet/keys.go
@@ -147,7 +147,7 @@
 
 	mu      sync.Mutex
 	pending *keyFetch
-	lines   lineLimit
+	lines   galenalog.Limit
 }
 
 // keyFetch is a fetch of a copy for which requests wait.
@@ -199,10 +199,7 @@
 // refuse counts and logs a reply that the owner has not given.
 func (oc *OwnerClient) refuse(r Reply) Reply {
 	oc.Metrics.Counters.Add("answer_"+string(r.Outcome), 1)
-	oc.keys.mu.Lock()
-	ok, suppressed := oc.keys.lines.allow(oc.Directory.Timers.Now())
-	oc.keys.mu.Unlock()
-	if ok {
+	if ok, suppressed := oc.keys.lines.Allow(oc.Directory.Timers.Now()); ok {
 		galenalog.Info(oc.Logger, "request refused", refusalLine{r, suppressed})
 	}
 	return r
@@ -280,31 +277,6 @@
 	return decodeKeyCopy(r, earlier, askedAt)
 }
 
-// maxLinesPerSecond bounds the log lines on requests that are refused in floods.
-const maxLinesPerSecond = 10
-
-// lineLimit bounds the lines of a log in a second. Its zero value is ready to use.
-type lineLimit struct {
-	since time.Time
-	lines int
-	// suppressed counts the lines that were left out since the last one.
-	suppressed int64
-}
-
-// allow reports whether a line may be written, and how many were left out before it.
-func (l *lineLimit) allow(now time.Time) (ok bool, suppressed int64) {
-	if now.Sub(l.since) >= time.Second {
-		l.since, l.lines = now, 0
-	}
-	if l.lines >= maxLinesPerSecond {
-		l.suppressed++
-		return false, 0
-	}
-	l.lines++
-	suppressed, l.suppressed = l.suppressed, 0
-	return true, suppressed
-}
-
 // refusalLine is the log line of a request that an entry has refused.
 type refusalLine struct {
 	reply      Reply
--- /dev/null
+++ b/galenaintake/budget.go
@@ -0,0 +1,170 @@
+// Package galenaintake bounds the memory that a process spends on what others send to it: a
+// budget of bytes that are charged before they are held, and a bound on connections.
+package galenaintake
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// LargeFrom is from how many bytes on a message is large. Large messages leave a part of the
+// budget to the others.
+const LargeFrom = 64 << 10
+
+// reservePart is the part of a budget that large messages leave to the others.
+const reservePart = 4
+
+// Budget bounds the bytes of the messages that a process holds. It is safe for concurrent use. Its
+// zero value, and nil, bound nothing.
+type Budget struct {
+	// Bytes is how much may be held.
+	Bytes int64
+
+	mu    sync.Mutex
+	used  int64
+	holds map[*Hold]struct{}
+
+	refused, cancelled atomic.Int64
+}
+
+// Figures are counts of a Budget.
+type Figures struct {
+	// Used is what is held now.
+	Used int64
+	// Refused counts the messages for which there was no room, and Cancelled those that were given
+	// up for the sake of others.
+	Refused, Cancelled int64
+}
+
+// Figures returns the counts.
+func (b *Budget) Figures() Figures {
+	if b == nil {
+		return Figures{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Figures{b.used, b.refused.Load(), b.cancelled.Load()}
+}
+
+// Hold is what one message holds of a Budget. It is used by one goroutine, but for its cancel
+// function.
+type Hold struct {
+	budget *Budget
+	since  time.Time
+	// cancel ends the receipt of the message.
+	cancel func()
+	bytes  int64
+	// received is set once the message is complete, so that it is not given up any more, and
+	// cancelled once it was.
+	received, cancelled bool
+}
+
+// Open begins a message. cancel is called when it is given up for the sake of others while it is
+// being received, and must not block.
+func (b *Budget) Open(cancel func()) *Hold {
+	h := &Hold{budget: b, since: time.Now(), cancel: cancel}
+	if b == nil || b.Bytes == 0 {
+		return h
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.holds == nil {
+		b.holds = map[*Hold]struct{}{}
+	}
+	b.holds[h] = struct{}{}
+	return h
+}
+
+// Grow charges n more bytes, before they are held, and reports whether they may be. If there is no
+// room, messages are given up that hold more, and have done so for longer.
+func (h *Hold) Grow(n int64) bool {
+	b := h.budget
+	if b == nil || b.Bytes == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := b.Bytes
+	if h.bytes+n > LargeFrom {
+		limit -= b.Bytes / reservePart
+	}
+	now := time.Now()
+	for !h.cancelled && b.used+n > limit {
+		victim := b.heaviest(now)
+		if victim == nil || victim == h || victim.weight(now, 0) <= h.weight(now.Add(newcomerTime), n) {
+			b.refused.Add(1)
+			return false
+		}
+		b.cancelled.Add(1)
+		victim.cancelled = true
+		b.used -= victim.bytes
+		victim.bytes = 0
+		victim.cancel()
+	}
+	if h.cancelled {
+		return false
+	}
+	h.bytes += n
+	b.used += n
+	return true
+}
+
+// newcomerTime is for how long a message that asks for room counts as having held it, so that it
+// takes none from those that hold less and are about to be complete.
+const newcomerTime = time.Second
+
+// weight is what a message holds, with more bytes, times how long it has.
+func (h *Hold) weight(now time.Time, more int64) float64 {
+	return float64(h.bytes+more) * now.Sub(h.since).Seconds()
+}
+
+// heaviest returns the message that is being received and weighs most, or nil.
+func (b *Budget) heaviest(now time.Time) *Hold {
+	var out *Hold
+	for h := range b.holds {
+		if !h.received && h.bytes > 0 && (out == nil || h.weight(now, 0) > out.weight(now, 0)) {
+			out = h
+		}
+	}
+	return out
+}
+
+// Shrink ends the charge of n bytes.
+func (h *Hold) Shrink(n int64) {
+	b := h.budget
+	if b == nil || b.Bytes == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !h.cancelled {
+		h.bytes -= n
+		b.used -= n
+	}
+}
+
+// Received records that the message is complete, and reports whether it was not given up before.
+func (h *Hold) Received() bool {
+	b := h.budget
+	if b == nil || b.Bytes == 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.received = true
+	return !h.cancelled
+}
+
+// Close ends all charges of the message. It may be called more than once.
+func (h *Hold) Close() {
+	b := h.budget
+	if b == nil || b.Bytes == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= h.bytes
+	h.bytes = 0
+	delete(b.holds, h)
+}
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaintake"
 )
 
 // Conn is a connection that carries calls in both directions.
@@ -123,10 +124,11 @@
 	return json.Unmarshal(raw, result)
 }
 
-// connect starts JSON-RPC on c and serves the peer's calls until c is closed.
-func (m *Mux) connect(ctx context.Context, c net.Conn) *Conn {
+// connect starts JSON-RPC on c and serves the peer's calls until c is closed. budget bounds the
+// long messages of the peer, and may be nil.
+func (m *Mux) connect(ctx context.Context, c net.Conn, budget *galenaintake.Budget) *Conn {
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
-	return jsonrpc2.NewConn(ctx, newStream(ctx, m, c), h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+	return jsonrpc2.NewConn(ctx, newStream(ctx, m, c, budget), h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
 // errorsByCode maps the application error codes on the wire to sentinel errors,
--- a/galenarpc/server.go
+++ b/galenarpc/server.go
@@ -4,12 +4,18 @@
 	"context"
 	"net"
 	"sync"
+
+	"github.com/galenahead/galenahead/galenaintake"
 )
 
 // Server accepts connections and serves their calls with the handlers of Mux.
 type Server struct {
 	// Mux holds the handlers. It must not change while Serve runs.
 	Mux *Mux
+	// Budget bounds the long messages that are being read or handled. It may be nil.
+	Budget *galenaintake.Budget
+	// MaxConns bounds the open connections; more are closed at once. Zero means no bound.
+	MaxConns int
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -29,12 +35,23 @@
 		if err != nil {
 			return err
 		}
+		if s.full() {
+			_ = c.Close()
+			continue
+		}
 		go s.runConn(ctx, c)
 	}
 }
 
+// full reports whether there are as many connections as there may be.
+func (s *Server) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.MaxConns > 0 && len(s.conns) >= s.MaxConns
+}
+
 func (s *Server) runConn(ctx context.Context, c net.Conn) {
-	conn := s.Mux.connect(ctx, c)
+	conn := s.Mux.connect(ctx, c, s.Budget)
 	s.track(conn)
 	defer s.untrack(conn)
 	select {
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -2,16 +2,18 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/galenahead/galenahead/galenaintake"
 )
 
 // stream is a jsonrpc2.ObjectStream of JSON objects with a length prefix, as
@@ -24,6 +26,8 @@
 	cancel context.CancelFunc
 	conn   net.Conn
 	r      *bufio.Reader
+	// budget bounds the long messages. It may be nil.
+	budget *galenaintake.Budget
 	// ages is used by ReadObject only.
 	ages AgeEstimate
 
@@ -33,9 +37,9 @@
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
-func newStream(ctx context.Context, m *Mux, c net.Conn) *stream {
+func newStream(ctx context.Context, m *Mux, c net.Conn, budget *galenaintake.Budget) *stream {
 	ctx, cancel := context.WithCancel(ctx)
-	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c)}
+	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c), budget: budget}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
@@ -50,9 +54,10 @@
 			continue
 		}
 		if h, ok := s.mux.direct[f.method]; ok {
-			go s.run(f.method, h, f.data)
+			go s.run(f.method, h, f)
 			continue
 		}
+		defer f.release()
 		if u, ok := v.(json.Unmarshaler); ok {
 			return u.UnmarshalJSON(f.data)
 		}
@@ -68,6 +73,15 @@
 	stamp  *stamp
 	// awaited is set if the connection had nothing to read before.
 	awaited bool
+	// hold is what the message holds of the budget, or nil.
+	hold *galenaintake.Hold
+}
+
+// release ends what the message holds of the budget.
+func (f *frame) release() {
+	if f.hold != nil {
+		f.hold.Close()
+	}
 }
 
 // minAwaited is how long a read takes at the least that had to wait for the network.
@@ -75,11 +89,11 @@
 
 func (s *stream) readFrame() (frame, error) {
 	buffered, start := s.r.Buffered() > 0, time.Now()
-	data, err := s.readData()
+	data, hold, err := s.readData()
 	if err != nil {
 		return frame{}, err
 	}
-	f := frame{data: data, awaited: !buffered && time.Since(start) >= minAwaited}
+	f := frame{data: data, hold: hold, awaited: !buffered && time.Since(start) >= minAwaited}
 	f.method, f.stamp = parseHead(data)
 	return f, nil
 }
@@ -87,22 +101,30 @@
 // maxFrameAllocation is the length of a frame up to which its prefix alone is trusted.
 const maxFrameAllocation = 64 << 10
 
-// readData reads the data of a frame.
-func (s *stream) readData() ([]byte, error) {
+// readData reads the data of a frame. A long one is charged to the budget as it comes.
+func (s *stream) readData() ([]byte, *galenaintake.Hold, error) {
 	n, err := binary.ReadUvarint(s.r)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if n <= maxFrameAllocation {
 		frame := make([]byte, n)
 		_, err := io.ReadFull(s.r, frame)
-		return frame, err
+		return frame, nil, err
 	}
-	var b bytes.Buffer
-	if _, err := io.CopyN(&b, s.r, int64(n)); err != nil {
-		return nil, err
+	if n > math.MaxInt64-1 {
+		return nil, nil, galenaintake.ErrTooLarge
+	}
+	hold := s.budget.Open(func() { _ = s.conn.SetReadDeadline(time.Now()) })
+	data, err := galenaintake.Read(io.LimitReader(s.r, int64(n)), hold, int64(n), int64(n))
+	if err == nil && uint64(len(data)) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		hold.Close()
+		return nil, nil, err
 	}
-	return b.Bytes(), nil
+	return data, hold, nil
 }
 
 // call is a decoded frame of a call.
@@ -112,8 +134,9 @@
 }
 
 // run serves a call.
-func (s *stream) run(method string, h Handler, data []byte) {
-	if c, ok := s.decodeCall(data); ok {
+func (s *stream) run(method string, h Handler, f frame) {
+	defer f.release()
+	if c, ok := s.decodeCall(f.data); ok {
 		s.answer(method, h, c)
 	}
 }
--- a/galenarpc/turn.go
+++ b/galenarpc/turn.go
@@ -63,14 +63,16 @@
 	if f.stamp != nil && waited > f.stamp.limit() {
 		h.turn.Gate.Leave()
 		h.turn.expired.Add(1)
+		f.release()
 		return
 	}
-	go s.runInTurn(method, h, f.data, waited)
+	go s.runInTurn(method, h, f, waited)
 }
 
 // runInTurn serves a call whose turn has come.
-func (s *stream) runInTurn(method string, h turnHandler, data []byte, waited time.Duration) {
-	c, ok := s.decodeCall(data)
+func (s *stream) runInTurn(method string, h turnHandler, f frame, waited time.Duration) {
+	defer f.release()
+	c, ok := s.decodeCall(f.data)
 	if !ok {
 		h.turn.Gate.Leave()
 		return
