Submissions while the owner is away: bound to a term, held while it is in doubt

Cause: an entry wrote each submission to an owner that had said nothing for seconds, and called it uncertain from then on, also if the next owner refused the repeat. docs/design/owner-loss.md.

Ruled out: rounds of queries that do not wait for silent daemons, on control daemons too: TestBootstrapSimulationsDetectFaults/silent_seeds_are_ignored then takes 48 s to detect its fault; entries alone have them.

--- a/galenafleet/directory.go
+++ b/galenafleet/directory.go
@@ -86,6 +86,13 @@
 	announcedAt time.Time
 	// silentSince holds the silent members that the leader named last.
 	silentSince map[galenahead.ReplicaName]time.Time
+	// waiting holds calls that end when a leader of a later term is known, by numbers up to
+	// lastWaiting.
+	waiting     map[uint64]termCancel
+	lastWaiting uint64
+	// querying holds the daemons whose query is under way, and queries the queries.
+	querying map[string]bool
+	queries  errgroup.Group
 }
 
 const (
@@ -101,8 +108,11 @@
 	// announceInterval is how often seeds that are not members are queried while a
 	// leader is known.
 	announceInterval = 5 * time.Second
-	// queryTimeout bounds one query.
+	// queryTimeout bounds one query, and roundTimeout an entry's wait for the answers to all queries
+	// of a round, so that silent daemons do not keep it from asking the others again. What control
+	// daemons do about members counts on whole rounds.
 	queryTimeout = 500 * time.Millisecond
+	roundTimeout = 150 * time.Millisecond
 	// forgetAfter is how long after its last message a daemon is dropped, unless it
 	// is a seed or a member.
 	forgetAfter = time.Minute
@@ -188,6 +198,7 @@
 
 // Run queries daemons for the leader until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
+	defer func() { _ = d.queries.Wait() }()
 	d.mu.Lock()
 	d.init()
 	d.mu.Unlock()
@@ -225,12 +236,35 @@
 // queryAll queries the daemons of queryTargets and reports whether a leader is
 // known afterwards.
 func (d *Directory) queryAll(ctx context.Context) bool {
-	var group errgroup.Group
 	targets, search := d.queryTargets()
+	ended := make(chan struct{}, len(targets))
+	begun := 0
 	for _, a := range targets {
-		group.Go(func() error { _, _ = d.query(ctx, a); return nil })
+		if !d.beginQuery(a) {
+			continue // it has not answered the last one
+		}
+		begun++
+		d.queries.Go(func() error {
+			_, _ = d.query(ctx, a)
+			d.endQuery(a)
+			ended <- struct{}{}
+			return nil
+		})
+	}
+	var over <-chan time.Time
+	if d.Self == nil {
+		over = d.Timers.After(ctx, roundTimeout)
+	}
+	for waiting := true; waiting && begun > 0; {
+		select {
+		case <-ended:
+			begun--
+		case <-over:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
-	_ = group.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if search && d.leader == d.failedLeader && d.term == d.failedTerm {
@@ -241,6 +275,26 @@
 	return d.leader != ""
 }
 
+// beginQuery reports whether no query of the daemon is under way, and notes one.
+func (d *Directory) beginQuery(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.querying[address] {
+		return false
+	}
+	if d.querying == nil {
+		d.querying = map[string]bool{}
+	}
+	d.querying[address] = true
+	return true
+}
+
+func (d *Directory) endQuery(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.querying, address)
+}
+
 // queryTargets returns the addresses to query: the leader while it answers, with
 // the seeds to announce this daemon to, otherwise all seeds and known daemons.
 // search reports the latter.
@@ -336,6 +390,7 @@
 			d.Logger.WithField("leader", info.Leader).WithField("term", info.Term).Info("found the leader of the log")
 		}
 		d.leader, d.term, d.confirmedAt = info.Leader, info.Term, now
+		d.endEarlier()
 	}
 	return info, true
 }
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -48,6 +48,7 @@
 	galenarpc.Handle(mux, MethodWave, o.Wave)
 	galenarpc.Handle(mux, MethodView, o.View)
 	galenarpc.Handle(mux, MethodKeys, o.Keys)
+	galenarpc.Handle(mux, MethodAlive, o.Alive)
 }
 
 // RegisterNotOwner adds the RPC methods of the owner to a daemon that can never own
@@ -55,7 +56,7 @@
 func RegisterNotOwner(mux *galenarpc.Mux) {
 	for _, method := range []string{
 		MethodDo, MethodRead, MethodReads, MethodHeartbeat, MethodHeartbeats, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
-		MethodKeys,
+		MethodKeys, MethodAlive,
 	} {
 		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
 			return nil, galenahead.ErrNotLeader
@@ -72,7 +73,8 @@
 	// Metrics counts the replies to callers by outcome and records their latency.
 	Metrics *galenametric.Metrics
 
-	keys keyCopies
+	keys  keyCopies
+	watch ownerWatch
 	// spreadUntil is until when reads go to other control daemons, in Unix nanoseconds.
 	spreadUntil atomic.Int64
 
@@ -88,47 +90,89 @@
 	attemptPause = 50 * time.Millisecond
 )
 
-// call calls the owner until it answers or ctx ends. maybeSent reports whether an
-// attempt that got no answer may have been carried out, or still may be; the answer to
-// a later attempt does not tell.
-func call[P, R any](ctx context.Context, oc *OwnerClient, method string, params P) (result R, maybeSent bool, err error) {
+// unanswered describes the attempts of a call that got no answer. They may have been carried out,
+// or still may be; the answer to a later attempt does not tell.
+type unanswered struct {
+	// any reports that there are some.
+	any bool
+	// lastTerm is the latest term that they named. unbound reports that one of them named none, so
+	// that an owner of any term may carry it out.
+	lastTerm uint64
+	unbound  bool
+}
+
+// boundToTerm is a call that only an owner of the term that it names carries out.
+type boundToTerm[P any] interface {
+	WithTerm(term uint64) P
+	// bound reports whether the call is to be bound.
+	bound() bool
+}
+
+// call calls the owner until it answers or ctx ends, and reports on the attempts without an answer.
+// A call that is bound to a term is not written to an owner in doubt.
+func call[P, R any](ctx context.Context, oc *OwnerClient, method string, params P) (result R, lost unanswered, err error) {
 	start := time.Now()
 	for attempts := 1; ; attempts++ {
 		var r R
-		addr, known := oc.Directory.Leader()
-		if known {
+		owner := oc.Directory.leads()
+		bound := false
+		if b, ok := any(params).(boundToTerm[P]); ok && b.bound() {
+			bound, params = owner.term > 0, b.WithTerm(owner.term)
+			if waitErr := oc.awaitOwner(ctx, owner); waitErr != nil && err == nil {
+				err = waitErr
+			}
+			if oc.Directory.leads() != owner && ctx.Err() == nil {
+				continue // another one leads
+			}
+		}
+		if owner.addr != "" && ctx.Err() == nil {
 			attemptStart := time.Now()
-			attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
-			err = oc.RPCClient.Call(attemptCtx, addr, method, params, &r)
-			cancel()
+			err = oc.attempt(ctx, owner, method, params, &r)
 			if err == nil {
-				oc.logReachability(addr, callFailure{})
-				return r, maybeSent, nil
+				oc.logReachability(owner.addr, callFailure{})
+				return r, lost, nil
 			}
 			if isFinal(err) {
-				return r, maybeSent, err
+				return r, lost, err
 			}
-			oc.logReachability(addr, callFailure{method, attempts, time.Since(attemptStart), time.Since(start), err})
+			oc.logReachability(owner.addr, callFailure{method, attempts, time.Since(attemptStart), time.Since(start), err})
 			if errors.Is(err, galenahead.ErrNotLeader) || errors.Is(err, galenahead.ErrUnreachable) {
-				oc.Directory.ReportFailure(addr)
+				oc.Directory.ReportFailure(owner.addr)
 			} else {
-				maybeSent = true
+				lost = unanswered{any: true, lastTerm: max(lost.lastTerm, owner.term), unbound: lost.unbound || !bound}
 				if p, ok := any(params).(interface{ WithRepeated() P }); ok {
 					params = p.WithRepeated()
 				}
-				oc.Directory.ReportDelay(addr)
+				oc.Directory.ReportDelay(owner.addr)
 			}
 		} else if err == nil {
 			err = galenahead.ErrNotLeader
 		}
+		oc.watch.noteAway(oc.Directory.Timers.Now())
 		select {
 		case <-ctx.Done():
-			return r, maybeSent, err
+			return r, lost, err
 		case <-time.After(attemptPause):
 		}
 	}
 }
 
+// attempt calls an owner once. It ends when a leader of a later term is known, and puts an owner
+// that says nothing in doubt.
+func (oc *OwnerClient) attempt(ctx context.Context, owner ownerAddress, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	defer oc.Directory.endWith(owner.term, cancel)()
+	sent := oc.Directory.Timers.Now()
+	silence := time.AfterFunc(doubtAfter, func() { oc.watch.noteSilence(oc.Directory.Timers.Now(), sent, owner) })
+	defer silence.Stop()
+	err := oc.RPCClient.Call(ctx, owner.addr, method, params, result)
+	if err == nil || isFinal(err) {
+		oc.watch.noteAnswer(oc.Directory.Timers.Now(), owner)
+	}
+	return err
+}
+
 // isFinal reports whether err is an answer of the owner that a retry would not
 // change.
 func isFinal(err error) bool {
@@ -171,16 +215,19 @@
 // when ctx ends.
 func (oc *OwnerClient) Do(ctx context.Context, r Request) Reply {
 	start := time.Now()
-	reply, maybeSent, err := oc.ask(ctx, r)
+	reply, lost, err := oc.ask(ctx, r)
 	oc.noteBusy(reply)
 	oc.keys.note(reply)
-	maybeDone := maybeSent && r.changesJob()
+	// The next owner knows what an earlier one has carried out, if that can't do so any more.
+	certain := err == nil && !lost.unbound && reply.Term > lost.lastTerm
+	maybeDone := lost.any && r.changesJob() && !certain
 	overruled := false
 	switch {
 	case err != nil && maybeDone:
 		reply = Reply{Outcome: OutcomeUncertain, Reason: err.Error()}
 	case err != nil:
 		reply = unreadyReply(err.Error())
+		reply.RetryAfter = oc.returnTime(r)
 	case maybeDone && reply.Outcome.isRefusal():
 		overruled = true
 		reason := "repeat of an attempt without an answer: " + string(reply.Outcome)
@@ -200,9 +247,9 @@
 }
 
 // ask sends a request to the owner, or a read to another control daemon while the owner is busy.
-func (oc *OwnerClient) ask(ctx context.Context, r Request) (reply Reply, maybeSent bool, err error) {
+func (oc *OwnerClient) ask(ctx context.Context, r Request) (reply Reply, lost unanswered, err error) {
 	if reply, ok := oc.readElsewhere(ctx, r); ok {
-		return reply, false, nil
+		return reply, unanswered{}, nil
 	}
 	return call[Request, Reply](ctx, oc, MethodDo, r)
 }
--- a/galenafleet/owner_client_test.go
+++ b/galenafleet/owner_client_test.go
@@ -96,6 +96,9 @@
 		if method == MethodLeaderInfo {
 			return answerLeaderInfo(result)
 		}
+		if method == MethodAlive {
+			return nil
+		}
 		if calls++; calls == 1 {
 			<-ctx.Done()
 			return ctx.Err()
@@ -151,18 +154,7 @@
 // a retry would be answered.
 func TestRetriesWhenOwnerDoesNotRespond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		calls := 0
-		r := doRequest(testOwnerClient(func(ctx context.Context, method string, result any) error {
-			if method == MethodLeaderInfo {
-				return answerLeaderInfo(result)
-			}
-			if calls++; calls == 1 {
-				<-ctx.Done()
-				return ctx.Err()
-			}
-			*result.(*Reply) = Reply{Outcome: OutcomeAccepted}
-			return nil
-		}), RequestSubmit)
+		r := doRequest(testOwnerClient(ownerThatAnswersLate(Reply{Outcome: OutcomeAccepted})), RequestSubmit)
 		is.New(t).Equal(r.Outcome, OutcomeAccepted)
 	})
 }
@@ -276,6 +268,10 @@
 	if method == MethodLeaderInfo {
 		return answerLeaderInfo(result)
 	}
+	if method == MethodAlive {
+		_, err := n.owner.Alive(ctx, Empty{})
+		return err
+	}
 	r := params.(Request)
 	if r.Path == "/q/late" && !n.held.Swap(true) {
 		time.AfterFunc(n.lateBy, func() { _, _ = n.owner.Do(context.Background(), r) })
@@ -333,6 +329,9 @@
 					if method == MethodLeaderInfo {
 						return answerLeaderInfo(result)
 					}
+					if method == MethodAlive {
+						return nil
+					}
 					if calls++; calls <= tt.lost {
 						<-ctx.Done()
 						return ctx.Err()
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -37,8 +37,19 @@
 	Key galenaaccount.Digest `json:"key,omitempty"`
 	// Repeated marks an attempt after one to which there was no answer.
 	Repeated bool `json:"repeated,omitempty"`
+	// Term is that of the only owner that carries the request out, or zero if any one does.
+	Term uint64 `json:"term,omitempty"`
 }
 
+// WithTerm returns the request as only the owner of a term carries it out.
+func (r Request) WithTerm(term uint64) Request {
+	r.Term = term
+	return r
+}
+
+// bound reports whether the request is to be bound to the term of its owner.
+func (r Request) bound() bool { return r.changesJob() }
+
 // WithRepeated returns the request as it is sent after an attempt without an answer.
 func (r Request) WithRepeated() Request {
 	r.Repeated = true
@@ -98,6 +109,9 @@
 	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Account is that of the caller, or empty.
 	Account galenahead.AccountName `json:"account,omitempty"`
+	// Term is that of the owner, if it refuses a repeated submission and knows that no attempt of
+	// an earlier term was carried out.
+	Term uint64 `json:"term,omitempty"`
 }
 
 // UnreadyRetryAfter is how long a caller should wait before it tries again while no
@@ -134,6 +148,10 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if r.Term != 0 && r.Term != sess.term {
+		// Its sender does not count on this owner any more.
+		return Reply{}, galenahead.ErrNotLeader
+	}
 	var submitted galenahead.JobID
 	if r.Kind == RequestSubmit {
 		// From here on, no other submission of the job is rejected.
@@ -144,19 +162,38 @@
 	waited, ok := enter()
 	if !ok {
 		sess.load.shed.Add(1)
-		return sess.turnAway(r, submitted)
+		reply, err := sess.turnAway(r, submitted)
+		if errors.Is(err, galenahead.ErrOverloaded) && r.Repeated && r.Kind == RequestSubmit {
+			return sess.withCertainty(&r, submitted, unreadyReply(err.Error())), nil
+		}
+		return reply, err
 	}
 	defer leave()
 	reply, err := sess.answer(r, waited)
 	if err != nil {
 		return Reply{}, err
 	}
+	reply = sess.withCertainty(&r, submitted, reply)
 	if !sess.isLeader() && reply.Outcome != OutcomeAccepted {
 		return Reply{}, galenahead.ErrNotLeader
 	}
 	return reply, nil
 }
 
+// withCertainty adds the term to the refusal of a repeated submission if no attempt of an earlier
+// term was carried out: the state holds all that earlier owners have committed, and they commit
+// nothing more. Another submission of the job may be under way in this session. id is that of the
+// job, or empty if the request has no queue.
+func (sess *ownerSession) withCertainty(r *Request, id galenahead.JobID, reply Reply) Reply {
+	if !r.Repeated || r.Kind != RequestSubmit || r.Term == 0 || id == "" || !reply.Outcome.isRefusal() {
+		return reply
+	}
+	if _, _, _, known := sess.State.JobState(id); !known && sess.submitsAlone(id) {
+		reply.Term = sess.term
+	}
+	return reply
+}
+
 // answer handles a request whose turn has come, and logs the reply.
 func (sess *ownerSession) answer(r Request, waited time.Duration) (Reply, error) {
 	start := sess.Timers.Now()
