--- a/galenafleet/owner_bench_test.go
+++ b/galenafleet/owner_bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
 	"github.com/galenahead/galenahead/galenarpc"
@@ -164,14 +165,29 @@
 	instances, backlog int
 	// rate is the accepted jobs a second, relative to benchServices.
 	rate float64
+	// accounts is the number of client accounts, whose jobs follow each other.
+	accounts int
 }
 
 func (s benchSize) String() string {
-	return fmt.Sprintf("instances=%d/backlog=%d/rate=%g", s.instances, s.backlog, s.rate)
+	name := fmt.Sprintf("instances=%d/backlog=%d/rate=%g", s.instances, s.backlog, s.rate)
+	if s.accounts > 0 {
+		name += fmt.Sprintf("/accounts=%d", s.accounts)
+	}
+	return name
+}
+
+// key returns the digest of the key of the account that sends the job of a number.
+func (s benchSize) key(job int64) galenaaccount.Digest {
+	if s.accounts == 0 {
+		return ""
+	}
+	return galenaaccount.DigestKey(strconv.Itoa(int(job) % s.accounts))
 }
 
 // benchFleet is an owner with instances in memory.
 type benchFleet struct {
+	size      benchSize
 	owner     *Owner
 	instances *benchInstances
 	timers    *planCounter
@@ -189,7 +205,7 @@
 	l.delay.Store(int64(8 * time.Millisecond))
 	w := galenalog.NewWriter(io.Discard)
 	b.Cleanup(func() { _ = w.Close() })
-	f := &benchFleet{owner: o, timers: &planCounter{}, instances: &benchInstances{began: time.Now(), byID: map[galenahead.InstanceID]*benchInstance{}}}
+	f := &benchFleet{size: size, owner: o, timers: &planCounter{}, instances: &benchInstances{began: time.Now(), byID: map[galenahead.InstanceID]*benchInstance{}}}
 	machines := &benchMachines{}
 	o.Logger, o.Timers, o.Instances, o.Machines = galenalog.New(w, logrus.InfoLevel), f.timers, f.instances, machines
 	o.State.Timers, o.FinalJobRetention = f.timers, 2*time.Minute
@@ -199,7 +215,12 @@
 		GoneAfter: 6 * time.Second, StopTimeout: 200 * time.Millisecond, AdviceTimeout: 500 * time.Millisecond,
 	}
 	capacity := galenajob.Resources{MilliCPU: 64000 * benchServiceInstances / int64(size.instances), MemoryMB: 128000 * benchServiceInstances / int64(size.instances)}
-	c := Config{Version: 1}
+	c := Config{Version: 1, RequiresKeys: size.accounts > 0}
+	for i := range size.accounts {
+		c.Accounts = append(c.Accounts, galenaaccount.Account{
+			Name: galenahead.AccountName("account-" + strconv.Itoa(i)), Weight: 1000, Keys: []galenaaccount.Digest{size.key(int64(i))},
+		})
+	}
 	for _, svc := range benchServices {
 		c.Services = append(c.Services, Service{Name: svc.name})
 		for i, stretch := range []float64{2.2, 1.6} {
@@ -271,10 +292,12 @@
 	f.latency.Add(int64(time.Since(start)))
 }
 
-func (f *benchFleet) submit(ctx context.Context, queue string, spec *galenajob.Spec) (path string) {
-	path = fmt.Sprintf("/%s/job-%08d", queue, f.jobs.Add(1))
-	f.do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: path, Spec: spec})
-	return path
+func (f *benchFleet) submit(ctx context.Context, queue string, spec *galenajob.Spec) (path string, key galenaaccount.Digest) {
+	n := f.jobs.Add(1)
+	path = fmt.Sprintf("/%s/job-%08d", queue, n)
+	key = f.size.key(n)
+	f.do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: path, Spec: spec, Key: key})
+	return path, key
 }
 
 // demand submits jobs and asks for the state of each of them twice, and sends a
@@ -294,10 +317,10 @@
 	}
 	job := func(queue string, spec *galenajob.Spec) {
 		go func() {
-			path := f.submit(ctx, queue, spec)
+			path, key := f.submit(ctx, queue, spec)
 			for _, pause := range []time.Duration{100 * time.Millisecond, 900 * time.Millisecond} {
 				time.Sleep(pause)
-				f.do(ctx, Request{Kind: RequestState, Host: "h", Path: path})
+				f.do(ctx, Request{Kind: RequestState, Host: "h", Path: path, Key: key})
 			}
 		}()
 	}
@@ -321,10 +344,11 @@
 func BenchmarkOwner(b *testing.B) {
 	const warmUp, window = 1500 * time.Millisecond, 2 * time.Second
 	for _, size := range []benchSize{
-		{50, 0, 1}, {50, 200, 1}, {50, 1000, 1},
-		{350, 0, 1}, {350, 200, 1}, {350, 1000, 1},
-		{1400, 0, 1}, {1400, 200, 1}, {1400, 1000, 1},
-		{350, 0, 0}, {350, 0, 0.5}, {350, 0, 2}, {1400, 1000, 4},
+		{50, 0, 1, 0}, {50, 200, 1, 0}, {50, 1000, 1, 0},
+		{350, 0, 1, 0}, {350, 200, 1, 0}, {350, 1000, 1, 0},
+		{1400, 0, 1, 0}, {1400, 200, 1, 0}, {1400, 1000, 1, 0},
+		{350, 0, 0, 0}, {350, 0, 0.5, 0}, {350, 0, 2, 0}, {1400, 1000, 4, 0},
+		{350, 200, 1, 20}, {350, 200, 1, 2000}, {350, 1000, 1, 20}, {350, 1000, 1, 2000},
 	} {
 		b.Run(size.String(), func(b *testing.B) {
 			for range b.N {
@@ -366,7 +390,7 @@
 // a new session, while instances run work of the previous one.
 func BenchmarkOwnerChange(b *testing.B) {
 	const warmUp, window = 1500 * time.Millisecond, time.Second
-	for _, size := range []benchSize{{50, 200, 1}, {350, 200, 1}, {1400, 200, 1}} {
+	for _, size := range []benchSize{{50, 200, 1, 0}, {350, 200, 1, 0}, {1400, 200, 1, 0}} {
 		b.Run(size.String(), func(b *testing.B) {
 			for range b.N {
 				ctx, cancel := context.WithCancel(b.Context())
--- a/galenafleet/owner_watch_test.go
+++ b/galenafleet/owner_watch_test.go
@@ -78,6 +78,7 @@
 type lossFleet struct {
 	log    *sharedLog
 	muxes  map[string]*galenarpc.Mux
+	owners map[string]*Owner
 	mu     sync.Mutex
 	rng    *rand.Rand
 	silent map[string]bool
@@ -92,7 +93,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	f := &lossFleet{
-		log: &sharedLog{state: &State{Timers: timers}, delay: 5 * time.Millisecond}, muxes: map[string]*galenarpc.Mux{}, silent: map[string]bool{},
+		log: &sharedLog{state: &State{Timers: timers}, delay: 5 * time.Millisecond}, muxes: map[string]*galenarpc.Mux{}, owners: map[string]*Owner{}, silent: map[string]bool{},
 		rng: rand.New(rand.NewPCG(seed, 5)), calls: map[string]int{},
 	}
 	f.entry = testOwnerClient(nil)
@@ -105,7 +106,7 @@
 		o.Register(mux)
 		d := &Directory{Timers: timers, Logger: logger, Self: func() LeaderInfo { return f.leaderInfo() }}
 		d.Register(mux)
-		f.muxes[string(name)+":1"] = mux
+		f.muxes[string(name)+":1"], f.owners[string(name)+":1"] = mux, o
 		go func() { _ = o.Run(ctx) }()
 	}
 	go func() { _ = f.entry.Directory.Run(ctx) }()
@@ -168,10 +169,30 @@
 		go func() { _ = f.muxes[addr].Call(context.Background(), method, params, nil) }()
 		<-ctx.Done()
 		return ctx.Err()
+	case f.draw(3) == 0: // refused by an owner that has too much work
+		reply, err := f.refuse(f.owners[addr], params.(Request))
+		*result.(*Reply) = reply
+		return err
 	}
 	return f.muxes[addr].Call(ctx, method, params, result)
 }
 
+// refuse answers a submission as an owner does that has too much work at the moment.
+func (f *lossFleet) refuse(o *Owner, r Request) (Reply, error) {
+	sess, err := o.currentSession()
+	if err != nil || r.Term != sess.term || r.Kind != RequestSubmit {
+		return Reply{}, galenahead.ErrNotLeader
+	}
+	id := sess.submittedJob(r)
+	sess.beginSubmit(id)
+	defer sess.endSubmit(id)
+	reply, err := sess.turnAway(r, id)
+	if err == nil {
+		return reply, nil
+	}
+	return sess.withCertainty(&r, id, overloadReply(time.Second)), nil
+}
+
 // submit submits a job as an entry does for a caller.
 func (f *lossFleet) submit(ctx context.Context, id string) Reply {
 	const callerTimeout = 1800 * time.Millisecond
@@ -361,3 +382,33 @@
 	is.True(!w.doubts(owner))
 	is.Equal(w.away(now.Add(6*time.Second)), time.Duration(0))
 }
+
+// Guards against a refusal that counts as certain although the state holds the job, or another
+// submission of it is under way in the same session.
+func TestCertaintyNeedsAnUnknownJobSubmittedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		ctx, stop := startOwner(t, o, testConfig)
+		defer stop()
+		r := Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: oneItem(galenajob.Resources{})}.WithTerm(1).WithRepeated()
+		sess, err := o.currentSession()
+		is.NoErr(err)
+		refusal := unreadyReply("overloaded")
+		certain := func(id galenahead.JobID) bool { return sess.withCertainty(&r, id, refusal).Term == 1 }
+		sess.beginSubmit("j")
+		is.True(certain("j"))
+		sess.beginSubmit("j")
+		is.True(!certain("j"))
+		sess.endSubmit("j")
+		sess.endSubmit("j")
+		_, err = o.Do(ctx, r)
+		is.NoErr(err)
+		sess.beginSubmit("j")
+		defer sess.endSubmit("j")
+		is.True(!certain("j"))
+		is.True(!certain(""))
+		r.Term = 0
+		is.True(!certain("k"))
+	})
+}
--- a/galenajob/account.go
+++ b/galenajob/account.go
@@ -193,12 +193,15 @@
 	a.jobs = append(a.jobs, j)
 }
 
-// reset forgets all jobs, and the accounts that had none since the last call.
+// maxTurnBuffers bounds the accounts for which buffers are kept.
+const maxTurnBuffers = 1024
+
+// reset forgets all jobs.
 func (t *accountTurns) reset() {
-	for name, a := range t.byAccount {
-		if len(a.jobs) == 0 {
-			delete(t.byAccount, name)
-		}
+	if len(t.byAccount) > maxTurnBuffers {
+		t.byAccount = nil
+	}
+	for _, a := range t.byAccount {
 		clear(a.jobs) // the buffer must not keep final jobs
 		a.jobs, a.next = a.jobs[:0], 0
 	}
@@ -249,20 +252,24 @@
 	heap.Init(t)
 	for len(t.heap) > 0 && !s.StartsExhausted() {
 		a := t.heap[0]
-		starting := s.starting
-		s.planJob(now, a.jobs[a.next])
-		a.next++
-		if a.next == len(a.jobs) {
+		if s.planNext(now, a); a.next == len(a.jobs) {
 			heap.Pop(t)
 			continue
 		}
-		if s.starting != starting {
-			a.turn = s.ledger.Turn(a.account)
-		}
+		a.turn = s.ledger.Turn(a.account)
 		heap.Fix(t, 0)
 	}
 }
 
+// planNext plans the jobs of an account until work items of one start.
+func (s *Scheduler) planNext(now time.Time, a *accountTurn) {
+	starting := s.starting
+	for a.next < len(a.jobs) && s.starting == starting {
+		s.planJob(now, a.jobs[a.next])
+		a.next++
+	}
+}
+
 // workAheadOfAccount is workAhead while there are client accounts: other accounts come before
 // with jobs of a better class, and with what their weights give them of the job's class.
 func (s *Scheduler) workAheadOfAccount(j *job) (work int64, share float64) {
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -133,7 +133,11 @@
 		}
 		for _, sets := range j.sets {
 			for _, set := range sets {
-				d := set.step.reservation().Times(rooms.take(j.Account, set.step.Need, set.waiting(now)))
+				n := rooms.take(j.Account, set.step.Need, set.waiting(now))
+				if n == 0 {
+					continue
+				}
+				d := set.step.reservation().Times(n)
 				u.Demand = u.Demand.Add(d)
 				if j.urgent() {
 					u.Urgent = u.Urgent.Add(d)
