Connections at the bound: none gives way whose request is handled, also not to a new one

Cause, by reading: where all connections of a server were busy, as with answers that nobody reads, a new one was taken beyond the bound; and 1,025 silent connections kept other daemons out for good. Now the new one is closed, and at the ports between daemons the oldest gives way that has said nothing; those ports are bounded by the memory as well.

--- a/galenadaemon/drain.go
+++ b/galenadaemon/drain.go
@@ -42,7 +42,7 @@
 	// that is incomplete or not answered are closed. The default is 5 s.
 	DrainTimeout time.Duration
 	// MaxConns bounds the open connections. At the bound, a new connection takes the place of one
-	// that waits for its client. Zero means no bound.
+	// that waits for its client, or is closed if there is none. Zero means no bound.
 	MaxConns int
 	// Displaced is called for each connection that is closed because of MaxConns. It may be nil.
 	Displaced func()
@@ -113,25 +113,41 @@
 // Accept returns io.EOF, on which fasthttp stops serving, when the drain has
 // started and the queue of the listener is empty.
 func (l *drainListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil && l.draining.Load() {
-		c, err = l.acceptQueued()
-	}
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil && l.draining.Load() {
+			c, err = l.acceptQueued()
+		}
+		if err != nil {
+			return nil, err
+		}
+		if dc, ok := l.admit(c); ok {
+			return dc, nil
+		}
+		_ = c.Close()
 	}
+}
+
+// admit takes a connection, in the place of another one if there are as many as there may be. It
+// reports false if none gives way.
+func (l *drainListener) admit(c net.Conn) (*drainConn, bool) {
 	now := time.Now()
 	dc := &drainConn{Conn: c, listener: l, acceptedAt: now, idle: true, receiving: true, waitingSince: now, source: sourceOf(c)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.maxConns > 0 && len(l.conns) >= l.maxConns {
-		l.displaceOne()
+		if l.displaced != nil {
+			l.displaced()
+		}
+		if !l.displaceOne() {
+			return nil, false
+		}
 	}
 	l.conns[dc] = struct{}{}
 	if l.draining.Load() {
 		dc.drain()
 	}
-	return dc, nil
+	return dc, true
 }
 
 // sourceOf returns the address, without port, that a connection comes from.
@@ -145,8 +161,9 @@
 
 // displaceOne closes the connection that has waited longest for its client, of those that have not
 // carried a request, or else of all; the source with the most connections loses first. One whose
-// request is being handled is never closed. mu must be held.
-func (l *drainListener) displaceOne() {
+// request is being handled is never closed: it reports false if there are no others. mu must be
+// held.
+func (l *drainListener) displaceOne() bool {
 	bySource := map[string]int{}
 	for c := range l.conns {
 		bySource[c.source]++
@@ -171,14 +188,11 @@
 		}
 	}
 	if victim == nil {
-		return
+		return false
 	}
-	// The goroutine that serves it closes it.
 	victim.displace()
 	delete(l.conns, victim)
-	if l.displaced != nil {
-		l.displaced()
-	}
+	return true
 }
 
 // deadliner is a listener whose Accept can be interrupted without closing it.
--- a/galenaintake/intake_test.go
+++ b/galenaintake/intake_test.go
@@ -169,5 +169,6 @@
 	is.Equal(Machine{Files: 64}.CallerConns(), 56)
 	is.Equal(Machine{Files: 64}.StatusConns(), minConns)
 	is.Equal(Machine{MemoryMB: 408, Files: 4100}.PeerConns(), 1025)
+	is.Equal(Machine{MemoryMB: 96, Files: 4100}.PeerConns(), 384)
 	is.Equal(Machine{}.NewBudget().Bytes, int64(defaultBudget))
 }
--- a/galenaintake/machine.go
+++ b/galenaintake/machine.go
@@ -15,8 +15,9 @@
 	// statusFilesPart is the part for connections of status requests.
 	statusFilesPart = 32
 	// peerFilesPart is the part for connections of other daemons, and again of operators and
-	// instances.
-	peerFilesPart = 4
+	// instances. Each may hold a message that is not large, in peerMemoryPart of the memory.
+	peerFilesPart  = 4
+	peerMemoryPart = 4
 	// minConns is the least bound on connections.
 	minConns = 8
 )
@@ -48,7 +49,13 @@
 
 // PeerConns returns how many connections of other daemons, or of operators and instances, a
 // control daemon may have open.
-func (m Machine) PeerConns() int { return max(m.Files/peerFilesPart, minConns) }
+func (m Machine) PeerConns() int {
+	n := m.Files / peerFilesPart
+	if m.MemoryMB > 0 {
+		n = min(n, m.MemoryMB<<20/peerMemoryPart/LargeFrom)
+	}
+	return max(n, minConns)
+}
 
 // StatusConns returns how many connections a status server may have open.
 func (m Machine) StatusConns() int { return max(m.Files/statusFilesPart, minConns) }
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -126,9 +126,10 @@
 
 // connect starts JSON-RPC on c and serves the peer's calls until c is closed. budget bounds the
 // long messages of the peer, and may be nil.
-func (m *Mux) connect(ctx context.Context, c net.Conn, budget *galenaintake.Budget) *Conn {
+func (m *Mux) connect(ctx context.Context, c net.Conn, budget *galenaintake.Budget) (*Conn, *stream) {
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
-	return jsonrpc2.NewConn(ctx, newStream(ctx, m, c, budget), h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+	s := newStream(ctx, m, c, budget)
+	return jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0))), s
 }
 
 // errorsByCode maps the application error codes on the wire to sentinel errors,
--- a/galenarpc/rpc_test.go
+++ b/galenarpc/rpc_test.go
@@ -44,6 +44,39 @@
 	is.NoErr(<-done)
 }
 
+// Guards against connections that say nothing and keep out other daemons, and against one that gives
+// way although it is used.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	m := &Mux{}
+	Handle(m, "double", func(_ context.Context, n int) (int, error) { return 2 * n, nil })
+	done := make(chan error, 1)
+	s := &Server{Mux: m, MaxConns: 3}
+	go func() { done <- s.Serve(ctx, ln) }()
+	used := &Client{}
+	defer used.Close()
+	n := 0
+	is.NoErr(used.Call(ctx, ln.Addr().String(), "double", 1, &n))
+	for range 20 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+	}
+	other := &Client{}
+	defer other.Close()
+	is.NoErr(other.Call(ctx, ln.Addr().String(), "double", 2, &n))
+	is.Equal(n, 4)
+	is.NoErr(used.Call(ctx, ln.Addr().String(), "double", 3, &n))
+	s.mu.Lock()
+	is.True(len(s.conns) <= 3)
+	s.mu.Unlock()
+	cancel()
+	is.NoErr(<-done)
+}
+
 // Guards against a call that ends the process, and against one whose failure leaves no line.
 func TestPanicFailsOnlyItsCall(t *testing.T) {
 	is := is.New(t)
--- a/galenarpc/server.go
+++ b/galenarpc/server.go
@@ -14,11 +14,12 @@
 	Mux *Mux
 	// Budget bounds the long messages that are being read or handled. It may be nil.
 	Budget *galenaintake.Budget
-	// MaxConns bounds the open connections; more are closed at once. Zero means no bound.
+	// MaxConns bounds the open connections. At the bound, a new connection takes the place of the
+	// oldest one that has said nothing, or is closed if there is none. Zero means no bound.
 	MaxConns int
 
 	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	conns map[*Conn]*stream
 }
 
 // Serve accepts connections on ln until ctx ends, then closes ln and every
@@ -35,24 +36,39 @@
 		if err != nil {
 			return err
 		}
-		if s.full() {
+		if !s.makeRoom() {
 			_ = c.Close()
 			continue
 		}
-		go s.runConn(ctx, c)
+		conn, str := s.Mux.connect(ctx, c, s.Budget)
+		s.track(conn, str)
+		go s.runConn(ctx, conn)
 	}
 }
 
-// full reports whether there are as many connections as there may be.
-func (s *Server) full() bool {
+// makeRoom reports whether there may be one more connection. It closes the oldest one that has said
+// nothing if there are as many as there may be.
+func (s *Server) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.MaxConns > 0 && len(s.conns) >= s.MaxConns
+	if s.MaxConns == 0 || len(s.conns) < s.MaxConns {
+		return true
+	}
+	var silent *Conn
+	for conn, str := range s.conns {
+		if !str.spoken.Load() && (silent == nil || str.since.Before(s.conns[silent].since)) {
+			silent = conn
+		}
+	}
+	if silent == nil {
+		return false
+	}
+	_ = s.conns[silent].conn.Close()
+	delete(s.conns, silent)
+	return true
 }
 
-func (s *Server) runConn(ctx context.Context, c net.Conn) {
-	conn := s.Mux.connect(ctx, c, s.Budget)
-	s.track(conn)
+func (s *Server) runConn(ctx context.Context, conn *Conn) {
 	defer s.untrack(conn)
 	select {
 	case <-ctx.Done():
@@ -61,13 +77,13 @@
 	_ = conn.Close()
 }
 
-func (s *Server) track(conn *Conn) {
+func (s *Server) track(conn *Conn, str *stream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
-		s.conns = make(map[*Conn]struct{})
+		s.conns = make(map[*Conn]*stream)
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = str
 }
 
 func (s *Server) untrack(conn *Conn) {
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -28,6 +29,9 @@
 	r      *bufio.Reader
 	// budget bounds the long messages. It may be nil.
 	budget *galenaintake.Budget
+	// since is when the connection was opened, and spoken is set once it has carried a message.
+	since  time.Time
+	spoken atomic.Bool
 	// ages is used by ReadObject only.
 	ages AgeEstimate
 
@@ -39,7 +43,7 @@
 
 func newStream(ctx context.Context, m *Mux, c net.Conn, budget *galenaintake.Budget) *stream {
 	ctx, cancel := context.WithCancel(ctx)
-	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c), budget: budget}
+	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c), budget: budget, since: time.Now()}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
@@ -93,6 +97,7 @@
 	if err != nil {
 		return frame{}, err
 	}
+	s.spoken.Store(true)
 	f := frame{data: data, hold: hold, awaited: !buffered && time.Since(start) >= minAwaited}
 	f.method, f.stamp = parseHead(data)
 	return f, nil
