--- a/cmd/galenactl/fleet/fleet.go
+++ b/cmd/galenactl/fleet/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet provides the commands that show the fleet of galena-fleet, whose
-// instances register themselves: its owner, queues, jobs, instances, machines and
-// waves. The commands change nothing.
+// instances register themselves: its owner, queues, jobs, instances, machines, waves and
+// client accounts. The commands change nothing.
 package fleet
 
 import (
@@ -24,7 +24,8 @@
 		NewCmdJob(f, nil),
 		NewCmdView(f, instancesView, nil),
 		NewCmdView(f, machinesView, nil),
-		NewCmdView(f, wavesView, nil))
+		NewCmdView(f, wavesView, nil),
+		NewCmdView(f, accountsView, nil))
 }
 
 // ViewOptions are the options of a command that shows a part of the fleet.
--- a/cmd/galenactl/fleet/views.go
+++ b/cmd/galenactl/fleet/views.go
@@ -122,3 +122,39 @@
 		})
 	},
 }
+
+var accountsView = viewSpec{
+	part:   galenafleet.PartAccounts,
+	short:  "List the client accounts with what they have running and waiting",
+	header: []string{"ACCOUNT", "WEIGHT", "RUNNING", "LIMIT", "SHARE", "FAIR", "WAITING", "OLDEST", "REJECTED", "NOTE"},
+	rows: func(v galenafleet.View) [][]any {
+		return cli.Rows(v.Accounts, func(a galenafleet.AccountView) []any {
+			note := ""
+			if a.Retired {
+				note = "not in the configuration"
+			}
+			return []any{
+				a.Name, a.Weight, formatResources(a.Running, "0"), formatResources(a.Limit, "none"), formatMille(a.ShareMille), formatMille(a.FairMille),
+				a.Waiting, formatMillis(a.OldestWaitMS), a.Rejected, note,
+			}
+		})
+	},
+}
+
+// formatResources formats an amount as cores, memory and, if there are any, GPUs. zero stands for
+// none of a resource.
+func formatResources(r galenahead.Resources, zero string) string {
+	amount := func(n int64, text string) string {
+		if n == 0 {
+			return zero
+		}
+		return text
+	}
+	out := amount(r.MilliCPU, fmt.Sprintf("%.1f", float64(r.MilliCPU)/1000)) + " cores, " + amount(r.MemoryMB, fmt.Sprint(r.MemoryMB)) + " MB"
+	if r.GPU > 0 {
+		out += fmt.Sprintf(", %d GPU", r.GPU)
+	}
+	return out
+}
+
+func formatMille(n int) string { return fmt.Sprintf("%.1f%%", float64(n)/10) }
--- a/cmd/galenactl/root/fleet_test.go
+++ b/cmd/galenactl/root/fleet_test.go
@@ -70,6 +70,11 @@
 			Used: galenajob.Resources{MilliCPU: 7000, MemoryMB: 512}, Capacity: galenajob.Resources{MilliCPU: 64000, MemoryMB: 131072}, AnsweredMS: 21}}
 	case galenafleet.PartMachines:
 		v.Machines = []galenafleet.MachineView{{Name: "m-1", Pool: "counter", State: galenafleet.MachineUp, Instance: "i-1", Plan: "move to courier", ListAgeMS: 230}}
+	case galenafleet.PartAccounts:
+		v.Accounts = []galenafleet.AccountView{
+			{Name: "knots", Weight: 4.5, Running: galenahead.Resources{MilliCPU: 12500, MemoryMB: 9000}, Limit: galenahead.Resources{MilliCPU: 64000, GPU: 2}, ShareMille: 121, FairMille: 250, Waiting: 7, OldestWaitMS: 1250, Rejected: 3},
+			{Name: "glue", Retired: true},
+		}
 	case galenafleet.PartWaves:
 		v.Waves = []galenafleet.WaveView{{ID: 3, Machines: 22, Down: 2, Done: 5, MaxDown: 9, LeftMS: 14_200}}
 	}
--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 	"github.com/galenahead/galenahead/galenajob"
 )
 
@@ -83,6 +84,8 @@
 type CancelOp struct {
 	Job galenahead.JobID `cbor:"1,keyasint"`
 	At  time.Time        `cbor:"2,keyasint"`
+	// Account is that of the caller, or empty.
+	Account galenahead.AccountName `cbor:"3,keyasint,omitempty"`
 }
 
 // EndOp records the end of a run of a work item.
@@ -167,6 +170,8 @@
 	CodeNotFound  Code = "not_found"
 	// CodeCancelled means that the job was cancelled before it was submitted.
 	CodeCancelled Code = "cancelled"
+	// CodeTaken means that another client account has a job of that ID.
+	CodeTaken Code = "taken"
 )
 
 // Result is the result of one operation.
@@ -184,6 +189,10 @@
 	Services []Service   `cbor:"3,keyasint"`
 	// Source is the configuration document as the operator sent it.
 	Source []byte `cbor:"4,keyasint"`
+	// Accounts are the client accounts. RequiresKeys is set if the configuration has them,
+	// even if there are none: callers then need a key, but for public queues.
+	Accounts     []galenaaccount.Account `cbor:"5,keyasint,omitempty"`
+	RequiresKeys bool                    `cbor:"6,keyasint,omitempty"`
 }
 
 // QueueRule defines which requests belong to a queue and how its jobs are
@@ -198,6 +207,8 @@
 	Stretch       float64                `cbor:"7,keyasint"`
 	TargetLatency time.Duration          `cbor:"8,keyasint"`
 	Advised       bool                   `cbor:"9,keyasint"`
+	// Public marks a queue that callers may use without a key.
+	Public bool `cbor:"10,keyasint,omitempty"`
 }
 
 // schedulerQueue returns the part of the rule that the scheduler uses.
--- a/galenafleet/log_lines.go
+++ b/galenafleet/log_lines.go
@@ -121,6 +121,9 @@
 	b = galenalog.AppendString(b, "path", l.request.Path)
 	b = galenalog.AppendInt(b, "epoch", int64(l.epoch))
 	b = galenalog.AppendString(b, "outcome", string(l.reply.Outcome))
+	if l.reply.Account != "" {
+		b = galenalog.AppendString(b, "account", string(l.reply.Account))
+	}
 	if l.reply.State != "" {
 		b = galenalog.AppendString(b, "state", string(l.reply.State))
 	}
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenametric"
@@ -154,8 +155,13 @@
 	// resign ends the session with a cause.
 	resign    context.CancelCauseFunc
 	committer *committer
-	load      ownerLoad
-	starts    startGovernor
+	// ledger counts what client accounts may have running, and rates what they submit.
+	ledger galenaaccount.Ledger
+	rates  galenaaccount.Rates
+	// countedAccounts holds the accounts that have counters of their own.
+	countedAccounts atomic.Pointer[map[galenahead.AccountName]bool]
+	load            ownerLoad
+	starts          startGovernor
 	// leaseMissingSince is when the lease of the log was first seen to have expired, or
 	// zero. Only run uses it.
 	leaseMissingSince time.Time
@@ -294,6 +300,7 @@
 	sess.mu.Lock()
 	defer sess.mu.Unlock()
 	sess.registrations = map[galenahead.InstanceID]*registration{}
+	sess.applyAccounts()
 	wall := time.Now().Round(0)
 	instances := sess.State.registeredInstances()
 	for _, in := range instances {
--- a/galenafleet/owner_client.go
+++ b/galenafleet/owner_client.go
@@ -47,6 +47,7 @@
 	galenarpc.Handle(mux, MethodBeginWave, o.BeginWave)
 	galenarpc.Handle(mux, MethodWave, o.Wave)
 	galenarpc.Handle(mux, MethodView, o.View)
+	galenarpc.Handle(mux, MethodKeys, o.Keys)
 }
 
 // RegisterNotOwner adds the RPC methods of the owner to a daemon that can never own
@@ -54,6 +55,7 @@
 func RegisterNotOwner(mux *galenarpc.Mux) {
 	for _, method := range []string{
 		MethodDo, MethodRead, MethodReads, MethodHeartbeat, MethodHeartbeats, MethodLeave, MethodConfigure, MethodPutConfig, MethodConfiguration, MethodBeginWave, MethodWave, MethodView,
+		MethodKeys,
 	} {
 		mux.HandleRaw(method, func(context.Context, *galenarpc.Conn, json.RawMessage) (any, error) {
 			return nil, galenahead.ErrNotLeader
@@ -70,6 +72,7 @@
 	// Metrics counts the replies to callers by outcome and records their latency.
 	Metrics *galenametric.Metrics
 
+	keys keyCopies
 	// spreadUntil is until when reads go to other control daemons, in Unix nanoseconds.
 	spreadUntil atomic.Int64
 
@@ -170,6 +173,7 @@
 	start := time.Now()
 	reply, maybeSent, err := oc.ask(ctx, r)
 	oc.noteBusy(reply)
+	oc.keys.note(reply)
 	maybeDone := maybeSent && r.changesJob()
 	overruled := false
 	switch {
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 	"github.com/galenahead/galenahead/galenagate"
 	"github.com/galenahead/galenahead/galenajob"
 	"github.com/galenahead/galenahead/galenalog"
@@ -32,6 +33,8 @@
 	Host string          `json:"host"`
 	Path string          `json:"path"`
 	Spec *galenajob.Spec `json:"spec,omitempty"`
+	// Key is the digest of the caller's key, or empty if it sent none.
+	Key galenaaccount.Digest `json:"key,omitempty"`
 	// Repeated marks an attempt after one to which there was no answer.
 	Repeated bool `json:"repeated,omitempty"`
 }
@@ -62,6 +65,9 @@
 	OutcomeState     Outcome = "state"
 	OutcomeWaiting   Outcome = "waiting"
 	OutcomeInvalid   Outcome = "invalid"
+	// OutcomeUnauthorized means that the queue needs a key of a client account, and the
+	// request has none that is in the configuration.
+	OutcomeUnauthorized Outcome = "unauthorized"
 )
 
 // isRefusal reports whether the owner did not carry out the attempt that it answered, so
@@ -69,7 +75,7 @@
 // attempt to cancel a job makes it unknown.
 func (o Outcome) isRefusal() bool {
 	switch o {
-	case OutcomeRejected, OutcomeUnready, OutcomeNoQueue, OutcomeInvalid:
+	case OutcomeRejected, OutcomeUnready, OutcomeNoQueue, OutcomeInvalid, OutcomeUnauthorized:
 		return true
 	}
 	return false
@@ -87,6 +93,11 @@
 	// Busy reports that the owner is short of processor time, so that reads should be sent to
 	// other control daemons, which collect them.
 	Busy bool `json:"busy,omitempty"`
+	// ConfigVersion is the version of the configuration that the reply follows, if that has
+	// client accounts.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
+	// Account is that of the caller, or empty.
+	Account galenahead.AccountName `json:"account,omitempty"`
 }
 
 // UnreadyRetryAfter is how long a caller should wait before it tries again while no
@@ -133,7 +144,7 @@
 	waited, ok := enter()
 	if !ok {
 		sess.load.shed.Add(1)
-		return sess.turnAway(r.Kind, submitted)
+		return sess.turnAway(r, submitted)
 	}
 	defer leave()
 	reply, err := sess.answer(r, waited)
@@ -166,15 +177,16 @@
 
 // turnAway answers a request that did not get its turn in time. id is the job that it
 // submits, if it is a submission.
-func (sess *ownerSession) turnAway(kind RequestKind, id galenahead.JobID) (Reply, error) {
+func (sess *ownerSession) turnAway(r Request, id galenahead.JobID) (Reply, error) {
 	if !sess.isLeader() {
 		// The next owner may answer, and may know the job.
 		return Reply{}, galenahead.ErrNotLeader
 	}
-	if kind != RequestSubmit {
+	m, ok := sess.State.match(&r)
+	if r.Kind != RequestSubmit || !ok || !m.authorized {
 		return Reply{}, galenahead.ErrOverloaded
 	}
-	if _, _, _, known := sess.State.JobState(id); known {
+	if _, _, known, _ := sess.State.jobOf(m.account, id); known {
 		return knownJobReply(), nil
 	}
 	if !sess.submitsAlone(id) {
@@ -197,30 +209,41 @@
 }
 
 func (sess *ownerSession) handleRequest(r Request) (Reply, error) {
-	q, rest, ok := sess.State.MatchQueue(r.Host, r.Path)
+	m, ok := sess.State.match(&r)
 	if !ok && sess.State.Config() == nil {
 		return unreadyReply("no configuration yet"), nil
 	}
 	if !ok {
-		return Reply{Outcome: OutcomeNoQueue}, nil
+		return Reply{Outcome: OutcomeNoQueue, ConfigVersion: m.version}, nil
 	}
-	if r.Kind == RequestWaiting || rest == "" {
+	reply, err := sess.handleMatched(&r, &m)
+	reply.ConfigVersion, reply.Account = m.version, m.account
+	return reply, err
+}
+
+// handleMatched handles a request of a queue.
+func (sess *ownerSession) handleMatched(r *Request, m *requestMatch) (Reply, error) {
+	if !m.authorized {
+		sess.Metrics.Counters.Add("rejected_key", 1)
+		return unauthorizedReply(r.Key), nil
+	}
+	if r.Kind == RequestWaiting || m.rest == "" {
 		if r.Kind == RequestSubmit || r.Kind == RequestCancel {
 			return Reply{Outcome: OutcomeInvalid, Reason: "no job named"}, nil
 		}
-		return sess.countWaiting(q), nil
+		return sess.countWaiting(m.queue), nil
 	}
-	id := jobNamed(rest)
+	id := jobNamed(m.rest)
 	if len(id) > galenahead.MaxIDLength || strings.Contains(string(id), "/") {
 		return Reply{Outcome: OutcomeNoQueue, Reason: "not the name of a job"}, nil
 	}
 	switch r.Kind {
 	case RequestSubmit:
-		return sess.submit(q, id, r.Spec)
+		return sess.submit(m, id, r.Spec)
 	case RequestCancel:
-		return sess.cancel(id)
+		return sess.cancel(m.account, id)
 	case RequestState:
-		return sess.jobState(id), nil
+		return sess.jobState(m.account, id), nil
 	}
 	return Reply{Outcome: OutcomeInvalid, Reason: "unknown kind of request"}, nil
 }
@@ -233,25 +256,35 @@
 	return Reply{Outcome: OutcomeWaiting, Waiting: n}
 }
 
-func (sess *ownerSession) submit(q QueueRule, id galenahead.JobID, spec *galenajob.Spec) (Reply, error) {
+func (sess *ownerSession) submit(m *requestMatch, id galenahead.JobID, spec *galenajob.Spec) (Reply, error) {
 	if spec == nil || len(spec.Steps) == 0 {
 		return Reply{Outcome: OutcomeInvalid, Reason: "a job needs steps"}, nil
 	}
 	// An earlier submission that has ended shows here.
-	if _, _, _, known := sess.State.JobState(id); known {
+	_, _, known, taken := sess.State.jobOf(m.account, id)
+	switch {
+	case known:
 		return knownJobReply(), nil
-	}
-	if sess.State.cancelledBefore(id) {
+	case taken:
+		return takenReply(), nil
+	case sess.State.cancelledBefore(m.account, id):
 		return cancelledReply(), nil
 	}
+	if reply, ok := sess.checkAccountLimit(m.account, spec); !ok {
+		return reply, nil
+	}
 	if delay := sess.committer.delay(); delay > maxCommitDelay && sess.submitsAlone(id) {
 		return overloadReply(delay), nil
 	}
+	q := &m.queue
 	j := &galenajob.Job{
 		ID: id, Queue: q.Name, Service: q.Service, Spec: *spec,
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
+		Account: m.account, Excess: !sess.withinRate(m.account),
 	}
 	if reply, ok := sess.admit(q, j); !ok {
+		sess.countAccount(m.account, "rejected")
+		sess.rates.Reject(m.account)
 		return reply, nil
 	}
 	r, err := sess.commitOutsideGate(Op{Submit: j})
@@ -265,18 +298,21 @@
 	case CodeDone:
 	case CodeCancelled:
 		return cancelledReply(), nil
+	case CodeTaken:
+		return takenReply(), nil
 	default:
 		return knownJobReply(), nil
 	}
 	j.Items = map[galenajob.ItemKey]galenajob.ItemRecord{}
 	sess.shardFor(q.Service).addJob(j, 0, false)
+	sess.countAccount(m.account, "accepted")
 	return Reply{Outcome: OutcomeAccepted}, nil
 }
 
 // admit reports whether a job can still be of use, and otherwise returns the answer that
 // rejects it. A job that is being submitted more than once must not be rejected, since
 // another submission may be accepted.
-func (sess *ownerSession) admit(q QueueRule, j *galenajob.Job) (Reply, bool) {
+func (sess *ownerSession) admit(q *QueueRule, j *galenajob.Job) (Reply, bool) {
 	retryAfter, ok := time.Duration(0), false
 	sess.shardFor(q.Service).inspect(func(now time.Time, s *galenajob.Scheduler) { retryAfter, ok = s.Admit(now, j) })
 	if ok || !sess.submitsAlone(j.ID) {
@@ -370,23 +406,23 @@
 	return sess.committer.commit(ops...)
 }
 
-func (sess *ownerSession) cancel(id galenahead.JobID) (Reply, error) {
+func (sess *ownerSession) cancel(account galenahead.AccountName, id galenahead.JobID) (Reply, error) {
 	if err := sess.awaitSubmit(id); err != nil {
 		return Reply{}, err
 	}
-	r, err := sess.commitOutsideGate(Op{Cancel: &CancelOp{id, time.Now().Round(0)}})
+	r, err := sess.commitOutsideGate(Op{Cancel: &CancelOp{Job: id, At: time.Now().Round(0), Account: account}})
 	if err != nil {
 		return Reply{}, err
 	}
-	if _, _, _, known := sess.State.JobState(id); !known {
+	if r[0].Code == CodeNotFound {
 		return Reply{Outcome: OutcomeNoJob}, nil
 	}
 	sess.removeFinalJob(id)
 	return Reply{Outcome: OutcomeAccepted, State: r[0].JobState}, nil
 }
 
-func (sess *ownerSession) jobState(id galenahead.JobID) Reply {
-	_, service, state, known := sess.State.JobState(id)
+func (sess *ownerSession) jobState(account galenahead.AccountName, id galenahead.JobID) Reply {
+	service, state, known, _ := sess.State.jobOf(account, id)
 	if !known {
 		return Reply{Outcome: OutcomeNoJob}
 	}
@@ -439,6 +475,7 @@
 	}
 	sess.logConfiguration(c, r[0].Code)
 	if r[0].Code == CodeDone {
+		sess.applyAccounts()
 		queues := c.schedulerQueues()
 		for _, sh := range sess.allShards() {
 			sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.SetQueues(queues) })
@@ -449,7 +486,7 @@
 
 func (sess *ownerSession) logConfiguration(c Config, outcome Code) {
 	sess.Logger.WithField("version", c.Version).WithField("outcome", outcome).WithField("queues", len(c.Queues)).
-		Info("configuration")
+		WithField("accounts", len(c.Accounts)).Info("configuration")
 }
 
 // ConfigDocument is the source of the current configuration.
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -88,12 +88,14 @@
 const maxQueuedAdvice = 32
 
 func newShard(sess *ownerSession, service galenahead.ServiceName) *shard {
-	return &shard{
+	sh := &shard{
 		session: sess, service: service, wake: make(chan struct{}, 1),
 		scheduler:      galenajob.NewScheduler(service, sess.epoch, sess.Params, &sess.fences),
 		pollers:        map[galenahead.InstanceID]*instancePoller{},
 		adviceRequests: make(chan galenajob.Action, maxQueuedAdvice),
 	}
+	sh.scheduler.UseLedger(&sess.ledger)
+	return sh
 }
 
 func (sh *shard) now() time.Time { return sh.session.Timers.Now() }
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 	"github.com/galenahead/galenahead/galenajob"
 )
 
@@ -29,11 +30,15 @@
 	mu     sync.RWMutex
 	epoch  uint64
 	config *Config
-	// queues finds the queue of a request in config.
+	// queues finds the queue of a request in config, and keys the account of a key.
 	queues queueIndex
-	jobs   map[galenahead.JobID]*galenajob.Job
+	keys   galenaaccount.Keys
+	// retired are the accounts that config does not name any more and that may have jobs.
+	retired []galenaaccount.Account
+	jobs    map[galenahead.JobID]*galenajob.Job
 	// cancelledUnknown holds when jobs were cancelled that were not known, until they would
-	// be forgotten as cancelled jobs. A submission that arrives later is not accepted.
+	// be forgotten as cancelled jobs. A submission that arrives later is not accepted. Its keys
+	// are those of cancelKey.
 	cancelledUnknown map[galenahead.JobID]time.Time
 	instances        map[galenahead.InstanceID]galenajob.Instance
 	// left holds the last incarnations that have left, until their jobs would be forgotten.
@@ -142,15 +147,35 @@
 	if s.config != nil && c.Version <= s.config.Version {
 		return Result{Code: CodeUnchanged}
 	}
+	if s.config != nil {
+		s.retired = galenaaccount.Retire(s.retired, s.config.Accounts, c.Accounts)
+	}
 	s.setConfig(c)
 	return Result{Code: CodeDone}
 }
 
+// cancelKey identifies a job that was cancelled by an account while it was not known. What one
+// account cancels says nothing about the jobs of another. IDs of jobs contain no slash.
+func cancelKey(account galenahead.AccountName, id galenahead.JobID) galenahead.JobID {
+	if account == "" {
+		return id
+	}
+	return galenahead.JobID(account) + "/" + id
+}
+
+// visible reports whether an account may see and cancel a job. Jobs without an account are
+// those of public queues, and from before there were accounts.
+func visible(j *galenajob.Job, account galenahead.AccountName) bool {
+	return j.Account == "" || j.Account == account
+}
+
 func (s *State) applySubmit(j *galenajob.Job) Result {
-	if old, ok := s.jobs[j.ID]; ok {
+	if old, ok := s.jobs[j.ID]; ok && !visible(old, j.Account) {
+		return Result{Code: CodeTaken}
+	} else if ok {
 		return Result{Code: CodeUnchanged, JobState: old.State}
 	}
-	if _, ok := s.cancelledUnknown[j.ID]; ok {
+	if _, ok := s.cancelledUnknown[cancelKey(j.Account, j.ID)]; ok {
 		return Result{Code: CodeCancelled}
 	}
 	n := 0
@@ -166,8 +191,8 @@
 
 func (s *State) applyCancel(c *CancelOp) Result {
 	j, ok := s.jobs[c.Job]
-	if !ok {
-		s.cancelledUnknown[c.Job] = c.At
+	if !ok || !visible(j, c.Account) {
+		s.cancelledUnknown[cancelKey(c.Account, c.Job)] = c.At
 		return Result{Code: CodeNotFound}
 	}
 	if j.State.Final() {
@@ -307,6 +332,19 @@
 	maps.DeleteFunc(s.jobs, func(_ galenahead.JobID, j *galenajob.Job) bool {
 		return j.State.Final() && j.Ended.Before(cutoff)
 	})
+	s.expireRetired()
+}
+
+// expireRetired forgets the retired accounts that have no jobs left.
+func (s *State) expireRetired() {
+	if len(s.retired) == 0 {
+		return
+	}
+	left := map[galenahead.AccountName]bool{}
+	for _, j := range s.jobs {
+		left[j.Account] = left[j.Account] || !j.State.Final()
+	}
+	s.retired = slices.DeleteFunc(slices.Clone(s.retired), func(a galenaaccount.Account) bool { return !left[a.Name] })
 }
 
 // snapshot is the encoded form of a State.
@@ -324,6 +362,8 @@
 	CancelledUnknown map[galenahead.JobID]time.Time `cbor:"9,keyasint,omitempty"`
 	// Restarts is missing in snapshots of earlier versions.
 	Restarts map[galenahead.InstanceID]restart `cbor:"10,keyasint,omitempty"`
+	// Retired is missing in snapshots of earlier versions.
+	Retired []galenaaccount.Account `cbor:"11,keyasint,omitempty"`
 }
 
 type storedJob struct {
@@ -340,7 +380,7 @@
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left, CancelledUnknown: s.cancelledUnknown, Restarts: s.restarts}
+	out := snapshot{Epoch: s.epoch, Config: s.config, Peaks: s.demandPeaks, Left: s.left, CancelledUnknown: s.cancelledUnknown, Restarts: s.restarts, Retired: s.retired}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		out.Jobs = append(out.Jobs, s.encodableJob(s.jobs[id]))
 	}
@@ -378,6 +418,7 @@
 	defer s.mu.Unlock()
 	s.epoch, s.demandPeaks = in.Epoch, in.Peaks
 	s.setConfig(in.Config)
+	s.retired = in.Retired
 	s.jobs = nil
 	s.init()
 	for _, r := range in.Jobs {
@@ -415,10 +456,49 @@
 
 // setConfig sets the current configuration, which may be nil.
 func (s *State) setConfig(c *Config) {
-	s.config, s.queues = c, nil
+	s.config, s.queues, s.keys = c, nil, nil
 	if c != nil {
-		s.queues = newQueueIndex(c.Queues)
+		s.queues, s.keys = newQueueIndex(c.Queues), galenaaccount.NewKeys(c.Accounts)
+	}
+}
+
+// requestMatch is what the configuration says of a request.
+type requestMatch struct {
+	// version is that of the configuration if it has client accounts, or zero.
+	version uint64
+	queue   QueueRule
+	// rest is the path after the queue's prefix.
+	rest    string
+	account galenahead.AccountName
+	// authorized reports that the queue is public or the key is that of the account.
+	authorized bool
+}
+
+// match returns what the configuration says of a request, or false if it has no queue for it.
+// The longest matching prefix wins.
+func (s *State) match(r *Request) (requestMatch, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var m requestMatch
+	var ok bool
+	m.queue, m.rest, ok = s.queues.match(r.Host, r.Path)
+	m.authorized = true
+	if s.config != nil && s.config.RequiresKeys {
+		m.version = s.config.Version
+		m.account = s.keys[r.Key]
+		m.authorized = m.account != "" || m.queue.Public
+	}
+	return m, ok
+}
+
+// accounts returns the accounts whose limits and weights are in force.
+func (s *State) accounts() []galenaaccount.Account {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.config == nil {
+		return nil
 	}
+	return slices.Concat(s.config.Accounts, s.retired)
 }
 
 // MatchQueue returns the queue of a request and the rest of the path after the queue's
@@ -465,11 +545,23 @@
 	return j.Queue, j.Service, j.State, true
 }
 
-// cancelledBefore reports whether a job was cancelled while it was not known.
-func (s *State) cancelledBefore(id galenahead.JobID) bool {
+// jobOf returns the state of a job, if it is known to the account, and whether another account
+// has a job of that ID.
+func (s *State) jobOf(account galenahead.AccountName, id galenahead.JobID) (service galenahead.ServiceName, state galenajob.State, known, taken bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j, ok := s.jobs[id]
+	if !ok || !visible(j, account) {
+		return "", "", false, ok
+	}
+	return j.Service, j.State, true, false
+}
+
+// cancelledBefore reports whether an account has cancelled a job while it was not known.
+func (s *State) cancelledBefore(account galenahead.AccountName, id galenahead.JobID) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	_, ok := s.cancelledUnknown[id]
+	_, ok := s.cancelledUnknown[cancelKey(account, id)]
 	return ok
 }
 
--- a/galenafleet/view.go
+++ b/galenafleet/view.go
@@ -24,6 +24,7 @@
 	PartInstances Part = "instances"
 	PartMachines  Part = "machines"
 	PartWaves     Part = "waves"
+	PartAccounts  Part = "accounts"
 )
 
 // ViewQuery requests a view of a part of the fleet from the owner.
@@ -51,6 +52,7 @@
 	Instances []galenajob.InstanceView `json:"instances,omitempty"`
 	Machines  []MachineView            `json:"machines,omitempty"`
 	Waves     []WaveView               `json:"waves,omitempty"`
+	Accounts  []AccountView            `json:"accounts,omitempty"`
 }
 
 // OwnerView is the view of the owner and the members of its log.
@@ -120,6 +122,8 @@
 		v.Machines, v.Total = limitRows(sess.viewMachines(), limit)
 	case PartWaves:
 		v.Waves, v.Total = limitRows(sess.viewWaves(), limit)
+	case PartAccounts:
+		v.Accounts, v.Total = limitRows(sess.viewAccounts(), limit)
 	default:
 		return View{}, eris.Wrapf(galenahead.ErrInvalid, "unknown part %q", q.Part)
 	}
--- a/galenajob/admission.go
+++ b/galenajob/admission.go
@@ -1,6 +1,10 @@
 package galenajob
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenahead/galenahead"
+)
 
 const (
 	// rateBucket and rateBuckets set the period over which the rate of started work is
@@ -67,7 +71,7 @@
 	if !s.limits.StartLimited {
 		rate = max(rate, s.limits.MilliCPU)
 	}
-	ahead := s.workAhead(now, j)
+	ahead, share := s.workAhead(now, j)
 	if rate <= 0 || ahead == 0 {
 		return 0, true
 	}
@@ -76,9 +80,27 @@
 	if wait <= limit {
 		return 0, true
 	}
-	turnedAway := max(0, s.turnedAway-int64(now.Sub(s.turnedAwayAt).Seconds()*float64(rate)))
-	s.turnedAway, s.turnedAwayAt = turnedAway+j.remainingWork(), now
-	return min(max(minRetryAfter, wait-limit+workTime(turnedAway, rate)), maxRetryAfter), false
+	before := s.turnAway(now, j, max(1, int64(share*float64(rate))))
+	return min(max(minRetryAfter, wait-limit+before), maxRetryAfter), false
+}
+
+// turnedAway is the work of the jobs that were rejected until a time, less what could have
+// been done since.
+type turnedAway struct {
+	work int64
+	at   time.Time
+}
+
+// turnAway records that a job is rejected, and returns how long the work of those of its
+// account that were rejected before takes at the account's rate.
+func (s *Scheduler) turnAway(now time.Time, j *job, rate int64) time.Duration {
+	t := s.turnedAway[j.Account]
+	left := max(0, t.work-int64(now.Sub(t.at).Seconds()*float64(rate)))
+	if s.turnedAway == nil {
+		s.turnedAway = map[galenahead.AccountName]turnedAway{}
+	}
+	s.turnedAway[j.Account] = turnedAway{left + j.remainingWork(), now}
+	return workTime(left, rate)
 }
 
 // workTime returns how long work of the given amount takes at a rate in a second.
@@ -87,17 +109,23 @@
 }
 
 // workAhead returns the remaining work, in core milliseconds, of the jobs with waiting work
-// items that come before a new job.
-func (s *Scheduler) workAhead(now time.Time, j *job) int64 {
+// items that come before a new job, and the part of the pool's rate that the job's account has.
+func (s *Scheduler) workAhead(now time.Time, j *job) (work int64, share float64) {
 	j.key = j.rank(now)
+	if s.ledger.Active() {
+		return s.workAheadOfAccount(j)
+	}
 	var sum int64
 	for _, o := range s.order.sorted {
 		if compareJobs(o, j) >= 0 {
 			break
 		}
-		if !o.settled && !o.longRunning && o.Spec.Repetitions == 0 {
+		if o.waitsForRoom() {
 			sum += o.key.remainingWork
 		}
 	}
-	return sum
+	return sum, 1
 }
+
+// waitsForRoom reports whether work items of the job wait that end by themselves.
+func (j *job) waitsForRoom() bool { return !j.settled && !j.longRunning && j.Spec.Repetitions == 0 }
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -64,31 +64,53 @@
 	}
 	s.countStarting(now)
 	s.tooLarge = s.tooLarge[:0]
-	for _, j := range s.order.update(now) {
-		if s.StartsExhausted() {
-			break
-		}
-		if j.inherited && s.unreconciled > 0 {
-			continue // it may run on instances that are not reconciled
-		}
-		if j.settled || s.hasNoRoom(j) || s.awaitsReassignment(j) {
-			continue
-		}
-		s.ready = s.readySets(j, s.ready[:0])
-		settled := j.Spec.Repetitions == 0
-		for _, set := range s.ready {
-			if !s.StartsExhausted() {
-				s.startItems(now, set)
-			}
-			settled = settled && set.pending() == 0
-		}
-		j.settled = settled
+	if s.unreconciled == 0 {
+		s.endAllExpectations()
 	}
+	s.planJobs(now, s.order.update(now))
 	out := s.actions
 	s.actions = nil
 	return out
 }
 
+// planJobs starts work items of jobs in scheduling order.
+func (s *Scheduler) planJobs(now time.Time, sorted []*job) {
+	if s.ledger.Active() {
+		s.planByShare(now, sorted)
+		return
+	}
+	for _, j := range sorted {
+		if s.StartsExhausted() {
+			return
+		}
+		s.planJob(now, j)
+	}
+}
+
+// maySchedule reports whether work items of the job may wait for an instance here.
+func (s *Scheduler) maySchedule(j *job) bool {
+	if j.inherited && s.unreconciled > 0 {
+		return false // it may run on instances that are not reconciled
+	}
+	return !j.settled && !s.awaitsReassignment(j)
+}
+
+// planJob starts work items of a job.
+func (s *Scheduler) planJob(now time.Time, j *job) {
+	if s.hasNoRoom(j) || !s.maySchedule(j) {
+		return
+	}
+	s.ready = s.readySets(j, s.ready[:0])
+	settled := j.Spec.Repetitions == 0
+	for _, set := range s.ready {
+		if !s.StartsExhausted() {
+			s.startItems(now, set)
+		}
+		settled = settled && set.pending() == 0
+	}
+	j.settled = settled
+}
+
 // maxPlanGap is the longest time between two plans, and much longer than usual, in which
 // this process can have heard its instances.
 const maxPlanGap = time.Second
@@ -237,7 +259,7 @@
 		case inst.leaving:
 			s.stop(now, it, "instance leaves")
 		case step.LongRunning:
-			if inst.vacating() && !it.limited() {
+			if inst.vacating() && (!it.limited() || !s.mayRestart(it)) {
 				continue
 			}
 			if s.mayEnd(now, it) {
@@ -326,6 +348,8 @@
 			return
 		case full && !it.suspect():
 			continue
+		case !s.mayTake(it):
+			return
 		}
 		inst := s.chooseInstance(now, it)
 		switch {
@@ -342,6 +366,9 @@
 		case inst == s.held:
 			s.endHold()
 		}
+		if !s.take(it) {
+			return
+		}
 		if set.step.LongRunning {
 			s.useReservation(set.job, inst)
 		}
@@ -393,8 +420,8 @@
 	for i := range set.items {
 		it := &set.items[i]
 		inst := s.chooseInstance(now, it)
-		if inst == nil {
-			if it.suspect() {
+		if inst == nil || !s.take(it) {
+			if inst == nil && it.suspect() {
 				s.holdForSuspect(now, it)
 			}
 			for k, r := range earlier {
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -198,6 +198,7 @@
 // unexpected runs, and gives up runs that are no longer listed.
 func (s *Scheduler) reconcileRuns(now time.Time, inst *instance, resp PollResponse) {
 	listedItems := make(map[ItemID]bool, len(resp.Runs))
+	var strays []stray
 	for _, r := range resp.Runs {
 		it := s.findItem(inst, r.Item)
 		if it != nil && it.instance == inst && it.run == r.Number {
@@ -214,10 +215,14 @@
 			listedItems[r.Item] = true
 			continue
 		}
+		if it != nil {
+			strays = append(strays, stray{it.set.job.Account, it.set.step.Need})
+		}
 		s.actions = append(s.actions, Action{
 			Kind: ActStop, Instance: inst.Instance, Fence: inst.fence, Item: r.Item, Run: r.Number, Reason: "unexpected run",
 		})
 	}
+	s.setStrays(inst, strays)
 	for id, it := range inst.items {
 		if listedItems[id] || it.endUnrecorded || resp.More {
 			continue
@@ -267,6 +272,7 @@
 // delayed command has started it.
 func (s *Scheduler) adopt(now time.Time, inst *instance, it *item, r Run) {
 	inst.place(it, r.Number)
+	s.charge(it)
 	it.ageUnknown = true
 	it.confirmRunning(now)
 	s.confirm(now, it, r)
--- a/galenajob/rank.go
+++ b/galenajob/rank.go
@@ -16,6 +16,8 @@
 	classLongRunning = iota
 	classOnTime
 	classLate
+	// classExcess is that of the jobs beyond the rates of their accounts.
+	classExcess
 	classHopeless
 )
 
@@ -176,6 +178,8 @@
 	switch {
 	case j.Spec.Repetitions > 0:
 		k.class, k.remainingWork, k.begun = classOnTime, 0, true
+	case j.Excess && !now.After(e.lateUntil):
+		k.class = classExcess
 	case !now.After(e.onTimeUntil):
 		k.class = classOnTime
 	case !now.After(e.lateUntil):
@@ -190,7 +194,7 @@
 	case j.longRunning, j.Spec.Repetitions > 0:
 	case j.key.class == classOnTime:
 		return j.estimates.onTimeUntil, true
-	case j.key.class == classLate:
+	case j.key.class == classLate, j.key.class == classExcess:
 		return j.estimates.lateUntil, true
 	}
 	return time.Time{}, false
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 )
 
 // Params are the timeouts of a Scheduler. All but MaxLease must be set.
@@ -87,8 +88,10 @@
 type Scheduler struct {
 	Service galenahead.ServiceName
 	fences  *Fences
-	params  Params
-	epoch   int64
+	// ledger counts what client accounts may have running. It may be nil.
+	ledger *galenaaccount.Ledger
+	params Params
+	epoch  int64
 
 	queues map[string]Queue
 	jobs   map[galenahead.JobID]*job
@@ -115,12 +118,14 @@
 	// checkedAt is the time of the last plan, and hearingSince when this process began to hear
 	// its instances, or again after a gap.
 	checkedAt, hearingSince time.Time
-	// limits is what Admit counts on, or nil. turnedAway is the work of the jobs that it has
-	// rejected until turnedAwayAt, less what could have been done since.
-	limits       *PoolLimits
-	startRate    startRate
-	turnedAway   int64
-	turnedAwayAt time.Time
+	// limits is what Admit counts on, or nil. turnedAway is what it has rejected, by account.
+	limits     *PoolLimits
+	startRate  startRate
+	turnedAway map[galenahead.AccountName]turnedAway
+	// turns is a buffer for the order of accounts, and expecting holds the jobs of which an
+	// earlier owner may have started work items that were not found yet.
+	turns     accountTurns
+	expecting []*job
 	// reservations are the instances that are kept free for long-running work.
 	reservations []reservation
 	// lapsedRuns holds what TakeLapsedRuns returns next.
@@ -187,6 +192,9 @@
 		return
 	}
 	j.inherited = inherited
+	if inherited {
+		s.expectRuns(j, record.Accepted.Add(age))
+	}
 	if !inherited && !j.longRunning {
 		s.arrivals = append(s.arrivals, arrival{now, j.remainingWork()})
 	}
@@ -199,7 +207,7 @@
 	}
 	j := &job{
 		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{}, acceptedAt: acceptedAt, started: len(record.Items) > 0,
-		criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(),
+		ledger: s.ledger, criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(),
 	}
 	s.jobs[record.ID] = j
 	s.order.touch(j)
@@ -247,6 +255,7 @@
 			inst.followsAnother = true
 		}
 		s.noteReturn(now, in)
+		s.ledger.AddCapacity(in.Capacity)
 		inst.evacuation, inst.evacuating = s.evacuations[in.ID]
 		s.instances[in.ID] = inst
 		s.sorted = nil
@@ -256,6 +265,7 @@
 		s.beginIncarnation(now, inst, in.Born)
 	}
 	draining := inst.Draining && in.Born == inst.Born
+	s.ledger.AddCapacity(in.Capacity.Sub(inst.Capacity))
 	inst.Instance = in
 	inst.Draining = in.Draining || draining
 	return inst
@@ -274,6 +284,7 @@
 	inst.clock, inst.clockAt, inst.maxDeadline, inst.grantedUntil = 0, now, 0, 0
 	inst.seenSeq, inst.cursor, inst.ackedSeq, inst.recording = 0, 0, 0, false
 	inst.lateRuns, inst.addressReused = nil, false
+	s.setStrays(inst, nil)
 	s.noteReturn(now, inst.Instance)
 	for _, it := range inst.sortedItems() {
 		s.crashes = append(s.crashes, s.noteLoss(inst, it)...)
@@ -337,6 +348,8 @@
 	if !inst.removing {
 		delete(s.lost, id) // it has left, or was ordered away
 	}
+	s.setStrays(inst, nil)
+	s.ledger.AddCapacity(Resources{}.Sub(inst.Capacity))
 	delete(s.instances, id)
 	s.sorted = nil
 }
@@ -426,6 +439,7 @@
 		return
 	}
 	j.final = true
+	s.endExpectations(j)
 	s.order.remove(j)
 	delete(s.jobs, id)
 	delete(s.misplaced, id)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaaccount"
 )
 
 // phase is the scheduler's view of the current run of a work item.
@@ -59,6 +60,9 @@
 	// evicted is set while the run is stopped because its instance is evacuated, within
 	// the step's limit of unavailable work items.
 	evicted bool
+	// charged is set while the account's ledger counts the run, and expected while it counts
+	// a run that an earlier owner may have started.
+	charged, expected bool
 	// startsSent counts the start commands sent for the run.
 	startsSent int
 	// inFirstStarts is set while the scheduler's firstStarts holds the work item.
@@ -182,6 +186,8 @@
 type job struct {
 	*Job
 	queue Queue
+	// ledger is that of the scheduler.
+	ledger *galenaaccount.Ledger
 	// sets holds the item sets by occurrence, one for each step.
 	sets map[int][]*itemSet
 	// criticalPath is the estimated duration of the longest chain of dependent
@@ -396,6 +402,9 @@
 	paceChangedAt  time.Time
 	// lateRuns holds the latest late run of each work item that was reported.
 	lateRuns map[ItemID]int64
+	// strays holds the runs that the last poll listed although no work item is placed here for
+	// them. They count against the limits of their accounts.
+	strays []stray
 }
 
 // minClockRate is the slowest rate of an instance's clock. The users state that
@@ -523,6 +532,7 @@
 	if len(inst.items) == 0 {
 		inst.idleSince = now
 	}
+	it.uncharge()
 	it.setPhase(phasePending)
 	it.instance, it.confirmed, it.inFlight = nil, time.Time{}, false
 	it.set.job.settled = false
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -17,32 +17,7 @@
 )
 
 // Resources is an amount of an instance's capacity.
-type Resources struct {
-	// MilliCPU is in thousandths of a core.
-	MilliCPU int64 `cbor:"1,keyasint,omitempty" json:"milli_cpu"`
-	MemoryMB int64 `cbor:"2,keyasint,omitempty" json:"memory_mb"`
-	GPU      int64 `cbor:"3,keyasint,omitempty" json:"gpu"`
-}
-
-// Add returns the sum of r and o.
-func (r Resources) Add(o Resources) Resources {
-	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.GPU + o.GPU}
-}
-
-// Sub returns the difference of r and o.
-func (r Resources) Sub(o Resources) Resources {
-	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
-}
-
-// times returns n times r.
-func (r Resources) times(n int64) Resources {
-	return Resources{n * r.MilliCPU, n * r.MemoryMB, n * r.GPU}
-}
-
-// Covers reports whether r is at least o in every resource.
-func (r Resources) Covers(o Resources) bool {
-	return o.MilliCPU <= r.MilliCPU && o.MemoryMB <= r.MemoryMB && o.GPU <= r.GPU
-}
+type Resources = galenahead.Resources
 
 // Step is a set of identical work items.
 type Step struct {
@@ -181,6 +156,11 @@
 	Items map[ItemKey]ItemRecord `cbor:"-"`
 	// ItemsLeft is the number of work items that are not done.
 	ItemsLeft int `cbor:"10,keyasint"`
+	// Account is the client account that submitted the job, or empty.
+	Account galenahead.AccountName `cbor:"11,keyasint,omitempty"`
+	// Excess marks a job beyond the rate of its account, which goes behind all that may
+	// still be of use.
+	Excess bool `cbor:"12,keyasint,omitempty"`
 }
 
 // ItemRecord is the recorded state of a work item.
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -126,13 +126,14 @@
 	}
 	slices.SortFunc(u.Idle, func(a, b IdleInstance) int { return a.Since.Compare(b.Since) })
 	capacities := s.idleCapacities(u.Idle)
+	rooms := accountRooms{ledger: s.ledger}
 	for _, j := range s.jobs {
 		if j.settled || j.key.class == classHopeless {
 			continue
 		}
 		for _, sets := range j.sets {
 			for _, set := range sets {
-				d := set.demand(now)
+				d := set.step.reservation().Times(rooms.take(j.Account, set.step.Need, set.waiting(now)))
 				u.Demand = u.Demand.Add(d)
 				if j.urgent() {
 					u.Urgent = u.Urgent.Add(d)
@@ -219,23 +220,22 @@
 	return set.step.Label == "" && set.step.MaxPerInstance == 0 && !set.step.Gang && !set.job.queue.RequiresAdvice
 }
 
-// demand returns the total reservation of the work items that wait for an
-// instance.
-func (set *itemSet) demand(now time.Time) Resources {
-	var d Resources
+// waiting counts the work items that wait for an instance.
+func (set *itemSet) waiting(now time.Time) int64 {
 	if set.itemsLeft == 0 || !set.dependenciesDone() {
-		return d
+		return 0
 	}
 	if set.untouched {
-		return set.step.reservation().times(int64(len(set.items)))
+		return int64(len(set.items))
 	}
+	n := int64(0)
 	for i := range set.items {
 		it := &set.items[i]
 		if it.phase == phasePending && !it.done && it.unrecordedEnds == 0 && !it.attemptsExhausted() && !now.Before(it.notBefore) {
-			d = d.Add(set.step.reservation())
+			n++
 		}
 	}
-	return d
+	return n
 }
 
 // urgent reports whether the job lasts, or can still be done within its objective.
--- a/ids.go
+++ b/ids.go
@@ -31,6 +31,8 @@
 	TeamName string
 	// JobID names a job.
 	JobID string
+	// AccountName names a client account, whose keys callers send.
+	AccountName string
 )
 
 // MaxIDLength is the maximum length of an identifier, in bytes.
