--- a/test/galena-local/deployment/deployment.go
+++ b/test/galena-local/deployment/deployment.go
@@ -37,6 +37,8 @@
 	// PlatformFlags are additional flags for the stand-in platform.
 	PlatformFlags []string
 
+	// processLines holds additional lines of the section [process] by the name of the daemon.
+	processLines    map[string]string
 	dir, bin        string
 	platformAddress string
 	evidenceAddress string
@@ -272,6 +274,10 @@
 
 // Process is a process that can be started, paused and stopped.
 type Process struct {
+	// MaxFiles is how many descriptors it may have open from its next start on, or zero for the
+	// limit of this process.
+	MaxFiles int
+
 	name    string
 	path    string
 	dir     string
@@ -295,6 +301,10 @@
 	}
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command(p.path, p.args...)
+	if p.MaxFiles > 0 {
+		limited := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.MaxFiles), p.path}
+		cmd = exec.Command("/bin/sh", append(limited, p.args...)...)
+	}
 	cmd.Dir = p.dir
 	cmd.Stdout, cmd.Stderr = out, out
 	// Without this, processes would keep running after the test process has crashed.
@@ -349,3 +359,12 @@
 
 // OperatorAddress returns the address at which the daemon serves operators.
 func (c *Control) OperatorAddress() string { return c.operatorAddress }
+
+// PeerAddress returns the address at which the daemon serves other daemons.
+func (c *Control) PeerAddress() string { return c.peerAddress }
+
+// StatusAddress returns the address at which the daemon serves status requests.
+func (c *Control) StatusAddress() string { return c.statusAddress }
+
+// PeerAddress returns the address at which the daemon serves other daemons.
+func (e *Entry) PeerAddress() string { return e.peerAddress }
--- a/test/galena-local/deployment/settings.go
+++ b/test/galena-local/deployment/settings.go
@@ -29,8 +29,18 @@
 	return eris.Wrapf(err, "write settings of %s", name)
 }
 
+// SetProcess adds lines to the section [process] of the daemon with the name, which has to be started
+// anew for that. Lines of an earlier call are replaced.
+func (d *Deployment) SetProcess(name, lines string) error {
+	if d.processLines == nil {
+		d.processLines = map[string]string{}
+	}
+	d.processLines[name] = lines
+	return d.writeSettings()
+}
+
 func (d *Deployment) controlSettings(c *Control) string {
-	return processSettings(c.Name, c.dataCentre) + fmt.Sprintf(`
+	return d.processSettings(c.Name, c.dataCentre) + fmt.Sprintf(`
 [listen]
 operator_address = %s
 peer_address = %s
@@ -50,7 +60,7 @@
 }
 
 func (d *Deployment) entrySettings(e *Entry) string {
-	return processSettings(e.Name, e.dataCentre) + fmt.Sprintf(`
+	return d.processSettings(e.Name, e.dataCentre) + fmt.Sprintf(`
 [listen]
 caller_address = %s
 upstream_address = %s
@@ -66,7 +76,7 @@
 `, e.CallerAddress, e.UpstreamAddress, e.StatusAddress, e.peerAddress) + d.sharedSettings()
 }
 
-func processSettings(name, dataCentre string) string {
+func (d *Deployment) processSettings(name, dataCentre string) string {
 	return fmt.Sprintf(`[process]
 name = %s
 data_centre = %s
@@ -75,7 +85,7 @@
 log_level = info
 log_file = -
 max_procs = 2
-`, name, dataCentre)
+%s`, name, dataCentre, d.processLines[name])
 }
 
 // sharedSettings returns the settings sections that are the same for all daemons.
--- a/test/galena-local/fleet_test.go
+++ b/test/galena-local/fleet_test.go
@@ -57,7 +57,13 @@
 // startFleet starts a deployment with the service counter on four VMs.
 func startFleet(t *testing.T, controls, entries int, platformFlags ...string) *fleet {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	return startFleetWithin(t, testTimeout, controls, entries, platformFlags...)
+}
+
+// startFleetWithin is startFleet for a test that takes at most the timeout.
+func startFleetWithin(t *testing.T, timeout time.Duration, controls, entries int, platformFlags ...string) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	t.Cleanup(cancel)
 	d, err := deployment.New(t.TempDir(), bin, controls, entries)
 	if err != nil {
