Peer ports: frames, calls, unread answers and connections are bounded

What callers saw: galena-entry and galena-control ended, or answered nobody, when strangers announced large frames, sent calls without reading the answers, or held silent connections to the peer port.

Cause: galenarpc.Server without a budget and a bound on connections, which only galena-fleet set; and in all programs frames up to 64 KiB, calls under way and answers were counted nowhere. Each call ran in a goroutine of its own, and an answer waited for its peer without an end.

Ruled out: a limit on the calls of a connection alone (1,000 connections), and a budget for each call (a call that is handled can't be given up, so that a crowd of them would keep all others out). So a connection has one hold of the budget for its frames, the calls under way (16 KiB each beside the frame and what is decoded from it) and unread answers, and the heaviest connection gives way.

Which connection gives way is decided in one place now, galenaintake.Conns, for HTTP and JSON-RPC: one that has never carried a request, or the longest idle one; none whose call is handled. The descriptors are what the settings say, or the limit of the process if that is less.

--- a/cmd/galena-fleet/command/daemon.go
+++ b/cmd/galena-fleet/command/daemon.go
@@ -75,7 +75,7 @@
 
 // machine returns what the process may use of its machine.
 func (d *baseDaemon) machine() galenaintake.Machine {
-	return galenaintake.Machine{MemoryMB: d.settings.Process.MachineMemoryMB, Files: d.settings.Process.MaxOpenFiles}
+	return galenaintake.ThisMachine(d.settings.Process.MachineMemoryMB, d.settings.Process.MaxOpenFiles)
 }
 
 // newIntake returns the bounds of a server on what others send, with a limit of bodies.
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	s := &galenadaemon.HTTPServer{Server: srv, DrainTimeout: l.drainTimeout, MaxConns: l.maxConns, Displaced: l.intake.CountDisplaced}
+	s := &galenadaemon.HTTPServer{Server: srv, DrainTimeout: l.drainTimeout, Conns: galenaintake.Conns{Max: l.maxConns, Displaced: l.intake.CountDisplaced}}
 	group.Go(func() error { return s.Serve(ctx, ln) })
 	return nil
 }
--- a/cmd/galena-fleet/command/redirector.go
+++ b/cmd/galena-fleet/command/redirector.go
@@ -12,6 +12,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenadaemon"
 	"github.com/galenahead/galenahead/galenafleet"
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenarpc"
 	"github.com/galenahead/galenahead/galenasettings"
 	"github.com/galenahead/galenahead/galenatimer"
@@ -55,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	server := &galenarpc.Server{Mux: &c.mux, Budget: c.machine().NewBudget(), MaxConns: c.machine().PeerConns()}
+	server := &galenarpc.Server{Mux: &c.mux, Budget: c.machine().NewBudget(), Conns: galenaintake.Conns{Max: c.machine().PeerConns()}}
 	workers.Go(func() error { return server.Serve(workCtx, ln) })
 	operatorServer := platform.NewServer(w.handle, w.intake, func() bool { return ctx.Err() != nil }, c.log.Logger)
 	operators := httpListen{c.settings.Listen.Operator, operatorDrainTimeout, w.intake, c.machine().PeerConns()}
--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenaconfig"
 	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenapb"
 	"github.com/galenahead/galenahead/galenaraft"
@@ -131,7 +132,11 @@
 	defer stop()
 	g, servingCtx := errgroup.WithContext(servingCtx)
 	g.Go(func() error { return d.node.Run(servingCtx) })
-	g.Go(func() error { return (&galenarpc.Server{Mux: &d.mux}).Serve(servingCtx, peerListener) })
+	machine := galenaintake.ThisMachine(d.settings.Process.MachineMemoryMB, d.settings.Process.MaxOpenFiles)
+	g.Go(func() error {
+		s := &galenarpc.Server{Mux: &d.mux, Budget: machine.NewBudget(), Conns: galenaintake.Conns{Max: machine.PeerConns()}}
+		return s.Serve(servingCtx, peerListener)
+	})
 	g.Go(func() error { return d.serveOperators(servingCtx, operatorListener) })
 	g.Go(func() error { return (&galenadaemon.StatusServer{Ready: d.ready}).Serve(servingCtx, statusListener) })
 	g.Go(func() error { return d.driver.Run(servingCtx) })
--- a/galenadaemon/drain.go
+++ b/galenadaemon/drain.go
@@ -1,7 +1,6 @@
 package galenadaemon
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/galenahead/galenahead/galenaintake"
 )
 
 const (
@@ -41,11 +42,8 @@
 	// DrainTimeout bounds the drain. When it has passed, connections with a request
 	// that is incomplete or not answered are closed. The default is 5 s.
 	DrainTimeout time.Duration
-	// MaxConns bounds the open connections. At the bound, a new connection takes the place of one
-	// that waits for its client, or is closed if there is none. Zero means no bound.
-	MaxConns int
-	// Displaced is called for each connection that is closed because of MaxConns. It may be nil.
-	Displaced func()
+	// Conns bounds the open connections. Its zero value bounds nothing.
+	Conns galenaintake.Conns
 }
 
 // ServeHTTP serves on ln until ctx ends and then drains with the default timeout.
@@ -58,7 +56,7 @@
 // that has arrived is answered, and returns nil. Responses during the drain close
 // their connections. Serve may be called once.
 func (s *HTTPServer) Serve(ctx context.Context, ln net.Listener) error {
-	l := &drainListener{Listener: ln, conns: make(map[*drainConn]struct{}), maxConns: s.MaxConns, displaced: s.Displaced}
+	l := &drainListener{Listener: ln, bound: &s.Conns, conns: make(map[*drainConn]struct{})}
 	handler := s.Server.Handler
 	s.Server.Handler = func(c *fasthttp.RequestCtx) {
 		if dc, ok := c.Conn().(*drainConn); ok {
@@ -99,9 +97,8 @@
 // drainListener accepts connections and keeps track of those that are open.
 type drainListener struct {
 	net.Listener
-	draining  atomic.Bool
-	maxConns  int
-	displaced func()
+	draining atomic.Bool
+	bound    *galenaintake.Conns
 
 	mu    sync.Mutex
 	conns map[*drainConn]struct{}
@@ -131,18 +128,13 @@
 // admit takes a connection, in the place of another one if there are as many as there may be. It
 // reports false if none gives way.
 func (l *drainListener) admit(c net.Conn) (*drainConn, bool) {
-	now := time.Now()
-	dc := &drainConn{Conn: c, listener: l, acceptedAt: now, idle: true, receiving: true, waitingSince: now, source: sourceOf(c)}
+	dc := &drainConn{Conn: c, listener: l, acceptedAt: time.Now(), idle: true}
+	var ok bool
+	if dc.counted, ok = l.bound.Admit(c, dc.End); !ok {
+		return nil, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.maxConns > 0 && len(l.conns) >= l.maxConns {
-		if l.displaced != nil {
-			l.displaced()
-		}
-		if !l.displaceOne() {
-			return nil, false
-		}
-	}
 	l.conns[dc] = struct{}{}
 	if l.draining.Load() {
 		dc.drain()
@@ -150,51 +142,6 @@
 	return dc, true
 }
 
-// sourceOf returns the address, without port, that a connection comes from.
-func sourceOf(c net.Conn) string {
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if err != nil {
-		return c.RemoteAddr().String()
-	}
-	return host
-}
-
-// displaceOne closes the connection that has waited longest for its client, of those that have not
-// carried a request, or else of all; the source with the most connections loses first. One whose
-// request is being handled is never closed: it reports false if there are no others. mu must be
-// held.
-func (l *drainListener) displaceOne() bool {
-	bySource := map[string]int{}
-	for c := range l.conns {
-		bySource[c.source]++
-	}
-	var victim *drainConn
-	var since time.Time
-	var served bool
-	for c := range l.conns {
-		cSince, cServed, waits := c.waits()
-		if !waits {
-			continue
-		}
-		better := victim == nil
-		if !better && cServed != served {
-			better = !cServed
-		} else if !better {
-			more := cmp.Compare(bySource[c.source], bySource[victim.source])
-			better = more > 0 || more == 0 && cSince.Before(since)
-		}
-		if better {
-			victim, since, served = c, cSince, cServed
-		}
-	}
-	if victim == nil {
-		return false
-	}
-	victim.displace()
-	delete(l.conns, victim)
-	return true
-}
-
 // deadliner is a listener whose Accept can be interrupted without closing it.
 type deadliner interface{ SetDeadline(time.Time) error }
 
@@ -242,6 +189,7 @@
 }
 
 func (l *drainListener) remove(c *drainConn) {
+	c.counted.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, ok := l.conns[c]; !ok {
@@ -268,8 +216,8 @@
 	net.Conn
 	listener   *drainListener
 	acceptedAt time.Time
-	// source is the address, without port, that it comes from.
-	source string
+	// counted is the connection as the bound counts it.
+	counted *galenaintake.Conn
 	// responded reports that the last operation on the connection was a write.
 	responded bool
 
@@ -281,9 +229,6 @@
 	served bool
 	// readDeadline is the deadline that the server has set.
 	readDeadline time.Time
-	// receiving is set while the server waits for bytes of the client, since waitingSince.
-	receiving    bool
-	waitingSince time.Time
 	// displaced is set once the connection is closed for the sake of another one.
 	displaced bool
 }
@@ -292,20 +237,16 @@
 type RequestConn interface {
 	// SetReceiving records whether the server waits for bytes of the client.
 	SetReceiving(receiving bool)
-	// Abort ends the receipt of the request. It does not block.
+	// Abort ends the receipt of the request, which can still be answered. It does not block.
 	Abort()
+	// End closes the connection, also while an answer is written. It does not block.
+	End()
 }
 
 var _ RequestConn = (*drainConn)(nil)
 
 // SetReceiving implements RequestConn.
-func (c *drainConn) SetReceiving(receiving bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.receiving != receiving {
-		c.receiving, c.waitingSince = receiving, time.Now()
-	}
-}
+func (c *drainConn) SetReceiving(receiving bool) { c.counted.SetWaiting(receiving) }
 
 // Abort implements RequestConn.
 func (c *drainConn) Abort() {
@@ -315,20 +256,12 @@
 	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
-// displace closes the connection, whose next operation fails.
-func (c *drainConn) displace() {
+// End implements RequestConn. The next operation on the connection fails.
+func (c *drainConn) End() {
 	c.Abort()
 	_ = c.Conn.Close()
 }
 
-// waits returns since when the server has waited for the client, whether the connection has
-// carried a request, and false if the server does not wait.
-func (c *drainConn) waits() (since time.Time, served, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.waitingSince, c.served, c.receiving
-}
-
 // drain ends the wait for the next request if the connection is idle.
 func (c *drainConn) drain() {
 	c.mu.Lock()
@@ -346,7 +279,8 @@
 	}
 	c.idle = idle
 	if idle {
-		c.served, c.receiving, c.waitingSince = true, true, time.Now()
+		c.served = true
+		c.counted.SetServed()
 	}
 	if c.draining {
 		_ = c.applyReadDeadline()
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/galenahead/galenahead/galenaclaim"
 	"github.com/galenahead/galenahead/galenaconfig"
 	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenametric"
 	"github.com/galenahead/galenahead/galenapeer"
 	"github.com/galenahead/galenahead/galenaqueue"
@@ -252,7 +253,11 @@
 		return galenadaemon.ServeHTTP(ctx, srv, upstreams)
 	})
 	g.Go(func() error { return (&galenadaemon.StatusServer{Ready: d.ready, Handlers: pages}).Serve(ctx, status) })
-	g.Go(func() error { return (&galenarpc.Server{Mux: &d.mux}).Serve(ctx, peers) })
+	machine := galenaintake.ThisMachine(d.settings.Process.MachineMemoryMB, d.settings.Process.MaxOpenFiles)
+	g.Go(func() error {
+		s := &galenarpc.Server{Mux: &d.mux, Budget: machine.NewBudget(), Conns: galenaintake.Conns{Max: machine.EntryPeerConns()}}
+		return s.Serve(ctx, peers)
+	})
 	return nil
 }
 
--- a/galenaintake/budget.go
+++ b/galenaintake/budget.go
@@ -47,23 +47,39 @@
 	return Figures{b.used, b.refused.Load(), b.cancelled.Load()}
 }
 
-// Hold is what one message holds of a Budget. It is used by one goroutine, but for its cancel
-// function.
+// Hold is what one message holds of a Budget, or all messages of one connection. It is safe for
+// concurrent use.
 type Hold struct {
 	budget *Budget
 	since  time.Time
-	// cancel ends the receipt of the message.
+	// cancel ends the message or the connection.
 	cancel func()
 	bytes  int64
-	// received is set once the message is complete, so that it is not given up any more, and
-	// cancelled once it was.
+	// perConn is set if it is the hold of a connection, which weighs what it holds now.
+	perConn bool
+	// received is set while the message is handled, so that it is not given up, and cancelled once
+	// it was given up.
 	received, cancelled bool
 }
 
 // Open begins a message. cancel is called when it is given up for the sake of others while it is
 // being received, and must not block.
-func (b *Budget) Open(cancel func()) *Hold {
-	h := &Hold{budget: b, since: time.Now(), cancel: cancel}
+func (b *Budget) Open(cancel func()) *Hold { return b.open(&Hold{since: time.Now(), cancel: cancel}) }
+
+// OpenConn begins a connection whose messages are charged together. It may be given up for the sake of
+// others at any time: cancel closes it, and must not block.
+func (b *Budget) OpenConn(cancel func()) *Hold { return b.open(&Hold{perConn: true, cancel: cancel}) }
+
+// OpenAnswer begins an answer of n bytes, which are held already. It may be given up for the sake of
+// others until its client has read it: cancel closes the connection, and must not block.
+func (b *Budget) OpenAnswer(n int64, cancel func()) *Hold {
+	h := b.Open(cancel)
+	h.Force(n)
+	return h
+}
+
+func (b *Budget) open(h *Hold) *Hold {
+	h.budget = b
 	if b == nil || b.Bytes == 0 {
 		return h
 	}
@@ -96,11 +112,7 @@
 			b.refused.Add(1)
 			return false
 		}
-		b.cancelled.Add(1)
-		victim.cancelled = true
-		b.used -= victim.bytes
-		victim.bytes = 0
-		victim.cancel()
+		b.giveUp(victim)
 	}
 	if h.cancelled {
 		return false
@@ -110,16 +122,53 @@
 	return true
 }
 
+// Force charges n bytes that are held already. What weighs most is given up if they are beyond the
+// budget, which may be h itself.
+func (h *Hold) Force(n int64) {
+	b := h.budget
+	if b == nil || b.Bytes == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.cancelled {
+		return
+	}
+	h.bytes += n
+	b.used += n
+	for now := time.Now(); b.used > b.Bytes; {
+		victim := b.heaviest(now)
+		if victim == nil {
+			return
+		}
+		b.giveUp(victim)
+	}
+}
+
+// giveUp gives up a message or connection. mu must be held.
+func (b *Budget) giveUp(victim *Hold) {
+	b.cancelled.Add(1)
+	victim.cancelled = true
+	b.used -= victim.bytes
+	victim.bytes = 0
+	victim.cancel()
+}
+
 // newcomerTime is for how long a message that asks for room counts as having held it, so that it
 // takes none from those that hold less and are about to be complete.
 const newcomerTime = time.Second
 
-// weight is what a message holds, with more bytes, times how long it has.
+// weight is what a message holds, with more bytes, times how long it has. A connection counts as
+// having held all for newcomerTime, since it may be open for long.
 func (h *Hold) weight(now time.Time, more int64) float64 {
-	return float64(h.bytes+more) * now.Sub(h.since).Seconds()
+	held := newcomerTime
+	if !h.perConn {
+		held = now.Sub(h.since)
+	}
+	return float64(h.bytes+more) * held.Seconds()
 }
 
-// heaviest returns the message that is being received and weighs most, or nil.
+// heaviest returns what weighs most of what may be given up, or nil.
 func (b *Budget) heaviest(now time.Time) *Hold {
 	var out *Hold
 	for h := range b.holds {
@@ -144,7 +193,8 @@
 	}
 }
 
-// Received records that the message is complete, and reports whether it was not given up before.
+// Received records that the message is complete, and reports whether it was not given up before. The
+// hold of a connection stays as it is.
 func (h *Hold) Received() bool {
 	b := h.budget
 	if b == nil || b.Bytes == 0 {
@@ -152,7 +202,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h.received = true
+	h.received = !h.perConn
 	return !h.cancelled
 }
 
@@ -165,6 +215,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used -= h.bytes
-	h.bytes = 0
+	h.bytes, h.cancelled = 0, true
 	delete(b.holds, h)
 }
--- a/galenaintake/intake_test.go
+++ b/galenaintake/intake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -171,4 +172,80 @@
 	is.Equal(Machine{MemoryMB: 408, Files: 4100}.PeerConns(), 1025)
 	is.Equal(Machine{MemoryMB: 96, Files: 4100}.PeerConns(), 384)
 	is.Equal(Machine{}.NewBudget().Bytes, int64(defaultBudget))
+	is.Equal(Machine{MemoryMB: 284}.NewRoom().Bytes, int64(71<<20))
+
+	// The ports of a program leave descriptors for what it opens itself.
+	small := Machine{MemoryMB: 64, Files: 300}
+	is.True(small.ForwardedConns()+small.AnnouncerConns()+small.EntryPeerConns()+small.StatusConns() < 240)
+	is.True(2*small.PeerConns()+small.StatusConns() < 200)
+
+	var limit syscall.Rlimit
+	is.NoErr(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	own := int(min(limit.Cur, maxFiles))
+	is.Equal(ThisMachine(64, 0), Machine{MemoryMB: 64, Files: own})
+	is.Equal(ThisMachine(64, 64), Machine{MemoryMB: 64, Files: 64})
+	is.Equal(ThisMachine(64, own+1).Files, own)
+}
+
+// Guards against connections that are closed for others although they weigh less, and against answers
+// that stay beyond the budget because nobody reads them.
+func TestConnectionsAndAnswersGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &Budget{Bytes: 1 << 20}
+		closed := map[string]int{}
+		end := func(name string) func() { return func() { closed[name]++ } }
+		old := b.OpenConn(end("old"))
+		is.True(old.Grow(2 << 10))
+		time.Sleep(time.Hour) // a connection is not given up because it is old
+		crowd := b.OpenConn(end("crowd"))
+		is.True(crowd.Received())
+		is.True(crowd.Grow(700 << 10))
+		unread := b.OpenAnswer(300<<10, end("unread"))
+		time.Sleep(time.Minute)
+		is.True(b.OpenConn(end("other")).Grow(60 << 10)) // in place of the unread answer
+		is.Equal(closed, map[string]int{"unread": 1})
+		answer := b.OpenAnswer(400<<10, end("answer")) // which is held already
+		is.Equal(closed, map[string]int{"unread": 1, "crowd": 1})
+		is.Equal(b.Figures().Used, int64(462<<10))
+		for _, h := range []*Hold{old, crowd, unread, answer} {
+			h.Close()
+			h.Shrink(1)
+			h.Force(1)
+		}
+		is.Equal(b.Figures().Used, int64(60<<10))
+	})
+}
+
+// Guards against one holder that uses up the room of all, against work that is refused although there
+// is room, and against room that is not given back.
+func TestRoomIsShared(t *testing.T) {
+	is := is.New(t)
+	r := &Room{Bytes: 800 << 10}
+	const piece = 10 << 10
+	fill := func(holder string) (n int64) {
+		for r.Take(holder, piece) {
+			n += piece
+		}
+		return n
+	}
+	first := fill("a")
+	is.Equal(first, int64(400<<10)) // as much as is left
+	second := fill("b")
+	is.Equal(second, int64(200<<10))
+	is.True(r.Take("c", 60<<10)) // the first piece of a holder
+	is.True(!r.Take("d", 600<<10))
+	is.True(!r.Fits(700 << 10)) // large ones leave a part to the others
+	is.True(r.Fits(600 << 10))
+	r.Free("a", first)
+	is.True(r.Take("b", 100<<10))
+	r.Force("b", 1<<20) // what was accepted elsewhere
+	is.True(!r.Take("e", 1))
+	r.Free("b", 1<<20)
+	r.Free("b", second+(100<<10))
+	r.Free("c", 60<<10)
+	is.Equal(r.Used(), int64(0))
+	var none *Room
+	is.True(none.Take("a", 1<<40))
+	is.True((&Room{}).Take("a", 1<<40))
 }
--- a/galenarpc/client.go
+++ b/galenarpc/client.go
@@ -131,7 +131,7 @@
 	p.dialErr = nil
 	p.unansweredSince = time.Time{}
 	// The connection outlives the call that opened it and the context of that call.
-	p.conn, _ = m.connect(context.WithoutCancel(ctx), nc, nil)
+	p.conn = m.connect(context.WithoutCancel(ctx), nc, nil)
 	return p.conn, nil
 }
 
--- a/galenarpc/rpc.go
+++ b/galenarpc/rpc.go
@@ -16,7 +16,6 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/galenahead/galenahead"
-	"github.com/galenahead/galenahead/galenaintake"
 )
 
 // Conn is a connection that carries calls in both directions.
@@ -76,7 +75,7 @@
 func (m *Mux) dispatch(ctx context.Context, conn *Conn, req *jsonrpc2.Request) (any, error) {
 	h, ok := m.handlers[req.Method]
 	if !ok {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+		return nil, unknownMethod(req.Method)
 	}
 	params := json.RawMessage("null")
 	if req.Params != nil {
@@ -89,6 +88,13 @@
 	return res, nil
 }
 
+// maxQuoted bounds what an error quotes of a message, in bytes.
+const maxQuoted = 64
+
+func unknownMethod(method string) error {
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + method[:min(len(method), maxQuoted)]}
+}
+
 // ErrPanic reports a call that has panicked. It may have been carried out in part.
 var ErrPanic = eris.New("the call has failed within the process")
 
@@ -124,12 +130,11 @@
 	return json.Unmarshal(raw, result)
 }
 
-// connect starts JSON-RPC on c and serves the peer's calls until c is closed. budget bounds the
-// long messages of the peer, and may be nil.
-func (m *Mux) connect(ctx context.Context, c net.Conn, budget *galenaintake.Budget) (*Conn, *stream) {
+// connect starts JSON-RPC on c and serves the peer's calls until c is closed. intake bounds what the
+// connection of a server holds. It is nil on that of a client.
+func (m *Mux) connect(ctx context.Context, c net.Conn, intake *connIntake) *Conn {
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(m.dispatch))
-	s := newStream(ctx, m, c, budget)
-	return jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0))), s
+	return jsonrpc2.NewConn(ctx, newStream(ctx, m, c, intake), h, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
 // errorsByCode maps the application error codes on the wire to sentinel errors,
--- a/galenarpc/rpc_test.go
+++ b/galenarpc/rpc_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenaintake"
 )
 
 // Guards against a sentinel error of a handler that the client can no longer
@@ -54,7 +55,7 @@
 	m := &Mux{}
 	Handle(m, "double", func(_ context.Context, n int) (int, error) { return 2 * n, nil })
 	done := make(chan error, 1)
-	s := &Server{Mux: m, MaxConns: 3}
+	s := &Server{Mux: m, Conns: galenaintake.Conns{Max: 3}}
 	go func() { done <- s.Serve(ctx, ln) }()
 	used := &Client{}
 	defer used.Close()
@@ -70,9 +71,7 @@
 	is.NoErr(other.Call(ctx, ln.Addr().String(), "double", 2, &n))
 	is.Equal(n, 4)
 	is.NoErr(used.Call(ctx, ln.Addr().String(), "double", 3, &n))
-	s.mu.Lock()
-	is.True(len(s.conns) <= 3)
-	s.mu.Unlock()
+	is.True(s.Conns.Len() <= 3)
 	cancel()
 	is.NoErr(<-done)
 }
--- a/galenarpc/server.go
+++ b/galenarpc/server.go
@@ -12,14 +12,14 @@
 type Server struct {
 	// Mux holds the handlers. It must not change while Serve runs.
 	Mux *Mux
-	// Budget bounds the long messages that are being read or handled. It may be nil.
+	// Budget bounds the messages that are being read or handled, and the answers that were not
+	// read. It may be nil.
 	Budget *galenaintake.Budget
-	// MaxConns bounds the open connections. At the bound, a new connection takes the place of the
-	// oldest one that has said nothing, or is closed if there is none. Zero means no bound.
-	MaxConns int
+	// Conns bounds the open connections. Its zero value bounds nothing.
+	Conns galenaintake.Conns
 
 	mu    sync.Mutex
-	conns map[*Conn]*stream
+	conns map[*Conn]struct{}
 }
 
 // Serve accepts connections on ln until ctx ends, then closes ln and every
@@ -36,40 +36,20 @@
 		if err != nil {
 			return err
 		}
-		if !s.makeRoom() {
+		intake, ok := s.newConnIntake(c)
+		if !ok {
 			_ = c.Close()
 			continue
 		}
-		conn, str := s.Mux.connect(ctx, c, s.Budget)
-		s.track(conn, str)
-		go s.runConn(ctx, conn)
+		conn := s.Mux.connect(ctx, c, intake)
+		s.track(conn)
+		go s.runConn(ctx, conn, intake)
 	}
 }
 
-// makeRoom reports whether there may be one more connection. It closes the oldest one that has said
-// nothing if there are as many as there may be.
-func (s *Server) makeRoom() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.MaxConns == 0 || len(s.conns) < s.MaxConns {
-		return true
-	}
-	var silent *Conn
-	for conn, str := range s.conns {
-		if !str.spoken.Load() && (silent == nil || str.since.Before(s.conns[silent].since)) {
-			silent = conn
-		}
-	}
-	if silent == nil {
-		return false
-	}
-	_ = s.conns[silent].conn.Close()
-	delete(s.conns, silent)
-	return true
-}
-
-func (s *Server) runConn(ctx context.Context, conn *Conn) {
+func (s *Server) runConn(ctx context.Context, conn *Conn, intake *connIntake) {
 	defer s.untrack(conn)
+	defer intake.close()
 	select {
 	case <-ctx.Done():
 	case <-conn.DisconnectNotify():
@@ -77,13 +57,13 @@
 	_ = conn.Close()
 }
 
-func (s *Server) track(conn *Conn, str *stream) {
+func (s *Server) track(conn *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
-		s.conns = make(map[*Conn]*stream)
+		s.conns = make(map[*Conn]struct{})
 	}
-	s.conns[conn] = str
+	s.conns[conn] = struct{}{}
 }
 
 func (s *Server) untrack(conn *Conn) {
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -9,9 +9,9 @@
 	"math"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/galenahead/galenahead/galenaintake"
@@ -27,11 +27,8 @@
 	cancel context.CancelFunc
 	conn   net.Conn
 	r      *bufio.Reader
-	// budget bounds the long messages. It may be nil.
-	budget *galenaintake.Budget
-	// since is when the connection was opened, and spoken is set once it has carried a message.
-	since  time.Time
-	spoken atomic.Bool
+	// intake is what the connection holds of a server. It is nil on the connections of clients.
+	intake *connIntake
 	// ages is used by ReadObject only.
 	ages AgeEstimate
 
@@ -41,9 +38,10 @@
 
 var _ jsonrpc2.ObjectStream = (*stream)(nil)
 
-func newStream(ctx context.Context, m *Mux, c net.Conn, budget *galenaintake.Budget) *stream {
+// newStream returns the stream of a connection. intake is nil on the connections of clients.
+func newStream(ctx context.Context, m *Mux, c net.Conn, intake *connIntake) *stream {
 	ctx, cancel := context.WithCancel(ctx)
-	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c), budget: budget, since: time.Now()}
+	return &stream{mux: m, ctx: ctx, cancel: cancel, conn: c, r: bufio.NewReader(c), w: bufio.NewWriter(c), intake: intake}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
@@ -54,14 +52,25 @@
 			return err
 		}
 		if h, ok := s.mux.inTurn[f.method]; ok {
+			if !s.intake.begin() {
+				return net.ErrClosed
+			}
 			s.serveInTurn(f.method, h, f)
 			continue
 		}
 		if h, ok := s.mux.direct[f.method]; ok {
+			if !s.intake.begin() {
+				return net.ErrClosed
+			}
 			go s.run(f.method, h, f)
 			continue
 		}
-		defer f.release()
+		if s.intake != nil {
+			if err := s.serveOther(f); err != nil {
+				return err
+			}
+			continue
+		}
 		if u, ok := v.(json.Unmarshaler); ok {
 			return u.UnmarshalJSON(f.data)
 		}
@@ -69,6 +78,30 @@
 	}
 }
 
+// errNotACall reports a message that answers nothing that the server has asked.
+var errNotACall = eris.New("the message is no call")
+
+// serveOther serves a call that is not encoded as jsonrpc2 does it, or whose method has no direct
+// handler. It bypasses jsonrpc2, which bounds neither the calls under way nor their answers.
+func (s *stream) serveOther(f frame) error {
+	var head struct {
+		Method string `json:"method"`
+	}
+	if err := json.Unmarshal(f.data, &head); err != nil || head.Method == "" {
+		s.intake.release(f.charged)
+		return errNotACall
+	}
+	h, ok := s.mux.handlers[head.Method]
+	if !ok {
+		h = func(context.Context, *Conn, json.RawMessage) (any, error) { return nil, unknownMethod(head.Method) }
+	}
+	if !s.intake.begin() {
+		return net.ErrClosed
+	}
+	go s.run(head.Method, h, f)
+	return nil
+}
+
 // frame is a message.
 type frame struct {
 	data []byte
@@ -77,15 +110,8 @@
 	stamp  *stamp
 	// awaited is set if the connection had nothing to read before.
 	awaited bool
-	// hold is what the message holds of the budget, or nil.
-	hold *galenaintake.Hold
-}
-
-// release ends what the message holds of the budget.
-func (f *frame) release() {
-	if f.hold != nil {
-		f.hold.Close()
-	}
+	// charged is what the message holds of the budget.
+	charged int64
 }
 
 // minAwaited is how long a read takes at the least that had to wait for the network.
@@ -93,12 +119,11 @@
 
 func (s *stream) readFrame() (frame, error) {
 	buffered, start := s.r.Buffered() > 0, time.Now()
-	data, hold, err := s.readData()
+	data, charged, err := s.readData()
 	if err != nil {
 		return frame{}, err
 	}
-	s.spoken.Store(true)
-	f := frame{data: data, hold: hold, awaited: !buffered && time.Since(start) >= minAwaited}
+	f := frame{data: data, charged: charged, awaited: !buffered && time.Since(start) >= minAwaited}
 	f.method, f.stamp = parseHead(data)
 	return f, nil
 }
@@ -106,30 +131,30 @@
 // maxFrameAllocation is the length of a frame up to which its prefix alone is trusted.
 const maxFrameAllocation = 64 << 10
 
-// readData reads the data of a frame. A long one is charged to the budget as it comes.
-func (s *stream) readData() ([]byte, *galenaintake.Hold, error) {
+// readData reads the data of a frame, and returns what of the budget it holds. A long one is charged
+// as it comes.
+func (s *stream) readData() (data []byte, charged int64, err error) {
 	n, err := binary.ReadUvarint(s.r)
 	if err != nil {
-		return nil, nil, err
+		return nil, 0, err
 	}
 	if n <= maxFrameAllocation {
-		frame := make([]byte, n)
-		_, err := io.ReadFull(s.r, frame)
-		return frame, nil, err
+		charged = callBytes + decodedFactor*int64(n)
+		if !s.intake.charge(charged) {
+			return nil, 0, galenaintake.ErrNoBudget
+		}
+		data = make([]byte, n)
+		_, err = io.ReadFull(s.r, data)
+		return data, charged, err
 	}
 	if n > math.MaxInt64-1 {
-		return nil, nil, galenaintake.ErrTooLarge
+		return nil, 0, galenaintake.ErrTooLarge
 	}
-	hold := s.budget.Open(func() { _ = s.conn.SetReadDeadline(time.Now()) })
-	data, err := galenaintake.Read(io.LimitReader(s.r, int64(n)), hold, int64(n), int64(n))
+	data, err = galenaintake.Read(io.LimitReader(s.r, int64(n)), s.intake.connHold(), int64(n), int64(n))
 	if err == nil && uint64(len(data)) < n {
 		err = io.ErrUnexpectedEOF
 	}
-	if err != nil {
-		hold.Close()
-		return nil, nil, err
-	}
-	return data, hold, nil
+	return data, int64(cap(data)), err
 }
 
 // call is a decoded frame of a call.
@@ -140,7 +165,7 @@
 
 // run serves a call.
 func (s *stream) run(method string, h Handler, f frame) {
-	defer f.release()
+	defer s.intake.end(f.charged)
 	if c, ok := s.decodeCall(f.data); ok {
 		s.answer(method, h, c)
 	}
@@ -158,6 +183,9 @@
 
 // answer calls the handler and sends its reply.
 func (s *stream) answer(method string, h Handler, c call) {
+	if len(c.Params) == 0 {
+		c.Params = json.RawMessage("null")
+	}
 	reply, err := s.mux.handle(s.ctx, method, h, nil, c.Params)
 	if c.ID == nil {
 		return // a notification
@@ -179,8 +207,16 @@
 	if err != nil {
 		return err
 	}
+	// The answer is held until the peer has read the ones before it.
+	s.intake.force(int64(len(b)))
+	defer s.intake.release(int64(len(b)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.intake != nil {
+		if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+	}
 	var prefix [binary.MaxVarintLen64]byte
 	if _, err := s.w.Write(prefix[:binary.PutUvarint(prefix[:], uint64(len(b)))]); err != nil {
 		return err
--- a/galenarpc/turn.go
+++ b/galenarpc/turn.go
@@ -63,7 +63,7 @@
 	if f.stamp != nil && waited > f.stamp.limit() {
 		h.turn.Gate.Leave()
 		h.turn.expired.Add(1)
-		f.release()
+		s.intake.end(f.charged)
 		return
 	}
 	go s.runInTurn(method, h, f, waited)
@@ -71,7 +71,7 @@
 
 // runInTurn serves a call whose turn has come.
 func (s *stream) runInTurn(method string, h turnHandler, f frame, waited time.Duration) {
-	defer f.release()
+	defer s.intake.end(f.charged)
 	c, ok := s.decodeCall(f.data)
 	if !ok {
 		h.turn.Gate.Leave()
