HTTP ports of galena-entry and galena-control: bodies, answers and connections are bounded

The servers of galena-entry and the status server let fasthttp take a body's memory from its announcement and bounded no connections. machine_memory_mb bounded nothing there.

Change: the intake and the server that reads through it move from platform/ to galenadaemon, and all HTTP ports of all programs use them. New: a request of galena-entry holds its body until it is answered, also while it waits in the queue, which takes half of the budget at most; refusals are 503 with Retry-After and the reason entry_overloaded, not_run where no earlier delivery can have run; an attempt that outlives its caller no longer keeps the body. Answers over 8 KiB count until their client has read them, and give way when others need the room; so /config/get isn't refused any more for want of room. Recorded results and claimed keys take an eighth and a quarter of the memory at most. max_open_files defaults to the limit of the process in place of 1,024.

Ruled out: a bound for each port; charging announcements (400 of them would keep ordinary callers out).

TestFloodsOfClients is unchanged. TestRequestOutlivesBuffers reads the body through the intake, as the handler does; its check is the same.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -160,7 +160,7 @@
 		},
 		Timers: timers,
 	}
-	client := &platform.Client{MaxConnections: f.Process.MaxOpenFiles / instanceConnectionsPart}
+	client := &platform.Client{MaxConnections: machineOf(f).Files / instanceConnectionsPart}
 	instances := &platform.InstanceClient{Client: client}
 	c.relays = &galenarelay.Client{
 		Direct: instances, RPCClient: rpcClient, Timers: timers, Logger: log.Logger, Self: f.Listen.Peer.String(), Peers: c.otherReplicas,
--- a/cmd/galena-fleet/command/daemon.go
+++ b/cmd/galena-fleet/command/daemon.go
@@ -75,12 +75,20 @@
 
 // machine returns what the process may use of its machine.
 func (d *baseDaemon) machine() galenaintake.Machine {
-	return galenaintake.ThisMachine(d.settings.Process.MachineMemoryMB, d.settings.Process.MaxOpenFiles)
+	return machineOf(d.settings)
 }
 
-// newIntake returns the bounds of a server on what others send, with a limit of bodies.
-func (d *baseDaemon) newIntake(maxBody func() int) *platform.Intake {
-	return &platform.Intake{Budget: d.machine().NewBudget(), MaxBody: maxBody, Logger: d.log.Logger, Metrics: d.ownerClient.Metrics}
+func machineOf(f galenasettings.Fleet) galenaintake.Machine {
+	return galenaintake.ThisMachine(f.Process.MachineMemoryMB, f.Process.MaxOpenFiles)
+}
+
+// newIntake returns the bounds of the HTTP servers on what others send, with a limit of bodies.
+func (d *baseDaemon) newIntake(maxBody func() int) *galenadaemon.Intake {
+	i := &galenadaemon.Intake{Budget: d.machine().NewBudget(), MaxBody: maxBody, Refuse: platform.RefuseCaller, Logger: d.log.Logger}
+	if d.ownerClient != nil {
+		i.Metrics = d.ownerClient.Metrics
+	}
+	return i
 }
 
 // maxPlatformBody is the limit of bodies that the platform sends.
@@ -90,7 +98,7 @@
 type httpListen struct {
 	addr         netip.AddrPort
 	drainTimeout time.Duration
-	intake       *platform.Intake
+	intake       *galenadaemon.Intake
 	maxConns     int
 }
 
--- a/cmd/galena-fleet/command/entry.go
+++ b/cmd/galena-fleet/command/entry.go
@@ -120,7 +120,7 @@
 	if err := serveHTTP(serveCtx, &servers, callerServer, callers); err != nil {
 		return err
 	}
-	statusServer := platform.NewStatusServer(e.ready, intake, e.log.Logger)
+	statusServer := platform.NewStatusServer(e.ready, intake.WithMaxBody(galenadaemon.StatusMaxBody), e.log.Logger)
 	status := httpListen{e.settings.Listen.Status, e.drainTimeout(), intake, e.machine().StatusConns()}
 	if err := serveHTTP(serveCtx, &servers, statusServer, status); err != nil {
 		return err
--- a/cmd/galena-fleet/command/redirector.go
+++ b/cmd/galena-fleet/command/redirector.go
@@ -34,7 +34,7 @@
 type controlWork struct {
 	// handle handles the requests of operators and instances, whose bodies intake bounds.
 	handle fasthttp.RequestHandler
-	intake *platform.Intake
+	intake *galenadaemon.Intake
 	// start starts further work, which runs until the requests that have arrived are
 	// answered. It may be nil.
 	start func(ctx context.Context, workers *errgroup.Group)
@@ -63,7 +63,7 @@
 	if err := serveHTTP(serveCtx, &servers, operatorServer, operators); err != nil {
 		return err
 	}
-	statusServer := platform.NewStatusServer(func() error { return nil }, w.intake, c.log.Logger)
+	statusServer := platform.NewStatusServer(func() error { return nil }, w.intake.WithMaxBody(galenadaemon.StatusMaxBody), c.log.Logger)
 	status := httpListen{c.settings.Listen.Status, operatorDrainTimeout, w.intake, c.machine().StatusConns()}
 	if err := serveHTTP(serveCtx, &servers, statusServer, status); err != nil {
 		return err
@@ -129,5 +129,5 @@
 func (r *redirector) Run(ctx context.Context) error {
 	handler := &platform.RedirectHandler{OwnerHost: r.leaderHost, Port: int(r.settings.Listen.Operator.Port())}
 	r.log.Info("data_directory is empty; this control daemon keeps no replica and redirects requests to the owner")
-	return r.serve(ctx, controlWork{handle: handler.Handle})
+	return r.serve(ctx, controlWork{handle: handler.Handle, intake: r.newIntake(maxPlatformBody)})
 }
--- a/galenaclaim/service.go
+++ b/galenaclaim/service.go
@@ -48,6 +48,9 @@
 	// MaxKeys bounds the number of keys in the claim table; 0 selects
 	// DefaultMaxKeys.
 	MaxKeys int
+	// MaxResultBytes bounds the size of all recorded results; 0 selects MaxTotalResultBytes, which
+	// is the most.
+	MaxResultBytes int64
 	// Timeout bounds a call to a replica; 0 selects DefaultTimeout.
 	Timeout time.Duration
 	// Random is the source of random numbers; nil selects math/rand/v2.
@@ -94,6 +97,9 @@
 	s := &Service{cfg: cfg, clock: galenapeer.NewClock(cfg.Timers), incarnation: uint32(cfg.Random())}
 	now := s.clock.Now()
 	s.table = NewTable(now, cfg.Entries, cfg.MaxKeys)
+	if cfg.MaxResultBytes > 0 {
+		s.table.maxResultBytes = min(cfg.MaxResultBytes, MaxTotalResultBytes)
+	}
 	// Starting at the time of day makes sequence numbers increase across restarts.
 	// If the clock stepped back, fences from before the restart reject some claims,
 	// which is safe.
--- a/galenaclaim/table.go
+++ b/galenaclaim/table.go
@@ -47,7 +47,9 @@
 	entryIndex map[galenahead.EntryName]uint16
 	entryNames []galenahead.EntryName
 	maxKeys    int64
-	startMono  time.Duration
+	// maxResultBytes bounds the total size of the stored results.
+	maxResultBytes int64
+	startMono      time.Duration
 	// restartCutoffMS is an issue time in Unix milliseconds. The replica does not
 	// vote on keys issued at or before it, because it may have voted on them before
 	// it restarted. It is 0 until the clock is trusted for the first time: a start
@@ -120,9 +122,10 @@
 		maxKeys = DefaultMaxKeys
 	}
 	t := &Table{
-		entryIndex: make(map[galenahead.EntryName]uint16, len(entries)),
-		maxKeys:    int64(maxKeys),
-		startMono:  now.Mono,
+		entryIndex:     make(map[galenahead.EntryName]uint16, len(entries)),
+		maxKeys:        int64(maxKeys),
+		maxResultBytes: MaxTotalResultBytes,
+		startMono:      now.Mono,
 	}
 	for i, e := range entries {
 		t.entryIndex[e.Name] = uint16(i)
@@ -319,13 +322,13 @@
 }
 
 // storeResult stores the result of a finished attempt if it is not too large. To
-// stay below MaxTotalResultBytes, it drops older results of the same shard.
+// stay below maxResultBytes, it drops older results of the same shard.
 func (t *Table) storeResult(s *shard, now galenapeer.Instant, issued time.Time, req FinishRequest, r *record) {
 	size := resultSize(req.Answer)
 	if req.Answer == nil || size > MaxResultBytes {
 		return
 	}
-	for t.resultBytes.Load()+size > MaxTotalResultBytes {
+	for t.resultBytes.Load()+size > t.maxResultBytes {
 		if len(s.results) == 0 {
 			return
 		}
--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -49,7 +49,10 @@
 	fatal chan error
 	// grpcServer serves operatorService.
 	grpcServer *grpc.Server
-	stopping   atomic.Bool
+	// machine is what the process may use, and intake bounds what its status server holds.
+	machine  galenaintake.Machine
+	intake   *galenadaemon.Intake
+	stopping atomic.Bool
 }
 
 // NewDaemon opens the data directory and returns a daemon that serves once Run
@@ -59,7 +62,9 @@
 		settings: s, log: log, timers: &galenatimer.Service{}, client: &galenarpc.Client{},
 		store: &Store{}, fatal: make(chan error, 1),
 		grpcServer: grpc.NewServer(grpc.MaxRecvMsgSize(maxOperatorMessage)),
+		machine:    galenaintake.ThisMachine(s.Process.MachineMemoryMB, s.Process.MaxOpenFiles),
 	}
+	d.intake = (&galenadaemon.Intake{Budget: d.machine.NewBudget(), Logger: log, Metrics: &d.metrics}).WithMaxBody(galenadaemon.StatusMaxBody)
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: galenahead.ReplicaName(s.Process.Name), Path: s.DataDirectory, StateMachine: d.store,
 		RPCClient: d.client, Timers: d.timers, Log: log, Fatal: d.reportFatal,
@@ -132,13 +137,18 @@
 	defer stop()
 	g, servingCtx := errgroup.WithContext(servingCtx)
 	g.Go(func() error { return d.node.Run(servingCtx) })
-	machine := galenaintake.ThisMachine(d.settings.Process.MachineMemoryMB, d.settings.Process.MaxOpenFiles)
 	g.Go(func() error {
-		s := &galenarpc.Server{Mux: &d.mux, Budget: machine.NewBudget(), Conns: galenaintake.Conns{Max: machine.PeerConns()}}
+		s := &galenarpc.Server{
+			Mux: &d.mux, Budget: d.machine.NewBudget(),
+			Conns: galenaintake.Conns{Max: d.machine.PeerConns(), Displaced: d.intake.CountDisplaced},
+		}
 		return s.Serve(servingCtx, peerListener)
 	})
 	g.Go(func() error { return d.serveOperators(servingCtx, operatorListener) })
-	g.Go(func() error { return (&galenadaemon.StatusServer{Ready: d.ready}).Serve(servingCtx, statusListener) })
+	g.Go(func() error {
+		s := &galenadaemon.StatusServer{Ready: d.ready, Intake: d.intake}
+		return s.Serve(servingCtx, statusListener, d.machine.StatusConns(), d.log)
+	})
 	g.Go(func() error { return d.driver.Run(servingCtx) })
 	g.Go(func() error { return d.waitForShutdown(ctx, servingCtx, stop) })
 	err = g.Wait()
--- a/galenadaemon/daemon.go
+++ b/galenadaemon/daemon.go
@@ -3,19 +3,20 @@
 package galenadaemon
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenalog"
 )
 
@@ -69,12 +70,14 @@
 	Ready func() error
 	// Handlers maps additional paths to handlers.
 	Handlers map[string]fasthttp.RequestHandler
+	// Intake bounds what clients send and leave unread. It may be nil.
+	Intake *Intake
 }
 
-// Serve serves on ln until ctx ends.
-func (s *StatusServer) Serve(ctx context.Context, ln net.Listener) error {
-	srv := &fasthttp.Server{Handler: s.Handle, NoDefaultServerHeader: true, ReadTimeout: 10 * time.Second}
-	return ServeHTTP(ctx, srv, ln)
+// Serve serves on ln until ctx ends. At most maxConns connections are open; zero means no bound.
+func (s *StatusServer) Serve(ctx context.Context, ln net.Listener, maxConns int, log *logrus.Logger) error {
+	srv := &HTTPServer{Server: NewServer(s.Handle, s.Intake, log), Conns: galenaintake.Conns{Max: maxConns, Displaced: s.Intake.CountDisplaced}}
+	return srv.Serve(ctx, ln)
 }
 
 // Handle routes a request by its path.
@@ -85,6 +88,7 @@
 		s.HandleReady(c)
 	case "/debug/vars":
 		expvarhandler.ExpvarHandler(c)
+		s.Intake.Answer(c, bytes.Clone(c.Response.Body()))
 	default:
 		if handler, ok := s.Handlers[path]; ok {
 			handler(c)
--- a/galenaentry/announce.go
+++ b/galenaentry/announce.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenadaemon"
 )
 
 const (
@@ -24,6 +25,8 @@
 // announcer forwards upstreams' announcements to the services' brokers.
 type announcer struct {
 	announce func(ctx context.Context, a galenahead.Announcement) error
+	// intake bounds the announcements. It may be nil.
+	intake *galenadaemon.Intake
 }
 
 // serve handles POST /v1/announce. It answers 204 once the service's broker has
@@ -34,8 +37,13 @@
 		c.Error("unknown call; announce with POST "+PathAnnounce+"\n", fasthttp.StatusNotFound)
 		return
 	}
+	body, ok := n.intake.Read(c)
+	if !ok {
+		return
+	}
+	defer body.Close()
 	var a galenahead.Announcement
-	if err := json.Unmarshal(c.PostBody(), &a); err != nil {
+	if err := json.Unmarshal(body.Data, &a); err != nil {
 		c.Error("body is not a JSON announcement: "+err.Error()+"\n", fasthttp.StatusBadRequest)
 		return
 	}
--- a/galenaentry/answer.go
+++ b/galenaentry/answer.go
@@ -1,12 +1,12 @@
 package galenaentry
 
 import (
-	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenadaemon"
 )
 
 // Observer is notified of every answered request.
@@ -18,14 +18,17 @@
 // writeAnswer writes the answer of x, which is nil for a request that could not
 // be parsed. text is an optional human-readable body for a request that did not
 // run; without it, the body is the reason.
-func writeAnswer(c *fasthttp.RequestCtx, x *Exchange, a galenahead.Answer, text string) {
-	h := &c.Response.Header
-	h.Set(HeaderOutcome, string(a.Outcome))
+func (h *httpHandler) writeAnswer(c *fasthttp.RequestCtx, x *Exchange, a galenahead.Answer, text string) {
+	header := &c.Response.Header
+	header.Set(HeaderOutcome, string(a.Outcome))
 	if a.Reason != "" {
-		h.Set(HeaderReason, a.Reason)
+		header.Set(HeaderReason, a.Reason)
 	}
 	if x != nil {
-		h.Set(HeaderKey, string(x.Request.Key))
+		header.Set(HeaderKey, string(x.Request.Key))
+	}
+	if a.Reason == ReasonEntryOverloaded || a.Reason == ReasonQueueFull {
+		galenadaemon.SetRetryAfter(c, galenadaemon.NoBudgetRetryAfter)
 	}
 	c.SetStatusCode(httpStatus(a))
 	if a.Outcome != galenahead.OutcomeRan {
@@ -39,7 +42,7 @@
 	if a.ContentType != "" {
 		c.SetContentType(a.ContentType)
 	}
-	c.Response.SetBodyRaw(a.Body)
+	h.intake.Answer(c, a.Body)
 }
 
 // httpStatus returns the HTTP status of an answer: the upstream's own when the
@@ -57,12 +60,9 @@
 	return fasthttp.StatusServiceUnavailable
 }
 
-// rejectUnreadable answers a request that could not be read, such as one whose
-// body is too large. Nothing of it was sent to an upstream.
-func rejectUnreadable(c *fasthttp.RequestCtx, err error) {
-	writeAnswer(c, nil, galenahead.NotRun(ReasonBadRequest), err.Error())
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		c.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
-	}
+// rejectUnreadable answers a request whose header could not be read. Nothing of it was sent to an
+// upstream.
+func (h *httpHandler) rejectUnreadable(c *fasthttp.RequestCtx, err error) {
+	h.writeAnswer(c, nil, galenahead.NotRun(ReasonBadRequest), err.Error())
 	c.SetConnectionClose()
 }
--- a/galenaentry/attempt.go
+++ b/galenaentry/attempt.go
@@ -34,8 +34,10 @@
 // parts.
 func (f *forwarder) handle(ctx context.Context, x *Exchange) galenahead.Answer {
 	x.Attempts++
+	request := x.Request
+	request.Body = nil // the attempt may outlive the request, and holds no body then
 	att := &attempt{
-		forwarder: f, dispatcher: x.dispatcher, lease: x.Lease, request: &x.Request, onLateAnswer: x.onLateAnswer, start: f.timers.Now(),
+		forwarder: f, dispatcher: x.dispatcher, lease: x.Lease, request: &request, onLateAnswer: x.onLateAnswer, start: f.timers.Now(),
 	}
 	f.inFlight.Add(1)
 	sent, err := f.sender.Begin(att.lease.Address, x.Request, x.ID+"."+strconv.Itoa(x.Attempts), att.canSend)
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -35,6 +35,10 @@
 	bytesPerClaim = 175
 	// ppm is the value of budget_ppm that stands for a share of 1.
 	ppm = 1e6
+	// claimPart is the part of the machine's memory that claimed keys take at most, and bodiesInBudget
+	// how many of the largest bodies the budget holds where the memory is not known.
+	claimPart      = 4
+	bodiesInBudget = 8
 	// maxAnnouncementBytes is the largest announcement, in bytes.
 	maxAnnouncementBytes = 16 << 10
 )
@@ -54,7 +58,11 @@
 	reporter         *reporter
 	suspectPublisher *suspectPublisher
 	telemetry        *telemetry
+	metrics          *galenametric.Metrics
 	servingCache     *servingCache
+	// machine is what the process may use, and intake bounds what it holds of what others send.
+	machine galenaintake.Machine
+	intake  *galenadaemon.Intake
 	// workCtx is the context of the background work of the daemon's components.
 	workCtx    context.Context
 	cancelWork context.CancelFunc
@@ -65,14 +73,17 @@
 func NewDaemon(s galenasettings.Entry, log *logrus.Logger, droppedLogLines func() int64) *Daemon {
 	d := &Daemon{
 		settings: s, log: log, timers: &galenatimer.Service{}, client: &galenarpc.Client{}, draining: make(chan struct{}),
+		metrics: &galenametric.Metrics{},
 	}
 	d.workCtx, d.cancelWork = context.WithCancel(context.Background())
+	d.machine = galenaintake.ThisMachine(s.Process.MachineMemoryMB, s.Process.MaxOpenFiles)
+	d.intake = d.newIntake()
 	self := galenahead.EntryName(s.Process.Name)
 	entries := peerEntries(s)
 	d.peers = galenapeer.New(galenapeer.Config{Self: self, Entries: entries, RPCClient: d.client, Timers: d.timers})
 	d.claims = galenaclaim.New(galenaclaim.Config{
 		Self: self, Entries: entries, RPCClient: d.client, Timers: d.timers, ClockTrusted: d.peers.ClockTrusted,
-		MaxKeys: s.Limits.ClaimMemoryMB << 20 / bytesPerClaim,
+		MaxKeys: d.claimBytes() / bytesPerClaim, MaxResultBytes: d.machine.CacheBytes(),
 	})
 	d.broker = galenabroker.New(galenabroker.Config{Self: self, Entries: entries, RPCClient: d.client, Timers: d.timers})
 	d.servingCache = &servingCache{timers: d.timers, decide: d.peers.Serving}
@@ -113,16 +124,18 @@
 
 func (d *Daemon) buildServer(self galenahead.EntryName, droppedLogLines func() int64) {
 	d.telemetry = &telemetry{
-		log: d.log, metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}), droppedLogLines: droppedLogLines,
+		log: d.log, metrics: d.metrics, budgets: galenabudget.New(galenabudget.Config{}), droppedLogLines: droppedLogLines,
 	}
 	router := galenaroute.New(galenaroute.Config{Entry: self, DataCentre: d.settings.Process.DataCentre})
 	d.server = NewServer(ServerConfig{
 		Name: self, Timers: d.timers, ServingPolicy: d, Claims: d.claims, Slots: d.broker, Router: router, Observer: d.telemetry,
 		MaxBody: d.settings.Limits.MaxBodyKB << 10, Entries: len(d.settings.Entries), LiveEntries: d.peers.LiveCount,
 		Limits: galenaqueue.Config{
-			MaxRequests: d.settings.Limits.QueuePerService, MaxBytes: d.settings.Limits.QueueMB << 20,
+			MaxRequests: d.settings.Limits.QueuePerService, MaxBytes: min(d.settings.Limits.QueueMB<<20, int(d.intake.Budget.Bytes/2)),
 		},
+		Intake: d.intake, MaxConns: d.machine.ForwardedConns(), Log: d.log,
 	})
+	d.intake.Refuse = d.server.httpHandler.refuse
 	d.suspectPublisher = &suspectPublisher{self: self, client: d.client, router: router, timers: d.timers}
 	for _, e := range d.settings.Entries {
 		if e.Name != self {
@@ -245,22 +258,58 @@
 	if err != nil {
 		return err
 	}
-	n := &announcer{announce: d.announce}
+	n := &announcer{announce: d.announce, intake: d.pageIntake(maxAnnouncementBytes)}
 	pages := map[string]fasthttp.RequestHandler{"/budgets": d.serveBudgets, "/services": d.serveServices}
 	g.Go(func() error { return d.server.Serve(ctx, callers) })
 	g.Go(func() error {
-		srv := &fasthttp.Server{Handler: n.serve, NoDefaultServerHeader: true, MaxRequestBodySize: maxAnnouncementBytes, ReadTimeout: readTimeout}
-		return galenadaemon.ServeHTTP(ctx, srv, upstreams)
+		srv := &galenadaemon.HTTPServer{
+			Server: galenadaemon.NewServer(n.serve, n.intake, d.log),
+			Conns:  galenaintake.Conns{Max: d.machine.AnnouncerConns(), Displaced: d.intake.CountDisplaced},
+		}
+		return srv.Serve(ctx, upstreams)
+	})
+	g.Go(func() error {
+		s := &galenadaemon.StatusServer{Ready: d.ready, Handlers: pages, Intake: d.pageIntake(galenadaemon.StatusMaxBody)}
+		return s.Serve(ctx, status, d.machine.StatusConns(), d.log)
 	})
-	g.Go(func() error { return (&galenadaemon.StatusServer{Ready: d.ready, Handlers: pages}).Serve(ctx, status) })
-	machine := galenaintake.ThisMachine(d.settings.Process.MachineMemoryMB, d.settings.Process.MaxOpenFiles)
 	g.Go(func() error {
-		s := &galenarpc.Server{Mux: &d.mux, Budget: machine.NewBudget(), Conns: galenaintake.Conns{Max: machine.EntryPeerConns()}}
+		s := &galenarpc.Server{
+			Mux: &d.mux, Budget: d.machine.NewBudget(),
+			Conns: galenaintake.Conns{Max: d.machine.EntryPeerConns(), Displaced: d.intake.CountDisplaced},
+		}
 		return s.Serve(ctx, peers)
 	})
 	return nil
 }
 
+// newIntake returns the bounds of the server of callers. Where the memory of the machine is not known,
+// the largest body always has room.
+func (d *Daemon) newIntake() *galenadaemon.Intake {
+	maxBody := d.settings.Limits.MaxBodyKB << 10
+	budget := d.machine.NewBudget()
+	if d.machine.MemoryMB == 0 {
+		budget.Bytes = max(budget.Bytes, bodiesInBudget*int64(maxBody))
+	}
+	return &galenadaemon.Intake{Budget: budget, MaxBody: func() int { return maxBody }, Logger: d.log, Metrics: d.metrics}
+}
+
+// pageIntake returns the bounds of the other servers, which share the budget and have a limit of bodies
+// of their own.
+func (d *Daemon) pageIntake(maxBody int) *galenadaemon.Intake {
+	i := d.intake.WithMaxBody(maxBody)
+	i.Refuse = nil
+	return i
+}
+
+// claimBytes returns the memory of the claimed keys.
+func (d *Daemon) claimBytes() int {
+	n := d.settings.Limits.ClaimMemoryMB << 20
+	if d.machine.MemoryMB > 0 {
+		n = min(n, d.machine.MemoryMB<<20/claimPart)
+	}
+	return n
+}
+
 // announce forwards an announcement for a configured service to its broker.
 func (d *Daemon) announce(ctx context.Context, a galenahead.Announcement) error {
 	s, ok := d.follower.Config().Services[a.Service]
@@ -301,5 +350,5 @@
 		return
 	}
 	c.SetContentType("application/json")
-	c.SetBody(body)
+	d.intake.Answer(c, body)
 }
--- a/galenaentry/headers.go
+++ b/galenaentry/headers.go
@@ -30,7 +30,7 @@
 // errHeader reports a missing or malformed header.
 var errHeader = eris.New("bad header")
 
-// parseRequest copies the request out of the HTTP library's buffers. A request
+// parseRequest copies the request, without its body, out of the HTTP library's buffers. A request
 // without a deadline gets fallback.
 func parseRequest(c *fasthttp.RequestCtx, now time.Time, fallback time.Duration) (*Exchange, error) {
 	h := &c.Request.Header
@@ -64,7 +64,6 @@
 		Arrived: now, Deadline: now.Add(deadline),
 		Method: string(h.Method()), Path: string(h.RequestURI()),
 		ContentType: string(h.ContentType()),
-		Body:        append([]byte(nil), c.Request.Body()...),
 	}
 	return &Exchange{Request: r, Delivery: delivery}, nil
 }
--- a/galenaentry/http_handler.go
+++ b/galenaentry/http_handler.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenadaemon"
 )
 
 // ServingPolicy decides whether this entry may serve requests now, and how long
@@ -34,9 +35,11 @@
 	// is certain.
 	rejectStopping Handler
 	observer       Observer
-	inFlight       atomic.Int64
-	lastSequence   atomic.Uint64
-	stopping       atomic.Bool
+	// intake bounds the bodies of requests and unread answers. It may be nil.
+	intake       *galenadaemon.Intake
+	inFlight     atomic.Int64
+	lastSequence atomic.Uint64
+	stopping     atomic.Bool
 }
 
 // serve handles one HTTP request of a caller.
@@ -47,14 +50,41 @@
 	service := galenahead.ServiceName(c.Request.Header.Peek(HeaderService))
 	x, err := parseRequest(c, now, h.policy.DefaultDeadline(service))
 	if err != nil {
-		writeAnswer(c, nil, galenahead.NotRun(ReasonBadRequest), err.Error())
+		h.writeAnswer(c, nil, galenahead.NotRun(ReasonBadRequest), err.Error())
 		return
 	}
+	body, ok := h.intake.Read(c)
+	if !ok {
+		return
+	}
+	defer body.Close()
+	x.Request.Body = body.Data
 	x.ID = h.newID()
 	x.CallerDisconnected = connectionClosedFunc(c)
 	ans := h.answer(x)
-	writeAnswer(c, x, ans, "")
+	h.writeAnswer(c, x, ans, "")
 	h.observer.Answered(x, ans, h.timers.Now())
+	// An attempt whose answer is late may keep the exchange.
+	x.Request.Body = nil
+}
+
+// refuse answers a request that is refused because of its body, or because there is no room for it.
+// Nothing of it was sent to an upstream.
+func (h *httpHandler) refuse(c *fasthttp.RequestCtx, cause galenadaemon.Cause) {
+	if cause != galenadaemon.CauseNoBudget {
+		h.writeAnswer(c, nil, galenahead.NotRun(ReasonBadRequest), string(cause))
+		if cause == galenadaemon.CauseTooLarge {
+			c.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		}
+		return
+	}
+	ans := galenahead.NotRun(ReasonEntryOverloaded)
+	x, err := parseRequest(c, h.timers.Now(), 0)
+	if err == nil {
+		// An earlier delivery of the key may have run.
+		ans = reject(x, ReasonEntryOverloaded)
+	}
+	h.writeAnswer(c, x, ans, "")
 }
 
 // answer rejects the request when this entry must not serve, and passes it
--- a/galenaentry/pipeline.go
+++ b/galenaentry/pipeline.go
@@ -75,4 +75,6 @@
 	ReasonAnswerLate              = "answer_late"
 	ReasonAnswerMismatch          = "answer_mismatch"
 	ReasonEntryStopping           = "entry_stopping"
+	// ReasonEntryOverloaded means that the entry has no room for the request now.
+	ReasonEntryOverloaded = "entry_overloaded"
 )
--- a/galenaentry/pipeline_test.go
+++ b/galenaentry/pipeline_test.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/galenahead/galenahead"
+	"github.com/galenahead/galenahead/galenadaemon"
 	"github.com/galenahead/galenahead/galenapeer"
 	"github.com/galenahead/galenahead/galenaretry"
 	"github.com/galenahead/galenahead/galenatimer"
@@ -279,6 +280,9 @@
 	c.Request.SetBodyString("body")
 	x, err := parseRequest(c, time.Time{}, time.Second)
 	is.NoErr(err)
+	body, ok := (*galenadaemon.Intake)(nil).Read(c)
+	is.True(ok)
+	x.Request.Body = body.Data
 	for _, b := range [][]byte{c.Request.Body(), c.Request.Header.RequestURI(), c.Request.Header.Peek(HeaderKey)} {
 		clear(b)
 	}
--- a/galenaentry/server.go
+++ b/galenaentry/server.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
+	"github.com/sirupsen/logrus"
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenadaemon"
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenaqueue"
 	"github.com/galenahead/galenahead/galenaretry"
 	"github.com/galenahead/galenahead/galenaroute"
@@ -21,8 +22,6 @@
 	idleSweepPeriod = time.Second
 	// idleTimeout is how long a caller's connection may stay idle.
 	idleTimeout = 2 * time.Minute
-	// readTimeout bounds the time a caller may take to send a request.
-	readTimeout = 30 * time.Second
 )
 
 // ServerConfig configures a Server. Only MaxBody, Entries and Limits may be
@@ -44,6 +43,12 @@
 	Entries int
 	// Limits bounds the queue of each service.
 	Limits galenaqueue.Config
+	// Intake bounds what the server holds of callers' requests and of unread answers. It may be nil.
+	Intake *galenadaemon.Intake
+	// MaxConns bounds the connections of callers; 0 means no bound.
+	MaxConns int
+	// Log gets a line for what goes wrong with connections.
+	Log *logrus.Logger
 }
 
 // Server answers the requests of callers.
@@ -67,7 +72,7 @@
 	s.dispatchers = &dispatchers{slots: cfg.Slots, router: cfg.Router, timers: cfg.Timers, pool: &sender.Pool, liveEntries: cfg.LiveEntries}
 	s.forwarder = &forwarder{sender: sender, timers: cfg.Timers}
 	s.httpHandler = &httpHandler{
-		name: cfg.Name, started: cfg.Timers.Now(), policy: cfg.ServingPolicy, timers: cfg.Timers, observer: cfg.Observer,
+		name: cfg.Name, started: cfg.Timers.Now(), policy: cfg.ServingPolicy, timers: cfg.Timers, observer: cfg.Observer, intake: cfg.Intake,
 		rejectStopping: Chain(func(context.Context, *Exchange) galenahead.Answer {
 			return galenahead.NotRun(ReasonEntryStopping)
 		}, claimFilter(s.claimRecorder)),
@@ -129,12 +134,13 @@
 
 // Serve answers callers on ln until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	srv := &fasthttp.Server{
-		Handler: s.httpHandler.serve, NoDefaultServerHeader: true, MaxRequestBodySize: s.cfg.MaxBody,
-		ReadTimeout: readTimeout, ErrorHandler: rejectUnreadable, IdleTimeout: idleTimeout, NoDefaultContentType: true,
-	}
+	srv := galenadaemon.NewServer(s.httpHandler.serve, s.cfg.Intake, s.cfg.Log)
+	srv.ErrorHandler, srv.IdleTimeout, srv.NoDefaultContentType = s.httpHandler.rejectUnreadable, idleTimeout, true
 	go s.loopSweep(ctx)
-	return galenadaemon.ServeHTTP(ctx, srv, ln)
+	server := &galenadaemon.HTTPServer{
+		Server: srv, Conns: galenaintake.Conns{Max: s.cfg.MaxConns, Displaced: s.cfg.Intake.CountDisplaced},
+	}
+	return server.Serve(ctx, ln)
 }
 
 // loopSweep closes idle connections to upstreams until ctx ends.
--- a/galenaentry/services.go
+++ b/galenaentry/services.go
@@ -44,5 +44,5 @@
 		return
 	}
 	c.SetContentType("application/json")
-	c.SetBody(body)
+	d.intake.Answer(c, body)
 }
--- a/galenasettings/sections.go
+++ b/galenasettings/sections.go
@@ -14,15 +14,13 @@
 const (
 	defaultStopDelay = 2 * time.Second
 	// maxStopDelay also bounds grace_period.
-	maxStopDelay  = 5 * time.Minute
-	maxProcsLimit = 1024
-	// defaultOpenFiles is the usual limit of a process.
-	defaultOpenFiles = 1024
-	minOpenFiles     = 64
-	openFilesLimit   = 1 << 20
-	maxBodyLimitKB   = 64 << 10
-	maxQueueLength   = 1_000_000
-	maxMemoryMB      = 64 << 10
+	maxStopDelay   = 5 * time.Minute
+	maxProcsLimit  = 1024
+	minOpenFiles   = 64
+	openFilesLimit = 1 << 20
+	maxBodyLimitKB = 64 << 10
+	maxQueueLength = 1_000_000
+	maxMemoryMB    = 64 << 10
 	// maxDeadline is the longest request deadline that slot brokers assume.
 	maxDeadline      = 30 * time.Second
 	maxRenewInterval = time.Minute
@@ -42,7 +40,7 @@
 	p.StopDelay, _ = optional(r, section, "stop_delay", duration(0, maxStopDelay), defaultStopDelay)
 	p.LogLevel, _ = optional(r, section, "log_level", logLevel(), logrus.InfoLevel)
 	p.LogFile, _ = optional(r, section, "log_file", text("a path, or - for standard error"), "-")
-	p.MaxOpenFiles, _ = optional(r, section, "max_open_files", integer(minOpenFiles, openFilesLimit, "descriptors"), defaultOpenFiles)
+	p.MaxOpenFiles, _ = optional(r, section, "max_open_files", integer(minOpenFiles, openFilesLimit, "descriptors"), 0)
 	p.MachineMemoryMB, _ = optional(r, section, "machine_memory_mb", integer(0, maxMemoryMB, "MB, 0 for no limit"), 0)
 	p.MaxProcs, _ = optional(r, section, "max_procs", integer(0, maxProcsLimit, "cores, 0 for no limit"), 0)
 	return p
--- a/galenasettings/settings.go
+++ b/galenasettings/settings.go
@@ -28,12 +28,12 @@
 	// LogFile is a path, "-" (the default) for standard error, or "stdout" for
 	// standard output.
 	LogFile string
-	// MaxOpenFiles is how many descriptors the process may have open. The default is
-	// 1024.
+	// MaxOpenFiles is how many descriptors the process may have open, or 0 (the default) for the limit
+	// that the system sets.
 	MaxOpenFiles int
 	// MachineMemoryMB is the memory that the process may take before the platform ends
-	// it, in MB. Beyond half of it the process collects garbage more often. 0 (the
-	// default) sets no limit.
+	// it, in MB. Beyond half of it the process collects garbage more often, and it bounds what
+	// the process holds of what others send. 0 (the default) means that it is not known.
 	MachineMemoryMB int
 	// MaxProcs limits GOMAXPROCS; 0 (the default) sets no limit.
 	MaxProcs int
--- a/galenaupstream/send.go
+++ b/galenaupstream/send.go
@@ -97,6 +97,7 @@
 		}
 		return nil, eris.Wrap(ErrResponseLost, err.Error())
 	}
+	r.Body = nil // it is sent
 	return &PendingRequest{sender: s, conn: c, addr: addr, request: r, attempt: attempt, resp: fasthttp.AcquireResponse()}, nil
 }
 
