galena-entry: services that are not configured share their metrics

What callers saw: the entry's memory grew for good by about 14 KB for each name that a caller gave in X-Galena-Service, 70 MB of 64 after 4,000 requests.

Cause: telemetry kept histograms and error budgets for any service that a request named, also one that was answered service_unknown.

Ruled out: a bound on the number of names in galenametric alone, since strangers could take all of them before the services that exist.

--- a/galenaentry/bench_test.go
+++ b/galenaentry/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenabudget"
 	"github.com/galenahead/galenahead/galenalog"
 	"github.com/galenahead/galenahead/galenametric"
@@ -30,7 +31,8 @@
 			w := galenalog.NewWriter(discardWriter{})
 			defer func() { _ = w.Close() }()
 			f.httpHandler.observer = &telemetry{
-				log: galenalog.New(w, logrus.InfoLevel), metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}),
+				configured: func(galenahead.ServiceName) bool { return true },
+				log:        galenalog.New(w, logrus.InfoLevel), metrics: &galenametric.Metrics{}, budgets: galenabudget.New(galenabudget.Config{}),
 			}
 			c := &fasthttp.RequestCtx{}
 			fillRequest(&c.Request, "e", "")
--- a/galenaentry/daemon.go
+++ b/galenaentry/daemon.go
@@ -124,7 +124,8 @@
 
 func (d *Daemon) buildServer(self galenahead.EntryName, droppedLogLines func() int64) {
 	d.telemetry = &telemetry{
-		log: d.log, metrics: d.metrics, budgets: galenabudget.New(galenabudget.Config{}), droppedLogLines: droppedLogLines,
+		configured: func(s galenahead.ServiceName) bool { _, ok := d.follower.Config().Services[s]; return ok },
+		log:        d.log, metrics: d.metrics, budgets: galenabudget.New(galenabudget.Config{}), droppedLogLines: droppedLogLines,
 	}
 	router := galenaroute.New(galenaroute.Config{Entry: self, DataCentre: d.settings.Process.DataCentre})
 	d.server = NewServer(ServerConfig{
--- a/galenaentry/telemetry.go
+++ b/galenaentry/telemetry.go
@@ -15,17 +15,26 @@
 // telemetry logs every routing decision and counts every answer in the metrics
 // and in the error budget of its caller.
 type telemetry struct {
-	log     *logrus.Logger
-	metrics *galenametric.Metrics
-	budgets *galenabudget.Tracker
+	// configured reports whether a service is in the configuration.
+	configured func(galenahead.ServiceName) bool
+	log        *logrus.Logger
+	metrics    *galenametric.Metrics
+	budgets    *galenabudget.Tracker
 	// droppedLogLines returns how many log lines were dropped.
 	droppedLogLines func() int64
 }
 
+// unknownService stands for all services that are not configured.
+const unknownService galenahead.ServiceName = "(unknown service)"
+
 // Answered implements Observer.
 func (t *telemetry) Answered(x *Exchange, a galenahead.Answer, now time.Time) {
 	r := x.Request
 	latency := now.Sub(r.Arrived)
+	if !t.configured(r.Service) {
+		// Callers may name any service, and each has histograms.
+		r.Service, r.Caller = unknownService, ""
+	}
 	t.metrics.RecordRequest(r.Service, x.QueueWait, latency, x.Attempts)
 	t.metrics.Counters.Add(outcomeCounter(a.Outcome), 1)
 	if a.Reason != "" {
