Operators' port of galena-control: calls, headers, answers and connections are bounded

What callers saw: galena-control took 407 MB for 40 connections with 10 calls of 1 MiB each that did not end, 689 MB for header fields without an end, and answered nobody while 800 silent clients held its 300 descriptors.

Cause: the gRPC server had a limit of one message only. Its defaults are headers of 16 MB, any number of calls on a connection, windows that grow, and 120 s until a client has to speak HTTP/2.

Change: connections are counted by galenaintake.Conns as at all other ports, and what comes for a call, what is decoded from it and its answer by the budget that the status server uses, one hold for each connection, which gives way when it is the heaviest. 16 calls of a connection at once (others wait at the client), 16 KiB of headers, 10 s for the handshake; stopping no longer waits for silent clients.

Ruled out: charging the announced length of a message (grpc takes its memory as it comes); refusing calls in a tap handle, which knows no length.

TestOperatorIntakeGivesBackWhatItCharges guards the accounting.

--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -47,8 +47,9 @@
 	metrics         galenametric.Metrics
 	// fatal receives the first error after which the process must end.
 	fatal chan error
-	// grpcServer serves operatorService.
-	grpcServer *grpc.Server
+	// grpcServer serves operatorService, and operatorIntake bounds what it holds of calls.
+	grpcServer     *grpc.Server
+	operatorIntake *operatorIntake
 	// machine is what the process may use, and intake bounds what its status server holds.
 	machine  galenaintake.Machine
 	intake   *galenadaemon.Intake
@@ -61,10 +62,13 @@
 	d := &Daemon{
 		settings: s, log: log, timers: &galenatimer.Service{}, client: &galenarpc.Client{},
 		store: &Store{}, fatal: make(chan error, 1),
-		grpcServer: grpc.NewServer(grpc.MaxRecvMsgSize(maxOperatorMessage)),
-		machine:    galenaintake.ThisMachine(s.Process.MachineMemoryMB, s.Process.MaxOpenFiles),
+		machine: galenaintake.ThisMachine(s.Process.MachineMemoryMB, s.Process.MaxOpenFiles),
 	}
 	d.intake = (&galenadaemon.Intake{Budget: d.machine.NewBudget(), Logger: log, Metrics: &d.metrics}).WithMaxBody(galenadaemon.StatusMaxBody)
+	d.operatorIntake = &operatorIntake{
+		budget: d.intake.Budget, conns: galenaintake.Conns{Max: d.machine.PeerConns(), Displaced: d.intake.CountDisplaced},
+	}
+	d.grpcServer = grpc.NewServer(d.operatorIntake.serverOptions()...)
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: galenahead.ReplicaName(s.Process.Name), Path: s.DataDirectory, StateMachine: d.store,
 		RPCClient: d.client, Timers: d.timers, Log: log, Fatal: d.reportFatal,
@@ -144,7 +148,7 @@
 		}
 		return s.Serve(servingCtx, peerListener)
 	})
-	g.Go(func() error { return d.serveOperators(servingCtx, operatorListener) })
+	g.Go(func() error { return d.serveOperators(servingCtx, d.operatorIntake.listen(operatorListener)) })
 	g.Go(func() error {
 		s := &galenadaemon.StatusServer{Ready: d.ready, Intake: d.intake}
 		return s.Serve(servingCtx, statusListener, d.machine.StatusConns(), d.log)
@@ -213,7 +217,7 @@
 
 func (d *Daemon) serveOperators(ctx context.Context, ln net.Listener) error {
 	galenapb.RegisterControlServer(d.grpcServer, d.operatorService)
-	stop := context.AfterFunc(ctx, d.grpcServer.Stop)
+	stop := context.AfterFunc(ctx, func() { d.operatorIntake.stop(d.grpcServer) })
 	defer stop()
 	if err := d.grpcServer.Serve(ln); err != nil && ctx.Err() == nil {
 		return eris.Wrap(err, "serve operators' calls")
