--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -19,34 +19,35 @@
 // Resources is an amount of an instance's capacity.
 type Resources = galenahead.Resources
 
-// Step is a set of identical work items.
+// Step is a set of identical work items. Its JSON form leaves out what is not set, since a job may have
+// thousands of steps.
 type Step struct {
-	Count int       `cbor:"1,keyasint"`
-	Need  Resources `cbor:"2,keyasint"`
+	Count int       `cbor:"1,keyasint" json:",omitempty"`
+	Need  Resources `cbor:"2,keyasint" json:",omitzero"`
 	// Estimate is the approximate duration of a work item.
-	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	Estimate time.Duration `cbor:"3,keyasint,omitempty" json:",omitempty"`
 	// After lists the indexes of earlier steps that must be done first.
-	After []int `cbor:"4,keyasint,omitempty"`
+	After []int `cbor:"4,keyasint,omitempty" json:",omitempty"`
 	// Checkpointing marks work items that can resume from a checkpoint.
-	Checkpointing bool `cbor:"5,keyasint,omitempty"`
+	Checkpointing bool `cbor:"5,keyasint,omitempty" json:",omitempty"`
 	// Gang marks work items that must all run at the same time.
-	Gang          bool   `cbor:"6,keyasint,omitempty"`
-	RackSensitive bool   `cbor:"7,keyasint,omitempty"`
-	Label         string `cbor:"8,keyasint,omitempty"`
+	Gang          bool   `cbor:"6,keyasint,omitempty" json:",omitempty"`
+	RackSensitive bool   `cbor:"7,keyasint,omitempty" json:",omitempty"`
+	Label         string `cbor:"8,keyasint,omitempty" json:",omitempty"`
 	// DataRack is the rack on which a work item takes the least time, or empty.
-	DataRack       galenahead.RackName `cbor:"9,keyasint,omitempty"`
-	MaxPerInstance int                 `cbor:"10,keyasint,omitempty"`
+	DataRack       galenahead.RackName `cbor:"9,keyasint,omitempty" json:",omitempty"`
+	MaxPerInstance int                 `cbor:"10,keyasint,omitempty" json:",omitempty"`
 	// LongRunning marks work items that run until the job is cancelled.
-	LongRunning bool `cbor:"12,keyasint,omitempty"`
+	LongRunning bool `cbor:"12,keyasint,omitempty" json:",omitempty"`
 	// TargetLatency is the highest acceptable tail latency of a work item that
 	// serves requests.
-	TargetLatency time.Duration `cbor:"14,keyasint,omitempty"`
+	TargetLatency time.Duration `cbor:"14,keyasint,omitempty" json:",omitempty"`
 	// Filling marks best-effort work items, which use only processor time that
 	// other work items leave idle.
-	Filling bool `cbor:"15,keyasint,omitempty"`
+	Filling bool `cbor:"15,keyasint,omitempty" json:",omitempty"`
 	// MaxUnavailable is how many work items the scheduler may stop at a time;
 	// zero means no limit.
-	MaxUnavailable int `cbor:"16,keyasint,omitempty"`
+	MaxUnavailable int `cbor:"16,keyasint,omitempty" json:",omitempty"`
 }
 
 // reservation returns what a work item of s takes from an instance's capacity.
