galena-control: operators' messages with too many fields are refused before they are decoded

What callers saw: a control daemon with 96 MB took 1,714 MB for 20 connections with 8 calls each, whose messages of 1 MB hold 500,000 empty shares of callers.

Cause: an empty message inside another takes two bytes, and some 70 decoded; the budget counts lengths.

Change: a message over 64 KiB with more than 32,768 fields, also in the messages in it, is refused without decoding it. Ruled out: one large call at a time, since a call may wait for a rollout.

--- a/galenacontrol/intake.go
+++ b/galenacontrol/intake.go
@@ -6,8 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/encoding/proto"
+	"google.golang.org/grpc/mem"
 	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/galenahead/galenahead/galenaintake"
 )
@@ -41,10 +46,54 @@
 	return []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxOperatorMessage), grpc.MaxConcurrentStreams(maxOperatorCalls), grpc.MaxHeaderListSize(maxOperatorHeader),
 		grpc.ReadBufferSize(operatorBuffer), grpc.WriteBufferSize(operatorBuffer), grpc.ConnectionTimeout(handshakeTimeout),
-		grpc.StatsHandler(i),
+		grpc.StatsHandler(i), grpc.ForceServerCodecV2(operatorCodec{encoding.GetCodecV2(proto.Name)}),
 	}
 }
 
+// maxOperatorFields bounds the fields of a message and of the messages in it. An empty one takes two
+// bytes, and some 70 decoded.
+const maxOperatorFields = 32 << 10
+
+// errTooManyFields reports a message with more fields than maxOperatorFields.
+var errTooManyFields = eris.Errorf("the message has more than %d fields", maxOperatorFields)
+
+// operatorCodec is the codec of operators' calls. It decodes no message that takes far more memory than
+// its length.
+type operatorCodec struct{ encoding.CodecV2 }
+
+// Unmarshal implements encoding.CodecV2.
+func (c operatorCodec) Unmarshal(data mem.BufferSlice, v any) error {
+	if data.Len() > 2*maxOperatorFields {
+		if n := countFields(data.Materialize(), maxOperatorFields, 1); n < 0 || n > maxOperatorFields {
+			return errTooManyFields
+		}
+	}
+	return c.CodecV2.Unmarshal(data, v)
+}
+
+// countFields returns the number of fields of an encoded message and of the messages to a depth in it.
+// It stops beyond limit, and returns a negative number if b is no message.
+func countFields(b []byte, limit, depth int) int {
+	n := 0
+	for len(b) > 0 && n <= limit {
+		number, kind, tag := protowire.ConsumeTag(b)
+		if tag < 0 {
+			return -1
+		}
+		length := protowire.ConsumeFieldValue(number, kind, b[tag:])
+		if length < 0 {
+			return -1
+		}
+		n++
+		if kind == protowire.BytesType && depth > 0 {
+			inner, _ := protowire.ConsumeBytes(b[tag:])
+			n += max(0, countFields(inner, limit-n, depth-1)) // a text is no message
+		}
+		b = b[tag+length:]
+	}
+	return n
+}
+
 // listen returns a listener whose connections the intake bounds.
 func (i *operatorIntake) listen(ln net.Listener) net.Listener { return &operatorListener{ln, i} }
 
--- a/test/galena-local/floods_test.go
+++ b/test/galena-local/floods_test.go
@@ -98,6 +98,7 @@
 func controlFloods() []floodCase {
 	return append([]floodCase{
 		{"messages of operators that are not sent whole", "operator", 40, incompleteOperatorCalls(10, bodyLimit), 0},
+		{"calls of operators that are much larger decoded", "operator", 20, decodedOperatorCalls(8, 500_000), 0},
 		{"headers of operators without end", "operator", 100, endlessOperatorHeaders(4 << 20), 0},
 		{"silent clients of the operator port", "operator", silentClients, galenacrowd.Silent, floodFewFiles},
 	}, statusAndPeerFloods("config.wait")...)
--- a/test/galena-local/operator_floods_test.go
+++ b/test/galena-local/operator_floods_test.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/galenahead/galenahead/galenacrowd"
 	"github.com/galenahead/galenahead/galenapb"
@@ -73,34 +74,14 @@
 func incompleteOperatorCalls(calls, length int) galenacrowd.Client {
 	const unsent, framing = 64 << 10, 16 << 10
 	return func(conn net.Conn) error {
-		message := bytes.Repeat([]byte{0}, length-framing)
 		stalling := &stallingConn{Conn: conn, left: calls * (length - unsent), stalled: make(chan struct{})}
-		client, err := grpc.NewClient("passthrough:///operator", grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) {
-				if stalling == nil {
-					return nil, net.ErrClosed
-				}
-				c := stalling
-				stalling = nil
-				return c, nil
-			}))
+		ended, err := callAtOnce(stalling, calls, bytes.Repeat([]byte{0}, length-framing))
 		if err != nil {
 			return err
 		}
-		stalled := stalling.stalled
-		var wg sync.WaitGroup
-		for range calls {
-			wg.Go(func() {
-				var reply []byte
-				_ = client.Invoke(context.Background(), galenapb.Control_Apply_FullMethodName, &message, &reply, grpc.ForceCodec(rawCodec{}))
-			})
-		}
-		go func() {
-			wg.Wait() // until the connection is closed
-			_ = client.Close()
-		}()
 		select {
-		case <-stalled:
+		case <-stalling.stalled:
+		case <-ended: // the process closes the connection
 		case <-time.After(requestTimeout):
 			return fmt.Errorf("the calls were not sent within %s", requestTimeout)
 		}
@@ -108,6 +89,55 @@
 	}
 }
 
+// decodedOperatorCalls makes calls on one connection, each with the change of a service that has so many
+// empty shares of callers.
+func decodedOperatorCalls(calls, shares int) galenacrowd.Client {
+	const changeService, callers = 13, 7
+	service := bytes.Repeat(protowire.AppendBytes(protowire.AppendTag(nil, callers, protowire.BytesType), nil), shares)
+	message := protowire.AppendBytes(protowire.AppendTag(nil, changeService, protowire.BytesType), service)
+	return func(conn net.Conn) error {
+		ended, err := callAtOnce(conn, calls, message)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-ended:
+		case <-time.After(2 * requestTimeout):
+		}
+		return nil
+	}
+}
+
+// callAtOnce makes calls with a message at once on a connection. ended is closed when they have ended.
+func callAtOnce(conn net.Conn, calls int, message []byte) (ended <-chan struct{}, err error) {
+	dialed := false
+	client, err := grpc.NewClient("passthrough:///operator", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) {
+			if dialed {
+				return nil, net.ErrClosed
+			}
+			dialed = true
+			return conn, nil
+		}))
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			var reply []byte
+			_ = client.Invoke(context.Background(), galenapb.Control_Apply_FullMethodName, &message, &reply, grpc.ForceCodec(rawCodec{}))
+		})
+	}
+	go func() {
+		wg.Wait()
+		_ = client.Close()
+		close(done)
+	}()
+	return done, nil
+}
+
 // Frame types and flags of HTTP/2.
 const (
 	frameHeaders, frameSettings, frameContinuation = 1, 4, 9
