Peer ports: names that are not configured are not kept

Cause, by reading: a message between daemons that names an entry or a service which nobody has configured left a record for good: reports and polls at galena-control, leases, grants and announcements at galena-entry. A poll could wait for any time.

TestReportsOfStrangersAreNotKept, TestPublisherKeepsOnlyConfiguredEntries and TestServicesOfMessagesAreBounded count the records.

--- a/galenabroker/broker_test.go
+++ b/galenabroker/broker_test.go
@@ -273,3 +273,30 @@
 		}
 	}
 }
+
+// Guards against a state for each service that a message of a stranger names.
+func TestServicesOfMessagesAreBounded(t *testing.T) {
+	is := is.New(t)
+	entries := []galenapeer.Entry{{Name: "e0"}, {Name: "e1"}, {Name: "e2"}}
+	s := New(Config{Self: "e0", Entries: entries, Timers: &galenatimer.Service{}})
+	s.SetServices([]galenahead.ServiceName{"counter"})
+	for i := range 10 {
+		var lease LeaseRequest
+		var sync SyncRequest
+		var grants []GrantItem
+		for k := range maxServices {
+			name := galenahead.ServiceName(fmt.Sprint("service-", i, "-", k))
+			lease.Items = append(lease.Items, LeaseItem{Service: name})
+			sync.Items = append(sync.Items, SyncItem{Service: name})
+			grants = append(grants, GrantItem{Service: name})
+		}
+		lease.From, sync.From = "e1", "e1"
+		s.vote(lease)
+		s.serveSync(sync)
+		s.applyGrants(grants)
+		is.True(s.serveAnnounce(AnnounceRequest{Announcement: galenahead.Announcement{Service: galenahead.ServiceName(fmt.Sprint("announced-", i))}}) != nil)
+	}
+	is.Equal(len(s.allStates()), maxServices)
+	_, ok := s.lookup("counter")
+	is.True(ok)
+}
--- a/galenabroker/service.go
+++ b/galenabroker/service.go
@@ -360,9 +360,13 @@
 		return LeaseReply{From: s.cfg.Self}
 	}
 	now := s.clock.Now()
-	for _, item := range q.Items {
+	q.Items = slices.DeleteFunc(q.Items, func(item LeaseItem) bool {
+		if s.serviceLimitReached(item.Service) {
+			return true
+		}
 		s.state(item.Service)
-	}
+		return false
+	})
 	s.electorMu.Lock()
 	r := s.elector.Vote(now, q)
 	s.electorMu.Unlock()
@@ -411,7 +415,10 @@
 	now := s.clock.Now()
 	r := SyncReply{Items: make([]GrantItem, 0, len(q.Items))}
 	for _, item := range q.Items {
-		st := s.state(item.Service)
+		st, ok := s.lookup(item.Service)
+		if !ok {
+			continue
+		}
 		st.mu.Lock()
 		a := st.currentAllocator(now)
 		if a != nil {
@@ -431,7 +438,10 @@
 
 func (s *Service) serveAnnounce(q AnnounceRequest) error {
 	now := s.clock.Now()
-	st := s.state(q.Announcement.Service)
+	st, ok := s.lookup(q.Announcement.Service)
+	if !ok {
+		return eris.Wrapf(galenahead.ErrNotLeader, "announce %s", q.Announcement.Instance)
+	}
 	st.mu.Lock()
 	a := st.currentAllocator(now)
 	err := galenahead.ErrNotLeader
@@ -449,7 +459,9 @@
 func (s *Service) applyGrants(items []GrantItem) {
 	now := s.clock.Now()
 	for _, item := range items {
-		s.state(item.Service).applyGrants(now, item)
+		if !s.serviceLimitReached(item.Service) {
+			s.state(item.Service).applyGrants(now, item)
+		}
 	}
 }
 
--- a/galenaconfig/publisher.go
+++ b/galenaconfig/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 	"github.com/galenahead/galenahead/galenastate"
 )
 
+// maxPollWait bounds how long a request of an entry may wait for a change.
+const maxPollWait = 30 * time.Second
+
 // Source is the control state of one replica.
 type Source interface {
 	// Current returns a state that includes every change committed before the
@@ -83,7 +87,7 @@
 		return encodedReply{}, err
 	}
 	p.recordRequest(req)
-	timeout := p.timers.After(ctx, time.Duration(req.WaitMS)*time.Millisecond)
+	timeout := p.timers.After(ctx, min(time.Duration(req.WaitMS)*time.Millisecond, maxPollWait))
 	for v.Revision() == req.Revision && !req.Full {
 		select {
 		case <-ctx.Done():
@@ -138,8 +142,11 @@
 	return data, nil
 }
 
-// recordRequest records the revision that an entry has applied and wakes waiters.
+// recordRequest records the revision that a configured entry has applied and wakes waiters.
 func (p *Publisher) recordRequest(req ConfigRequest) {
+	if !slices.Contains(p.entries, req.Entry) {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := EntryRevision{Entry: req.Entry, Revision: req.Revision, LastRequest: p.timers.Now()}
--- a/galenaconfig/publisher_test.go
+++ b/galenaconfig/publisher_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -70,3 +72,24 @@
 	is.NoErr(err)
 	is.Equal(string(got), string(expected))
 }
+
+// Guards against a record for each name that a request gives, and against a request that waits for as
+// long as it likes.
+func TestPublisherKeepsOnlyConfiguredEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fixedSource{}
+		s.applySetting(is, "first")
+		p := NewPublisher(s, &galenatimer.Service{}, []galenahead.EntryName{"entry"})
+		for i := range 100 {
+			_, err := p.handlePoll(t.Context(), ConfigRequest{Entry: galenahead.EntryName(fmt.Sprint("stranger-", i))})
+			is.NoErr(err)
+		}
+		is.Equal(len(p.entryRevisions), 0)
+		start := time.Now()
+		_, err := p.handlePoll(t.Context(), ConfigRequest{Entry: "entry", Revision: s.stateMachine.View().Revision(), WaitMS: 1 << 40})
+		is.NoErr(err)
+		is.Equal(time.Since(start), maxPollWait)
+		is.Equal(len(p.entryRevisions), 1)
+	})
+}
--- a/galenacontrol/daemon.go
+++ b/galenacontrol/daemon.go
@@ -97,7 +97,7 @@
 		entries = append(entries, e.Name)
 	}
 	publisher := galenaconfig.NewPublisher(d.store, d.timers, entries)
-	reports := &ReportCollector{Timers: d.timers, Store: d.store}
+	reports := &ReportCollector{Timers: d.timers, Store: d.store, Entries: entries}
 	d.node.Register(&d.mux)
 	publisher.Register(&d.mux)
 	reports.Register(&d.mux)
--- a/galenacontrol/reports.go
+++ b/galenacontrol/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 type ReportCollector struct {
 	Timers galenahead.Timers
 	Store  *Store
+	// Entries are the configured entries. Reports of others are not kept.
+	Entries []galenahead.EntryName
 
 	mu       sync.Mutex
 	services map[galenahead.ServiceName]serviceReport
@@ -54,6 +57,12 @@
 	if err != nil {
 		return galenaconfig.ReportReply{}, err
 	}
+	now := s.keep(v, r)
+	return galenaconfig.ReportReply{Mark: galenaconfig.LeaderTimestamp{TimeMS: now.UnixMilli(), Revision: v.Revision()}}, nil
+}
+
+// keep keeps what a report says of configured entries and services, and returns when it was received.
+func (s *ReportCollector) keep(v *galenastate.View, r galenaconfig.EntryReport) time.Time {
 	now := s.Timers.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,15 +70,20 @@
 		s.services = make(map[galenahead.ServiceName]serviceReport)
 		s.budgets = make(map[galenahead.EntryName]budgetReport)
 	}
-	s.budgets[r.Entry] = budgetReport{counts: r.Budgets, receivedAt: now}
+	if slices.Contains(s.Entries, r.Entry) {
+		s.budgets[r.Entry] = budgetReport{counts: r.Budgets, receivedAt: now}
+	}
 	for _, svc := range r.Services {
+		if _, ok := v.Service(svc.Service); !ok {
+			continue
+		}
 		old := s.services[svc.Service]
 		if svc.Epoch < old.Epoch && now.Sub(old.receivedAt) < reportTTL {
 			continue
 		}
 		s.services[svc.Service] = serviceReport{ServiceReport: svc, asOf: time.UnixMilli(r.AsOf.TimeMS), brokerRevision: r.AsOf.Revision, receivedAt: now}
 	}
-	return galenaconfig.ReportReply{Mark: galenaconfig.LeaderTimestamp{TimeMS: now.UnixMilli(), Revision: v.Revision()}}, nil
+	return now
 }
 
 // freshReports returns the reports that are valid at now.
--- a/galenacontrol/reports_test.go
+++ b/galenacontrol/reports_test.go
@@ -1,6 +1,7 @@
 package galenacontrol
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenaconfig"
 	"github.com/galenahead/galenahead/galenastate"
+	"github.com/galenahead/galenahead/galenatimer"
 )
 
 // Guards against rebooting a VM on which a broker may still have granted slots,
@@ -71,3 +73,18 @@
 	remaining := s.remainingBudgets(m.View(), now)["s"]
 	is.True(remaining > 0.2499 && remaining < 0.2501) // 9 of 12 allowed failures of x
 }
+
+// Guards against a record for each name that a report of a stranger gives.
+func TestReportsOfStrangersAreNotKept(t *testing.T) {
+	is := is.New(t)
+	s := &ReportCollector{Timers: &galenatimer.Service{}, Entries: []galenahead.EntryName{"e1"}}
+	m := &galenastate.StateMachine{}
+	for i := range 100 {
+		s.keep(m.View(), galenaconfig.EntryReport{
+			Entry: galenahead.EntryName(fmt.Sprint("stranger-", i)), Services: []galenaconfig.ServiceReport{{Service: galenahead.ServiceName(fmt.Sprint("s-", i))}},
+		})
+	}
+	is.Equal(len(s.budgets)+len(s.services), 0)
+	s.keep(m.View(), galenaconfig.EntryReport{Entry: "e1"})
+	is.Equal(len(s.budgets), 1)
+}
