--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -10,6 +10,7 @@
 package galenafleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -268,6 +269,16 @@
 	return m
 }()
 
+// decoding decodes what this process or another replica has encoded. The state may hold more jobs and
+// records than the library decodes by default.
+var decoding = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
 func encodeCommand(ops []Op) ([]byte, error) {
 	b, err := encoding.Marshal(Command{ops})
 	if err != nil {
@@ -282,5 +293,5 @@
 	if err != nil {
 		return c, err
 	}
-	return c, eris.Wrap(cbor.Unmarshal(b, &c), "decode command")
+	return c, eris.Wrap(decoding.Unmarshal(b, &c), "decode command")
 }
--- a/galenafleet/committer.go
+++ b/galenafleet/committer.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
@@ -228,7 +227,7 @@
 		return err
 	}
 	var results []Result
-	if err := cbor.Unmarshal(out, &results); err != nil {
+	if err := decoding.Unmarshal(out, &results); err != nil {
 		return eris.Wrap(err, "decode results")
 	}
 	if len(results) != len(ops) {
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/galenahead/galenahead"
@@ -411,7 +410,7 @@
 // Restore implements galenahead.StateMachine.
 func (s *State) Restore(b []byte) error {
 	var in snapshot
-	if err := cbor.Unmarshal(b, &in); err != nil {
+	if err := decoding.Unmarshal(b, &in); err != nil {
 		return eris.Wrap(err, "decode the fleet's state")
 	}
 	s.mu.Lock()
