Accepted work is counted: what has no room is refused before it is accepted

Cause: nothing bounded what accepted jobs hold. The scheduler makes 368 bytes for each work item at once, a due occurrence has as many again, and neither it nor the records of its work items were ever forgotten.

Change: galenaintake.Room counts what accepted work holds, by client account, or by queue without one. A holder may take as much as is still free beside it, as callers in the queues of galena-entry do, so that none uses up the room of all; jobs over 64 KiB leave a quarter to the others; the first job of a holder may take what is free. The room is a third of the machine's memory. The replicated state counts jobs, final ones and unknown ones that were cancelled, so that every next owner knows what is held. A job without room is refused with 429, and a cancel that would have to be remembered with 503, before anything is recorded, with Retry-After 5 s; one that never fits with 400. Accepted work is never given up. An occurrence that is over is forgotten, in the state (a set of numbers, most of them "all before n") and in the scheduler. Occurrences beside the first open as far as a sixteenth of the memory goes; the others wait, though due. A judged job makes no work items.

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -132,7 +132,8 @@
 	timers := &galenatimer.BootTimeService{}
 	rpcClient, logClient, gate := &galenarpc.Client{}, &galenarpc.Client{}, &galenagate.Gate{}
 	readClient := &galenarpc.Client{Stamped: true}
-	state := &galenafleet.State{Timers: timers, ProcessStart: time.Now().Round(0)}
+	machine := machineOf(f)
+	state := &galenafleet.State{Timers: timers, ProcessStart: time.Now().Round(0), Room: machine.NewRoom()}
 	c := &controlDaemon{rpcClient: rpcClient, logClient: logClient, readClient: readClient, diskFailed: make(chan struct{})}
 	node, err := galenaraft.Open(galenaraft.Config{
 		Name: f.Replica(), Path: f.Control.DataDirectory, StateMachine: state, RPCClient: logClient, Timers: timers, Log: log.Logger,
@@ -160,7 +161,7 @@
 		},
 		Timers: timers,
 	}
-	client := &platform.Client{MaxConnections: machineOf(f).Files / instanceConnectionsPart}
+	client := &platform.Client{MaxConnections: machine.Files / instanceConnectionsPart}
 	instances := &platform.InstanceClient{Client: client}
 	c.relays = &galenarelay.Client{
 		Direct: instances, RPCClient: rpcClient, Timers: timers, Logger: log.Logger, Self: f.Listen.Peer.String(), Peers: c.otherReplicas,
@@ -175,6 +176,8 @@
 		Advisor:      &platform.Advisor{Client: platform.NewServiceClient(), Address: f.Platform.Advisor.String()},
 		Machines:     &platform.MachineClient{Client: platform.NewServiceClient(), Address: f.Platform.Machines.String(), Logger: log.Logger},
 		Params:       schedulerParams(f),
+		MaxInstances: machine.Instances(),
+		NewOverlaps:  func() galenajob.Overlaps { return machine.NewOverlapRoom() },
 		MachineLease: f.Instances.MachineLease, FinalJobRetention: f.Instances.FinalJobRetention,
 	}
 	c.membership = &galenafleet.MembershipManager{
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -53,6 +53,11 @@
 	// MaxStarting returns how many starts a service may have under way now, given
 	// Params.MaxStarting. If it is nil, that is the bound.
 	MaxStarting func(direct int) int
+	// NewOverlaps returns a bound on the occurrences of recurring jobs that overlap, for a session. It
+	// may be nil.
+	NewOverlaps func() galenajob.Overlaps
+	// MaxInstances bounds the registered instances, of which each is called. Zero means no bound.
+	MaxInstances int
 	// Gate orders the work of the owner, so that the log and the renewal of leases go before
 	// what can wait or be rejected. It may be nil.
 	Gate *galenagate.Gate
@@ -129,6 +134,9 @@
 		submitting: map[galenahead.JobID]*submission{}, configuring: make(chan struct{}, 1), reassigning: make(chan struct{}, 1),
 		commandLimit: newCallLimit(longestCommandLimit), pollLimit: newCallLimit(longestPollLimit),
 	}
+	if o.NewOverlaps != nil {
+		sess.overlaps = o.NewOverlaps()
+	}
 	sess.committer = newCommitter(o.Log, term, sessionCtx.Done(), resign)
 	sess.committing.Go(func() { _ = sess.committer.loop(sessionCtx) })
 	r, err := sess.committer.commit(Op{Owner: &OwnerOp{o.Name}})
@@ -158,6 +166,8 @@
 	// ledger counts what client accounts may have running, and rates what they submit.
 	ledger galenaaccount.Ledger
 	rates  galenaaccount.Rates
+	// overlaps bounds the occurrences of recurring jobs that overlap.
+	overlaps galenajob.Overlaps
 	// countedAccounts holds the accounts that have counters of their own.
 	countedAccounts atomic.Pointer[map[galenahead.AccountName]bool]
 	load            ownerLoad
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"time"
 
@@ -314,6 +315,15 @@
 		return overloadReply(delay), nil
 	}
 	q := &m.queue
+	release, reply, ok := sess.takeRoom(m, spec)
+	if !ok && reply.Outcome == OutcomeRejected && !sess.submitsAlone(id) {
+		// Another submission of it may be accepted.
+		return Reply{}, galenahead.ErrNotReady
+	}
+	if !ok {
+		return reply, nil
+	}
+	defer release()
 	j := &galenajob.Job{
 		ID: id, Queue: q.Name, Service: q.Service, Spec: *spec,
 		MaxAttempts: q.MaxAttempts, Accepted: time.Now().Round(0),
@@ -361,6 +371,25 @@
 	}, false
 }
 
+// roomRetryAfter is how long the caller of a job should wait for which there is no room. Jobs that are
+// accepted take seconds.
+const roomRetryAfter = 5 * time.Second
+
+// takeRoom takes the room that a job needs until the state counts it, or returns the answer that
+// refuses it. release gives it back.
+func (sess *ownerSession) takeRoom(m *requestMatch, spec *galenajob.Spec) (release func(), reply Reply, ok bool) {
+	room, n, holder := sess.State.Room, spec.HeldBytes(), galenajob.Holder(m.account, m.queue.Name)
+	if !room.Fits(n) {
+		return nil, Reply{Outcome: OutcomeInvalid, Reason: "the job is larger than what is ever accepted: it would hold " + strconv.FormatInt(n, 10) + " bytes"}, false
+	}
+	if !room.Take(holder, n) {
+		sess.Metrics.Counters.Add("rejected_room", 1)
+		sess.countAccount(m.account, "rejected")
+		return nil, Reply{Outcome: OutcomeRejected, Reason: "no room for more jobs", RetryAfter: roomRetryAfter}, false
+	}
+	return func() { room.Free(holder, n) }, Reply{}, true
+}
+
 // maxCommitDelay is how long an accepted job may take to become durable. The daemon
 // of the caller waits half as long again; after that the outcome is uncertain.
 const maxCommitDelay = attemptTimeout * 2 / 3
@@ -447,6 +476,13 @@
 	if err := sess.awaitSubmit(id); err != nil {
 		return Reply{}, err
 	}
+	if _, _, known, _ := sess.State.jobOf(account, id); !known {
+		// The job is remembered, so that it isn't accepted later.
+		if !sess.State.Room.Take(holderForgotten, galenajob.HeldByUnknownJob) {
+			return Reply{Outcome: OutcomeUnready, Reason: "no room for more jobs", RetryAfter: roomRetryAfter}, nil
+		}
+		defer sess.State.Room.Free(holderForgotten, galenajob.HeldByUnknownJob)
+	}
 	r, err := sess.commitOutsideGate(Op{Cancel: &CancelOp{Job: id, At: time.Now().Round(0), Account: account}})
 	if err != nil {
 		return Reply{}, err
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -95,6 +95,7 @@
 		adviceRequests: make(chan galenajob.Action, maxQueuedAdvice),
 	}
 	sh.scheduler.UseLedger(&sess.ledger)
+	sh.scheduler.SetOverlaps(sess.overlaps)
 	return sh
 }
 
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenahead/galenahead"
 	"github.com/galenahead/galenahead/galenaaccount"
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenajob"
 )
 
@@ -25,6 +26,8 @@
 	// not delay this process as a new owner, since it did not compete with the
 	// owner that sent them.
 	ProcessStart time.Time
+	// Room counts what the jobs hold. It may be nil.
+	Room *galenaintake.Room
 
 	mu     sync.RWMutex
 	epoch  uint64
@@ -177,21 +180,22 @@
 	if _, ok := s.cancelledUnknown[cancelKey(j.Account, j.ID)]; ok {
 		return Result{Code: CodeCancelled}
 	}
-	n := 0
-	for i := range j.Spec.Steps {
-		n += j.Spec.Steps[i].Count
-	}
-	j.ItemsLeft = n * j.Spec.Occurrences()
+	j.ItemsLeft = j.Spec.ItemsPerOccurrence() * j.Spec.Occurrences()
 	j.State = galenajob.StateQueued
-	j.Items = map[galenajob.ItemKey]galenajob.ItemRecord{}
+	j.Items, j.DoneItems = map[galenajob.ItemKey]galenajob.ItemRecord{}, map[int]int{}
 	s.jobs[j.ID] = j
+	s.count(j)
 	return Result{Code: CodeDone, JobState: j.State}
 }
 
 func (s *State) applyCancel(c *CancelOp) Result {
 	j, ok := s.jobs[c.Job]
 	if !ok || !visible(j, c.Account) {
-		s.cancelledUnknown[cancelKey(c.Account, c.Job)] = c.At
+		key := cancelKey(c.Account, c.Job)
+		if _, known := s.cancelledUnknown[key]; !known {
+			s.Room.Force(holderForgotten, galenajob.HeldByUnknownJob)
+		}
+		s.cancelledUnknown[key] = c.At
 		return Result{Code: CodeNotFound}
 	}
 	if j.State.Final() {
@@ -204,9 +208,23 @@
 // finishJob makes a job final and drops its work items and its spec, which are no
 // longer needed.
 func (s *State) finishJob(j *galenajob.Job, state galenajob.State, at time.Time) {
+	s.Room.Free(galenajob.Holder(j.Account, j.Queue), j.Spec.HeldBytes())
 	j.State, j.Ended = state, at
-	j.Items = nil
+	j.Items, j.DoneItems, j.Over = nil, nil, galenajob.OccurrenceSet{}
 	j.Spec = galenajob.Spec{}
+	s.count(j)
+}
+
+// holderForgotten holds what the state keeps for a while of jobs that are final or not known.
+const holderForgotten = "forgotten later"
+
+// count counts what a job holds that was not counted in its present state.
+func (s *State) count(j *galenajob.Job) {
+	if j.State.Final() {
+		s.Room.Force(holderForgotten, galenajob.HeldByFinalJob)
+		return
+	}
+	s.Room.Force(galenajob.Holder(j.Account, j.Queue), j.Spec.HeldBytes())
 }
 
 func (s *State) applyEnd(e *EndOp) Result {
@@ -214,7 +232,7 @@
 	if !ok {
 		return Result{Code: CodeNotFound}
 	}
-	if j.State.Final() || e.Item.Step < 0 || e.Item.Step >= len(j.Spec.Steps) {
+	if j.State.Final() || e.Item.Step < 0 || e.Item.Step >= len(j.Spec.Steps) || j.Over.Has(e.Item.Occurrence) {
 		return Result{Code: CodeUnchanged, JobState: j.State}
 	}
 	record := j.Items[e.Item]
@@ -236,7 +254,7 @@
 		return Result{Code: CodeNotFound}
 	}
 	record := j.Items[c.Item]
-	unknown := c.Item.Step < 0 || c.Item.Step >= len(j.Spec.Steps)
+	unknown := c.Item.Step < 0 || c.Item.Step >= len(j.Spec.Steps) || j.Over.Has(c.Item.Occurrence)
 	if j.State.Final() || unknown || record.Done || record.CrashedIn(c.Run) || c.Run <= record.Cleared {
 		return Result{Code: CodeUnchanged, JobState: j.State}
 	}
@@ -287,10 +305,23 @@
 		record.Done = true
 		j.Items[k] = record
 		j.ItemsLeft--
+		j.DoneItems[k.Occurrence]++
 	}
 	if j.ItemsLeft == 0 {
 		s.finishJob(j, galenajob.StateCompleted, e.At)
+		return
+	}
+	forgetOver(j, e.Item.Occurrence)
+}
+
+// forgetOver forgets the records of an occurrence if all its work items are done.
+func forgetOver(j *galenajob.Job, occurrence int) {
+	if j.Spec.Repetitions == 0 || j.DoneItems[occurrence] < j.Spec.ItemsPerOccurrence() {
+		return
 	}
+	maps.DeleteFunc(j.Items, func(k galenajob.ItemKey, _ galenajob.ItemRecord) bool { return k.Occurrence == occurrence })
+	delete(j.DoneItems, occurrence)
+	j.Over = j.Over.With(occurrence)
 }
 
 func (s *State) applyReassign(r *ReassignOp) Result {
@@ -326,10 +357,20 @@
 // expireJobs deletes the jobs that became final before cutoff, and the records of unknown
 // jobs that were cancelled and of instances that left before it.
 func (s *State) expireJobs(cutoff time.Time) {
-	maps.DeleteFunc(s.cancelledUnknown, func(_ galenahead.JobID, at time.Time) bool { return at.Before(cutoff) })
+	maps.DeleteFunc(s.cancelledUnknown, func(_ galenahead.JobID, at time.Time) bool {
+		if !at.Before(cutoff) {
+			return false
+		}
+		s.Room.Free(holderForgotten, galenajob.HeldByUnknownJob)
+		return true
+	})
 	maps.DeleteFunc(s.left, func(_ galenahead.InstanceID, l LeftOp) bool { return l.At.Before(cutoff) })
 	maps.DeleteFunc(s.jobs, func(_ galenahead.JobID, j *galenajob.Job) bool {
-		return j.State.Final() && j.Ended.Before(cutoff)
+		if !j.State.Final() || !j.Ended.Before(cutoff) {
+			return false
+		}
+		s.Room.Free(holderForgotten, galenajob.HeldByFinalJob)
+		return true
 	})
 	s.expireRetired()
 }
@@ -420,13 +461,10 @@
 	s.retired = in.Retired
 	s.jobs = nil
 	s.init()
+	s.Room.Reset()
+	s.Room.Force(holderForgotten, galenajob.HeldByUnknownJob*int64(len(in.CancelledUnknown)))
 	for _, r := range in.Jobs {
-		j := r.Job
-		j.Items = map[galenajob.ItemKey]galenajob.ItemRecord{}
-		for _, it := range r.Items {
-			j.Items[it.Key] = it.Facts
-		}
-		s.jobs[j.ID] = j
+		s.restoreJob(r)
 	}
 	for _, in := range in.Instances {
 		s.instances[in.ID] = in
@@ -446,6 +484,27 @@
 	return nil
 }
 
+// restoreJob adds a job of a snapshot.
+func (s *State) restoreJob(r storedJob) {
+	j := r.Job
+	s.jobs[j.ID] = j
+	s.count(j)
+	if j.State.Final() {
+		return
+	}
+	j.Items, j.DoneItems = map[galenajob.ItemKey]galenajob.ItemRecord{}, map[int]int{}
+	for _, it := range r.Items {
+		j.Items[it.Key] = it.Facts
+		if it.Facts.Done {
+			j.DoneItems[it.Key.Occurrence]++
+		}
+	}
+	// Snapshots of earlier versions hold the records of all occurrences.
+	for _, k := range slices.Collect(maps.Keys(j.DoneItems)) {
+		forgetOver(j, k)
+	}
+}
+
 // Config returns the current configuration, or nil before the first one.
 func (s *State) Config() *Config {
 	s.mu.RLock()
@@ -628,7 +687,7 @@
 
 func cloneJob(j *galenajob.Job) *galenajob.Job {
 	c := *j
-	c.Items = maps.Clone(j.Items)
+	c.Items, c.DoneItems = maps.Clone(j.Items), nil
 	return &c
 }
 
--- a/galenaintake/intake_test.go
+++ b/galenaintake/intake_test.go
@@ -172,7 +172,7 @@
 	is.Equal(Machine{MemoryMB: 408, Files: 4100}.PeerConns(), 1025)
 	is.Equal(Machine{MemoryMB: 96, Files: 4100}.PeerConns(), 384)
 	is.Equal(Machine{}.NewBudget().Bytes, int64(defaultBudget))
-	is.Equal(Machine{MemoryMB: 284}.NewRoom().Bytes, int64(71<<20))
+	is.Equal(Machine{MemoryMB: 96}.NewRoom().Bytes, int64(32<<20))
 
 	// The ports of a program leave descriptors for what it opens itself.
 	small := Machine{MemoryMB: 64, Files: 300}
--- a/galenaintake/machine.go
+++ b/galenaintake/machine.go
@@ -10,8 +10,11 @@
 	defaultRoom   = 512 << 20
 	// roomPart is the part of a machine's memory that accepted work may take, and overlapPart the one
 	// that occurrences of recurring work may take which are due before earlier ones have ended.
-	roomPart    = 4
+	roomPart    = 3
 	overlapPart = 16
+	// instancesPart is the part that instances take, of which each takes instanceBytes.
+	instancesPart = 8
+	instanceBytes = 8 << 10
 	// minConns is the least bound on connections.
 	minConns = 8
 	// fileParts is the number of parts into which the descriptors are divided among ports.
@@ -72,6 +75,10 @@
 	return &Room{Bytes: m.memory() / overlapPart}
 }
 
+// Instances returns how many instances a process may know that calls each of them, or zero if the memory
+// is not known.
+func (m Machine) Instances() int { return int(m.memory() / instancesPart / instanceBytes) }
+
 // CacheBytes returns how much a process may keep of what it could do without, or zero if the memory is
 // not known.
 func (m Machine) CacheBytes() int64 { return m.memory() / budgetPart }
--- a/galenajob/account.go
+++ b/galenajob/account.go
@@ -60,11 +60,10 @@
 	if j.Account == "" || j.ledger == nil {
 		return
 	}
-	for k := range j.Spec.Occurrences() {
-		if wall.Before(j.Spec.Due(k)) {
-			break
-		}
-		for _, set := range j.occurrence(k) {
+	s.wall = wall
+	s.openDue(j)
+	for _, k := range j.openAndDue() {
+		for _, set := range j.sets[k] {
 			if set.dependenciesDone() {
 				set.expectRuns()
 			}
--- a/galenajob/admission.go
+++ b/galenajob/admission.go
@@ -66,7 +66,7 @@
 	if s.limits == nil || record.Spec.LongRunning() || record.Spec.Repetitions > 0 {
 		return 0, true
 	}
-	j := &job{Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{}, criticalPath: criticalPath(&record.Spec), acceptedAt: now}
+	j := &job{Job: record, queue: s.queues[record.Queue], unplanned: true, criticalPath: criticalPath(&record.Spec), acceptedAt: now}
 	rate := s.startRate.perSecond(now)
 	if !s.limits.StartLimited {
 		rate = max(rate, s.limits.MilliCPU)
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -302,11 +302,9 @@
 
 // readySets appends the item sets of due occurrences whose dependencies are done to ready.
 func (s *Scheduler) readySets(j *job, ready []*itemSet) []*itemSet {
-	for j.dueOccurrences < j.Spec.Occurrences() && !s.wall.Before(j.Spec.Due(j.dueOccurrences)) {
-		j.occurrence(j.dueOccurrences)
-		j.dueOccurrences++
-	}
-	for k := range j.dueOccurrences {
+	j.closeOver()
+	s.openDue(j)
+	for _, k := range j.openAndDue() {
 		for _, set := range j.sets[k] {
 			if set.itemsLeft > 0 && set.dependenciesDone() {
 				ready = append(ready, set)
--- a/galenajob/rank.go
+++ b/galenajob/rank.go
@@ -224,6 +224,9 @@
 
 // begun reports whether a work item of the job is done.
 func (j *job) begun() bool {
+	if j.unplanned {
+		return false
+	}
 	return slices.ContainsFunc(j.occurrence(0), func(set *itemSet) bool { return set.itemsLeft < set.step.Count })
 }
 
@@ -234,6 +237,9 @@
 // remainingTime returns the estimated duration of the longest chain of dependent
 // steps that are not done.
 func (j *job) remainingTime() time.Duration {
+	if j.unplanned {
+		return j.criticalPath
+	}
 	sets := j.occurrence(0)
 	var buf [8]time.Duration
 	ends := slices.Grow(buf[:0], len(sets))[:len(sets)]
@@ -257,8 +263,19 @@
 // not done, in core milliseconds.
 func (j *job) remainingWork() int64 {
 	var sum int64
+	if j.unplanned {
+		for i := range j.Spec.Steps {
+			sum += j.Spec.Steps[i].work(j.Spec.Steps[i].Count)
+		}
+		return sum
+	}
 	for _, set := range j.occurrence(0) {
-		sum += int64(set.itemsLeft) * set.step.Need.MilliCPU * set.step.Estimate.Milliseconds() / 1000
+		sum += set.step.work(set.itemsLeft)
 	}
 	return sum
 }
+
+// work returns the estimated processor time of n work items of s, in core milliseconds.
+func (s *Step) work(n int) int64 {
+	return int64(n) * s.Need.MilliCPU * s.Estimate.Milliseconds() / 1000
+}
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -90,8 +90,10 @@
 	fences  *Fences
 	// ledger counts what client accounts may have running. It may be nil.
 	ledger *galenaaccount.Ledger
-	params Params
-	epoch  int64
+	// overlaps bounds the occurrences of recurring jobs that overlap. It may be nil.
+	overlaps Overlaps
+	params   Params
+	epoch    int64
 
 	queues map[string]Queue
 	jobs   map[galenahead.JobID]*job
@@ -206,8 +208,9 @@
 		return nil
 	}
 	j := &job{
-		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{}, acceptedAt: acceptedAt, started: len(record.Items) > 0,
-		ledger: s.ledger, criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(),
+		Job: record, queue: s.queues[record.Queue], sets: map[int][]*itemSet{}, acceptedAt: acceptedAt,
+		started: len(record.Items) > 0 || !record.Over.Empty(),
+		ledger:  s.ledger, criticalPath: criticalPath(&record.Spec), smallest: smallestNeed(&record.Spec), longRunning: record.Spec.LongRunning(),
 	}
 	s.jobs[record.ID] = j
 	s.order.touch(j)
@@ -439,6 +442,7 @@
 		return
 	}
 	j.final = true
+	j.freeOverlaps(0)
 	s.endExpectations(j)
 	s.order.remove(j)
 	delete(s.jobs, id)
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -188,8 +188,15 @@
 	queue Queue
 	// ledger is that of the scheduler.
 	ledger *galenaaccount.Ledger
-	// sets holds the item sets by occurrence, one for each step.
+	// sets holds the item sets of the open occurrences, one for each step, and open their numbers in
+	// order.
 	sets map[int][]*itemSet
+	open []int
+	// overlapBytes is what the job has taken of overlaps for open occurrences.
+	overlapBytes int64
+	overlaps     Overlaps
+	// unplanned marks a job that is only judged, and has no item sets.
+	unplanned bool
 	// criticalPath is the estimated duration of the longest chain of dependent
 	// steps.
 	criticalPath time.Duration
@@ -240,24 +247,27 @@
 	return least
 }
 
-// item returns the work item with a key, or nil when the job has none.
+// item returns the work item with a key, or nil when the job has none or its occurrence is over.
 func (j *job) item(k ItemKey) *item {
 	if k.Step < 0 || k.Step >= len(j.Spec.Steps) || k.Occurrence < 0 || k.Occurrence >= j.Spec.Occurrences() {
 		return nil
 	}
 	sets := j.occurrence(k.Occurrence)
-	if k.Index < 0 || k.Index >= len(sets[k.Step].items) {
+	if sets == nil || k.Index < 0 || k.Index >= len(sets[k.Step].items) {
 		return nil
 	}
 	return &sets[k.Step].items[k.Index]
 }
 
 // occurrence returns the item sets of an occurrence, which the first call
-// creates.
+// creates, or nil if the occurrence is over.
 func (j *job) occurrence(occurrence int) []*itemSet {
 	if sets, ok := j.sets[occurrence]; ok {
 		return sets
 	}
+	if j.Over.Has(occurrence) {
+		return nil
+	}
 	sets := make([]*itemSet, len(j.Spec.Steps))
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
@@ -283,6 +293,8 @@
 		sets[i] = set
 	}
 	j.sets[occurrence] = sets
+	at, _ := slices.BinarySearch(j.open, occurrence)
+	j.open = slices.Insert(j.open, at, occurrence)
 	return sets
 }
 
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -75,6 +75,15 @@
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Repetitions) }
 
+// ItemsPerOccurrence returns the number of work items of one occurrence.
+func (s *Spec) ItemsPerOccurrence() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // Due returns when an occurrence may start. The zero time means immediately.
 func (s *Spec) Due(occurrence int) time.Time {
 	if s.Repetitions == 0 {
@@ -153,8 +162,11 @@
 	// Ended is the wall-clock time at which the job reached a final state.
 	Ended time.Time `cbor:"7,keyasint"`
 	State State     `cbor:"8,keyasint"`
-	// Items holds the work items that have a recorded end.
+	// Items holds the work items that have a recorded end, but for those of occurrences that are over.
 	Items map[ItemKey]ItemRecord `cbor:"-"`
+	// DoneItems counts the work items that are done, by the occurrence of a recurring job that is not
+	// over.
+	DoneItems map[int]int `cbor:"-"`
 	// ItemsLeft is the number of work items that are not done.
 	ItemsLeft int `cbor:"10,keyasint"`
 	// Account is the client account that submitted the job, or empty.
@@ -162,6 +174,9 @@
 	// Excess marks a job beyond the rate of its account, which goes behind all that may
 	// still be of use.
 	Excess bool `cbor:"12,keyasint,omitempty"`
+	// Over holds the occurrences of a recurring job of which all work items are done. It is unknown to
+	// earlier versions.
+	Over OccurrenceSet `cbor:"13,keyasint,omitempty"`
 }
 
 // ItemRecord is the recorded state of a work item.
--- a/galenajob/view.go
+++ b/galenajob/view.go
@@ -141,7 +141,7 @@
 		return JobView{}, false
 	}
 	v := s.viewJob(now, j)
-	for k := range j.dueOccurrences {
+	for _, k := range j.openAndDue() {
 		for _, set := range j.sets[k] {
 			for i := range set.items {
 				if it := &set.items[i]; it.instance != nil {
@@ -164,7 +164,7 @@
 	if j.started {
 		v.State = StateRunning
 	}
-	for k := range j.dueOccurrences {
+	for _, k := range j.openAndDue() {
 		for i, set := range j.sets[k] {
 			sv := StepView{Occurrence: k, Step: i, Open: set.dependenciesDone(), Items: len(set.items), Done: len(set.items) - set.itemsLeft}
 			for n := range set.items {
