galenafleet: made-up instances, services and waves are bounded

What callers saw: 196 MB at the owner and 151 MB at the other replicas, of 96, after 200 maintenance waves of 40,000 machines, which are kept for good.

Cause: waves were counted nowhere. By reading: each instance that a status report names is registered and polled, each service that one names has a scheduler, and both left an element for good.

Change: waves count in the room of accepted work, and are refused with 503 without room; an order that was accepted is acknowledged again. Elements of instances that are not registered are forgotten like final jobs. Data from other daemons expands to 16 MB at most, in place of 64.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -259,6 +259,21 @@
 	return true
 }
 
+// What a wave and each of its machines hold in the state, in bytes.
+const (
+	heldPerWave    = 512
+	heldPerMachine = 256
+)
+
+// heldBytes returns about how much memory the wave takes.
+func (w *Wave) heldBytes() int64 {
+	n := int64(heldPerWave)
+	for _, m := range w.Machines {
+		n += heldPerMachine + 2*int64(len(m))
+	}
+	return n
+}
+
 // encoding encodes times with nanoseconds; the default of the library is whole
 // seconds.
 var encoding = func() cbor.EncMode {
--- a/galenafleet/compress.go
+++ b/galenafleet/compress.go
@@ -16,7 +16,7 @@
 	// message delays the others on its connection by less than compressing it takes.
 	minCompressedSize = 16 << 10
 	// maxExpandedSize bounds data that is expanded, in bytes.
-	maxExpandedSize = 64 << 20
+	maxExpandedSize = 16 << 20
 )
 
 // gzipMagic starts compressed data. Neither CBOR maps nor JSON documents start with
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -376,6 +376,7 @@
 		case <-ticks:
 		}
 		cutoff := time.Now().Round(0).Add(-sess.FinalJobRetention)
+		sess.forgetRegistrations(cutoff)
 		if _, err := sess.committer.commit(Op{Expire: &cutoff}); err != nil {
 			return nil
 		}
--- a/galenafleet/registration.go
+++ b/galenafleet/registration.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/galenahead/galenahead"
@@ -25,6 +27,8 @@
 	changing chan struct{}
 	// born and sequence identify the newest heartbeat.
 	born, sequence int64
+	// usedAt is when the element was last asked for. The mutex of the session guards it.
+	usedAt time.Time
 }
 
 func (r *registration) unlock() { <-r.changing }
@@ -38,9 +42,43 @@
 		reg = &registration{changing: make(chan struct{}, 1)}
 		sess.registrations[id] = reg
 	}
+	reg.usedAt = time.Now()
 	return reg
 }
 
+// forgetRegistrations forgets the elements of instances that are not registered and were not heard of
+// since cutoff.
+func (sess *ownerSession) forgetRegistrations(cutoff time.Time) {
+	sess.mu.Lock()
+	defer sess.mu.Unlock()
+	maps.DeleteFunc(sess.registrations, func(id galenahead.InstanceID, reg *registration) bool {
+		_, registered := sess.State.instance(id)
+		return !registered && reg.usedAt.Before(cutoff)
+	})
+}
+
+// maxServices is the number of services at which instances of ones that no configuration names are not
+// registered, since each service has a scheduler.
+const maxServices = 256
+
+// hasRoomFor reports whether an instance is registered, or may be.
+func (sess *ownerSession) hasRoomFor(in galenajob.Instance) bool {
+	known, ok := sess.State.instance(in.ID)
+	if !ok && sess.MaxInstances > 0 && sess.State.instanceCount() >= sess.MaxInstances {
+		return false
+	}
+	if ok && known.Service == in.Service {
+		return true
+	}
+	if c := sess.State.Config(); c != nil && slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == in.Service }) {
+		return true
+	}
+	sess.mu.Lock()
+	defer sess.mu.Unlock()
+	_, exists := sess.shards[in.Service]
+	return exists || len(sess.shards) < maxServices
+}
+
 // tryLockRegistration locks the registration of an instance, or returns nil if a change of
 // it is under way or the session has ended.
 func (sess *ownerSession) tryLockRegistration(id galenahead.InstanceID) *registration {
@@ -104,6 +142,9 @@
 	if in.Draining {
 		return false
 	}
+	if _, ok := sess.State.instance(in.ID); !ok {
+		return false
+	}
 	reg := sess.tryLockRegistration(in.ID)
 	if reg == nil {
 		return false
@@ -126,6 +167,10 @@
 func (sess *ownerSession) heartbeatChanged(hb Heartbeat) error {
 	sess.load.heartbeats.Add(1)
 	in := hb.Instance
+	if !sess.hasRoomFor(in) {
+		sess.Metrics.Counters.Add("rejected_instances", 1)
+		return galenahead.ErrOverloaded
+	}
 	reg, err := sess.lockRegistration(in.ID)
 	if err != nil {
 		return err
--- a/galenafleet/request.go
+++ b/galenafleet/request.go
@@ -594,6 +594,12 @@
 		return Empty{}, err
 	}
 	w.Accepted = time.Now().Round(0)
+	if sess.State.Wave(w.ID) == nil {
+		if !sess.State.Room.Take(holderWaves, w.heldBytes()) {
+			return Empty{}, eris.Wrap(galenahead.ErrOverloaded, "no room for the wave")
+		}
+		defer sess.State.Room.Free(holderWaves, w.heldBytes())
+	}
 	r, err := sess.committer.commit(Op{Wave: &w})
 	if err != nil {
 		return Empty{}, err
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -342,9 +342,13 @@
 	}
 	w.Steps = map[galenahead.VMName]StepState{}
 	s.waves[w.ID] = w
+	s.Room.Force(holderWaves, w.heldBytes())
 	return Result{Code: CodeDone}
 }
 
+// holderWaves holds the maintenance waves.
+const holderWaves = "maintenance waves"
+
 func (s *State) applyWaveStep(o *WaveStepOp) Result {
 	w, ok := s.waves[o.Wave]
 	if !ok {
@@ -480,6 +484,7 @@
 			w.Steps = map[galenahead.VMName]StepState{}
 		}
 		s.waves[w.ID] = w
+		s.Room.Force(holderWaves, w.heldBytes())
 	}
 	return nil
 }
