--- a/galenadaemon/command.go
+++ b/galenadaemon/command.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/galenahead/galenahead/galenaintake"
 	"github.com/galenahead/galenahead/galenasettings"
 )
 
@@ -115,7 +116,9 @@
 	if err != nil {
 		return err
 	}
-	log.WithField("name", process.Name).Info("daemon started")
+	machine := galenaintake.ThisMachine(process.MachineMemoryMB, process.MaxOpenFiles)
+	log.WithField("name", process.Name).WithField("machine_memory_mb", machine.MemoryMB).WithField("max_open_files", machine.Files).
+		Info("daemon started")
 	err = daemon.Run(ctx)
 	log.WithField("name", process.Name).Info("daemon stopped")
 	return err
--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -110,9 +110,11 @@
 
 // loadLine is the log line of the load of an owner in one interval.
 type loadLine struct {
-	epoch                                                              uint64
-	interval, processor                                                time.Duration
-	goroutines, commitQueue                                            int
+	epoch                   uint64
+	interval, processor     time.Duration
+	goroutines, commitQueue int
+	// room is what accepted work holds, in bytes.
+	room                                                               int64
 	sizes                                                              galenajob.Sizes
 	plans, lockWaits, polls, commands, requests, commits, controlSteps durationTotals
 	tickLate                                                           durationTotals
@@ -162,6 +164,7 @@
 	b = appendTotals(b, "commits", "commit", l.commits)
 	b = galenalog.AppendInt(b, "commit_ops", l.ops)
 	b = galenalog.AppendInt(b, "commit_queue", int64(l.commitQueue))
+	b = galenalog.AppendInt(b, "room_bytes", l.room)
 	b = galenalog.AppendInt(b, "log_gap_max_us", l.logGap.Microseconds())
 	b = galenalog.AppendInt(b, "log_sync_max_us", l.logSync.Microseconds())
 	return appendTotals(b, "control_steps", "control_step", l.controlSteps)
@@ -235,7 +238,7 @@
 	late := l.recentTickLate()
 	line := &loadLine{
 		commandLimit: sess.commandLimit.typical(late), pollLimit: sess.pollLimit.typical(late),
-		epoch: sess.epoch, goroutines: runtime.NumGoroutine(), commitQueue: len(sess.committer.queue),
+		epoch: sess.epoch, goroutines: runtime.NumGoroutine(), commitQueue: len(sess.committer.queue), room: sess.State.Room.Used(),
 		plans: l.plans.take(), lockWaits: l.lockWaits.take(), polls: l.polls.take(), commands: l.commands.take(),
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
--- a/galenarpc/intake.go
+++ b/galenarpc/intake.go
@@ -26,10 +26,10 @@
 	hold    *galenaintake.Hold
 	// slots has an element for each call that is under way.
 	slots chan struct{}
-	// given is closed once the connection was given up for the sake of others.
-	given chan struct{}
-	once  sync.Once
-	conn  net.Conn
+	// displaced is closed once the connection was given up for the sake of others.
+	displaced chan struct{}
+	once      sync.Once
+	conn      net.Conn
 
 	mu sync.Mutex
 	// underWay counts the calls under way, and closed is set once the connection has ended.
@@ -39,7 +39,7 @@
 
 // newConnIntake returns the bounds of a connection, or false if there is no room for it.
 func (s *Server) newConnIntake(c net.Conn) (*connIntake, bool) {
-	i := &connIntake{slots: make(chan struct{}, maxCalls), given: make(chan struct{}), conn: c}
+	i := &connIntake{slots: make(chan struct{}, maxCalls), displaced: make(chan struct{}), conn: c}
 	var ok bool
 	if i.counted, ok = s.Conns.Admit(c, i.giveUp); !ok {
 		return nil, false
@@ -50,14 +50,17 @@
 
 // giveUp ends the connection for the sake of others.
 func (i *connIntake) giveUp() {
-	i.once.Do(func() { close(i.given) })
+	i.once.Do(func() { close(i.displaced) })
 	_ = i.conn.Close()
 }
 
+// unbounded is the hold of connections that bound nothing.
+var unbounded = &galenaintake.Hold{}
+
 // connHold returns the hold of the connection.
 func (i *connIntake) connHold() *galenaintake.Hold {
 	if i == nil {
-		return &galenaintake.Hold{}
+		return unbounded
 	}
 	return i.hold
 }
@@ -79,7 +82,7 @@
 	}
 	select {
 	case i.slots <- struct{}{}:
-	case <-i.given:
+	case <-i.displaced:
 		return false
 	}
 	i.mu.Lock()
