Settings: the largest body of an entry fits the memory of its machine

A body that is received takes up to three times its length of an eighth of the memory, so that one inside max_body_kb could be refused for good on a small machine. Such a file is reported by the check of the settings: max_body_kb is at most a 32nd of machine_memory_mb, if that is set. TestLargestBodyFitsTheMachine.

--- a/galenasettings/settings.go
+++ b/galenasettings/settings.go
@@ -4,8 +4,10 @@
 package galenasettings
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -168,9 +170,22 @@
 		}
 	}
 	checkListed(r, "entries", e.Process.Name)
+	checkBodyFits(r, e)
 	return finish(r, e)
 }
 
+// maxBodyPart is the part of the machine's memory that the largest body may take. What an entry holds of
+// bodies is an eighth, and a body that is received takes up to three times its length of that.
+const maxBodyPart = 32
+
+// checkBodyFits reports a limit of bodies for which the machine has too little memory.
+func checkBodyFits(r *reader, e Entry) {
+	largest := e.Process.MachineMemoryMB << 10 / maxBodyPart
+	if kv, ok, _ := r.lookup("limits", "max_body_kb"); ok && largest > 0 && e.Limits.MaxBodyKB > largest {
+		r.addFault("limits", "max_body_kb", kv.line, strconv.Quote(kv.value), fmt.Sprintf("at most %d KB with machine_memory_mb = %d", largest, e.Process.MachineMemoryMB))
+	}
+}
+
 // ParseControl parses data as the settings of a control daemon. Faults name
 // file as their file.
 func ParseControl(file string, data []byte) (Control, error) {
--- a/galenasettings/settings_test.go
+++ b/galenasettings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -116,3 +117,19 @@
 		}
 	})
 }
+
+// Guards against an entry that refuses bodies inside its limit, because its machine has too little memory.
+func TestLargestBodyFitsTheMachine(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../examples/kitakaze/kitakaze-entry-01.ini")
+	is.NoErr(err)
+	withMemory := func(mb int) error {
+		_, err := ParseEntry("e.ini", []byte(strings.Replace(string(data), "[process]\n", fmt.Sprintf("[process]\nmachine_memory_mb = %d\n", mb), 1)))
+		return err
+	}
+	is.NoErr(withMemory(0))
+	is.NoErr(withMemory(32))
+	err = withMemory(31)
+	is.True(errors.Is(err, ErrSettings))
+	is.True(strings.Contains(err.Error(), "[limits] max_body_kb: found \"1024\"; allowed: at most 992 KB with machine_memory_mb = 31"))
+}
