--- a/galenarpc/server.go
+++ b/galenarpc/server.go
@@ -36,12 +36,12 @@
 		if err != nil {
 			return err
 		}
-		intake, ok := s.newConnIntake(c)
+		intake, ok := s.newConnIntake(ctx, c)
 		if !ok {
 			_ = c.Close()
 			continue
 		}
-		conn := s.Mux.connect(ctx, c, intake)
+		conn := s.Mux.connect(intake.ctx, c, intake)
 		s.track(conn)
 		go s.runConn(ctx, conn, intake)
 	}
--- a/galenarpc/stream.go
+++ b/galenarpc/stream.go
@@ -138,23 +138,30 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if n > math.MaxInt64-1 {
+		return nil, 0, galenaintake.ErrTooLarge
+	}
 	if n <= maxFrameAllocation {
-		charged = callBytes + decodedFactor*int64(n)
-		if !s.intake.charge(charged) {
+		if charged = int64(n); !s.intake.charge(charged) {
 			return nil, 0, galenaintake.ErrNoBudget
 		}
 		data = make([]byte, n)
 		_, err = io.ReadFull(s.r, data)
-		return data, charged, err
+	} else {
+		data, err = galenaintake.Read(io.LimitReader(s.r, int64(n)), s.intake.connHold(), int64(n), int64(n))
+		charged = int64(cap(data))
+		if err == nil && uint64(len(data)) < n {
+			err = io.ErrUnexpectedEOF
+		}
 	}
-	if n > math.MaxInt64-1 {
-		return nil, 0, galenaintake.ErrTooLarge
+	if err != nil || s.intake == nil {
+		return data, charged, err
 	}
-	data, err = galenaintake.Read(io.LimitReader(s.r, int64(n)), s.intake.connHold(), int64(n), int64(n))
-	if err == nil && uint64(len(data)) < n {
-		err = io.ErrUnexpectedEOF
+	decoded := callBytes + decodedBytes(data)
+	if !s.intake.charge(decoded) {
+		return nil, 0, galenaintake.ErrNoBudget
 	}
-	return data, int64(cap(data)), err
+	return data, charged + decoded, nil
 }
 
 // call is a decoded frame of a call.
--- a/test/galena-local/floods_test.go
+++ b/test/galena-local/floods_test.go
@@ -49,10 +49,17 @@
 	return galenacrowd.Frame(fmt.Sprintf(`{"jsonrpc":"2.0","method":%q,"id":1,"params":{"x":%q}}`, method, strings.Repeat("x", n)))
 }
 
+// manyElements returns a call between daemons with a list of n empty objects.
+func manyElements(method, list string, n int) string {
+	return galenacrowd.Frame(fmt.Sprintf(`{"jsonrpc":"2.0","method":%q,"id":1,"params":{%q:[{}%s]}}`, method, list, strings.Repeat(",{}", n-1)))
+}
+
 // statusAndPeerFloods are the crowds at the ports that all daemons have. method is a call that the
-// process answers.
-func statusAndPeerFloods(method string) []floodCase {
+// process answers, and batch one whose parameters have a list.
+func statusAndPeerFloods(method, batch, list string) []floodCase {
 	return []floodCase{
+		{"messages that are much larger decoded", "peer", 10, galenacrowd.Repeated(manyElements(batch, list, 2_000_000), 3), 0},
+		{"short messages that are much larger decoded", "peer", 200, galenacrowd.Repeated(manyElements(batch, list, 20_000), 20), 0},
 		{"bodies at the status port", "status", 100, galenacrowd.Announced("/ready", farBody, 64<<10), 0},
 		{"bodies announced to the status port", "status", 500, galenacrowd.Announced("/ready", farBody, farBody), 0},
 		{"status pages that nobody reads", "status", 60, galenacrowd.Unread("/debug/vars", 20000), 0},
@@ -92,7 +99,7 @@
 		{"bodies of upstreams beyond the limit", "upstream", 100, galenacrowd.Announced("/v1/announce", farBody, 64<<10), 0},
 		{"silent clients of the caller port", "caller", silentClients, galenacrowd.Silent, floodFewFiles},
 		{"silent clients of the upstream port", "upstream", silentClients, galenacrowd.Silent, floodFewFiles},
-	}, statusAndPeerFloods("broker.outstanding")...)
+	}, statusAndPeerFloods("broker.outstanding", "claim.batch", "ops")...)
 }
 
 func controlFloods() []floodCase {
@@ -101,7 +108,7 @@
 		{"calls of operators that are much larger decoded", "operator", 20, decodedOperatorCalls(8, 500_000), 0},
 		{"headers of operators without end", "operator", 100, endlessOperatorHeaders(4 << 20), 0},
 		{"silent clients of the operator port", "operator", silentClients, galenacrowd.Silent, floodFewFiles},
-	}, statusAndPeerFloods("config.wait")...)
+	}, statusAndPeerFloods("config.wait", "raft.message", "entries")...)
 }
 
 // Guards against an entry that runs out of memory or descriptors, or hangs, because of clients that
