--- a/galenafleet/load.go
+++ b/galenafleet/load.go
@@ -224,7 +224,7 @@
 		}
 		now, used := time.Now(), processorTime()
 		line := sess.takeLoad()
-		line.interval, line.processor = now.Sub(last), used-processor
+		line.interval, line.processor, line.room = now.Sub(last), used-processor, sess.State.Room.Used()
 		last, processor = now, used
 		line.addTo(sess.Metrics)
 		galenalog.Info(sess.Logger, "owner load", line)
@@ -238,7 +238,7 @@
 	late := l.recentTickLate()
 	line := &loadLine{
 		commandLimit: sess.commandLimit.typical(late), pollLimit: sess.pollLimit.typical(late),
-		epoch: sess.epoch, goroutines: runtime.NumGoroutine(), commitQueue: len(sess.committer.queue), room: sess.State.Room.Used(),
+		epoch: sess.epoch, goroutines: runtime.NumGoroutine(), commitQueue: len(sess.committer.queue),
 		plans: l.plans.take(), lockWaits: l.lockWaits.take(), polls: l.polls.take(), commands: l.commands.take(),
 		requests: l.requests.take(), commits: sess.committer.commits.take(), controlSteps: l.controlSteps.take(),
 		tickLate: l.tickLate.take(), pollsFailed: l.pollsFailed.Swap(0), starts: l.starts.Swap(0), stops: l.stops.Swap(0),
--- a/galenafleet/load_test.go
+++ b/galenafleet/load_test.go
@@ -59,14 +59,14 @@
 		epoch: 7, interval: 1001 * time.Millisecond, processor: 450 * time.Millisecond, goroutines: 900, commitQueue: 3,
 		sizes: galenajob.Sizes{Waiting: 120, Active: 80, Instances: 350, Runs: 700, OverBudget: 22},
 		plans: totals(1), lockWaits: totals(2), polls: totals(3), commands: totals(4), requests: totals(5), commits: totals(6), controlSteps: totals(8),
-		tickLate: totals(9), pollsFailed: 10, starts: 11, stops: 12, repeats: 13, inFlight: 14, heartbeats: 15, ops: 16, exhausted: 19, lapsed: 23, repeated: 24, shed: 26, expired: 30, gateWaits: [galenagate.Classes]time.Duration{27 * time.Millisecond, 28 * time.Millisecond, 29 * time.Millisecond}, runnableWait: 25 * time.Millisecond, commandLimit: 20 * time.Millisecond, pollLimit: 21 * time.Millisecond, logGap: 17 * time.Millisecond, logSync: 18 * time.Millisecond,
+		tickLate: totals(9), pollsFailed: 10, starts: 11, stops: 12, repeats: 13, inFlight: 14, heartbeats: 15, ops: 16, exhausted: 19, lapsed: 23, repeated: 24, shed: 26, expired: 30, room: 31, gateWaits: [galenagate.Classes]time.Duration{27 * time.Millisecond, 28 * time.Millisecond, 29 * time.Millisecond}, runnableWait: 25 * time.Millisecond, commandLimit: 20 * time.Millisecond, pollLimit: 21 * time.Millisecond, logGap: 17 * time.Millisecond, logSync: 18 * time.Millisecond,
 	}
 	is.Equal(string(l.AppendFields(nil)), `,"epoch":7,"interval_ms":1001,"processor_ms":450,"tick_late_max_us":9000,"runnable_wait_max_us":25000,"goroutines":900`+
 		`,"jobs_waiting":120,"jobs_active":80,"instances":350,"runs":700,"steps_over_budget":22,"lapsed":23`+
 		`,"plans":1,"plan_us":10000,"plan_max_us":1000,"lock_waits":2,"lock_wait_us":20000,"lock_wait_max_us":2000`+
 		`,"polls":3,"poll_us":30000,"poll_max_us":3000,"polls_failed":10,"starts":11,"stops":12,"repeats":13,"in_flight":14`+
 		`,"commands":4,"command_us":40000,"command_max_us":4000,"command_limit_ms":20,"poll_limit_ms":21,"exhausted":19,"requests":5,"request_us":50000,"request_max_us":5000,"requests_repeated":24,"requests_shed":26,"requests_expired":30,"gate_wait_renewal_max_us":27000,"gate_wait_progress_max_us":28000,"gate_wait_demand_max_us":29000,"heartbeats":15`+
-		`,"commits":6,"commit_us":60000,"commit_max_us":6000,"commit_ops":16,"commit_queue":3,"log_gap_max_us":17000,"log_sync_max_us":18000`+
+		`,"commits":6,"commit_us":60000,"commit_max_us":6000,"commit_ops":16,"commit_queue":3,"room_bytes":31,"log_gap_max_us":17000,"log_sync_max_us":18000`+
 		`,"control_steps":8,"control_step_us":80000,"control_step_max_us":8000`)
 }
 
