--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts in review/11 to review/15 start, from the repository's root.
+set -eu
+cd "$(dirname "$0")/stand3"
+GOWORK=off go build -o ../../target/stand3 .
