--- a/review/stand3/crash.go
+++ b/review/stand3/crash.go
@@ -4,20 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
-	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
 
-// jobSpec is the text that a client sends as spec; a minion reads from it what a work item needs.
-type jobSpec struct {
-	CPU    int64 `json:"cpu"`
-	Mem    int64 `json:"mem"`
-	WorkMS int64 `json:"work_ms"`
-}
-
 const crashConfig = `{"version":7,"routes":[{"name":"r1","host":"shop.example","path_prefix":"/q/","kind":"unsafe","timeout_ms":3000,` +
 	`"target_latency_ms":600,"priority":0,"service":"desk","max_attempts":3,"stretch":1.6}],` +
 	`"services":[{"name":"desk","health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"admission_control":true,"spare":false}],` +
@@ -31,13 +22,6 @@
 	jobsPerSecond = 14
 )
 
-// job is a job of the clients.
-type job struct {
-	id     string
-	state  string
-	failed int // ends failed of its work items
-}
-
 // crashCase submits jobs whose work items all succeed, while one minion after the other
 // crashes and comes back. A job that is shown as failed without an end failed breaks LOST.
 func crashCase(record *recorder, trouble bool) (bool, error) {
@@ -55,31 +39,22 @@
 		minions = append(minions, &minion{
 			record: record, id: fmt.Sprintf("i-%08x", 0x10+i), service: "desk", zone: zones[i%3], rack: fmt.Sprintf("r%d-%d", i%3, i/4),
 			machine: fmt.Sprintf("m-%05x", i+1), address: "127.63.2.1:0", controls: d.controls(),
-			work: func(task string) time.Duration {
+			work: func(task string) (time.Duration, string) {
 				mu.Lock()
 				defer mu.Unlock()
-				return time.Duration(specs[strings.SplitN(task, ".", 2)[0]]) * time.Millisecond
+				return time.Duration(specs[jobOf(task)]) * time.Millisecond, "done"
 			},
 			ended: func(task string, _ int64, how string) {
 				mu.Lock()
 				defer mu.Unlock()
 				ends[how]++
-				if j := jobs[strings.SplitN(task, ".", 2)[0]]; j != nil && how == "failed" {
+				if j := jobs[jobOf(task)]; j != nil && how == "failed" {
 					j.failed++
 				}
 			},
 		})
 	}
-	d.machines = func() []map[string]any {
-		var rows []map[string]any
-		for _, m := range minions {
-			rows = append(rows, map[string]any{
-				"machine": m.machine, "pool": m.service, "state": "up", "zone": m.zone, "labels": []string{"a", m.rack},
-				"capacity": map[string]any{"cpu": capacityCPU, "mem_mb": capacityMem, "gpu": 0}, "id": m.id,
-			})
-		}
-		return rows
-	}
+	d.listMachines(minions)
 	for _, m := range minions {
 		if err := m.boot(); err != nil {
 			return false, err
@@ -153,49 +128,3 @@
 	}
 	return broken, nil
 }
-
-// follow submits a job until it is accepted or rejected, and then reads its state until that
-// is final or stop is closed.
-func follow(record *recorder, d *deployment, id string, entry int, body string, mu *sync.Mutex, jobs map[string]*job, stop chan struct{}) {
-	for try := 0; ; try++ {
-		addr := d.address(1+(entry+try)%machineCount, "front")
-		status, answer := call(http.MethodPost, addr, "shop.example", "/q/"+id, body)
-		record.printf("client: POST %s at %s -> %d %s", id, addr, status, answer)
-		if status == http.StatusOK {
-			break
-		}
-		if try >= 4 || (status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout) {
-			return
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	j := &job{id: id, state: "accepted"}
-	mu.Lock()
-	jobs[id] = j
-	mu.Unlock()
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(500 * time.Millisecond):
-		}
-		status, answer := call(http.MethodGet, d.address(1+(entry+n)%machineCount, "front"), "shop.example", "/q/"+id, "")
-		var shown struct {
-			State string `json:"state"`
-		}
-		if status != http.StatusOK || json.Unmarshal([]byte(answer), &shown) != nil {
-			record.printf("client: GET %s -> %d %s", id, status, answer)
-			continue
-		}
-		mu.Lock()
-		changed := j.state != shown.State
-		j.state = shown.State
-		mu.Unlock()
-		if changed {
-			record.printf("client: GET %s -> %s", id, answer)
-		}
-		if shown.State == "completed" || shown.State == "failed" || shown.State == "cancelled" {
-			return
-		}
-	}
-}
--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -20,8 +20,8 @@
 	machine  string
 	address  string
 	controls []string
-	// work returns how long a run of the work item takes. Below 0 it lasts.
-	work func(task string) time.Duration
+	// work returns how long a run of the work item takes and how it ends.
+	work func(task string) (time.Duration, string)
 	// ended is told each end that a life lists.
 	ended func(task string, run int64, how string)
 
@@ -110,6 +110,16 @@
 	m.record.printf("minion %s crashes under%s", m.id, lost)
 }
 
+// idle reports whether the minion is up and nothing runs on it.
+func (m *minion) idle() bool {
+	m.mu.Lock()
+	l := m.life
+	m.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.dead && len(l.running) == 0
+}
+
 func (l *life) clock() int64 { return time.Since(l.born).Milliseconds() + 1000 }
 
 type command struct {
@@ -211,16 +221,15 @@
 	l.extend(c)
 	l.running[c.Task] = &running{run: c.Run, cpu: spec.CPU, mem: spec.Mem, since: time.Now()}
 	l.m.record.printf("minion %s: %s run %d starts", l.m.id, c.Task, c.Run)
-	if d := l.m.work(c.Task); d >= 0 {
-		time.AfterFunc(d, func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.lapse()
-			if r := l.running[c.Task]; !l.dead && r != nil && r.run == c.Run {
-				l.end(c.Task, "done")
-			}
-		})
-	}
+	d, how := l.m.work(c.Task)
+	time.AfterFunc(d, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lapse()
+		if r := l.running[c.Task]; !l.dead && r != nil && r.run == c.Run {
+			l.end(c.Task, how)
+		}
+	})
 	return http.StatusOK, map[string]any{}
 }
 
