--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins that the scripts in review/11 to review/15 start, from the repository's root.
 set -eu
 cd "$(dirname "$0")/stand3"
-GOWORK=off go build -o ../../target/stand3 .
+mkdir -p ../../target
+GOWORK=off GOFLAGS="${GOFLAGS:-} -buildvcs=false" go build -o ../../target/stand3 .
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	cases := map[string]func(*recorder, bool) (bool, error){"crash": crashCase, "hopeless": hopelessCase}
+	cases := map[string]func(*recorder, bool) (bool, error){"deleted": deletedCase, "reborn": rebornCase, "odd-busy": oddBusyCase, "odd-idle": oddIdleCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
 		os.Exit(exitNotShown)
--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -22,11 +22,35 @@
 	controls []string
 	// work returns how long a run of the work item takes and how it ends.
 	work func(task string) (time.Duration, string)
+	// late returns how much later an order is carried out that is left without an answer, or
+	// zero for one that is answered at once. It may be nil.
+	late func(l *life, path string, c command) time.Duration
 	// ended is told each end that a life lists.
 	ended func(task string, run int64, how string)
+	// acked is told each end that ack_cursor reaches, started each start.
+	acked   func(e end)
+	started func(l *life, task string, run int64)
+
+	// stopTime is how long a stop takes, at most stop_timeout_ms.
+	stopTime time.Duration
+	// crashed is told each work item that runs when the minion crashes. It may be nil.
+	crashed func(task string)
 
 	mu   sync.Mutex
 	life *life
+	// cut is open while the minion is cut off, and otherwise nil.
+	cut chan struct{}
+}
+
+// delay returns how much later the order is carried out.
+func (m *minion) delay(l *life, path string, c command) time.Duration {
+	m.mu.Lock()
+	late := m.late
+	m.mu.Unlock()
+	if late == nil {
+		return 0
+	}
+	return late(l, path, c)
 }
 
 type life struct {
@@ -108,16 +132,30 @@
 	close(l.quit)
 	_ = l.server.Close()
 	m.record.printf("minion %s crashes under%s", m.id, lost)
+	m.lostRuns(lost)
 }
 
-// idle reports whether the minion is up and nothing runs on it.
-func (m *minion) idle() bool {
-	m.mu.Lock()
-	l := m.life
-	m.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.dead && len(l.running) == 0
+// carryOutLate carries out an order later, on the life that is up then. The header that names
+// the expected instance can't tell lives of one id apart.
+func (m *minion) carryOutLate(path string, c command, delay time.Duration) {
+	m.record.printf("minion %s: no answer to %s %s run %d token %d cursor %d; carried out in %s", m.id, path, c.Task, c.Run, c.FencingToken, c.AckCursor, delay)
+	time.AfterFunc(delay, func() {
+		m.mu.Lock()
+		l := m.life
+		m.mu.Unlock()
+		status, body := 0, map[string]any{}
+		switch path {
+		case "/run-start":
+			status, body = l.start(c)
+		case "/run-stop":
+			status, body = l.stop(c)
+		case "/hold":
+			c.WaitMS = 0
+			status, body = l.hold(c)
+		}
+		m.record.printf("minion %s, born %d: carries out late %s %s run %d token %d cursor %d -> %d %v", m.id, l.born.UnixMilli(), path, c.Task, c.Run,
+			c.FencingToken, c.AckCursor, status, body)
+	})
 }
 
 func (l *life) clock() int64 { return time.Since(l.born).Milliseconds() + 1000 }
@@ -143,7 +181,17 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if delay := l.m.delay(l, r.URL.Path, c); delay > 0 {
+			l.m.carryOutLate(r.URL.Path, c, delay)
+			select {
+			case <-r.Context().Done():
+			case <-l.quit:
+			}
+			panic(http.ErrAbortHandler)
+		}
+		l.dropWhileCut(r)
 		status, body := handle(c)
+		l.dropWhileCut(r)
 		body["clock_ms"], body["born"] = l.clock(), l.born.UnixMilli()
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Galenahead-Instance-Id", l.m.id)
@@ -221,6 +269,7 @@
 	l.extend(c)
 	l.running[c.Task] = &running{run: c.Run, cpu: spec.CPU, mem: spec.Mem, since: time.Now()}
 	l.m.record.printf("minion %s: %s run %d starts", l.m.id, c.Task, c.Run)
+	l.m.started(l, c.Task, c.Run)
 	d, how := l.m.work(c.Task)
 	time.AfterFunc(d, func() {
 		l.mu.Lock()
@@ -245,12 +294,27 @@
 	l.fence = c.FencingToken
 	l.lapse()
 	if r := l.running[c.Task]; r != nil && r.run <= c.Run {
-		l.end(c.Task, "stopped")
+		l.endStopped(c.Task, r)
 	}
 	l.highest[c.Task] = max(l.highest[c.Task], c.Run)
 	return http.StatusOK, map[string]any{}
 }
 
+// endStopped ends a run once its stop has taken stopTime. l.mu must be held.
+func (l *life) endStopped(task string, r *running) {
+	if l.m.stopTime == 0 {
+		l.end(task, "stopped")
+		return
+	}
+	time.AfterFunc(l.m.stopTime, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if !l.dead && l.running[task] == r {
+			l.end(task, "stopped")
+		}
+	})
+}
+
 func (l *life) hold(c command) (int, map[string]any) {
 	limit := time.After(time.Duration(min(c.WaitMS, 2000)) * time.Millisecond)
 	for waited := false; ; {
@@ -265,6 +329,7 @@
 			l.extend(c)
 		}
 		for len(l.ends) > 0 && l.ends[0].n <= c.AckCursor {
+			l.m.acked(l.ends[0])
 			l.ends = l.ends[1:]
 		}
 		if l.dead || len(l.ends) > 0 || c.WaitMS == 0 || waited {
@@ -294,6 +359,13 @@
 func (l *life) sendHeartbeats() {
 	preferred := ""
 	for n := 0; ; n++ {
+		if cut := l.m.isCut(); cut != nil {
+			select {
+			case <-cut:
+			case <-l.quit:
+				return
+			}
+		}
 		l.sequence++
 		body, _ := json.Marshal(map[string]any{
 			"service": l.m.service, "address": l.m.address, "zone": l.m.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
