--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -212,12 +212,6 @@
 	return nil
 }
 
-func (d *deployment) process(name string) *process {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.procs[name]
-}
-
 func (d *deployment) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/review/stand3/job.go
+++ b/review/stand3/job.go
@@ -17,9 +17,8 @@
 
 // job is a job of the clients.
 type job struct {
-	id     string
-	state  string
-	failed int // ends failed of its work items
+	id    string
+	state string
 }
 
 // jobOf returns the job of a work item.
--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -75,7 +75,6 @@
 	run   int64
 	cpu   int64
 	mem   int64
-	saved string
 	since time.Time
 }
 
--- a/review/stand3/reborn.go
+++ b/review/stand3/reborn.go
@@ -16,8 +16,8 @@
 	// cutTime is how long the minion is cut off, and lateBy how late the order is carried out.
 	cutTime = 5500 * time.Millisecond
 	lateBy  = 2500 * time.Millisecond
-	// overlapMin leaves out overlaps that are only the way of a stop.
-	overlapMin   = 300 * time.Millisecond
+	// minOverlap leaves out overlaps that are only the way of a stop.
+	minOverlap   = 300 * time.Millisecond
 	rebornRounds = 3
 )
 
@@ -44,7 +44,7 @@
 		delete(at[task], id)
 		for other, since := range at[task] {
 			overlap := time.Since(later(began, since))
-			if overlap >= overlapMin {
+			if overlap >= minOverlap {
 				overlaps++
 				longest = max(longest, overlap)
 				record.printf("BROKEN: %s has run on %s and %s at the same time, for %.2f s", task, id, other, overlap.Seconds())
