Jobs: refused connections leave nothing behind, and end holds

Cause: only a time-out of a dial counted as a call that was never sent. A connection that the host refused had the outcome unknown, like a start that was sent and not answered, and each repeat of it moved the end of the hold on. And a hold ended before its time only by an answer of the instance or of another one at its address, which never comes if it has crashed for good.

While the host of an instance refuses connections, no incarnation runs there that could execute a start. An instance that is cut off is silent, also one that has started again behind the cut, and keeps its hold. The instance is not removed for silence while its host shows this.

The order lines have the outcome refused.

Ruled out: that the hold is too long in any case.

--- a/galenafleet/platform.go
+++ b/galenafleet/platform.go
@@ -22,6 +22,9 @@
 	// ErrExhausted reports that this process could not send a call, for want of a connection,
 	// a descriptor or a lease. Nothing was sent, and nothing is known about the receiver.
 	ErrExhausted = eris.New("not sent by this process")
+	// ErrRefused reports that the host of an instance refused a connection: nothing was sent, and
+	// no incarnation listens at the address now.
+	ErrRefused = eris.New("connection refused")
 	// ErrRejected reports an order that the machine will never accept.
 	ErrRejected = eris.New("order rejected")
 )
@@ -30,15 +33,15 @@
 // take, and a poll beyond its wait.
 type InstanceClient interface {
 	// Start and Stop send a start or stop command. clock is the instance's clock in
-	// milliseconds, or zero if it is unknown. err is for the log only; the outcome
-	// alone decides what happens next.
+	// milliseconds, or zero if it is unknown. err is ErrRefused beside OutcomeUnsent if the host
+	// refused a connection, and is for the log only otherwise.
 	Start(ctx context.Context, a galenajob.Action, limit time.Duration) (o galenajob.Outcome, clock int64, err error)
 	Stop(ctx context.Context, a galenajob.Action, limit time.Duration) (o galenajob.Outcome, clock int64, err error)
 	// Pace sets the pace of a run, in percent.
 	Pace(ctx context.Context, a galenajob.Action, limit time.Duration) error
 	// RenewAndPoll renews the lease of an instance and returns its runs and ends of
 	// runs. It waits up to wait for an end. It fails with ErrOtherIncarnation,
-	// ErrFenced or ErrExhausted.
+	// ErrFenced, ErrExhausted or ErrRefused.
 	RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error)
 }
 
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -401,8 +401,11 @@
 		}
 	}
 	latency := sh.now().Sub(sent)
+	if o == galenajob.OutcomeUnsent && errors.Is(err, ErrRefused) {
+		o = galenajob.OutcomeRefused
+	}
 	switch {
-	case o == galenajob.OutcomeUnsent || o == galenajob.OutcomeDeferred:
+	case o == galenajob.OutcomeUnsent || o == galenajob.OutcomeRefused || o == galenajob.OutcomeDeferred:
 	case o != galenajob.OutcomeUnknown:
 		limits.answered(a.Instance.ID, latency)
 	case latency >= limit && ctx.Err() == nil:
@@ -505,7 +508,13 @@
 			limits.unanswered(id)
 		}
 		p.logReachability(sh.session.Logger, id, sh.pollTiming(sent, wait), err)
-		sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) { s.HandleNoResponse(id, sent) })
+		sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
+			if errors.Is(err, ErrRefused) {
+				s.HandleRefusal(id, sent)
+			} else {
+				s.HandleNoResponse(id, sent)
+			}
+		})
 		return pollRetryPause
 	}
 	if beyondWait >= 0 {
--- a/galenafleet/unanswered_test.go
+++ b/galenafleet/unanswered_test.go
@@ -108,6 +108,66 @@
 	}
 }
 
+// endedInstances let an instance end while it is sent its first start. Its host refuses all later calls.
+type endedInstances struct {
+	*stoppableInstances
+	ended galenahead.InstanceID
+	taken atomic.Bool
+}
+
+func (f *endedInstances) Start(ctx context.Context, a galenajob.Action, limit time.Duration) (galenajob.Outcome, int64, error) {
+	switch {
+	case a.Instance.ID != f.ended:
+		return f.stoppableInstances.Start(ctx, a, limit)
+	case f.taken.Swap(true):
+		return galenajob.OutcomeUnsent, 0, ErrRefused
+	}
+	return galenajob.OutcomeUnknown, 0, errCutOff
+}
+
+func (f *endedInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
+	if req.Instance.ID == f.ended && f.taken.Load() {
+		return galenajob.PollResponse{}, ErrRefused
+	}
+	return f.stoppableInstances.RenewAndPoll(ctx, req, wait, limit)
+}
+
+// Guards against long-running work that has no run for longer than the users allow, 6 s and the 3 s
+// in which they look, since a start had no response when its instance crashed for good.
+func TestWorkOfEndedInstanceStartsElsewhere(t *testing.T) {
+	const allowed = 9 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o, _ := testOwner()
+		o.Params.MaxLease = longestLease
+		f := &endedInstances{stoppableInstances: newStoppableInstances(), ended: "i"}
+		o.Instances = f
+		ctx, stop := startOwner(t, o, testConfig)
+		sequence := int64(0)
+		heartbeat := func(id galenahead.InstanceID) {
+			sequence++
+			hb := testHeartbeat
+			hb.Sequence, hb.Clock, hb.Instance.ID, hb.Instance.Address = sequence, f.clock(id), id, string(id)+":1"
+			_, err := o.Heartbeat(ctx, hb)
+			is.NoErr(err)
+		}
+		heartbeat("i")
+		_, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1, LongRunning: true}}}})
+		is.NoErr(err)
+		submitted := time.Now()
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			heartbeat("i2")
+		}
+		stop()
+		time.Sleep(time.Second)
+		is.Equal(len(f.runs["i2"]), 1)
+		if started := f.lastStart(galenajob.ItemID{Job: "j"}).Sub(submitted); started > allowed {
+			t.Errorf("the work item starts elsewhere after %s, want at most %s", started, allowed)
+		}
+	})
+}
+
 // failingStarts let an instance leave its first start unanswered for good, and fail all other runs.
 type failingStarts struct {
 	*stoppableInstances
--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -310,9 +310,16 @@
 	return nil
 }
 
+// refuses reports whether the host of an instance refuses connections, because no incarnation runs.
+func (sim *netSimulation) refuses(id galenahead.InstanceID) bool {
+	l := sim.lives[id]
+	return l != nil && l.dead && !sim.now.Before(l.unreachableUntil)
+}
+
 // call sends a request, which answer executes at the instance that it reaches. answer
-// returns what handles the response, and lost handles that there is none.
-func (sim *netSimulation) call(id galenahead.InstanceID, lost func(), answer func(l *netLife) func()) {
+// returns what handles the response, lost handles that there is none, and refused that the host
+// has refused the connection.
+func (sim *netSimulation) call(id galenahead.InstanceID, lost, refused func(), answer func(l *netLife) func()) {
 	answered := false
 	finish := func(f func()) {
 		if !answered {
@@ -322,6 +329,10 @@
 	}
 	sim.after(netTimeout, func() { finish(lost) })
 	delay := sim.ms(1, 30)
+	if sim.refuses(id) {
+		sim.after(delay, func() { finish(refused) })
+		return
+	}
 	switch {
 	case sim.chance(30):
 		return
@@ -383,7 +394,7 @@
 		sim.startedAt[order] = sim.now
 	}
 	addressed := sim.lives[a.Instance.ID]
-	sim.call(a.Instance.ID, func() { settle(OutcomeUnknown, 0) }, func(l *netLife) func() {
+	sim.call(a.Instance.ID, func() { settle(OutcomeUnknown, 0) }, func() { settle(OutcomeRefused, 0) }, func(l *netLife) func() {
 		if l != addressed && !sim.mayRepeat(a) {
 			return nil
 		}
@@ -434,13 +445,15 @@
 		return
 	}
 	sent := sim.now
-	lost := func() {
-		if s == sim.sched && loop == sim.pollers[id] {
-			s.HandleNoResponse(id, sent)
-			again(200 * time.Millisecond)
+	failed := func(handle func(id galenahead.InstanceID, sent time.Time)) func() {
+		return func() {
+			if s == sim.sched && loop == sim.pollers[id] {
+				handle(id, sent)
+				again(200 * time.Millisecond)
+			}
 		}
 	}
-	sim.call(id, lost, func(l *netLife) func() {
+	sim.call(id, failed(s.HandleNoResponse), failed(s.HandleRefusal), func(l *netLife) func() {
 		resp, ok := sim.answerPoll(l, req)
 		if !ok {
 			return nil
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -37,8 +37,15 @@
 	// OutcomeDeferred means that no part of this attempt was sent, for a reason that
 	// says nothing about the instance.
 	OutcomeDeferred
+	// OutcomeRefused is OutcomeUnsent if the host of the instance has refused the connection, so
+	// that no incarnation listens at its address. It is not sent between daemons.
+	OutcomeRefused
 )
 
+// unsent reports whether no part of the attempt was sent because the instance did not accept a
+// connection.
+func (o Outcome) unsent() bool { return o == OutcomeUnsent || o == OutcomeRefused }
+
 // HandleOutcome handles the outcome of a start or stop command that was sent at sent.
 // clock is the clock reading in the response, or zero.
 func (s *Scheduler) HandleOutcome(now time.Time, a Action, o Outcome, clock int64, sent time.Time) {
@@ -49,7 +56,7 @@
 	takesLease := a.Kind == ActStart && clock > 0 && (o == OutcomeDone || o == OutcomeOldRun || o == OutcomeNoRoom)
 	if a.Fence != inst.fence {
 		// The clock and the silence of an earlier incarnation say nothing about this one.
-		if a.Kind == ActStart && (o == OutcomeUnsent || o == OutcomeDeferred || s.isEarlierClock(inst, clock)) {
+		if a.Kind == ActStart && (o.unsent() || o == OutcomeDeferred || s.isEarlierClock(inst, clock)) {
 			inst.endStrayCall()
 		}
 		return
@@ -62,6 +69,8 @@
 	switch o {
 	case OutcomeUnknown, OutcomeUnsent:
 		s.HandleNoResponse(inst.ID, sent)
+	case OutcomeRefused:
+		s.HandleRefusal(inst.ID, sent)
 	case OutcomeOtherIncarnation, OutcomeDeferred:
 	default:
 		s.noteResponse(now, inst, clock)
@@ -136,7 +145,7 @@
 	}
 	it.notBefore = now.Add(s.params.ResendInterval)
 	switch o {
-	case OutcomeUnsent:
+	case OutcomeUnsent, OutcomeRefused:
 		it.failedOn = inst.ID
 	case OutcomeNoTicket:
 		it.set.dropTicket(inst.ID)
@@ -152,7 +161,7 @@
 	if !uncertain {
 		return
 	}
-	repeatable := o == OutcomeBusy || o == OutcomeUnsent || o == OutcomeDeferred
+	repeatable := o == OutcomeBusy || o.unsent() || o == OutcomeDeferred
 	if !repeatable {
 		s.evict(now, it, "start refused")
 	}
@@ -177,7 +186,7 @@
 
 // String returns the name of the outcome in logs and counters.
 func (o Outcome) String() string {
-	names := [...]string{"unknown", "done", "no_room", "no_ticket", "late", "busy", "old", "fenced", "other_life", "invalid", "unsent", "deferred"}
+	names := [...]string{"unknown", "done", "no_room", "no_ticket", "late", "busy", "old", "fenced", "other_life", "invalid", "unsent", "deferred", "refused"}
 	if o < 0 || int(o) >= len(names) {
 		return "undefined"
 	}
--- a/galenajob/pace.go
+++ b/galenajob/pace.go
@@ -124,7 +124,7 @@
 	switch o {
 	case OutcomeDone:
 		p.confirmed = true
-	case OutcomeDeferred, OutcomeUnsent:
+	case OutcomeDeferred, OutcomeUnsent, OutcomeRefused:
 	default:
 		p.unanswered = append(p.unanswered, unansweredPace{a.Percent, sent.Add(lateCommandTime)})
 	}
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -138,7 +138,7 @@
 		if s.hearingSince.After(last) {
 			last = s.hearingSince
 		}
-		ends := inst.leaving || now.Sub(last) > s.params.GoneAfter
+		ends := inst.leaving || now.Sub(last) > s.params.GoneAfter && !s.awaitsEnd(now, inst)
 		if ends && !inst.removing && (inst.leaving && inst.idle() || inst.leaseExpired(now) && !inst.unreconciled) {
 			inst.removing = true
 			s.gone = append(s.gone, inst.ID)
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -128,6 +128,7 @@
 // noteResponse records that the instance has responded.
 func (s *Scheduler) noteResponse(now time.Time, inst *instance, clock int64) {
 	inst.respondedAt, inst.unansweredSince, inst.addressReused = now, time.Time{}, false
+	inst.refusedSince = time.Time{}
 	delete(s.lost, inst.ID) // it was only out of reach
 	inst.updateClock(now, clock)
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -528,10 +528,16 @@
 	if inst == nil {
 		return
 	}
-	inst.pollOpen = false
+	inst.noteNoResponse(sent)
+	inst.endRefusal(sent)
 	if sent.After(inst.lostCallAt) {
 		inst.lostCallAt = sent
 	}
+}
+
+// noteNoResponse records that a call to the instance got no response, whether it was sent or not.
+func (inst *instance) noteNoResponse(sent time.Time) {
+	inst.pollOpen = false
 	if inst.unansweredSince.IsZero() && sent.After(inst.respondedAt) {
 		inst.unansweredSince = sent
 	}
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -392,7 +392,10 @@
 	// unansweredSince is the send time of the first unanswered call since the last
 	// response, or zero.
 	unansweredSince time.Time
-	suspectUntil    time.Time
+	// refusedSince and refusedAt are the send times of the first and the last of the calls in a row
+	// for which the host refused a connection. refusedSince is zero if the last one was not refused.
+	refusedSince, refusedAt time.Time
+	suspectUntil            time.Time
 	// failedJobs counts the failed runs since the last successful one, without
 	// repeated failures of the same job.
 	failedJobs    int
--- a/galenajob/stray_start.go
+++ b/galenajob/stray_start.go
@@ -9,7 +9,8 @@
 // A start command without a response may be executed seconds after it was sent, also by a later
 // incarnation of the instance that nobody has heard of. That one runs the work item for up to
 // Params.MaxLease, or longer if it also executes a renewal late. If the instance is lost, the work
-// item waits until that is over, or until an instance answers at that address and lists what it runs.
+// item waits until that is over, until an instance answers at that address and lists what it runs,
+// or until the host has refused connections for refusalTime.
 
 // maxCallDelay is the longest time after which a call without a response is executed, as the
 // users state it.
@@ -229,13 +230,17 @@
 	}
 	s.strayCheckedAt = now
 	for id, items := range s.strayStarts {
+		ended := false
 		if inst := s.instances[id]; inst != nil {
 			s.keepRenewal(inst)
+			ended = inst.hasEnded(now)
 		}
 		for it := range items {
 			switch {
 			case it.done || it.set.job.final || now.After(it.stray.heldUntil(s.params)):
 				s.clearStrayStart(it)
+			case ended:
+				s.resolveStrayStart(it)
 			case it.phase == phasePending:
 				s.reportStrayWait(it)
 			}
@@ -259,6 +264,12 @@
 	}
 }
 
+// awaitsEnd reports whether work items wait for the instance, and its host refuses connections, so that
+// more calls soon show that it has ended.
+func (s *Scheduler) awaitsEnd(now time.Time, inst *instance) bool {
+	return len(s.strayStarts[inst.ID]) > 0 && inst.refuses(now)
+}
+
 // keepRenewal updates when the lease of the instance was renewed, for its stray starts.
 func (s *Scheduler) keepRenewal(inst *instance) {
 	for it := range s.strayStarts[inst.ID] {
--- a/galenajob/stray_start_test.go
+++ b/galenajob/stray_start_test.go
@@ -47,7 +47,7 @@
 // outcome passes the outcome of the last start of the run on a.
 func (c *strayStartCase) outcome(a Action, o Outcome) {
 	clock := c.clock()
-	if o == OutcomeUnknown || o == OutcomeUnsent {
+	if o == OutcomeUnknown || o.unsent() {
 		clock = 0
 	}
 	c.HandleOutcome(c.now, a, o, clock, c.now.Add(-time.Millisecond))
@@ -70,16 +70,24 @@
 // after the beginning that is. Instance a answers nothing, or is removed as soon as it may be, and
 // all else is refused.
 func (c *strayStartCase) startsElsewhere() time.Duration {
-	return c.startsElsewhereUntil(t0.Add(60*time.Second), func() Outcome { return OutcomeUnsent })
+	return c.startsElsewhereAfter(func() Outcome { return OutcomeUnsent })
 }
 
-// startsElsewhereUntil is startsElsewhere until a time, if calls to a have these outcomes. It returns zero if the work item does
+// startsElsewhereAfter is startsElsewhere if calls to a have these outcomes, or are not made if it is
+// not one.
+func (c *strayStartCase) startsElsewhereAfter(calls func() Outcome) time.Duration {
+	return c.startsElsewhereUntil(t0.Add(60*time.Second), calls)
+}
+
+// startsElsewhereUntil is startsElsewhereAfter until a time. It returns zero if the work item does
 // not start before.
 func (c *strayStartCase) startsElsewhereUntil(end time.Time, calls func() Outcome) time.Duration {
 	for c.now.Before(end) {
 		c.now = c.now.Add(20 * time.Millisecond)
 		o := calls()
-		if _, ok := c.NextPoll(c.now, "a"); ok {
+		if _, ok := c.NextPoll(c.now, "a"); ok && o == OutcomeRefused {
+			c.HandleRefusal("a", c.now)
+		} else if ok && o >= 0 {
 			c.HandleNoResponse("a", c.now)
 		}
 		c.answer("b", nil)
@@ -87,6 +95,8 @@
 		for _, a := range c.Plan(c.now, c.now) {
 			switch {
 			case a.Kind != ActStart && a.Kind != ActStop:
+			case a.Instance.ID == "a" && o < 0:
+				c.outcome(a, OutcomeDeferred)
 			case a.Instance.ID == "a":
 				c.outcome(a, o)
 			case a.Kind == ActStart && a.Item == c.start.Item:
--- a/galenarelay/message.go
+++ b/galenarelay/message.go
@@ -95,6 +95,7 @@
 	errorFenced
 	errorExhausted
 	errorOtherIncarnation
+	errorRefused
 )
 
 // result is the result of a call.
@@ -173,6 +174,8 @@
 		r.Error = errorExhausted
 	case errors.Is(err, galenafleet.ErrOtherIncarnation):
 		r.Error = errorOtherIncarnation
+	case errors.Is(err, galenafleet.ErrRefused):
+		r.Error = errorRefused
 	default:
 		r.Error = errorOther
 	}
@@ -189,6 +192,8 @@
 		return eris.Wrap(galenafleet.ErrExhausted, r.ErrorText)
 	case errorOtherIncarnation:
 		return eris.Wrap(galenafleet.ErrOtherIncarnation, r.ErrorText)
+	case errorRefused:
+		return eris.Wrap(galenafleet.ErrRefused, r.ErrorText)
 	}
 	return eris.New(r.ErrorText)
 }
--- a/galenarelay/relay_test.go
+++ b/galenarelay/relay_test.go
@@ -209,6 +209,11 @@
 		}
 		_, polls := f.direct.counts()
 		is.Equal(polls, 0)
+
+		f.relayed.outcome, f.relayed.err = galenajob.OutcomeUnsent, eris.Wrap(galenafleet.ErrRefused, "instance")
+		o, _, err := f.client.Start(ctx, testAction, 200*time.Millisecond)
+		is.Equal(o, galenajob.OutcomeUnsent)
+		is.True(errors.Is(err, galenafleet.ErrRefused))
 	})
 }
 
