--- a/galenarelay/client.go
+++ b/galenarelay/client.go
@@ -144,7 +144,7 @@
 func (c *Client) Pace(ctx context.Context, a galenajob.Action, limit time.Duration) error {
 	r, err := c.do(ctx, newCommand(kindPace, &a, limit))
 	if errors.Is(err, errNoRelay) {
-		defer c.beginDirect(0)()
+		defer c.endDirect(0)
 		return c.Direct.Pace(ctx, a, limit)
 	}
 	if err == nil {
@@ -159,7 +159,7 @@
 	r, err := c.do(ctx, newCommand(k, a, limit))
 	switch {
 	case errors.Is(err, errNoRelay):
-		defer c.beginDirect(0)()
+		defer c.endDirect(0)
 		return direct(ctx, *a, limit)
 	case err != nil:
 		// The relay may have sent the command, or may still do so.
@@ -178,7 +178,7 @@
 func (c *Client) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
 	r, err := c.do(ctx, newPoll(&req, wait, limit))
 	if errors.Is(err, errNoRelay) {
-		defer c.beginDirect(wait)()
+		defer c.endDirect(wait)
 		return c.Direct.RenewAndPoll(ctx, req, wait, limit)
 	}
 	if err == nil {
@@ -191,17 +191,31 @@
 		return galenajob.PollResponse{}, err
 	}
 	c.callDirectly(req.Instance.ID)
-	defer c.beginDirect(0)()
+	c.beginDirect(0)
+	defer c.endDirect(0)
 	return c.Direct.RenewAndPoll(ctx, req, 0, limit)
 }
 
-// beginDirect counts a direct call, until the returned function is called.
-func (c *Client) beginDirect(wait time.Duration) (end func()) {
-	if wait > 0 {
-		return func() {}
+// beginDirect counts a direct call that does not wait for an end, and endDirect ends that.
+func (c *Client) beginDirect(wait time.Duration) {
+	if wait == 0 {
+		c.direct.Add(1)
 	}
-	c.direct.Add(1)
-	return func() { c.direct.Add(-1) }
+}
+
+func (c *Client) endDirect(wait time.Duration) {
+	if wait == 0 {
+		c.direct.Add(-1)
+	}
+}
+
+// reserveDirect is beginDirect unless maxDirect calls are under way.
+func (c *Client) reserveDirect() bool {
+	if c.direct.Add(1) > maxDirect {
+		c.direct.Add(-1)
+		return false
+	}
+	return true
 }
 
 // callDirectly makes the next calls to an instance direct.
@@ -212,7 +226,7 @@
 }
 
 // do makes a call through a relay. It fails with errNoRelay if nothing was sent and the call
-// is to be made directly, and with errRelayLost if there is no result.
+// is to be made directly, which then counts as begun, and with errRelayLost if there is no result.
 func (c *Client) do(ctx context.Context, x call) (result, error) {
 	now := c.Timers.Now()
 	share := c.load.count(now)
@@ -225,6 +239,7 @@
 	select {
 	case out := <-done:
 		if out.ID == 0 {
+			c.beginDirect(x.Wait)
 			return result{}, errNoRelay
 		}
 		return out, nil
@@ -238,19 +253,16 @@
 }
 
 // enqueue queues a call for the relay of its instance, and returns the channel of its
-// result. It returns no relay if the call is to be made directly.
+// result. It returns no relay if the call is to be made directly, and has begun the direct call.
 func (c *Client) enqueue(now time.Time, share float64, x *call) (*relay, chan result) {
-	busy := x.Wait == 0 && c.direct.Load() >= maxDirect
-	if galenafleet.SpreadPosition(x.Instance) >= share && !busy {
+	if galenafleet.SpreadPosition(x.Instance) >= share && (x.Wait > 0 || c.reserveDirect()) {
 		return nil, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.directUntil[x.Instance]) {
-		return nil, nil
-	}
 	r := c.relayFor(now, x.Instance)
-	if r == nil {
+	if r == nil || now.Before(c.directUntil[x.Instance]) {
+		c.beginDirect(x.Wait)
 		return nil, nil
 	}
 	x.ID = c.nextID.Add(1)
