Fleet: the record of a restarted instance keeps its time

The record holds the time of day. Both records now count as recorded up to 5 s later than they were, if the replica learned of them late: the clocks of two machines may differ, and a lease must not end early.

TestRecordedTimesAreThoseOfEvents fails without the time: the record is a minute old and counts as new.

--- a/galenafleet/command.go
+++ b/galenafleet/command.go
@@ -62,6 +62,8 @@
 	Born     int64                 `cbor:"2,keyasint"`
 	// HoldsLease reports that it may have taken the longest lease until then.
 	HoldsLease bool `cbor:"3,keyasint,omitempty"`
+	// At is when that was found, in time of day, and unknown to earlier versions.
+	At time.Time `cbor:"4,keyasint,omitzero"`
 }
 
 // UnansweredOp records that a start of a work item on an instance had no response.
--- a/galenafleet/restart.go
+++ b/galenafleet/restart.go
@@ -13,8 +13,10 @@
 	Born int64 `cbor:"1,keyasint"`
 	// Fenced reports that it refuses such calls.
 	Fenced bool `cbor:"2,keyasint,omitempty"`
-	// knownAt is when this replica learned that, on its own clock, and thus later than it was so.
-	knownAt time.Time
+	// FencedAt is since when, in time of day, and knownAt the same on the clock of this replica.
+	// FencedAt is missing in snapshots of earlier versions.
+	FencedAt time.Time `cbor:"3,keyasint,omitzero"`
+	knownAt  time.Time
 }
 
 // recordRestart records that an incarnation is about to be registered.
@@ -36,15 +38,15 @@
 		delete(s.restarts, f.Instance)
 		return Result{Code: CodeDone}
 	}
-	r.Fenced, r.knownAt = true, s.clock()
+	r.Fenced, r.FencedAt, r.knownAt = true, f.At, s.since(f.At)
 	s.restarts[f.Instance] = r
 	return Result{Code: CodeDone}
 }
 
-// restoreRestarts sets the restarts of a snapshot, which count as learned now.
+// restoreRestarts sets the restarts of a snapshot.
 func (s *State) restoreRestarts(restarts map[galenahead.InstanceID]restart) {
 	for id, r := range restarts {
-		r.knownAt = s.clock()
+		r.knownAt = s.since(r.FencedAt)
 		s.restarts[id] = r
 	}
 }
@@ -57,6 +59,22 @@
 	return s.Timers.Now()
 }
 
+// maxClockDifference is how much the clocks of two machines, or that of one machine at two times, may
+// be apart without harm.
+const maxClockDifference = 5 * time.Second
+
+// since returns a time not before an event that was recorded with its time of day, on the clock of this
+// replica. One that runs learns of an event at once. One that has restarted, or was sent a snapshot, learns of it
+// late, and has only the time of day to tell how late. The zero time, which earlier versions have
+// recorded, counts as now.
+func (s *State) since(timeOfDay time.Time) time.Time {
+	now := s.clock()
+	if timeOfDay.IsZero() {
+		return now
+	}
+	return now.Add(-max(0, time.Now().Round(0).Sub(timeOfDay)-maxClockDifference))
+}
+
 // restartOf returns whether a registered incarnation follows another one and may still hold a
 // lease from a call to it: fenced is false if it may still execute such calls, and otherwise
 // knownAt is not before it could do so for the last time.
@@ -72,9 +90,10 @@
 
 // recordFenced records that incarnations refuse calls to the ones before them.
 func (sh *shard) recordFenced(fenced []galenajob.FencedIncarnation) {
+	at := time.Now().Round(0)
 	ops := make([]Op, len(fenced))
 	for i, f := range fenced {
-		ops[i] = Op{Fenced: &FencedOp{f.Instance, f.Born, f.HoldsLease}}
+		ops[i] = Op{Fenced: &FencedOp{f.Instance, f.Born, f.HoldsLease, at}}
 	}
 	// An error means that the session has ended; the next owner then expects more of them.
 	_, _ = sh.session.committer.commit(ops...)
--- a/galenafleet/restart_test.go
+++ b/galenafleet/restart_test.go
@@ -184,3 +184,33 @@
 	apply(t, s, Op{Remove: &id})
 	expect(false, false)
 }
+
+// Guards against a lease that counts as held anew by each replica that restarts or is sent a
+// snapshot, so that the work of earlier owners waits for it again, and against one that ends early because
+// the clocks of two machines differ.
+func TestRecordedTimesAreThoseOfEvents(t *testing.T) {
+	for _, age := range []time.Duration{time.Minute, -time.Minute, maxClockDifference} {
+		is := is.New(t)
+		s := &State{Timers: &galenatimer.Service{}}
+		in := galenajob.Instance{ID: "i", Born: 1}
+		apply(t, s, Op{Instance: &in})
+		in.Born = 2
+		apply(t, s, Op{Instance: &in})
+		began := time.Now()
+		apply(t, s, Op{Fenced: &FencedOp{Instance: "i", Born: 2, HoldsLease: true, At: began.Round(0).Add(-age)}})
+		expect := func() {
+			t.Helper()
+			_, knownAt, ok := s.restartOf(in)
+			is.True(ok)
+			earliest := began.Add(-max(0, age-maxClockDifference))
+			is.True(!knownAt.Before(earliest.Add(-time.Millisecond))) // the clocks have a resolution
+			is.True(knownAt.Before(earliest.Add(5 * time.Second)))
+		}
+		expect()
+		b, err := s.Snapshot()
+		is.NoErr(err)
+		s = &State{Timers: &galenatimer.Service{}}
+		is.NoErr(s.Restore(b))
+		expect()
+	}
+}
--- a/galenafleet/unanswered.go
+++ b/galenafleet/unanswered.go
@@ -55,14 +55,9 @@
 	return Result{Code: CodeDone, JobState: j.State}
 }
 
-// unansweredRecord returns the record of a start that was given up at a time of day. A replica that
-// has restarted, or was sent a snapshot, learns of it late, and has only the time of day to tell how late.
+// unansweredRecord returns the record of a start that was given up at a time of day.
 func (s *State) unansweredRecord(id galenahead.InstanceID, address string, givenUpAt time.Time, hold time.Duration) galenajob.UnansweredRecord {
-	r := galenajob.UnansweredRecord{Instance: id, Address: address, GivenUpAt: s.clock(), TimeOfDay: givenUpAt, Hold: hold}
-	if !givenUpAt.IsZero() {
-		r.GivenUpAt = r.GivenUpAt.Add(-max(0, time.Now().Round(0).Sub(givenUpAt)))
-	}
-	return r
+	return galenajob.UnansweredRecord{Instance: id, Address: address, GivenUpAt: s.since(givenUpAt), TimeOfDay: givenUpAt, Hold: hold}
 }
 
 func storedUnansweredStarts(j *galenajob.Job) []storedUnanswered {
