Jobs: poll idle instances whose heartbeats stay away

Cause: nothing asks an idle instance for a sign of life before it is given up after 6 s. It is polled after 2 s now, and gets no work until it answers; at most 4 more for each plan.

TestSilentInstancesAreRemovedTogether let instances answer polls, and only their heartbeats stay away; such an instance is alive and stays now, so that the test cuts them off.

--- a/galenafleet/owner_test.go
+++ b/galenafleet/owner_test.go
@@ -647,12 +647,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		o, log := testOwner()
+		instances := newStoppableInstances()
+		o.Instances = instances
 		ctx, stop := startOwner(t, o, testConfig)
 		for i := range 50 {
 			hb := testHeartbeat
 			hb.Instance.ID = galenahead.InstanceID(fmt.Sprint("i", i))
 			_, err := o.Heartbeat(ctx, hb)
 			is.NoErr(err)
+			synctest.Wait() // the first poll is answered
+			instances.setCutOff(hb.Instance.ID, true)
 		}
 		log.delay.Store(int64(300 * time.Millisecond))
 		time.Sleep(o.Params.GoneAfter + time.Second)
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -254,6 +254,9 @@
 	}
 	sh.scheduler.SetMaxStarting(sh.session.starts.bound(maxStarting))
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
+	for _, id := range sh.scheduler.TakeOverdue() {
+		sh.startPollingLocked(id)
+	}
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
 	reassignments, fenced := sh.scheduler.TakeReassignments(), sh.scheduler.TakeFenced()
 	unanswered, waits := sh.scheduler.TakeUnansweredStarts(), sh.scheduler.TakeStrayWaits()
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -116,9 +116,18 @@
 // this process can have heard its instances.
 const maxPlanGap = time.Second
 
+// overdueFraction is the fraction of GoneAfter after which an idle instance is polled that has shown no
+// sign of life. It is longer than the time between two heartbeats.
+const overdueFraction = 3
+
+// maxOverduePerPlan bounds the overdue instances that one plan finds: if no heartbeats arrive at all, polls
+// of all idle instances would take the owner more than they tell.
+const maxOverduePerPlan = 4
+
 // checkLiveness gives up runs whose lease has expired, and finds instances that
 // have shown no sign of life for GoneAfter. Time in which this process did not run, for
-// example because it was suspended, does not count as their silence.
+// example because it was suspended, does not count as their silence. An idle instance is polled
+// long before it is given up, since a start that it does not answer delays its work item.
 func (s *Scheduler) checkLiveness(now time.Time) {
 	if now.Sub(s.checkedAt) > maxPlanGap {
 		s.hearingSince = now
@@ -138,6 +147,10 @@
 		if s.hearingSince.After(last) {
 			last = s.hearingSince
 		}
+		if len(s.overdue) < maxOverduePerPlan && inst.idle() && !inst.overdue && inst.unansweredSince.IsZero() && now.Sub(last) > s.params.GoneAfter/overdueFraction {
+			inst.overdue = true
+			s.overdue = append(s.overdue, inst.ID)
+		}
 		ends := inst.leaving || now.Sub(last) > s.params.GoneAfter && !s.awaitsEnd(now, inst)
 		if ends && !inst.removing && (inst.leaving && inst.idle() || inst.leaseExpired(now) && !inst.unreconciled) {
 			inst.removing = true
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -48,7 +48,7 @@
 // left a call unanswered gets no work before its next response, so that it is polled even
 // if it has no work.
 func (inst *instance) needsPoll() bool {
-	return !inst.fenceConfirmed || inst.unreconciled || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero()
+	return !inst.fenceConfirmed || inst.unreconciled || len(inst.items) > 0 || inst.ackedSeq < inst.seenSeq || !inst.unansweredSince.IsZero() || inst.overdue
 }
 
 // PollPause returns how long another poll of the instance would be of no use: one that
@@ -128,7 +128,7 @@
 // noteResponse records that the instance has responded.
 func (s *Scheduler) noteResponse(now time.Time, inst *instance, clock int64) {
 	inst.respondedAt, inst.unansweredSince, inst.addressReused = now, time.Time{}, false
-	inst.refusedSince = time.Time{}
+	inst.refusedSince, inst.overdue = time.Time{}, false
 	delete(s.lost, inst.ID) // it was only out of reach
 	inst.updateClock(now, clock)
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -102,9 +102,11 @@
 	order     jobOrder
 	instances map[galenahead.InstanceID]*instance
 	// sorted holds the instances in the order of their IDs, or nil after a change.
-	sorted   []*instance
-	actions  []Action
-	gone     []galenahead.InstanceID
+	sorted  []*instance
+	actions []Action
+	gone    []galenahead.InstanceID
+	// overdue is what TakeOverdue returns next.
+	overdue  []galenahead.InstanceID
 	lateRuns []LateRun
 	// lost holds the instances that were lost under runs on probation, and crashes what
 	// TakeCrashes returns next.
@@ -557,6 +559,14 @@
 	return g
 }
 
+// TakeOverdue returns the idle instances that were found since the last call of TakeOverdue to have
+// shown no sign of life for some time, so that they must be polled.
+func (s *Scheduler) TakeOverdue() []galenahead.InstanceID {
+	o := s.overdue
+	s.overdue = nil
+	return o
+}
+
 // Instances returns the IDs of all instances in order.
 func (s *Scheduler) Instances() []galenahead.InstanceID {
 	out := make([]galenahead.InstanceID, 0, len(s.instances))
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -392,6 +392,8 @@
 	// unansweredSince is the send time of the first unanswered call since the last
 	// response, or zero.
 	unansweredSince time.Time
+	// overdue is set while an idle instance is polled because it has shown no sign of life.
+	overdue bool
 	// refusedSince and refusedAt are the send times of the first and the last of the calls in a row
 	// for which the host refused a connection. refusedSince is zero if the last one was not refused.
 	refusedSince, refusedAt time.Time
