Jobs: crashes of instances end no job

Also, a suspect went back to the instance that had just crashed: empty, that was the least used one.

Crash and Clear entries still apply, and mark suspects, but end nothing. A suspect starts alone as before, on the instance that was lost last under it only if no other one takes it, and from the second loss on after a pause of 0.25 s, doubled with each loss up to 2 s, in place of 5 s from the third on. A record keeps the last four crashes of either kind, since nothing else bounds it now.

--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -341,11 +341,6 @@
 			}
 		}
 	})
-	for i, r := range results {
-		if r.JobState.Final() {
-			sh.session.removeFinalJob(crashes[i].Item.Job) // it may have been reassigned
-		}
-	}
 	sh.session.Metrics.Counters.Add("crashed_runs", int64(len(crashes)))
 	for i, c := range crashes {
 		galenalog.Info(sh.session.Logger, "instance crashed", crashLine{c, results[i].JobState})
--- a/galenafleet/state.go
+++ b/galenafleet/state.go
@@ -251,8 +251,8 @@
 	return Result{Code: CodeDone, JobState: j.State}
 }
 
-// applyCrash counts a crash under a work item. The job fails once too many have been
-// counted, so that it takes no more instances from others.
+// applyCrash records a crash under a work item. It ends no job: only runs that end as failed
+// count as attempts.
 func (s *State) applyCrash(c *CrashOp) Result {
 	j, ok := s.jobs[c.Job]
 	if !ok {
@@ -263,11 +263,7 @@
 	if j.State.Final() || unknown || record.Done || record.CrashedIn(c.Run) || c.Run <= record.Cleared {
 		return Result{Code: CodeUnchanged, JobState: j.State}
 	}
-	record = record.WithCleared(c.Cleared).WithCrash(c.Run, c.Uncertain)
-	j.Items[c.Item] = record
-	if record.CrashesExhausted() {
-		s.finishJob(j, galenajob.StateFailed, c.At)
-	}
+	j.Items[c.Item] = record.WithCleared(c.Cleared).WithCrash(c.Run, c.Uncertain)
 	return Result{Code: CodeDone, JobState: j.State}
 }
 
--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -6,15 +6,6 @@
 	"github.com/galenahead/galenahead"
 )
 
-const (
-	// MaxCrashes is the number of recorded crashes of instances under one work item, without
-	// a run between them that has outlived its probation, after which its job fails, as the
-	// users define it.
-	MaxCrashes = 2
-	// MaxUncertainCrashes is the same with the crashes that have been recorded as uncertain.
-	MaxUncertainCrashes = 4
-)
-
 const (
 	// probation is how long a run must have been at work before a crash of its instance
 	// does not count against it. Work that crashes an instance does so within some ten
@@ -26,9 +17,11 @@
 	// crashMemory is how long a lost instance may take to come back and show that it has
 	// crashed.
 	crashMemory = 20 * time.Second
-	// repeatedLossPause is the delay before a work item starts again that has lost more
-	// instances than MaxCrashes, none of which has come back yet.
-	repeatedLossPause = 5 * time.Second
+	// minLossPause is the pause before a work item starts again that has lost two instances.
+	// Each further loss doubles it, up to maxLossPause: innocent work that has met several
+	// crashes must not wait for long.
+	minLossPause = 250 * time.Millisecond
+	maxLossPause = 2 * time.Second
 )
 
 // Crash is a run under which its instance has crashed. It must be recorded and then passed
@@ -66,6 +59,15 @@
 // it from innocent work.
 func (it *item) suspect() bool { return it.losses > 0 }
 
+// lossPause returns how long a work item waits after the last of that many losses.
+func lossPause(losses int) time.Duration {
+	if losses < 2 {
+		return 0
+	}
+	doublings := min(losses-2, 10)
+	return min(minLossPause<<doublings, maxLossPause)
+}
+
 // onProbation reports whether the run may still turn out to crash its instance. It is not,
 // once the instance has responded so long after the start, also while it is being stopped.
 func (it *item) onProbation() bool {
@@ -104,7 +106,7 @@
 		it.crashes = 0
 	}
 	if it.suspect() {
-		it.losses = 0
+		it.losses, it.lostOn = 0, ""
 		it.set.addSuspects(-1)
 	}
 }
@@ -149,7 +151,7 @@
 		return
 	}
 	for _, inst := range s.sortedInstances() {
-		if s.held == nil || inst.used.MilliCPU < s.held.used.MilliCPU {
+		if s.held == nil || it.lostOn == s.held.ID || (it.lostOn != inst.ID && inst.used.MilliCPU < s.held.used.MilliCPU) {
 			if s.fits(inst, it) && inst.permits(now, it) && inst.takesStartsOf(it.set.job) {
 				s.held = inst
 			}
@@ -171,8 +173,8 @@
 
 // noteLoss records that a run was lost with its instance, and returns the crash that
 // counts if the instance has crashed: the first one under the work item, and later ones if
-// no other job's run on probation was beside it.
-func (s *Scheduler) noteLoss(inst *instance, it *item) []Crash {
+// no other job's run on probation was beside it. The work item pauses before it starts again.
+func (s *Scheduler) noteLoss(now time.Time, inst *instance, it *item) []Crash {
 	if inst.Draining || inst.evacuating || !it.onProbation() {
 		return nil
 	}
@@ -181,6 +183,7 @@
 		it.set.addSuspects(1)
 	}
 	it.losses++
+	it.lostOn, it.pausedUntil = inst.ID, now.Add(lossPause(it.losses))
 	if !counts {
 		return nil
 	}
--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -46,18 +46,23 @@
 }
 
 // chooseInstance returns the best instance to start the work item on, or nil
-// when none can take it.
+// when none can take it. The one that was lost under the work item last is chosen only if no
+// other can.
 func (s *Scheduler) chooseInstance(now time.Time, it *item) *instance {
 	var best *instance
 	var bestScore float64
+	afterLoss := false // best is the instance that was lost under the work item
 	for _, inst := range s.sortedInstances() {
 		if !s.canStart(inst, it) || !inst.permits(now, it) {
 			continue
 		}
 		score := s.score(inst, it)
-		if best == nil || score > bestScore || (score == bestScore && inst.ID < best.ID) {
-			best, bestScore = inst, score
+		switch {
+		case best == nil || afterLoss:
+		case inst.ID == it.lostOn || score < bestScore || (score == bestScore && inst.ID > best.ID):
+			continue
 		}
+		best, bestScore, afterLoss = inst, score, inst.ID == it.lostOn
 	}
 	return best
 }
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -154,11 +154,8 @@
 		if it.phase == phaseStale || it.endUnrecorded {
 			continue
 		}
-		crashes = append(crashes, s.noteLoss(inst, it)...)
+		crashes = append(crashes, s.noteLoss(now, inst, it)...)
 		s.abandonRun(now, it)
-		if it.losses > MaxCrashes {
-			it.notBefore = now.Add(repeatedLossPause)
-		}
 	}
 	s.noteLostInstance(now, inst, crashes)
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -299,7 +299,7 @@
 	s.setStrays(inst, nil)
 	s.noteReturn(now, inst.Instance)
 	for _, it := range inst.sortedItems() {
-		s.crashes = append(s.crashes, s.noteLoss(inst, it)...)
+		s.crashes = append(s.crashes, s.noteLoss(now, inst, it)...)
 		s.noteStartInFlight(now, it)
 		it.setPhase(phaseStale)
 		it.inFlight = false
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -50,6 +50,10 @@
 	// crashes counts the recorded crashes of instances under the work item, and losses the
 	// instances that were lost under its runs on probation, both since a run has outlived it.
 	crashes, losses int
+	// lostOn is the instance that was lost last under a run on probation, or empty, and
+	// pausedUntil the earliest time of the start after it.
+	lostOn      galenahead.InstanceID
+	pausedUntil time.Time
 	// cleared is the number of the last run that has outlived its probation.
 	cleared int64
 	// runningSince is when the instance first confirmed that the run is at work, or zero.
@@ -559,5 +563,5 @@
 	it.instance, it.confirmed, it.inFlight = nil, time.Time{}, false
 	it.set.job.settled = false
 	it.endUnrecorded = false
-	it.percent, it.usage, it.notBefore = 0, 0, time.Time{}
+	it.percent, it.usage, it.notBefore = 0, 0, it.pausedUntil
 }
--- a/galenajob/types.go
+++ b/galenajob/types.go
@@ -188,7 +188,7 @@
 	// Failed lists the numbers of the runs that failed, so that an end that an
 	// instance lists again after a change of owner counts only once.
 	Failed []int64 `cbor:"2,keyasint,omitempty"`
-	// Crashed lists the numbers of the runs under which an instance has crashed, and
+	// Crashed lists the numbers of the last runs under which an instance has crashed, and
 	// Uncertain those that it may have started before it crashed.
 	Crashed   []int64 `cbor:"3,keyasint,omitempty"`
 	Uncertain []int64 `cbor:"4,keyasint,omitempty"`
@@ -209,27 +209,30 @@
 	return r
 }
 
+// maxRecordedCrashes bounds each list of crashes in the record of a work item, which has no
+// bound of its own: its job goes on however many instances crash under it.
+const maxRecordedCrashes = 4
+
 // WithCrash returns the record with a run under which an instance has crashed.
 func (r ItemRecord) WithCrash(run int64, uncertain bool) ItemRecord {
 	if uncertain {
-		r.Uncertain = append(slices.Clone(r.Uncertain), run)
+		r.Uncertain = appendRecent(r.Uncertain, run)
 	} else {
-		r.Crashed = append(slices.Clone(r.Crashed), run)
+		r.Crashed = appendRecent(r.Crashed, run)
 	}
 	return r
 }
 
+// appendRecent returns the last runs and the run, at most maxRecordedCrashes.
+func appendRecent(runs []int64, run int64) []int64 {
+	return append(slices.Clone(runs[max(0, len(runs)+1-maxRecordedCrashes):]), run)
+}
+
 // CrashedIn reports whether the record holds a crash under the run.
 func (r ItemRecord) CrashedIn(run int64) bool {
 	return slices.Contains(r.Crashed, run) || slices.Contains(r.Uncertain, run)
 }
 
-// CrashesExhausted reports whether so many instances have crashed under the work item that
-// its job fails.
-func (r ItemRecord) CrashesExhausted() bool {
-	return len(r.Crashed) >= MaxCrashes || len(r.Crashed)+len(r.Uncertain) >= MaxUncertainCrashes
-}
-
 // Queue is the configuration of a queue.
 type Queue struct {
 	Name    string
