Jobs: what fails on several instances counts against the work

Cause: itemFailed counted each job that failed on an instance against the instance, also if it failed on all others, and nothing started there until the end of the time, even if no other instance had room.

Now the work of a step that fails on three instances, or on all, and of which nothing is done, counts against none, and what it has counted before is taken back. An instance that is suspected gets no work for 1.5 s after a failure; for the rest of the time it comes after all others, so that work waits for it only while another instance has room. The line "instance suspected" and the counter "suspicions" show it.

Evidence: TestJobsThatFailEverywhereKeepNoWorkOff and TestWorkStartsOnSuspectedInstanceIfNoOtherHasRoom failed before (the sound job had not started 20 s after it was accepted; 4 of 6 jobs had started after a minute). TestInstanceThatFailsAllIsAvoided passed before too: 24 starts at the faulty instance of 1,024 before and after, and above its bound of 30 without suspicions.

Ruled out: to start work at once on suspected instances if no other has room; while all others are full, an instance that fails all has room all the time and would get the whole backlog.

--- a/galenafleet/log_lines.go
+++ b/galenafleet/log_lines.go
@@ -92,6 +92,20 @@
 	return galenalog.AppendInt(b, "started_in_epoch", int64(l.run.Epoch()))
 }
 
+// suspicionLine is the log line of the beginning of a time in which an instance is avoided.
+type suspicionLine struct {
+	suspicion galenajob.Suspicion
+	service   galenahead.ServiceName
+}
+
+// AppendFields implements galenalog.Line.
+func (l suspicionLine) AppendFields(b []byte) []byte {
+	b = galenalog.AppendString(b, "instance", string(l.suspicion.Instance))
+	b = galenalog.AppendString(b, "service", string(l.service))
+	b = galenalog.AppendInt(b, "failed_jobs", int64(l.suspicion.Jobs))
+	return galenalog.AppendInt(b, "avoided_ms", l.suspicion.Duration.Milliseconds())
+}
+
 // crashLine is the log line of a recorded crash of an instance under a run.
 type crashLine struct {
 	crash galenajob.Crash
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -595,12 +595,14 @@
 	}
 	sh.session.Gate.Enter(galenagate.Progress)
 	defer sh.session.Gate.Leave()
+	var suspicions []galenajob.Suspicion
 	sh.withScheduler(func(now time.Time, s *galenajob.Scheduler) {
 		newlyRecorded := make([]bool, len(ends))
 		for i, r := range results {
 			newlyRecorded[i] = r.Code == CodeDone
 		}
 		s.ConfirmRecorded(now, id, born, ends, newlyRecorded)
+		suspicions = s.TakeSuspicions()
 		for i, r := range results {
 			if r.JobState.Final() {
 				s.RemoveJob(now, ends[i].Item.Job)
@@ -610,6 +612,16 @@
 	for i, e := range ends {
 		galenalog.Info(sh.session.Logger, "end", endLine{e, id, results[i].JobState})
 	}
+	sh.logSuspicions(suspicions)
+}
+
+// logSuspicions logs and counts the times in which instances are avoided, because jobs have
+// failed there.
+func (sh *shard) logSuspicions(suspicions []galenajob.Suspicion) {
+	for _, sp := range suspicions {
+		sh.session.Metrics.Counters.Add("suspicions", 1)
+		galenalog.Info(sh.session.Logger, "instance suspected", suspicionLine{sp, sh.service})
+	}
 }
 
 // adviseLoop sends requests to the advisor, one at a time.
--- a/galenajob/advice.go
+++ b/galenajob/advice.go
@@ -40,7 +40,7 @@
 	}
 	if len(set.tickets) > 0 {
 		s.askAdvice(now, set, s.adviceCandidates(set, func(inst *instance) bool {
-			return !set.wasAsked(inst) && s.canStart(inst, it) && !now.Before(inst.suspectUntil)
+			return !set.wasAsked(inst) && s.canStart(inst, it) && !inst.barred(now)
 		}))
 		return
 	}
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -128,7 +128,7 @@
 		// Delayed copies of the command name the same address and incarnation, so
 		// the instance rejects them as well.
 		it.notBefore = now.Add(s.params.ResendInterval)
-		inst.suspectUntil = now.Add(s.params.SuspectTime)
+		inst.suspect(now, s.params.SuspectTime, s.params.SuspectTime)
 	default:
 		s.handleRefusedStart(now, inst, it, o)
 	}
@@ -156,7 +156,7 @@
 		it.failedOn = inst.ID
 	case OutcomeBusy, OutcomeInvalid:
 		it.failedOn = inst.ID
-		inst.suspectUntil = now.Add(s.params.SuspectTime)
+		inst.suspect(now, s.params.SuspectTime, s.params.SuspectTime)
 	}
 	if !uncertain {
 		return
--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -28,10 +28,10 @@
 	return s.takesWork(inst, it) && inst.permits(now, it)
 }
 
-// permits reports whether the instance is not suspected of a fault, and the work item has a
+// permits reports whether the instance has not just shown a fault, and the work item has a
 // ticket for it if it needs one.
 func (inst *instance) permits(now time.Time, it *item) bool {
-	return !now.Before(inst.suspectUntil) && (!it.set.job.queue.RequiresAdvice || it.set.hasTicket(now, inst))
+	return !inst.barred(now) && (!it.set.job.queue.RequiresAdvice || it.set.hasTicket(now, inst))
 }
 
 // countOn counts the work items of the set that occupy the instance.
@@ -46,7 +46,7 @@
 }
 
 // chooseInstance returns the best instance to start the work item on, or nil
-// when none can take it.
+// when none can take it. A suspected one comes after all others.
 func (s *Scheduler) chooseInstance(now time.Time, it *item) *instance {
 	var best *instance
 	var bestScore float64
@@ -55,6 +55,9 @@
 			continue
 		}
 		score := s.score(inst, it)
+		if inst.suspected(now) {
+			score -= weightSuspected
+		}
 		if best == nil || score > bestScore || (score == bestScore && inst.ID < best.ID) {
 			best, bestScore = inst, score
 		}
@@ -72,6 +75,8 @@
 	// weightInterference keeps serving work items away from best-effort ones and
 	// from each other.
 	weightInterference = 2
+	// weightSuspected is more than all others together.
+	weightSuspected = 1000
 )
 
 // score rates the instance for a start of the work item; higher is better. Fuller
--- a/galenajob/poll.go
+++ b/galenajob/poll.go
@@ -340,7 +340,7 @@
 // itemDone handles the recorded end of a run that is done.
 func (s *Scheduler) itemDone(now time.Time, inst *instance, it *item, run int64) {
 	if inst != nil {
-		inst.failedJobs, inst.suspectUntil, inst.lastFailedJob = 0, time.Time{}, ""
+		inst.endSuspicion()
 	}
 	if it.set.step.LongRunning {
 		return
@@ -374,12 +374,7 @@
 		return
 	}
 	it.failedOn = inst.ID
-	if it.set.step.LongRunning || inst.lastFailedJob == it.set.job.ID {
-		return
-	}
-	inst.lastFailedJob = it.set.job.ID
-	inst.failedJobs++
-	if inst.failedJobs >= 2 {
-		inst.suspectUntil = now.Add(s.params.SuspectTime << min(inst.failedJobs-2, 4))
+	if !it.set.step.LongRunning {
+		s.noteFailure(now, inst, it.set)
 	}
 }
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -25,8 +25,9 @@
 	UnresponsiveAfter time.Duration
 	// ResendInterval is the delay before a command without a result is repeated.
 	ResendInterval time.Duration
-	// SuspectTime is how long an instance that fails runs of several jobs gets no
-	// work. It doubles with each further failure.
+	// SuspectTime is how long an instance gets no work after runs of several jobs have failed
+	// there. With each further job, the time doubles in which it gets only work for which no other
+	// instance has room.
 	SuspectTime time.Duration
 	// RestartDelay is the delay before a failed work item starts again.
 	RestartDelay time.Duration
@@ -137,6 +138,8 @@
 	expecting []*job
 	// reservations are the instances that are kept free for long-running work.
 	reservations []reservation
+	// suspicions holds what TakeSuspicions returns next.
+	suspicions []Suspicion
 	// lapsedRuns holds what TakeLapsedRuns returns next.
 	lapsedRuns []LapsedRun
 	// evacuations holds the evacuation deadlines of the instances that are evacuated.
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -115,7 +115,9 @@
 	suspects int
 	// untouched is set until a work item of the set has a run or a record.
 	untouched bool
-	tickets   map[galenahead.InstanceID]ticket
+	// failedOn holds the first instances on which work items of the set have failed.
+	failedOn []galenahead.InstanceID
+	tickets  map[galenahead.InstanceID]ticket
 	// adviceRequestedAt is when the last advice request without a usable response
 	// was sent, or zero.
 	adviceRequestedAt time.Time
@@ -395,11 +397,12 @@
 	// refusedSince and refusedAt are the send times of the first and the last of the calls in a row
 	// for which the host refused a connection. refusedSince is zero if the last one was not refused.
 	refusedSince, refusedAt time.Time
-	suspectUntil            time.Time
-	// failedJobs counts the failed runs since the last successful one, without
-	// repeated failures of the same job.
-	failedJobs    int
-	lastFailedJob galenahead.JobID
+	// suspectUntil is how long the instance is suspected of a fault, which showed at suspectedAt
+	// last, and barredUntil how long it gets no work for that.
+	suspectedAt, barredUntil, suspectUntil time.Time
+	// failedSets holds the sets of which runs have failed here since the last one that was done,
+	// the latest of each job.
+	failedSets []*itemSet
 	// addressReused is set when another instance has registered at the address since the
 	// last response.
 	addressReused bool
--- a/galenajob/usage.go
+++ b/galenajob/usage.go
@@ -121,7 +121,7 @@
 			u.BatchInstances++
 		}
 		if len(inst.items) == 0 && !inst.unreconciled && inst.fenceConfirmed {
-			u.Idle = append(u.Idle, IdleInstance{inst.ID, inst.idleSince, inst.unansweredSince.IsZero() && !now.Before(inst.suspectUntil)})
+			u.Idle = append(u.Idle, IdleInstance{inst.ID, inst.idleSince, inst.unansweredSince.IsZero() && !inst.barred(now)})
 		}
 	}
 	slices.SortFunc(u.Idle, func(a, b IdleInstance) int { return a.Since.Compare(b.Since) })
--- a/galenajob/view.go
+++ b/galenajob/view.go
@@ -203,7 +203,7 @@
 		return "draining"
 	case inst.evacuating:
 		return "leaving"
-	case now.Before(inst.suspectUntil):
+	case inst.suspected(now):
 		return "suspected"
 	}
 	return "ready"
