--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -28,10 +28,10 @@
 	return s.takesWork(inst, it) && inst.permits(now, it)
 }
 
-// permits reports whether the instance is not suspected of a fault, and the work item has a
+// permits reports whether the instance has not just shown a fault, and the work item has a
 // ticket for it if it needs one.
 func (inst *instance) permits(now time.Time, it *item) bool {
-	return !now.Before(inst.suspectUntil) && (!it.set.job.queue.RequiresAdvice || it.set.hasTicket(now, inst))
+	return !inst.barred(now) && (!it.set.job.queue.RequiresAdvice || it.set.hasTicket(now, inst))
 }
 
 // countOn counts the work items of the set that occupy the instance.
@@ -46,23 +46,25 @@
 }
 
 // chooseInstance returns the best instance to start the work item on, or nil
-// when none can take it. The one that was lost under the work item last is chosen only if no
-// other can.
+// when none can take it. A suspected one comes after all others, and the one that was lost
+// under the work item last after these.
 func (s *Scheduler) chooseInstance(now time.Time, it *item) *instance {
 	var best *instance
 	var bestScore float64
-	afterLoss := false // best is the instance that was lost under the work item
 	for _, inst := range s.sortedInstances() {
 		if !s.canStart(inst, it) || !inst.permits(now, it) {
 			continue
 		}
 		score := s.score(inst, it)
-		switch {
-		case best == nil || afterLoss:
-		case inst.ID == it.lostOn || score < bestScore || (score == bestScore && inst.ID > best.ID):
-			continue
+		if inst.suspected(now) {
+			score -= weightSuspected
+		}
+		if inst.ID == it.lostOn {
+			score -= weightLostOn
+		}
+		if best == nil || score > bestScore || (score == bestScore && inst.ID < best.ID) {
+			best, bestScore = inst, score
 		}
-		best, bestScore, afterLoss = inst, score, inst.ID == it.lostOn
 	}
 	return best
 }
@@ -77,6 +79,9 @@
 	// weightInterference keeps serving work items away from best-effort ones and
 	// from each other.
 	weightInterference = 2
+	// weightSuspected is more than all above together, and weightLostOn more than that.
+	weightSuspected = 1000
+	weightLostOn    = 2000
 )
 
 // score rates the instance for a start of the work item; higher is better. Fuller
