--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -22,6 +22,12 @@
 	// crashes must not wait for long.
 	minLossPause = 250 * time.Millisecond
 	maxLossPause = 2 * time.Second
+	// crashingWorkPause is the pause of a work item that has lost crashingWorkLosses instances in a
+	// row, of which crashingWorkCrashes at least have crashed. Chance does not explain that, and each
+	// start costs an instance and what else runs there.
+	crashingWorkPause   = 30 * time.Second
+	crashingWorkLosses  = 4
+	crashingWorkCrashes = 3
 )
 
 // Crash is a run under which its instance has crashed. It must be recorded and then passed
@@ -59,12 +65,15 @@
 // it from innocent work.
 func (it *item) suspect() bool { return it.losses > 0 }
 
-// lossPause returns how long a work item waits after the last of that many losses.
-func lossPause(losses int) time.Duration {
-	if losses < 2 {
+// lossPause returns how long the work item waits after its last loss.
+func (it *item) lossPause() time.Duration {
+	switch {
+	case it.losses < 2:
 		return 0
+	case it.losses >= crashingWorkLosses && it.crashes >= crashingWorkCrashes:
+		return crashingWorkPause
 	}
-	doublings := min(losses-2, 10)
+	doublings := min(it.losses-2, 10)
 	return min(minLossPause<<doublings, maxLossPause)
 }
 
@@ -183,7 +192,7 @@
 		it.set.addSuspects(1)
 	}
 	it.losses++
-	it.lostOn, it.pausedUntil = inst.ID, now.Add(lossPause(it.losses))
+	it.lostOn, it.pausedUntil = inst.ID, now.Add(it.lossPause())
 	if !counts {
 		return nil
 	}
