Fleet: an owner that is told to end records its starts

What callers saw: a work item ran twice after a planned change of owner. The owner had sent its start about 100 ms before SIGTERM; the instance was cut off, crashed, started again behind the cut and executed the start 2.5 s after it was sent. The next owner knew of no start and started the work item elsewhere.

Cause: a start without a response is recorded once it has been in flight for 150 ms or is given up (about 0.2 s). An owner that handed over before recorded nothing, and went on to send starts until its term ended.

Change: on SIGTERM the control daemon first calls Owner.PrepareHandover: no more starts are sent, those under way are awaited for ResendInterval (150 ms), the others are recorded with their own time, and then leadership is transferred. All that takes 0.5 s at most; then the daemon ends without the record. A start with a response leaves no record, so that nothing waits longer in a calm change of owner. If no other voter takes over, no start is sent until the process has ended.

What plan takes from the scheduler to be recorded is now queued under the lock of the shard, so that no record is between the two when the handover waits.

Evidence: TestStrayStartRunsOnce with the owner told to end 60 and 100 ms after the start fails in all four new cases if PrepareHandover does nothing ("j starts on i2 while it runs on i").

Ruled out: the lease of the earlier life (its process is gone). Not covered: an owner that is killed (SIGKILL).

--- a/cmd/galena-fleet/command/control.go
+++ b/cmd/galena-fleet/command/control.go
@@ -319,8 +319,13 @@
 	return info
 }
 
-// transferTimeout bounds the leadership transfer before the daemon stops.
-const transferTimeout = time.Second
+const (
+	// recordTimeout bounds the record of starts before the leadership transfer, so that a daemon
+	// whose disk is slow ends as well. It is longer than resendInterval, in which starts are answered.
+	recordTimeout = 500 * time.Millisecond
+	// transferTimeout bounds the leadership transfer before the daemon stops.
+	transferTimeout = time.Second
+)
 
 // Run serves until ctx ends or the disk fails. When ctx ends, it transfers
 // leadership, and then answers the requests that have arrived.
@@ -347,10 +352,20 @@
 			workers.Go(func() error { return garbage.Run(ctx) })
 		},
 		failed:     c.diskFailed,
-		beforeStop: c.transferLeadership,
+		beforeStop: c.handOver,
 	})
 }
 
+// handOver records what the next owner can't know otherwise, and makes another replica the leader.
+func (c *controlDaemon) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	if err := c.owner.PrepareHandover(ctx); err != nil {
+		c.log.WithError(err).Warn("could not record the starts without a response")
+	}
+	c.transferLeadership()
+}
+
 // transferLeadership makes another replica the leader if this one leads.
 func (c *controlDaemon) transferLeadership() {
 	if !c.node.HoldsLease() {
--- a/galenafleet/owner.go
+++ b/galenafleet/owner.go
@@ -70,6 +70,9 @@
 	// requests is the turn of callers' requests that other processes send.
 	requests galenarpc.Turn
 
+	// startGate is closed when this process is about to end.
+	startGate startGate
+
 	session atomic.Pointer[ownerSession]
 	// ending counts the ended sessions whose calls have not all returned.
 	ending sync.WaitGroup
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -256,7 +256,9 @@
 	actions := sh.scheduler.Plan(sh.now(), start.Round(0))
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
 	reassignments, fenced := sh.scheduler.TakeReassignments(), sh.scheduler.TakeFenced()
-	unanswered, waits := sh.scheduler.TakeUnansweredStarts(), sh.scheduler.TakeStrayWaits()
+	// Under the lock, so that recordStartsInFlight finds what is not yet recorded.
+	sh.recordUnanswered(sh.scheduler.TakeUnansweredStarts())
+	waits := sh.scheduler.TakeStrayWaits()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
 	if reconciled && !sh.takenOver {
 		sizes = sh.scheduler.Sizes(sh.now())
@@ -279,9 +281,6 @@
 	if len(fenced) > 0 {
 		sh.session.spawn(func() error { sh.recordFenced(fenced); return nil })
 	}
-	if len(unanswered) > 0 {
-		sh.recordUnanswered(unanswered)
-	}
 	sh.logStrayWaits(sh.now(), waits)
 	if len(reassignments) > 0 {
 		sh.session.spawn(func() error { sh.reassign(reassignments); return nil })
@@ -377,11 +376,12 @@
 // sendCommand sends a command to an instance and passes the outcome to the
 // scheduler.
 func (sh *shard) sendCommand(ctx context.Context, a galenajob.Action) {
-	if !sh.session.isLeader() {
+	if !sh.session.isLeader() || !sh.session.enterStart(a) {
 		// The session goes on if the lease is renewed before its next check.
 		sh.handleOutcome(a, galenajob.OutcomeDeferred, 0, sh.now())
 		return
 	}
+	defer sh.session.leaveStart(a)
 	load := &sh.session.load
 	load.countCommand(a)
 	load.inFlight.Add(1)
--- a/galenafleet/unanswered.go
+++ b/galenafleet/unanswered.go
@@ -84,8 +84,8 @@
 type unansweredQueue struct {
 	mu      sync.Mutex
 	pending []galenajob.UnansweredStart
-	// busy is set while a goroutine records what is pending.
-	busy bool
+	// idle is nil, or closed once the goroutine that records what is pending has recorded all.
+	idle chan struct{}
 }
 
 // add queues starts, and reports whether the caller has to record them.
@@ -93,9 +93,23 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.pending = append(q.pending, starts...)
-	idle := !q.busy
-	q.busy = true
-	return idle
+	if q.idle != nil {
+		return false
+	}
+	q.idle = make(chan struct{})
+	return true
+}
+
+// recorded returns a channel that is closed once what is pending now is recorded.
+func (q *unansweredQueue) recorded() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.idle == nil {
+		idle := make(chan struct{})
+		close(idle)
+		return idle
+	}
+	return q.idle
 }
 
 // take returns what is pending, or nothing if the caller has recorded all.
@@ -103,13 +117,17 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := q.pending
-	q.pending, q.busy = nil, len(out) > 0
+	q.pending = nil
+	if len(out) == 0 {
+		close(q.idle)
+		q.idle = nil
+	}
 	return out
 }
 
 // recordUnanswered records unanswered starts, and those of which nothing can come any more.
 func (sh *shard) recordUnanswered(starts []galenajob.UnansweredStart) {
-	if !sh.unanswered.add(starts) {
+	if len(starts) == 0 || !sh.unanswered.add(starts) {
 		return
 	}
 	sh.session.spawn(func() error {
--- a/galenafleet/unanswered_test.go
+++ b/galenafleet/unanswered_test.go
@@ -50,10 +50,11 @@
 
 // Guards against work that runs twice because an instance that has started again behind a cut
 // executes a start that was meant for its earlier life, while another instance gets the work
-// item as soon as the lease of the earlier life has expired, also from another owner.
+// item as soon as the lease of the earlier life has expired, also from another owner, and from one
+// that follows an owner which is told to end before it has recorded the start.
 func TestStrayStartRunsOnce(t *testing.T) {
 	const never = -1
-	for _, owner := range []time.Duration{never, 600 * time.Millisecond, 3 * time.Second} {
+	for _, owner := range []time.Duration{never, 60 * time.Millisecond, 100 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second} {
 		for _, after := range []time.Duration{2500 * time.Millisecond, 11 * time.Second} {
 			name := fmt.Sprintf("executed after %s, another owner after %s", after, owner)
 			if owner == never {
@@ -80,11 +81,12 @@
 					_, err := o.Do(ctx, Request{Kind: RequestSubmit, Host: "h", Path: "/q/j", Spec: &galenajob.Spec{Steps: []galenajob.Step{{Count: 1, LongRunning: true}}}})
 					is.NoErr(err)
 					<-f.arrived
-					time.Sleep(100 * time.Millisecond)
+					time.Sleep(50 * time.Millisecond)
 					f.setCutOff("i", true)
 					f.restart("i", 2)
 					if owner != never {
-						time.Sleep(owner - 100*time.Millisecond)
+						time.Sleep(owner - 50*time.Millisecond)
+						is.NoErr(o.PrepareHandover(ctx))
 						stop()
 						next, nextLog := testOwner()
 						next.Instances, next.State, next.Params.MaxLease = f, o.State, longestLease
--- a/galenajob/stray_start.go
+++ b/galenajob/stray_start.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// ReportStartsInFlight lets the starts in flight be recorded, because the owner ends before they have a
+// result.
+func (s *Scheduler) ReportStartsInFlight(now time.Time) {
+	for _, inst := range s.sortedInstances() {
+		for _, it := range inst.sortedItems() {
+			known := it.startRecorded && it.startsSent == 1
+			if it.phase == phaseStarting && it.inFlight && !known {
+				s.reportUnansweredStart(now, it)
+			}
+		}
+	}
+}
+
 // reportAnsweredStart lets the record of a start be deleted that took long and then had a result.
 func (s *Scheduler) reportAnsweredStart(it *item) {
 	if it.startRecorded && it.stray == nil && it.startsSent == 1 {
