--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -376,11 +376,16 @@
 // sendCommand sends a command to an instance and passes the outcome to the
 // scheduler.
 func (sh *shard) sendCommand(ctx context.Context, a galenajob.Action) {
-	if !sh.session.isLeader() || !sh.session.enterStart(a) {
+	if !sh.session.isLeader() {
 		// The session goes on if the lease is renewed before its next check.
 		sh.handleOutcome(a, galenajob.OutcomeDeferred, 0, sh.now())
 		return
 	}
+	if !sh.session.enterStart(a) {
+		// It is left to the next owner.
+		sh.handleOutcome(a, galenajob.OutcomeDeferred, 0, sh.now())
+		return
+	}
 	defer sh.session.leaveStart(a)
 	load := &sh.session.load
 	load.countCommand(a)
