--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -259,7 +259,9 @@
 	}
 	gone, crashes, clearances := sh.scheduler.TakeGone(), sh.scheduler.TakeCrashes(), sh.scheduler.TakeClearances()
 	reassignments, fenced := sh.scheduler.TakeReassignments(), sh.scheduler.TakeFenced()
-	unanswered, waits := sh.scheduler.TakeUnansweredStarts(), sh.scheduler.TakeStrayWaits()
+	// Under the lock, so that recordStartsInFlight finds what is not yet recorded.
+	sh.recordUnanswered(sh.scheduler.TakeUnansweredStarts())
+	waits := sh.scheduler.TakeStrayWaits()
 	reconciled, sizes := sh.scheduler.Reconciled(), galenajob.Sizes{}
 	if reconciled && !sh.takenOver {
 		sizes = sh.scheduler.Sizes(sh.now())
@@ -282,9 +284,6 @@
 	if len(fenced) > 0 {
 		sh.session.spawn(func() error { sh.recordFenced(fenced); return nil })
 	}
-	if len(unanswered) > 0 {
-		sh.recordUnanswered(unanswered)
-	}
 	sh.logStrayWaits(sh.now(), waits)
 	if len(reassignments) > 0 {
 		sh.session.spawn(func() error { sh.reassign(reassignments); return nil })
@@ -380,6 +379,12 @@
 		sh.handleOutcome(a, galenajob.OutcomeDeferred, 0, sh.now())
 		return
 	}
+	if !sh.session.enterStart(a) {
+		// It is left to the next owner.
+		sh.handleOutcome(a, galenajob.OutcomeDeferred, 0, sh.now())
+		return
+	}
+	defer sh.session.leaveStart(a)
 	load := &sh.session.load
 	load.countCommand(a)
 	load.inFlight.Add(1)
