Jobs: simulations bound how long work with room may wait

The simulations counted second runs, but a work item with room could wait as long as it liked, as long as its job was final in the end. Now, once nothing has disturbed the owner, the instances and the network for 4 s, a work item that is due must have a run within 3 s while there is room for it twice over and under half of the capacity is in use (LOST). Where client accounts have limits, nothing is checked: work may wait for these. A further test lets instances crash for good while others with new IDs join.

--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -26,6 +26,9 @@
 	// netFaultsFor is how long faults occur, and netCalm how long the simulation goes on
 	// without any, after which all jobs must be final.
 	netFaultsFor, netCalm = 25 * time.Second, 25 * time.Second
+	// netSettle is how long nothing may disturb the owner and the instances before work that is
+	// due and has room must have a run within netMostWait.
+	netSettle, netMostWait = 4 * time.Second, 3 * time.Second
 	// netMaxLease is the longest lease that an instance grants.
 	netMaxLease = 10 * time.Second
 )
@@ -74,6 +77,12 @@
 	// came beyond the limits of one.
 	accounts  []galenaaccount.Account
 	overLimit int
+	// replaces lets instances crash for good, and others join under new IDs.
+	replaces bool
+	// disturbedAt is when the owner or an instance was last disturbed, and waitingSince since when
+	// work items that are due and have room have no run.
+	disturbedAt  time.Time
+	waitingSince map[ItemID]time.Time
 }
 
 // netRestart is the record that a registered incarnation follows another one.
@@ -121,8 +130,10 @@
 	ends     []End
 	sequence int64
 	// lapsed is the sequence number of the last end before the lease last expired.
-	lapsed           int64
-	dead             bool
+	lapsed int64
+	dead   bool
+	// gone is set if no other incarnation follows a dead one.
+	gone             bool
 	unreachableUntil time.Time
 	// earlier is the incarnation before this one, or nil.
 	earlier *netLife
@@ -555,6 +566,16 @@
 	sim.after(down, func() { sim.boot(l.ID) })
 }
 
+// replace lets an instance crash for good, unless it is dead, and another one join under a new ID.
+func (sim *netSimulation) replace(l *netLife) {
+	if l.dead {
+		return
+	}
+	l.dead, l.gone, l.runs = true, true, map[ItemID]*netRun{}
+	id := galenahead.InstanceID(fmt.Sprintf("i%d", len(sim.lives)))
+	sim.boot(id)
+}
+
 // boot starts an instance, or the next incarnation of one that is dead.
 func (sim *netSimulation) boot(id galenahead.InstanceID) {
 	earlier := sim.lives[id]
@@ -637,6 +658,7 @@
 // replaceOwner replaces the scheduler by that of a new owner.
 func (sim *netSimulation) replaceOwner() {
 	sim.epoch++
+	sim.disturbedAt = sim.now
 	old := sim.sched
 	sim.sched = NewScheduler("counter", sim.epoch, netParams(), &Fences{})
 	ledger := &galenaaccount.Ledger{}
@@ -707,6 +729,75 @@
 			sim.fail("the runs on %s exceed its capacity", l.ID)
 		}
 	}
+	sim.checkWaits()
+}
+
+// checkWaits checks that work that is due and has room does not wait for long once nothing
+// disturbs the owner and the instances.
+func (sim *netSimulation) checkWaits() {
+	for _, l := range sim.lives {
+		if sim.faulty || sim.now.Before(l.unreachableUntil) || l.dead && !l.gone {
+			sim.disturbedAt = sim.now
+		}
+	}
+	if len(sim.accounts) > 0 || sim.now.Before(sim.disturbedAt.Add(netSettle)) {
+		return // work may wait for the limit of its account
+	}
+	for _, id := range slices.Sorted(maps.Keys(sim.records)) {
+		j := sim.records[id]
+		if _, final := sim.final[id]; final {
+			continue
+		}
+		for step := range j.Spec.Steps {
+			for i := range j.Spec.Steps[step].Count {
+				item := ItemID{id, ItemKey{Step: step, Index: i}}
+				if !sim.waits(item) {
+					delete(sim.waitingSince, item)
+					continue
+				}
+				if sim.waitingSince[item].IsZero() {
+					sim.waitingSince[item] = sim.now
+				}
+				if sim.now.Sub(sim.waitingSince[item]) > netMostWait {
+					sim.fail("%v has had no run for %s although it is due and has room", item, netMostWait)
+				}
+			}
+		}
+	}
+}
+
+// waits reports whether a work item is due and has room twice over while under half of the capacity
+// is in use, but has no run and no end that is still to be recorded.
+func (sim *netSimulation) waits(id ItemID) bool {
+	j := sim.records[id.Job]
+	step := &j.Spec.Steps[id.Item.Step]
+	record := j.Items[id.Item]
+	if record.Done || len(record.Failed) >= j.MaxAttempts {
+		return false
+	}
+	for _, before := range step.After {
+		for i := range j.Spec.Steps[before].Count {
+			if !j.Items[ItemKey{Step: before, Index: i}].Done {
+				return false
+			}
+		}
+	}
+	hasRoom := false
+	var used, capacity Resources
+	for _, l := range sim.lives {
+		if l.dead {
+			continue
+		}
+		used, capacity = used.Add(l.used(sim)), capacity.Add(l.Capacity)
+		unrecorded := slices.ContainsFunc(l.ends, func(e End) bool {
+			return e.Item == id && (e.Reason == EndDone || e.Reason == EndFailed && !slices.Contains(record.Failed, e.Number))
+		})
+		if l.runs[id] != nil || unrecorded {
+			return false
+		}
+		hasRoom = hasRoom || l.Capacity.Sub(l.used(sim)).Covers(step.Need.Times(2))
+	}
+	return hasRoom && capacity.Covers(used.Times(2))
 }
 
 func (sim *netSimulation) disturb(n int) {
@@ -741,6 +832,10 @@
 		}
 	case 12:
 		sim.sched.SetEvacuating(sim.now, l.ID, sim.rng.IntN(2) == 0)
+	case 13, 14:
+		if sim.replaces {
+			sim.replace(l)
+		}
 	}
 }
 
@@ -759,12 +854,22 @@
 }
 
 func runNetSimulation(t *testing.T, seed uint64, accounts ...galenaaccount.Account) *netSimulation {
-	sim := &netSimulation{
+	sim := newNetSimulation(t, seed, accounts...)
+	sim.run()
+	return sim
+}
+
+func newNetSimulation(t *testing.T, seed uint64, accounts ...galenaaccount.Account) *netSimulation {
+	return &netSimulation{
 		t: t, seed: seed, accounts: accounts, rng: rand.New(rand.NewPCG(seed, 3)), now: t0, faulty: true, pollers: map[galenahead.InstanceID]int{}, lives: map[galenahead.InstanceID]*netLife{},
 		records: map[galenahead.JobID]*Job{}, final: map[galenahead.JobID]time.Time{},
 		startedAt: map[netOrder]time.Time{}, lapsedDone: map[ItemID]time.Time{}, done: map[ItemID]bool{},
 		registered: map[galenahead.InstanceID]Instance{}, restarts: map[galenahead.InstanceID]netRestart{},
+		waitingSince: map[ItemID]time.Time{},
 	}
+}
+
+func (sim *netSimulation) run() {
 	sim.replaceOwner()
 	for i := range 4 {
 		sim.boot(galenahead.InstanceID(fmt.Sprintf("i%d", i)))
@@ -782,7 +887,6 @@
 		e.action()
 	}
 	sim.checkCalm()
-	return sim
 }
 
 // Guards against starts beyond the limit of an account, where owners change, instances restart or
@@ -807,8 +911,8 @@
 	}
 }
 
-// Guards against a second run, an end that is lost and a work item that never starts
-// again, where commands, polls, records and their responses overtake each other.
+// Guards against a second run, an end that is lost and a work item that starts again late or
+// never, where commands, polls, records and their responses overtake each other.
 func TestNetworkSimulations(t *testing.T) {
 	seeds := 20
 	if n, err := strconv.Atoi(os.Getenv("GALENA_HISTORIES")); err == nil {
@@ -822,3 +926,22 @@
 		t.Fatalf("only %d starts in %d simulations, want at least 20 each", starts, seeds)
 	}
 }
+
+// Guards against work that waits for long although it has room, because instances have crashed for
+// good under it or under its starts.
+func TestNetworkSimulationsWithReplacedInstances(t *testing.T) {
+	seeds := 20
+	if n, err := strconv.Atoi(os.Getenv("GALENA_HISTORIES")); err == nil {
+		seeds = n
+	}
+	starts := 0
+	for seed := range uint64(seeds) {
+		sim := newNetSimulation(t, seed)
+		sim.replaces = true
+		sim.run()
+		starts += sim.starts
+	}
+	if starts < seeds*20 {
+		t.Fatalf("only %d starts in %d simulations, want at least 20 each", starts, seeds)
+	}
+}
