Jobs: a suspected instance gets one work item at a time

While all other instances were full, the work that waited went to instances that fail all they start, as much as had room there, each time their bar of 1.5 s was over. Callers saw these runs as failed attempts. Now a start on a suspected instance keeps others off it for a quarter of that time, and a failure that repeats the same job bars it again.

--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -28,7 +28,7 @@
 	return s.takesWork(inst, it) && inst.permits(now, it)
 }
 
-// permits reports whether the instance has not just shown a fault, and the work item has a
+// permits reports whether the instance is not barred, and the work item has a
 // ticket for it if it needs one.
 func (inst *instance) permits(now time.Time, it *item) bool {
 	return !inst.barred(now) && (!it.set.job.queue.RequiresAdvice || it.set.hasTicket(now, inst))
--- a/galenajob/plan.go
+++ b/galenajob/plan.go
@@ -464,6 +464,7 @@
 	it.inFlight, it.sentRun = true, max(it.sentRun, it.run)
 	it.startsSent++
 	if it.startsSent == 1 {
+		s.noteTrial(now, inst)
 		s.starting++
 		if !it.inFirstStarts {
 			it.inFirstStarts = true
--- a/galenajob/suspicion.go
+++ b/galenajob/suspicion.go
@@ -13,6 +13,9 @@
 	maxFailedSets = 6
 	// faultyAt is on how many instances a set of work items fails if the work is at fault.
 	faultyAt = 3
+	// trialShare is the part of SuspectTime that a start on a suspected instance keeps others
+	// off, so that one that fails all takes one work item a time.
+	trialShare = 4
 )
 
 // Suspicion is the beginning of a time in which an instance is avoided, because work of several
@@ -47,7 +50,7 @@
 			s.reviewSuspicions(now, set)
 		}
 	}
-	if repeated || s.isFaulty(set) {
+	if repeated && !inst.suspected(now) || s.isFaulty(set) {
 		return
 	}
 	if n := s.evidenceAgainst(inst); n >= 2 {
@@ -106,6 +109,14 @@
 	}
 }
 
+// noteTrial keeps further starts off a suspected instance until the one that it gets now has
+// lasted for a while.
+func (s *Scheduler) noteTrial(now time.Time, inst *instance) {
+	if inst.suspected(now) {
+		inst.barredUntil = now.Add(s.params.SuspectTime / trialShare)
+	}
+}
+
 // endSuspicion ends a suspicion after a run that is done.
 func (inst *instance) endSuspicion() {
 	inst.failedSets, inst.suspectUntil = nil, time.Time{}
@@ -116,7 +127,7 @@
 func (inst *instance) suspected(now time.Time) bool { return now.Before(inst.suspectUntil) }
 
 // barred reports whether the instance is suspected of a fault and gets no work, since one has
-// just shown.
+// just shown, or may show in the work that has just started.
 func (inst *instance) barred(now time.Time) bool {
 	return inst.suspected(now) && now.Before(inst.barredUntil)
 }
--- a/galenajob/suspicion_test.go
+++ b/galenajob/suspicion_test.go
@@ -149,3 +149,27 @@
 	is.Equal(p.s.TakeSuspicions(), []Suspicion{{Instance: "i0", Jobs: 2, Duration: testParams().SuspectTime}})
 	is.Equal(len(p.s.TakeSuspicions()), 0)
 }
+
+// Guards against a backlog that starts on an instance which fails all it starts, as often as
+// nothing is barred there, because that one always has room while all others are full.
+func TestFullPoolTriesSuspectedInstanceWithOneWorkItem(t *testing.T) {
+	is := is.New(t)
+	var faulty galenahead.InstanceID
+	p := newFailingPool(2, func(_ galenahead.JobID, id galenahead.InstanceID) bool { return id == faulty })
+	lasting := testJob("lasting", 1)
+	lasting.Spec.Steps[0].LongRunning, lasting.Spec.Steps[0].Need.MilliCPU = true, 4000
+	p.s.AddJob(p.now, lasting, 0, false)
+	as := starts(p.s.Plan(p.now, p.now))
+	is.Equal(len(as), 1)
+	p.s.HandleOutcome(p.now, as[0], OutcomeDone, 1000, p.now)
+	faulty = "i0"
+	if as[0].Instance.ID == faulty {
+		faulty = "i1"
+	}
+	for n := range 100 {
+		p.s.AddJob(p.now, testJob(fmt.Sprintf("j%d", n), 1), 0, false)
+	}
+	p.run(10 * testParams().SuspectTime)
+	is.True(p.startedOn[faulty] >= 10)
+	is.True(p.startedOn[faulty] <= 14) // four at first, and one after each failure
+}
