--- a/galenajob/crash.go
+++ b/galenajob/crash.go
@@ -63,20 +63,34 @@
 // probation. Until a run of it is off probation, it starts only on an instance without
 // runs on probation of other jobs, and none start beside it, so that another loss tells
 // it from innocent work.
-func (it *item) suspect() bool { return it.losses > 0 }
+func (it *item) suspect() bool { return it.losses != nil }
+
+// losses are the instances that were lost under runs of a work item on probation, since one has
+// outlived it.
+type losses struct {
+	count int
+	// last is the instance that was lost last, or empty, and pausedUntil the earliest time of
+	// the start after it.
+	last        galenahead.InstanceID
+	pausedUntil time.Time
+}
 
 // lossPause returns how long the work item waits after its last loss.
 func (it *item) lossPause() time.Duration {
+	n := it.losses.count
 	switch {
-	case it.losses < 2:
+	case n < 2:
 		return 0
-	case it.losses >= crashingWorkLosses && it.crashes >= crashingWorkCrashes:
+	case n >= crashingWorkLosses && it.crashes >= crashingWorkCrashes:
 		return crashingWorkPause
 	}
-	doublings := min(it.losses-2, 10)
+	doublings := min(n-2, 10)
 	return min(minLossPause<<doublings, maxLossPause)
 }
 
+// lostLast reports whether the instance is the last one that was lost under the work item.
+func (it *item) lostLast(inst *instance) bool { return it.losses != nil && it.losses.last == inst.ID }
+
 // onProbation reports whether the run may still turn out to crash its instance. It is not,
 // once the instance has responded so long after the start, also while it is being stopped.
 func (it *item) onProbation() bool {
@@ -115,7 +129,7 @@
 		it.crashes = 0
 	}
 	if it.suspect() {
-		it.losses, it.lostOn = 0, ""
+		it.losses = nil
 		it.set.addSuspects(-1)
 	}
 }
@@ -160,7 +174,7 @@
 		return
 	}
 	for _, inst := range s.sortedInstances() {
-		if s.held == nil || it.lostOn == s.held.ID || (it.lostOn != inst.ID && inst.used.MilliCPU < s.held.used.MilliCPU) {
+		if s.held == nil || it.lostLast(s.held) || (!it.lostLast(inst) && inst.used.MilliCPU < s.held.used.MilliCPU) {
 			if s.fits(inst, it) && inst.permits(now, it) && inst.takesStartsOf(it.set.job) {
 				s.held = inst
 			}
@@ -189,10 +203,11 @@
 	}
 	counts := it.crashes == 0 || it.alone
 	if !it.suspect() {
+		it.losses = &losses{}
 		it.set.addSuspects(1)
 	}
-	it.losses++
-	it.lostOn, it.pausedUntil = inst.ID, now.Add(it.lossPause())
+	it.losses.count++
+	it.losses.last, it.losses.pausedUntil = inst.ID, now.Add(it.lossPause())
 	if !counts {
 		return nil
 	}
--- a/galenajob/place.go
+++ b/galenajob/place.go
@@ -59,7 +59,7 @@
 		if inst.suspected(now) {
 			score -= weightSuspected
 		}
-		if inst.ID == it.lostOn {
+		if it.lostLast(inst) {
 			score -= weightLostOn
 		}
 		if best == nil || score > bestScore || (score == bestScore && inst.ID < best.ID) {
--- a/galenajob/state.go
+++ b/galenajob/state.go
@@ -47,13 +47,11 @@
 	// stop command it is the time by which the end must be listed.
 	confirmed time.Time
 	inFlight  bool
-	// crashes counts the recorded crashes of instances under the work item, and losses the
-	// instances that were lost under its runs on probation, both since a run has outlived it.
-	crashes, losses int
-	// lostOn is the instance that was lost last under a run on probation, or empty, and
-	// pausedUntil the earliest time of the start after it.
-	lostOn      galenahead.InstanceID
-	pausedUntil time.Time
+	// crashes counts the recorded crashes of instances under the work item since a run has
+	// outlived its probation.
+	crashes int
+	// losses is nil while the work item is no suspect.
+	losses *losses
 	// cleared is the number of the last run that has outlived its probation.
 	cleared int64
 	// runningSince is when the instance first confirmed that the run is at work, or zero.
@@ -294,7 +292,7 @@
 			it.done, it.failures, it.crashes = record.Done, len(record.Failed), len(record.Crashed)+len(record.Uncertain)
 			it.cleared = record.Cleared
 			if it.crashes > 0 {
-				it.losses = it.crashes
+				it.losses = &losses{count: it.crashes}
 				set.addSuspects(1)
 			}
 			if record.Done {
@@ -568,5 +566,8 @@
 	it.instance, it.confirmed, it.inFlight = nil, time.Time{}, false
 	it.set.job.settled = false
 	it.endUnrecorded = false
-	it.percent, it.usage, it.notBefore = 0, 0, it.pausedUntil
+	it.percent, it.usage, it.notBefore = 0, 0, time.Time{}
+	if it.suspect() {
+		it.notBefore = it.losses.pausedUntil
+	}
 }
