Jobs: five more ways in which a hold or a lease outlasted its cause

- A hold that began while a call was under way went on when the call turned out never to have been sent (22.4 to 23.4 s).
- The answer of another instance at the address ended a hold only if that one is of the same service (23.3 s).
- Each owner expected late calls at a restarted incarnation anew, for the longest lease; their time now counts from when the restart was known (no start under five owners of 8 s).
- A refused command ended another poll that was under way, whose lease nobody expected then if the next incarnation executed it (TWICE).
- A replica that runs took the age of a record from the clocks of two machines.
It counts from when it learned of it; only one that has restarted needs the time of day.

--- a/galenafleet/restart.go
+++ b/galenafleet/restart.go
@@ -13,10 +13,10 @@
 	Born int64 `cbor:"1,keyasint"`
 	// Fenced reports that it refuses such calls.
 	Fenced bool `cbor:"2,keyasint,omitempty"`
-	// FencedAt is since when, in time of day, and knownAt the same on the clock of this replica.
-	// FencedAt is missing in snapshots of earlier versions.
-	FencedAt time.Time `cbor:"3,keyasint,omitzero"`
-	knownAt  time.Time
+	// KnownAt is since when that is known, in time of day, and knownAt the same on the clock of this
+	// replica. KnownAt is missing in snapshots of earlier versions.
+	KnownAt time.Time `cbor:"3,keyasint,omitzero"`
+	knownAt time.Time
 }
 
 // recordRestart records that an incarnation is about to be registered.
@@ -24,7 +24,7 @@
 	known, registered := s.instances[in.ID]
 	left, hasLeft := s.left[in.ID]
 	if registered && known.Born != in.Born || !registered && hasLeft && left.Born < in.Born {
-		s.restarts[in.ID] = restart{Born: in.Born}
+		s.restarts[in.ID] = restart{Born: in.Born, KnownAt: time.Now().Round(0), knownAt: s.clock()}
 	}
 }
 
@@ -38,7 +38,7 @@
 		delete(s.restarts, f.Instance)
 		return Result{Code: CodeDone}
 	}
-	r.Fenced, r.FencedAt, r.knownAt = true, f.At, s.since(f.At)
+	r.Fenced, r.KnownAt, r.knownAt = true, f.At, s.since(f.At)
 	s.restarts[f.Instance] = r
 	return Result{Code: CodeDone}
 }
@@ -46,7 +46,7 @@
 // restoreRestarts sets the restarts of a snapshot.
 func (s *State) restoreRestarts(restarts map[galenahead.InstanceID]restart) {
 	for id, r := range restarts {
-		r.knownAt = s.since(r.FencedAt)
+		r.knownAt = s.since(r.KnownAt)
 		s.restarts[id] = r
 	}
 }
@@ -64,20 +64,20 @@
 const maxClockDifference = 5 * time.Second
 
 // since returns a time not before an event that was recorded with its time of day, on the clock of this
-// replica. One that runs learns of an event at once. One that has restarted, or was sent a snapshot, learns of it
-// late, and has only the time of day to tell how late. The zero time, which earlier versions have
-// recorded, counts as now.
+// replica. One that runs learns of an event at once, whatever the clocks of other machines show. One that has
+// restarted learns of it late, and has only the time of day to tell how late. The zero time, which earlier
+// versions have recorded, counts as now.
 func (s *State) since(timeOfDay time.Time) time.Time {
 	now := s.clock()
-	if timeOfDay.IsZero() {
+	if timeOfDay.IsZero() || !timeOfDay.Before(s.ProcessStart) {
 		return now
 	}
 	return now.Add(-max(0, time.Now().Round(0).Sub(timeOfDay)-maxClockDifference))
 }
 
 // restartOf returns whether a registered incarnation follows another one and may still hold a
-// lease from a call to it: fenced is false if it may still execute such calls, and otherwise
-// knownAt is not before it could do so for the last time.
+// lease from a call to it: fenced is false if it may still execute such calls, which were sent before
+// knownAt, and otherwise knownAt is not before it could do so for the last time.
 func (s *State) restartOf(in galenajob.Instance) (fenced bool, knownAt time.Time, ok bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/galenafleet/restart_test.go
+++ b/galenafleet/restart_test.go
@@ -189,9 +189,9 @@
 // snapshot, so that the work of earlier owners waits for it again, and against one that ends early because
 // the clocks of two machines differ.
 func TestRecordedTimesAreThoseOfEvents(t *testing.T) {
-	for _, age := range []time.Duration{time.Minute, -time.Minute, maxClockDifference} {
+	for _, age := range []time.Duration{time.Minute, -time.Minute, maxClockDifference} { // from another clock
 		is := is.New(t)
-		s := &State{Timers: &galenatimer.Service{}}
+		s := &State{Timers: &galenatimer.Service{}, ProcessStart: time.Now().Round(0)}
 		in := galenajob.Instance{ID: "i", Born: 1}
 		apply(t, s, Op{Instance: &in})
 		in.Born = 2
@@ -209,7 +209,7 @@
 		expect()
 		b, err := s.Snapshot()
 		is.NoErr(err)
-		s = &State{Timers: &galenatimer.Service{}}
+		s = &State{Timers: &galenatimer.Service{}, ProcessStart: time.Now().Round(0)}
 		is.NoErr(s.Restore(b))
 		expect()
 	}
--- a/galenafleet/shard.go
+++ b/galenafleet/shard.go
@@ -157,7 +157,7 @@
 		}
 		s.AddInheritedInstance(now, in, expiry)
 		if restarted && !fenced {
-			s.ExpectStrayCalls(now, in.ID)
+			s.ExpectStrayCalls(now, in.ID, knownAt)
 		}
 		if left {
 			s.Leave(now, in.ID)
@@ -512,9 +512,12 @@
 		}
 		p.logReachability(sh.session.Logger, id, sh.pollTiming(sent, wait), err)
 		sh.withScheduler(func(_ time.Time, s *galenajob.Scheduler) {
-			if errors.Is(err, ErrRefused) {
+			switch {
+			case errors.Is(err, ErrRefused):
 				s.HandleRefusal(id, sent)
-			} else {
+			case errors.Is(err, ErrOtherIncarnation):
+				s.HandleOtherInstance(id, sent)
+			default:
 				s.HandleNoResponse(id, sent)
 			}
 		})
--- a/galenafleet/unanswered_test.go
+++ b/galenafleet/unanswered_test.go
@@ -233,7 +233,7 @@
 // records that count as new in a replica that has learned of them late.
 func TestUnansweredStartsAreRecorded(t *testing.T) {
 	is := is.New(t)
-	s := &State{Timers: &galenatimer.Service{}}
+	s := &State{Timers: &galenatimer.Service{}, ProcessStart: time.Now().Round(0)}
 	spec := galenajob.Spec{Steps: []galenajob.Step{{Count: 2}}}
 	apply(t, s, Op{Submit: &galenajob.Job{ID: "j", Queue: "q", Spec: spec, MaxAttempts: 2}})
 	key := func(i int) galenajob.ItemKey { return galenajob.ItemKey{Index: i} }
@@ -268,7 +268,7 @@
 
 	b, err := s.Snapshot()
 	is.NoErr(err)
-	s = &State{Timers: &galenatimer.Service{}}
+	s = &State{Timers: &galenatimer.Service{}, ProcessStart: time.Now().Round(0)}
 	is.NoErr(s.Restore(b))
 	is.Equal(len(s.activeJob("j").Unanswered), 1)
 	is.Equal(on(0), galenahead.InstanceID("b"))
--- a/galenajob/network_simulation_test.go
+++ b/galenajob/network_simulation_test.go
@@ -604,7 +604,7 @@
 	}
 	l.heardBy = sim.epoch
 	if known, ok := sim.registered[l.ID]; ok && known.Born != l.Born {
-		sim.restarts[l.ID] = netRestart{}
+		sim.restarts[l.ID] = netRestart{knownAt: sim.now}
 	}
 	sim.registered[l.ID] = l.Instance
 	known := sim.sched.instances[l.ID]
@@ -674,7 +674,7 @@
 			}
 			sim.sched.AddInheritedInstance(sim.now, sim.registered[id], expiry)
 			if restarted && !r.fenced {
-				sim.sched.ExpectStrayCalls(sim.now, id)
+				sim.sched.ExpectStrayCalls(sim.now, id, r.knownAt)
 			}
 			sim.startPolling(id)
 		}
--- a/galenajob/outcome.go
+++ b/galenajob/outcome.go
@@ -49,6 +49,9 @@
 // HandleOutcome handles the outcome of a start or stop command that was sent at sent.
 // clock is the clock reading in the response, or zero.
 func (s *Scheduler) HandleOutcome(now time.Time, a Action, o Outcome, clock int64, sent time.Time) {
+	if a.Kind == ActStart && (o.unsent() || o == OutcomeDeferred) {
+		s.endUnsentStart(a)
+	}
 	inst := s.instances[a.Instance.ID]
 	if inst == nil {
 		return
@@ -70,8 +73,10 @@
 	case OutcomeUnknown, OutcomeUnsent:
 		s.HandleNoResponse(inst.ID, sent)
 	case OutcomeRefused:
-		s.HandleRefusal(inst.ID, sent)
-	case OutcomeOtherIncarnation, OutcomeDeferred:
+		inst.noteRefusal(sent)
+	case OutcomeOtherIncarnation:
+		s.endStrayStartsOf(inst.ID, sent)
+	case OutcomeDeferred:
 	default:
 		s.noteResponse(now, inst, clock)
 		if takesLease && !restarted {
--- a/galenajob/refusal.go
+++ b/galenajob/refusal.go
@@ -20,12 +20,16 @@
 	maxRefusalGap = time.Second
 )
 
-// HandleRefusal records that the host of the instance refused the connection for a call at sent.
+// HandleRefusal records that the host of the instance refused the connection for a poll at sent.
 func (s *Scheduler) HandleRefusal(id galenahead.InstanceID, sent time.Time) {
-	inst := s.instances[id]
-	if inst == nil {
-		return
+	if inst := s.instances[id]; inst != nil {
+		inst.pollOpen = false
+		inst.noteRefusal(sent)
 	}
+}
+
+// noteRefusal records that a call at sent was refused. Other calls may be under way.
+func (inst *instance) noteRefusal(sent time.Time) {
 	inst.noteNoResponse(sent)
 	if inst.refusedSince.IsZero() || sent.Sub(inst.refusedAt) > maxRefusalGap {
 		inst.refusedSince = sent
--- a/galenajob/scheduler.go
+++ b/galenajob/scheduler.go
@@ -511,7 +511,7 @@
 	}
 	if it.phase == phaseStarting && it.inFlight {
 		it.unansweredUntil = it.startDeadline
-		s.noteStrayStart(now, it)
+		s.noteStartInFlight(now, it)
 	}
 	it.setPhase(phaseStopping)
 	it.confirmed, it.inFlight = time.Time{}, false
@@ -533,6 +533,7 @@
 	if inst == nil {
 		return
 	}
+	inst.pollOpen = false
 	inst.noteNoResponse(sent)
 	inst.endRefusal(sent)
 	if sent.After(inst.lostCallAt) {
@@ -542,7 +543,6 @@
 
 // noteNoResponse records that a call to the instance got no response, whether it was sent or not.
 func (inst *instance) noteNoResponse(sent time.Time) {
-	inst.pollOpen = false
 	if inst.unansweredSince.IsZero() && sent.After(inst.respondedAt) {
 		inst.unansweredSince = sent
 	}
--- a/galenajob/stray_call.go
+++ b/galenajob/stray_call.go
@@ -88,11 +88,20 @@
 	return clock >= inst.earlierClock && inst.clock+s.params.MaxLease.Milliseconds() < inst.earlierClock
 }
 
-// ExpectStrayCalls records that an inherited incarnation follows another one and may not have
-// been fenced by the earlier owner, whose calls to the incarnation before it may execute.
-func (s *Scheduler) ExpectStrayCalls(now time.Time, id galenahead.InstanceID) {
-	if inst := s.instances[id]; inst != nil {
-		s.beginStrayCalls(now, inst)
+// ExpectStrayCalls records that an inherited incarnation, which was known at a time, follows another one
+// and may not have been fenced by the earlier owner, whose calls to the incarnation before it may execute.
+func (s *Scheduler) ExpectStrayCalls(now time.Time, id galenahead.InstanceID, known time.Time) {
+	inst := s.instances[id]
+	if inst == nil {
+		return
+	}
+	reconciledBy := inst.reconciledBy
+	s.beginStrayCalls(now, inst)
+	if until := known.Add(maxCallDelay + s.params.LongestLease()); until.Before(inst.strayUntil) {
+		inst.strayUntil, inst.reconciledBy = until, reconciledBy
+		if inst.unreconciled && until.After(reconciledBy) {
+			inst.reconciledBy = until
+		}
 	}
 }
 
--- a/galenajob/stray_call_test.go
+++ b/galenajob/stray_call_test.go
@@ -72,7 +72,7 @@
 				s.AddInstance(t0, in)
 			case "registered":
 				next(in, t0.Add(lease*103/100))
-				s.ExpectStrayCalls(t0, "a")
+				s.ExpectStrayCalls(t0, "a", t0)
 			default:
 				s.AddInstance(t0, in)
 				s.Heartbeat(t0, "a", 20)
--- a/galenajob/stray_start.go
+++ b/galenajob/stray_start.go
@@ -29,6 +29,8 @@
 	// was given up. renewedAt is when the last call was sent that renews the lease of what runs on
 	// the instance.
 	until, renewedAt time.Time
+	// inFlight is set if the only command had no result yet when its run was given up.
+	inFlight bool
 	// reported is set once TakeStrayWaits has returned the work item, and holdRecorded once the end
 	// of its wait is recorded.
 	reported, holdRecorded bool
@@ -135,11 +137,23 @@
 	s.setStrayStart(it, c)
 }
 
-// noteStartInFlight is noteStrayStart if a start command of the work item is in flight, whose
-// result will not be looked at.
+// noteStartInFlight is noteStrayStart if a start command of the work item is in flight, whose run is
+// given up.
 func (s *Scheduler) noteStartInFlight(now time.Time, it *item) {
-	if it.phase == phaseStarting && it.inFlight && it.instance != nil {
-		s.noteStrayStart(now, it)
+	if it.phase != phaseStarting || !it.inFlight || it.instance == nil {
+		return
+	}
+	s.noteStrayStart(now, it)
+	if it.stray != nil {
+		it.stray.inFlight = it.startsSent == 1
+	}
+}
+
+// endUnsentStart handles the result that a start command was not sent, of which the run may have been
+// given up.
+func (s *Scheduler) endUnsentStart(a Action) {
+	if it := s.activeItem(a.Item); it != nil && it.stray != nil && it.stray.inFlight && it.stray.instance == a.Instance.ID && it.stray.run == a.Run {
+		s.resolveStrayStart(it)
 	}
 }
 
@@ -236,6 +250,22 @@
 	}
 }
 
+// HandleOtherInstance records that another instance answered a poll at sent.
+func (s *Scheduler) HandleOtherInstance(id galenahead.InstanceID, sent time.Time) {
+	s.HandleNoResponse(id, sent)
+	s.endStrayStartsOf(id, sent)
+}
+
+// endStrayStartsOf handles the answer of another instance at the address: the one that the starts
+// were sent to has ended, and that one refuses them.
+func (s *Scheduler) endStrayStartsOf(id galenahead.InstanceID, sent time.Time) {
+	for it := range s.strayStarts[id] {
+		if sent.After(it.stray.until.Add(-maxCallDelay)) {
+			s.resolveStrayStart(it)
+		}
+	}
+}
+
 // endStrayStarts forgets the stray starts that are over or of no importance.
 func (s *Scheduler) endStrayStarts(now time.Time) {
 	if now.Sub(s.strayCheckedAt) < strayCheckInterval {
--- a/galenajob/unsent_start_test.go
+++ b/galenajob/unsent_start_test.go
@@ -28,6 +28,7 @@
 		for _, o := range []Outcome{OutcomeUnsent, OutcomeRefused} {
 			t.Run(tt.name+", "+o.String(), func(t *testing.T) {
 				c := newStrayStartCase(t, testJob("j", 1))
+				c.params.GoneAfter = 6 * time.Second // as in the daemon
 				c.now = c.now.Add(100 * time.Millisecond)
 				tt.end(c)
 				c.outcome(c.start, o)
