--- a/test/galena-local/ends/deployment_test.go
+++ b/test/galena-local/ends/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +26,10 @@
 	controls     = diskControls + 1
 	entries      = 4
 	gracePeriod  = 6 * time.Second
+	// subnets is the number of subnets that deployments choose from. The ports are below
+	// those that connections are given.
+	subnets   = 250
+	firstPort = 21000
 )
 
 // deployment is a deployment of galena-fleet on loopback, with the settings of the
@@ -66,8 +70,6 @@
 	startedAt time.Time
 }
 
-var subnets atomic.Int64
-
 func (d *deployment) ip(i int) string { return fmt.Sprintf("127.72.%d.%d", d.subnet, i) }
 
 func (d *deployment) address(i int, port string) string {
@@ -76,16 +78,22 @@
 
 func newDeployment(t *testing.T) *deployment {
 	d := &deployment{
-		t: t, dir: t.TempDir(), subnet: int((int64(os.Getpid()) + subnets.Add(1)) % 250), ports: map[string]int{}, begin: time.Now(),
+		t: t, dir: t.TempDir(), ports: map[string]int{}, begin: time.Now(),
 		processes: map[string]*process{}, items: map[string]*item{}, jobs: map[string]*job{}, counts: map[string]int{},
 	}
-	for _, name := range []string{"caller", "ready", "operator", "peer", "status"} {
-		d.ports[name] = d.freePort()
+	// The listener keeps other deployments off the subnet.
+	var listener net.Listener
+	err := errors.New("no subnet")
+	for n := 0; n < subnets && err != nil; n++ {
+		d.subnet = (os.Getpid() + n) % subnets
+		listener, err = net.Listen("tcp", net.JoinHostPort(d.ip(100), strconv.Itoa(firstPort)))
 	}
-	listener, err := net.Listen("tcp", d.ip(100)+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	for i, name := range []string{"caller", "ready", "operator", "peer", "status"} {
+		d.ports[name] = firstPort + 1 + i
+	}
 	d.listener = listener
 	d.machines = &http.Server{Handler: http.HandlerFunc(d.listMachines), ReadHeaderTimeout: time.Second}
 	go d.runMachines()
@@ -95,32 +103,6 @@
 
 func (d *deployment) runMachines() { _ = d.machines.Serve(d.listener) }
 
-// freePort returns a port that is free on the addresses of all machines.
-func (d *deployment) freePort() int {
-	for range 20 {
-		first, err := net.Listen("tcp", d.ip(1)+":0")
-		if err != nil {
-			d.t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		free := true
-		for i := 2; i <= controls; i++ {
-			l, err := net.Listen("tcp", net.JoinHostPort(d.ip(i), strconv.Itoa(port)))
-			if err != nil {
-				free = false
-				continue
-			}
-			_ = l.Close()
-		}
-		_ = first.Close()
-		if free {
-			return port
-		}
-	}
-	d.t.Fatal("no free port")
-	return 0
-}
-
 func (d *deployment) listMachines(w http.ResponseWriter, _ *http.Request) {
 	rows := []map[string]any{}
 	d.mu.Lock()
@@ -171,12 +153,17 @@
 	placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 )
 
-// settings fills in the template of a role. The seeds begin with control daemon
-// 1+rotation.
-func (d *deployment) settings(role string, i int, bootstrap bool, rotation int) string {
-	var seeds []string
-	for k := range diskControls {
-		seeds = append(seeds, d.address(1+(k+rotation)%diskControls, "operator"))
+// seeds says which control daemons with a disk are the seeds in a settings file: number of them
+// in turn, after the first ones.
+type seeds struct{ first, number int }
+
+var allSeeds = seeds{0, diskControls}
+
+// settings fills in the template of a role.
+func (d *deployment) settings(role string, i int, bootstrap bool, s seeds) string {
+	var addresses []string
+	for k := range s.number {
+		addresses = append(addresses, d.address(1+(k+s.first)%diskControls, "operator"))
 	}
 	directory := ""
 	if role == "control" && i <= diskControls {
@@ -187,7 +174,7 @@
 		"limits.memory_mb": "284", "limits.max_fds": "4100",
 		"listen.control": d.address(i, "operator"), "listen.front": d.address(i, "caller"), "listen.ready": d.address(i, "ready"),
 		"internal_ports.0": strconv.Itoa(d.ports["peer"]), "internal_ports.1": strconv.Itoa(d.ports["status"]),
-		"seeds": strings.Join(seeds, ","), "data_dir": directory, "bootstrap": strconv.FormatBool(bootstrap),
+		"seeds": strings.Join(addresses, ","), "data_dir": directory, "bootstrap": strconv.FormatBool(bootstrap),
 		"fault_tolerance.machines": "1", "fault_tolerance.zones": "0", "bounds.catch_up_s": "4", "bounds.max_hold_ms": "10000",
 		"bounds.stop_timeout_ms": "200", "bounds.lease_ms": "3000", "bounds.status_s": "120", "bounds.grace_s": "6",
 		"cloud.address": d.listener.Addr().String(),
@@ -214,9 +201,13 @@
 
 func processName(role string, i int) string { return fmt.Sprintf("%s-%d", role, i) }
 
-func (d *deployment) writeSettings(role string, i int, bootstrap bool, rotation int) string {
+// writeSettings replaces the settings file of a process at once, and returns its path.
+func (d *deployment) writeSettings(role string, i int, bootstrap bool, s seeds) string {
 	path := filepath.Join(d.dir, processName(role, i)+".ini")
-	if err := os.WriteFile(path, []byte(d.settings(role, i, bootstrap, rotation)), 0o600); err != nil {
+	if err := os.WriteFile(path+".new", []byte(d.settings(role, i, bootstrap, s)), 0o600); err != nil {
+		d.t.Error(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
 		d.t.Error(err)
 	}
 	return path
@@ -225,7 +216,7 @@
 // start starts a process.
 func (d *deployment) start(role string, i int, bootstrap bool) {
 	name := processName(role, i)
-	path := d.writeSettings(role, i, bootstrap, 0)
+	path := d.writeSettings(role, i, bootstrap, allSeeds)
 	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		d.t.Error(err)
--- a/test/galena-local/ends/ends_test.go
+++ b/test/galena-local/ends/ends_test.go
@@ -1,9 +1,7 @@
 package ends
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -105,42 +103,40 @@
 	}
 }
 
-// hang sends SIGHUP with changed settings until stop is closed.
+// hang changes settings, mostly with a SIGHUP, until stop is closed.
 func (tr *trouble) hang(stop <-chan struct{}, group *sync.WaitGroup) {
 	defer group.Done()
 	for tr.wait(stop, 1200) {
 		tr.mu.Lock()
-		role, i, rotation := "entry", 1+tr.rng.IntN(entries), tr.rng.IntN(diskControls)
+		role, i, first, signal := "entry", 1+tr.rng.IntN(entries), tr.rng.IntN(diskControls), tr.rng.IntN(4) > 0
+		number := diskControls - tr.rng.IntN(2)
 		if tr.rng.IntN(2) == 0 {
 			role, i = "control", 1+tr.rng.IntN(controls)
 		}
 		down := tr.down[processName(role, i)]
 		tr.mu.Unlock()
 		if !down {
-			tr.d.hangUp(role, i, rotation)
+			tr.d.changeSettings(role, i, seeds{first, number}, signal)
 		}
 	}
 }
 
-// hangUp changes the settings of a process, and sends SIGHUP to it unless it has just started.
-func (d *deployment) hangUp(role string, i, rotation int) {
-	name := processName(role, i)
-	path := fmt.Sprintf("%s/%s.ini", d.dir, name)
-	if err := os.WriteFile(path+".new", []byte(d.settings(role, i, false, rotation)), 0o600); err != nil {
-		d.t.Error(err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		d.t.Error(err)
+// changeSettings changes the settings of a process, and sends SIGHUP to it unless it has just started.
+func (d *deployment) changeSettings(role string, i int, s seeds, signal bool) {
+	path := d.writeSettings(role, i, false, s)
+	if !signal {
+		d.notef("changed %s", path)
+		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.processes[name]
+	p := d.processes[processName(role, i)]
 	if p.stopping || time.Since(p.startedAt) < time.Second {
 		return
 	}
 	_ = p.cmd.Process.Signal(syscall.SIGHUP)
 	d.counts["hang-ups"]++
-	d.noteLocked("SIGHUP to %s", name)
+	d.noteLocked("SIGHUP to %s", p.name)
 }
 
 // checkProcesses checks that no process has ended by itself.
--- a/test/galena-local/ends/instance_test.go
+++ b/test/galena-local/ends/instance_test.go
@@ -243,8 +243,16 @@
 
 func (in *instance) hold(c command) (int, map[string]any) {
 	limit := time.After(time.Duration(min(c.WaitMS, 2000)) * time.Millisecond)
+	in.mu.Lock()
+	born := in.born
+	in.mu.Unlock()
 	for waited := false; ; {
 		in.mu.Lock()
+		if in.born != born {
+			// The call ended with the crash. Its cursor counts ends of before.
+			in.mu.Unlock()
+			return http.StatusServiceUnavailable, map[string]any{}
+		}
 		if c.FencingToken < in.fence {
 			in.mu.Unlock()
 			return refused("fence")
@@ -384,6 +392,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e.how == "done" {
+		d.noteLocked("%s run %d: end %d noted", e.task, e.run, e.n)
 		d.items[e.task].noted = true
 	}
 }
--- a/test/galena-local/ends/load_test.go
+++ b/test/galena-local/ends/load_test.go
@@ -196,7 +196,7 @@
 	case n < 30:
 		c.submit(false, time.Duration(1500+c.rng.IntN(5000))*time.Millisecond)
 	case n < 45:
-		c.conn.do(http.MethodGet, "/q/", "", 0)
+		c.conn.do(http.MethodGet, []string{"/q/", "/q/", "/p/"}[n%3], "", 0)
 	case n < 50:
 		c.cancel(c.jobs[c.rng.IntN(len(c.jobs))])
 	default:
@@ -306,14 +306,19 @@
 	version, settled int
 }
 
-// configuration returns the configuration of a version.
+// configuration returns the configuration of a version. Versions differ in a route that comes
+// and goes, in the name of another one, and in time-outs of requests and connections.
 func configuration(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","host":"shop.example","path_prefix":"/q/","kind":"unsafe","timeout_ms":%d,`+
-		`"target_latency_ms":600,"priority":0,"service":"desk","max_attempts":3,"stretch":1.6},{"name":"r%d","host":"shop.example","path_prefix":"/x%d/",`+
-		`"kind":"unsafe","timeout_ms":3000,"target_latency_ms":600,"priority":0,"service":"desk","max_attempts":3,"stretch":1.6}],`+
+	service := `"kind":"unsafe","timeout_ms":3000,"target_latency_ms":600,"priority":0,"service":"desk","max_attempts":3,"stretch":1.6}`
+	optional := ""
+	if version%2 == 0 {
+		optional = `{"name":"r2","host":"shop.example","path_prefix":"/p/",` + service + ","
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s{"name":"r1","host":"shop.example","path_prefix":"/q/","kind":"unsafe","timeout_ms":%d,`+
+		`"target_latency_ms":600,"priority":0,"service":"desk","max_attempts":3,"stretch":1.6},{"name":"r%d","host":"shop.example","path_prefix":"/x%d/",%s],`+
 		`"services":[{"name":"desk","health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"admission_control":true,"spare":false}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		version, 3000+version%7, 100+version, version)
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":%d,"idle_timeout_ms":%d}}`,
+		version, optional, 3000+version%7, 100+version, version, service, 1000+version%3*1000, 700+version%4*1500)
 }
 
 // replace sends a version to a control daemon once, and reports whether it was acknowledged.
