--- a/galenafleet/restart.go
+++ b/galenafleet/restart.go
@@ -38,7 +38,7 @@
 		delete(s.restarts, f.Instance)
 		return Result{Code: CodeDone}
 	}
-	r.Fenced, r.KnownAt, r.knownAt = true, f.At, s.since(f.At)
+	r.Fenced, r.KnownAt, r.knownAt = true, f.At, s.localTime(f.At)
 	s.restarts[f.Instance] = r
 	return Result{Code: CodeDone}
 }
@@ -46,7 +46,7 @@
 // restoreRestarts sets the restarts of a snapshot.
 func (s *State) restoreRestarts(restarts map[galenahead.InstanceID]restart) {
 	for id, r := range restarts {
-		r.knownAt = s.since(r.KnownAt)
+		r.knownAt = s.localTime(r.KnownAt)
 		s.restarts[id] = r
 	}
 }
@@ -59,22 +59,6 @@
 	return s.Timers.Now()
 }
 
-// maxClockDifference is how much the clocks of two machines, or that of one machine at two times, may
-// be apart without harm.
-const maxClockDifference = 5 * time.Second
-
-// since returns a time not before an event that was recorded with its time of day, on the clock of this
-// replica. One that runs learns of an event at once, whatever the clocks of other machines show. One that has
-// restarted learns of it late, and has only the time of day to tell how late. The zero time, which earlier
-// versions have recorded, counts as now.
-func (s *State) since(timeOfDay time.Time) time.Time {
-	now := s.clock()
-	if timeOfDay.IsZero() || !timeOfDay.Before(s.ProcessStart) {
-		return now
-	}
-	return now.Add(-max(0, time.Now().Round(0).Sub(timeOfDay)-maxClockDifference))
-}
-
 // restartOf returns whether a registered incarnation follows another one and may still hold a
 // lease from a call to it: fenced is false if it may still execute such calls, which were sent before
 // knownAt, and otherwise knownAt is not before it could do so for the last time.
--- a/galenafleet/unanswered.go
+++ b/galenafleet/unanswered.go
@@ -57,7 +57,7 @@
 
 // unansweredRecord returns the record of a start that was given up at a time of day.
 func (s *State) unansweredRecord(id galenahead.InstanceID, address string, givenUpAt time.Time, hold time.Duration) galenajob.UnansweredRecord {
-	return galenajob.UnansweredRecord{Instance: id, Address: address, GivenUpAt: s.since(givenUpAt), TimeOfDay: givenUpAt, Hold: hold}
+	return galenajob.UnansweredRecord{Instance: id, Address: address, GivenUpAt: s.localTime(givenUpAt), TimeOfDay: givenUpAt, Hold: hold}
 }
 
 func storedUnansweredStarts(j *galenajob.Job) []storedUnanswered {
--- a/galenajob/refusal.go
+++ b/galenajob/refusal.go
@@ -7,13 +7,13 @@
 )
 
 // While the host of an instance refuses connections, no incarnation runs there, so that no call
-// without a response can be executed. One that starts later could still execute an earlier call.
-// After refusalTime it is not expected any more, and the silence of the instance has no other
-// explanation than its end. An instance behind a cut does not answer at all.
+// without a response can be executed. One that starts later could still execute an earlier call;
+// after refusalTime it is not expected any more. An instance that is cut off is silent: the network
+// that cuts it off rarely refuses connections in its place.
 
 const (
 	// refusalTime is how long the host must refuse connections before the calls without a response
-	// count as lost. It is as long as instances take to start again under their IDs.
+	// count as lost. Instances that start again under their IDs mostly do so sooner.
 	refusalTime = 5 * time.Second
 	// maxRefusalGap is the longest time between two refused calls in which no incarnation can have
 	// come and gone unnoticed.
--- a/galenajob/stray_start.go
+++ b/galenajob/stray_start.go
@@ -45,8 +45,8 @@
 	return last.Add(p.LongestLease())
 }
 
-// UnansweredStart is a start command without a response. It must be recorded, so that the next
-// owner knows where the work item may still start.
+// UnansweredStart is a start command without a response, or, with Over set, the end of the doubt about
+// it. It must be recorded, so that the next owner knows where the work item may still start.
 type UnansweredStart struct {
 	Item     ItemID
 	Instance galenahead.InstanceID
@@ -115,7 +115,8 @@
 	}
 }
 
-// reportAnsweredStart lets the record of a start be deleted that took long and then had a result.
+// reportAnsweredStart lets the record of a start be deleted that took long and then had a result, also
+// that it was not sent.
 func (s *Scheduler) reportAnsweredStart(it *item) {
 	if it.startRecorded && it.stray == nil && it.startsSent == 1 {
 		it.startRecorded = false
