--- a/galenafleet/unanswered_test.go
+++ b/galenafleet/unanswered_test.go
@@ -110,11 +110,14 @@
 	}
 }
 
-// endedInstances let an instance end while it is sent its first start. Its host refuses all later calls.
+// endedInstances let an instance end while it is sent its first start. All later calls to it have
+// the outcome and the error.
 type endedInstances struct {
 	*stoppableInstances
-	ended galenahead.InstanceID
-	taken atomic.Bool
+	ended   galenahead.InstanceID
+	taken   atomic.Bool
+	outcome galenajob.Outcome
+	err     error
 }
 
 func (f *endedInstances) Start(ctx context.Context, a galenajob.Action, limit time.Duration) (galenajob.Outcome, int64, error) {
@@ -122,14 +125,14 @@
 	case a.Instance.ID != f.ended:
 		return f.stoppableInstances.Start(ctx, a, limit)
 	case f.taken.Swap(true):
-		return galenajob.OutcomeUnsent, 0, ErrRefused
+		return f.outcome, 0, f.err
 	}
 	return galenajob.OutcomeUnknown, 0, errCutOff
 }
 
 func (f *endedInstances) RenewAndPoll(ctx context.Context, req galenajob.PollRequest, wait, limit time.Duration) (galenajob.PollResponse, error) {
 	if req.Instance.ID == f.ended && f.taken.Load() {
-		return galenajob.PollResponse{}, ErrRefused
+		return galenajob.PollResponse{}, f.err
 	}
 	return f.stoppableInstances.RenewAndPoll(ctx, req, wait, limit)
 }
@@ -137,12 +140,23 @@
 // Guards against long-running work that has no run for longer than the users allow, 6 s and the 3 s
 // in which they look, since a start had no response when its instance crashed for good.
 func TestWorkOfEndedInstanceStartsElsewhere(t *testing.T) {
+	testWorkStartsElsewhere(t, &endedInstances{outcome: galenajob.OutcomeUnsent, err: ErrRefused})
+}
+
+// Guards against the same if its address has gone to an instance of another service, which refuses
+// that start.
+func TestWorkOfReplacedInstanceStartsElsewhere(t *testing.T) {
+	testWorkStartsElsewhere(t, &endedInstances{outcome: galenajob.OutcomeOtherIncarnation, err: ErrOtherIncarnation})
+}
+
+// testWorkStartsElsewhere checks when work of an ended instance starts on another one.
+func testWorkStartsElsewhere(t *testing.T, f *endedInstances) {
 	const allowed = 9 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		o, _ := testOwner()
 		o.Params.MaxLease = longestLease
-		f := &endedInstances{stoppableInstances: newStoppableInstances(), ended: "i"}
+		f.stoppableInstances, f.ended = newStoppableInstances(), "i"
 		o.Instances = f
 		ctx, stop := startOwner(t, o, testConfig)
 		sequence := int64(0)
--- a/galenajob/stray_start.go
+++ b/galenajob/stray_start.go
@@ -36,6 +36,9 @@
 	reported, holdRecorded bool
 }
 
+// givenUpAt returns when the last one was given up.
+func (c *strayStart) givenUpAt() time.Time { return c.until.Add(-maxCallDelay) }
+
 // heldUntil returns when whatever the commands have started has certainly ended.
 func (c *strayStart) heldUntil(p Params) time.Time {
 	last := c.until
@@ -228,7 +231,7 @@
 	for it := range s.strayStarts[inst.ID] {
 		executable := it.stray.until
 		if it.phase == phasePending {
-			executable = it.stray.until.Add(-maxCallDelay)
+			executable = it.stray.givenUpAt()
 		}
 		if !sent.Before(executable) {
 			s.resolveStrayStart(it)
@@ -244,7 +247,7 @@
 			continue
 		}
 		for it := range items {
-			if it.stray.address == inst.Address && sent.After(it.stray.until.Add(-maxCallDelay)) {
+			if it.stray.address == inst.Address && sent.After(it.stray.givenUpAt()) {
 				s.resolveStrayStart(it)
 			}
 		}
@@ -261,7 +264,7 @@
 // were sent to has ended, and that one refuses them.
 func (s *Scheduler) endStrayStartsOf(id galenahead.InstanceID, sent time.Time) {
 	for it := range s.strayStarts[id] {
-		if sent.After(it.stray.until.Add(-maxCallDelay)) {
+		if sent.After(it.stray.givenUpAt()) {
 			s.resolveStrayStart(it)
 		}
 	}
@@ -301,7 +304,7 @@
 	}
 	if !c.holdRecorded {
 		c.holdRecorded = true
-		givenUp := c.until.Add(-maxCallDelay)
+		givenUp := c.givenUpAt()
 		s.unansweredStarts = append(s.unansweredStarts, UnansweredStart{
 			Item: it.id(), Instance: c.instance, Address: c.address, GivenUpAt: givenUp, Hold: c.heldUntil(s.params).Sub(givenUp),
 		})
